--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Targets for developers and CI. "make test" runs all that CI runs.
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+export GOFLAGS = -buildvcs=false
+
+.PHONY: build generate fmt lint vet unit bounds known-red test bench capacity demo
+
+build:
+	$(GO) build -o bin/ ./cmd/... ./internal/standin/cmd/...
+
+generate:
+	$(TOOL) buf generate
+
+fmt:
+	gofmt -l -w .
+
+fmt-check:
+	@out=$$(gofmt -l .); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
+
+lint:
+	$(TOOL) staticcheck ./...
+	$(TOOL) depguard ./...
+	@scripts/lint-pure.sh
+
+vet:
+	$(GO) vet ./...
+
+unit:
+	scripts/unit.sh
+
+bounds:
+	$(GO) test -count=1 -run 'Bound' ./...
+
+known-red:
+	scripts/known-red.sh
+
+test: fmt-check lint vet build unit bounds known-red
+
+bench:
+	scripts/bench.sh
+
+capacity:
+	scripts/capacity.sh
+
+demo: build
+	scripts/demo.sh
--- /dev/null
+++ b/internal/coordination/routing/routing.go
@@ -0,0 +1,104 @@
+// Package routing picks the upstream of a request from a snapshot of candidates.
+package routing
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// Class is the urgency of a request.
+type Class string
+
+// The classes of requests.
+const (
+	ClassNow       Class = "now"
+	ClassOvernight Class = "overnight"
+	ClassLong      Class = "long"
+)
+
+// Request is what routing knows of a request.
+type Request struct {
+	Service    bundle.ServiceName
+	Model      bundle.ModelID   // empty for plain services
+	Adapter    bundle.AdapterID // empty when none is used
+	Class      Class
+	Deadline   time.Time
+	PrefixHash uint64 // hash of the prompt prefix, zero when there is none
+	Excluded   []bundle.UpstreamID
+}
+
+// Load is an upstream's own report.
+type Load struct {
+	Running int
+	Waiting int
+	SeenAt  time.Time // zero when there was no report yet
+}
+
+// Candidate is one upstream as this entry sees it.
+type Candidate struct {
+	Upstream   bundle.UpstreamID
+	Zone       bundle.Zone
+	InFlight   int // requests of this entry
+	Limit      int // concurrency limit of this entry towards the upstream
+	Reported   Load
+	HasModel   bool
+	HasAdapter bool
+	Ejected    bool
+	Leaving    bool
+}
+
+// ErrNoUpstream reports that no candidate can take the request.
+var ErrNoUpstream = errors.New("no upstream can take the request")
+
+// Picker chooses one candidate.
+type Picker interface {
+	Pick(now time.Time, request Request, candidates []Candidate) (bundle.UpstreamID, error)
+}
+
+// PowerOfTwo picks the less loaded of two random usable candidates.
+type PowerOfTwo struct{ Rand *rand.Rand }
+
+// Pick implements Picker.
+func (p PowerOfTwo) Pick(_ time.Time, request Request, candidates []Candidate) (bundle.UpstreamID, error) {
+	usable := Usable(request, candidates)
+	if len(usable) == 0 {
+		return "", ErrNoUpstream
+	}
+	first := usable[p.Rand.IntN(len(usable))]
+	second := usable[p.Rand.IntN(len(usable))]
+	if second.load() < first.load() {
+		return second.Upstream, nil
+	}
+	return first.Upstream, nil
+}
+
+func (c Candidate) load() int { return c.InFlight + c.Reported.Running + c.Reported.Waiting }
+
+// Usable returns the candidates that may take the request.
+func Usable(request Request, candidates []Candidate) []Candidate {
+	var usable []Candidate
+	for _, c := range candidates {
+		if c.accepts(request) {
+			usable = append(usable, c)
+		}
+	}
+	return usable
+}
+
+func (c Candidate) accepts(request Request) bool {
+	if c.Ejected || c.Leaving || c.InFlight >= c.Limit {
+		return false
+	}
+	if request.Model != "" && !c.HasModel {
+		return false
+	}
+	for _, id := range request.Excluded {
+		if id == c.Upstream {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,332 @@
+// Package settings reads the command line, environment and INI file of a
+// process and checks all values before the process starts.
+//
+// A process describes its settings by a struct with kong tags. An embedded
+// struct with a prefix such as "queue-" becomes the INI section [queue].
+// Numbers and durations may carry the tags min and max. Command-line flags go
+// before environment variables, which go before the file.
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"gopkg.in/ini.v1"
+)
+
+// Version is the version of all binaries.
+const Version = "0.1.0"
+
+// EnvironmentPrefix starts the names of all environment variables that are read.
+const EnvironmentPrefix = "SAVORYWEIR"
+
+const settingsFlag = "settings"
+
+// Common holds the flags that each process has.
+type Common struct {
+	Settings      string           `help:"INI file with settings." type:"path" placeholder:"FILE"`
+	CheckSettings bool             `help:"Check all settings, print the faults and exit."`
+	Version       kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Instance tells a process where it runs.
+type Instance struct {
+	ID      string `help:"Identifier of this instance, unique in the deployment." required:""`
+	Zone    string `help:"Availability zone of this instance." required:""`
+	Address string `help:"IP address of this instance." default:"127.0.0.1"`
+}
+
+// Fault is one wrong setting.
+type Fault struct {
+	File    string // empty for the command line and the environment
+	Section string
+	Key     string
+	Value   string
+	Allowed string
+}
+
+// String names the place, the value and what is allowed.
+func (f Fault) String() string {
+	place := "--" + joinName(f.Section, f.Key)
+	if f.File != "" {
+		place = fmt.Sprintf("%s: [%s] %s", f.File, f.Section, f.Key)
+	}
+	return fmt.Sprintf("%s = %q: allowed is %s", place, f.Value, f.Allowed)
+}
+
+// FaultsError lists all wrong settings of a process.
+type FaultsError struct{ Faults []Fault }
+
+// Error implements the error interface with one fault a line.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults)+1)
+	lines = append(lines, fmt.Sprintf("%d settings are wrong", len(e.Faults)))
+	for _, f := range e.Faults {
+		lines = append(lines, "  "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Program describes a binary to its users.
+type Program struct {
+	Name        string
+	Description string // shown by --help, with examples
+	Stdout      io.Writer
+	Stderr      io.Writer
+	Exit        func(code int)
+}
+
+// Parse fills target from args, the environment and the settings file, and
+// returns the parsed command. All faults come back in one *FaultsError.
+func Parse(p Program, target any, args []string) (*kong.Context, error) {
+	path := findFlag(args, settingsFlag)
+	if path == "" {
+		path = os.Getenv(EnvironmentPrefix + "_SETTINGS")
+	}
+	file, err := loadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	parser, err := kong.New(target,
+		kong.Name(p.Name),
+		kong.Description(p.Description),
+		kong.Vars{"version": Version},
+		kong.DefaultEnvars(EnvironmentPrefix),
+		kong.Writers(writerOr(p.Stdout, os.Stdout), writerOr(p.Stderr, os.Stderr)),
+		kong.Exit(exitOr(p.Exit)),
+		kong.Resolvers(fileResolver(file)),
+	)
+	if err != nil {
+		return nil, err
+	}
+	if faults := checkFile(path, file, parser.Model.AllFlags(false)); len(faults) > 0 {
+		return nil, &FaultsError{Faults: faults}
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		return nil, err
+	}
+	if faults := checkValues(ctx.Flags()); len(faults) > 0 {
+		return nil, &FaultsError{Faults: faults}
+	}
+	return ctx, nil
+}
+
+func writerOr(w, fallback io.Writer) io.Writer {
+	if w == nil {
+		return fallback
+	}
+	return w
+}
+
+func exitOr(exit func(int)) func(int) {
+	if exit == nil {
+		return os.Exit
+	}
+	return exit
+}
+
+func findFlag(args []string, name string) string {
+	long := "--" + name
+	for i, arg := range args {
+		if value, ok := strings.CutPrefix(arg, long+"="); ok {
+			return value
+		}
+		if arg == long && i+1 < len(args) {
+			return args[i+1]
+		}
+	}
+	return ""
+}
+
+func loadFile(path string) (*ini.File, error) {
+	if path == "" {
+		return ini.Empty(), nil
+	}
+	return ini.LoadSources(ini.LoadOptions{}, path)
+}
+
+func joinName(section, key string) string {
+	if section == "" || section == ini.DefaultSection {
+		return key
+	}
+	return section + "-" + key
+}
+
+func fileResolver(file *ini.File) kong.Resolver {
+	values := make(map[string]string)
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			values[joinName(section.Name(), key.Name())] = key.Value()
+		}
+	}
+	return kong.ResolverFunc(func(_ *kong.Context, _ *kong.Path, flag *kong.Flag) (any, error) {
+		if inEnvironment(flag) {
+			return nil, nil
+		}
+		if value, ok := values[flag.Name]; ok {
+			return value, nil
+		}
+		return nil, nil
+	})
+}
+
+// inEnvironment reports whether a variable sets flag. Kong would let the file override it.
+func inEnvironment(flag *kong.Flag) bool {
+	return slices.ContainsFunc(flag.Envs, func(name string) bool {
+		_, ok := os.LookupEnv(name)
+		return ok
+	})
+}
+
+func checkFile(path string, file *ini.File, groups [][]*kong.Flag) []Fault {
+	flags := make(map[string]*kong.Flag)
+	for _, group := range groups {
+		for _, flag := range group {
+			flags[flag.Name] = flag
+		}
+	}
+	var faults []Fault
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			fault := Fault{File: path, Section: section.Name(), Key: key.Name(), Value: key.Value()}
+			flag, ok := flags[joinName(section.Name(), key.Name())]
+			if !ok {
+				fault.Allowed = "nothing: the key is unknown"
+				faults = append(faults, fault)
+				continue
+			}
+			if allowed := checkText(flag, key.Value()); allowed != "" {
+				fault.Allowed = allowed
+				faults = append(faults, fault)
+			}
+		}
+	}
+	return faults
+}
+
+// checkText returns what is allowed when text is no valid value of flag, else "".
+func checkText(flag *kong.Flag, text string) string {
+	if flag.Enum != "" && !slices.Contains(strings.Split(flag.Enum, ","), text) {
+		return "one of " + flag.Enum
+	}
+	value := reflect.New(flag.Target.Type()).Elem()
+	if err := parseInto(value, text); err != nil {
+		return fmt.Sprintf("a %s%s", typeName(flag.Target.Type()), rangeText(flag))
+	}
+	if !inRange(flag, value) {
+		return fmt.Sprintf("a %s%s", typeName(flag.Target.Type()), rangeText(flag))
+	}
+	return ""
+}
+
+func checkValues(flags []*kong.Flag) []Fault {
+	var faults []Fault
+	for _, flag := range flags {
+		if inRange(flag, flag.Target) {
+			continue
+		}
+		faults = append(faults, Fault{
+			Key:     flag.Name,
+			Value:   fmt.Sprint(flag.Target.Interface()),
+			Allowed: fmt.Sprintf("a %s%s", typeName(flag.Target.Type()), rangeText(flag)),
+		})
+	}
+	return faults
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+func parseInto(value reflect.Value, text string) error {
+	if value.Type() == durationType {
+		d, err := time.ParseDuration(text)
+		value.SetInt(int64(d))
+		return err
+	}
+	switch value.Kind() {
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		n, err := strconv.ParseInt(text, 10, 64)
+		value.SetInt(n)
+		return err
+	case reflect.Uint, reflect.Uint32, reflect.Uint64:
+		n, err := strconv.ParseUint(text, 10, 64)
+		value.SetUint(n)
+		return err
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(text, 64)
+		value.SetFloat(n)
+		return err
+	case reflect.Bool:
+		_, err := strconv.ParseBool(text)
+		return err
+	default:
+		return nil
+	}
+}
+
+func inRange(flag *kong.Flag, value reflect.Value) bool {
+	return boundHolds(value, flag.Tag.Get("min"), 1) && boundHolds(value, flag.Tag.Get("max"), -1)
+}
+
+// boundHolds compares value with the bound in text. Sign is 1 for a lower and -1 for an upper bound.
+func boundHolds(value reflect.Value, text string, sign int) bool {
+	if text == "" {
+		return true
+	}
+	bound := reflect.New(value.Type()).Elem()
+	if err := parseInto(bound, text); err != nil {
+		return false
+	}
+	return sign*compareNumbers(value, bound) >= 0
+}
+
+func compareNumbers(a, b reflect.Value) int {
+	switch {
+	case a.CanInt():
+		return cmp.Compare(a.Int(), b.Int())
+	case a.CanUint():
+		return cmp.Compare(a.Uint(), b.Uint())
+	case a.CanFloat():
+		return cmp.Compare(a.Float(), b.Float())
+	default:
+		return 0
+	}
+}
+
+func typeName(t reflect.Type) string {
+	if t == durationType {
+		return "duration"
+	}
+	switch t.Kind() {
+	case reflect.Float64:
+		return "number"
+	case reflect.Bool:
+		return "truth value"
+	case reflect.String:
+		return "text"
+	default:
+		return "whole number"
+	}
+}
+
+func rangeText(flag *kong.Flag) string {
+	low, high := flag.Tag.Get("min"), flag.Tag.Get("max")
+	switch {
+	case low != "" && high != "":
+		return fmt.Sprintf(" from %s to %s", low, high)
+	case low != "":
+		return fmt.Sprintf(" of %s or more", low)
+	case high != "":
+		return fmt.Sprintf(" of %s or less", high)
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/transport/doc.go
@@ -0,0 +1,2 @@
+// Package transport groups the packages that use sockets.
+package transport
