Object API: stand-in with faults, HTTP protocol and client

Cause: all that must last goes through the platform's object API; the other parts need it to be tested. Change: in-memory store with rates, outages, delays and lost answers, faults per client path, HTTP server and client. Conclusion: a failed dial is 'unavailable', any later failure of a write is 'outcome unknown'.

--- /dev/null
+++ b/internal/transport/storeclient/storeclient_test.go
@@ -0,0 +1,99 @@
+package storeclient_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/object"
+	"savoryweir/internal/transport/storeclient"
+)
+
+const kind object.Kind = "things"
+
+func start(t *testing.T, limits objectapi.Limits) (*objectapi.Memory, *storeclient.Client) {
+	t.Helper()
+	store := objectapi.New(time.Now, limits)
+	server := httptest.NewServer(objectapi.Handler(store))
+	t.Cleanup(server.Close)
+	return store, storeclient.New(storeclient.Settings{URL: server.URL, Timeout: 5 * time.Second}, server.Client().Transport)
+}
+
+func TestConditionalWrites(t *testing.T) {
+	_, client := start(t, objectapi.Limits{})
+	ctx := context.Background()
+	v1, err := client.Create(ctx, kind, "a/b", []byte("one"))
+	assert.NilError(t, err)
+	_, err = client.Create(ctx, kind, "a/b", []byte("two"))
+	assert.ErrorIs(t, err, object.ErrConflict)
+	v2, err := client.Update(ctx, kind, "a/b", []byte("two"), v1)
+	assert.NilError(t, err)
+	_, err = client.Update(ctx, kind, "a/b", []byte("three"), v1)
+	assert.ErrorIs(t, err, object.ErrConflict)
+	o, err := client.Get(ctx, kind, "a/b")
+	assert.NilError(t, err)
+	assert.Equal(t, string(o.Data), "two")
+	assert.Equal(t, o.Version, v2)
+	assert.ErrorIs(t, client.Delete(ctx, kind, "a/b", v1), object.ErrConflict)
+	assert.NilError(t, client.Delete(ctx, kind, "a/b", v2))
+	_, err = client.Get(ctx, kind, "a/b")
+	assert.ErrorIs(t, err, object.ErrNotFound)
+}
+
+func TestLostAnswerIsReportedAsUnknownThoughTheWriteTookEffect(t *testing.T) {
+	store, client := start(t, objectapi.Limits{})
+	ctx := context.Background()
+	store.SetFaults(objectapi.Faults{LoseAnswers: 1})
+	_, err := client.Create(ctx, kind, "a", []byte("one"))
+	assert.ErrorIs(t, err, object.ErrOutcomeUnknown)
+	assert.Equal(t, store.Counts().Creates, uint64(1))
+	o, err := client.Get(ctx, kind, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, string(o.Data), "one")
+}
+
+func TestOutageAndThrottlingHaveNoEffect(t *testing.T) {
+	store, client := start(t, objectapi.Limits{WritesPerSecond: 1})
+	ctx := context.Background()
+	store.SetFaults(objectapi.Faults{Outage: true})
+	_, err := client.Create(ctx, kind, "a", nil)
+	assert.ErrorIs(t, err, object.ErrUnavailable)
+	store.SetFaults(objectapi.Faults{})
+	var throttled bool
+	for range 3 {
+		_, err := client.Create(ctx, kind, "b", nil)
+		throttled = throttled || errors.Is(err, object.ErrThrottled)
+	}
+	assert.Assert(t, throttled)
+	_, err = client.Get(ctx, kind, "a")
+	assert.ErrorIs(t, err, object.ErrNotFound)
+}
+
+func TestUnreachableStoreIsUnavailable(t *testing.T) {
+	server := httptest.NewServer(nil)
+	server.Close()
+	client := storeclient.New(storeclient.Settings{URL: server.URL, Timeout: time.Second}, nil)
+	_, err := client.Create(context.Background(), kind, "a", nil)
+	assert.ErrorIs(t, err, object.ErrUnavailable)
+}
+
+func TestWatchReportsChangesInOrderAndThenWaits(t *testing.T) {
+	_, client := start(t, objectapi.Limits{})
+	ctx := context.Background()
+	v, err := client.Create(ctx, kind, "a", []byte("1"))
+	assert.NilError(t, err)
+	_, err = client.Update(ctx, kind, "a", []byte("2"), v)
+	assert.NilError(t, err)
+	events, next, err := client.Watch(ctx, kind, 0, time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), 2)
+	assert.Equal(t, string(events[1].Object.Data), "2")
+	events, _, err = client.Watch(ctx, kind, next, time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, len(events), 0)
+}
