--- /dev/null
+++ b/internal/standin/residency/server.go
@@ -0,0 +1,72 @@
+package residency
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"savoryweir/internal/protocol/enginehttp"
+)
+
+// Handler serves the order and residency API of the engine.
+func Handler(e *Engine) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+enginehttp.LoadPath, orderHandler(e, Load))
+	mux.HandleFunc("POST "+enginehttp.UnloadPath, orderHandler(e, Unload))
+	mux.HandleFunc("GET "+enginehttp.ResidencyPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.Report(time.Now()))
+	})
+	return mux
+}
+
+// AdminHandler serves the switches of the stand-in: POST /faults, POST /restart and GET /account.
+func AdminHandler(e *Engine) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		e.SetFaults(f)
+	})
+	mux.HandleFunc("POST /restart", func(http.ResponseWriter, *http.Request) { e.Restart(time.Now()) })
+	mux.HandleFunc("GET /account", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.Account())
+	})
+	return mux
+}
+
+func orderHandler(e *Engine, action Action) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var order enginehttp.Order
+		if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		outcome, answered := e.Deliver(time.Now(), action, order)
+		if !answered {
+			panic(http.ErrAbortHandler) // close the connection without an answer
+		}
+		writeJSON(w, status(outcome), enginehttp.Answer{Outcome: outcome})
+	}
+}
+
+func status(outcome enginehttp.Outcome) int {
+	switch outcome {
+	case enginehttp.OutcomeOldFence:
+		return http.StatusConflict
+	case enginehttp.OutcomeNoMemory:
+		return http.StatusInsufficientStorage
+	case enginehttp.OutcomeNoModel:
+		return http.StatusFailedDependency
+	default:
+		return http.StatusOK
+	}
+}
+
+func writeJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v)
+}
