--- /dev/null
+++ b/internal/control/placing/cell.go
@@ -0,0 +1,217 @@
+package placing
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"savoryweir/internal/coordination/placement"
+	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/ledgerfile"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/ledger"
+	"savoryweir/internal/state/object"
+)
+
+// Scope is the part of the system that one cell is in charge of.
+type Scope struct {
+	Name       object.Name
+	Generation bundle.Generation
+	Upstreams  []bundle.Upstream
+	Models     []bundle.Model
+	Adapters   []bundle.Adapter
+	Leaving    []bundle.UpstreamID
+	Demand     []Demand
+	Rates      placement.Rates
+	// OthersAlive tells whether an instance is still a member.
+	OthersAlive func(instance string) bool
+}
+
+// Cell is one instance's hold on one placement cell. It is not safe for concurrent use.
+type Cell struct {
+	instance string
+	settings Settings
+	store    object.Store
+	engines  Engines
+	policy   placement.Policy
+	nonce    func() uint64
+	sessions map[bundle.UpstreamID]Session
+	tracker  *tracker
+	last     *ledger.Ledger
+}
+
+// NewCell returns a cell that has read nothing yet. nonce returns a new random number at each call.
+func NewCell(instance string, s Settings, store object.Store, engines Engines, policy placement.Policy, nonce func() uint64) *Cell {
+	return &Cell{
+		instance: instance, settings: s, store: store, engines: engines, policy: policy, nonce: nonce,
+		sessions: make(map[bundle.UpstreamID]Session), tracker: newTracker(),
+	}
+}
+
+// stored is a ledger with the version of its object, zero if there is none yet.
+type stored struct {
+	ledger  *ledger.Ledger
+	version object.Version
+}
+
+// Step reads the cell, and if this instance may hold it, settles it by the engines'
+// reports, decides, writes the intents and sends the orders.
+func (c *Cell) Step(ctx context.Context, now time.Time, scope Scope) error {
+	current, err := c.read(ctx, scope.Name)
+	if err != nil {
+		return err
+	}
+	if !c.mayHold(now, current.ledger, scope) {
+		c.last = current.ledger
+		c.closeSessions()
+		return nil
+	}
+	next := current.ledger.Clone()
+	c.settle(ctx, next, scope)
+	c.tracker.observe(now, next)
+	c.last = next
+	orders := c.plan(now, next, scope, ledger.Fence(current.version))
+	if len(orders) == 0 && !c.mustRenew(now, current, scope) {
+		return nil
+	}
+	if err := c.write(ctx, now, scope, next, current.version); err != nil {
+		return err
+	}
+	c.tracker.observe(now, next)
+	c.send(ctx, orders)
+	return nil
+}
+
+// Ledger returns the cell's account as of the last step, or nil. It must not be changed.
+func (c *Cell) Ledger() *ledger.Ledger { return c.last }
+
+func (c *Cell) read(ctx context.Context, name object.Name) (stored, error) {
+	const step errs.Step = "read placement cell"
+	o, err := c.store.Get(ctx, CellKind, name)
+	if errors.Is(err, object.ErrNotFound) {
+		return stored{ledger: &ledger.Ledger{}}, nil
+	}
+	if err != nil {
+		return stored{}, errs.Wrap(err, step, "store")
+	}
+	l, err := ledgerfile.Decode(o.Data)
+	if err != nil {
+		return stored{}, errs.Wrap(err, step, "store")
+	}
+	return stored{ledger: l, version: o.Version}, nil
+}
+
+// mayHold reports whether no other live holder has a lease. It spares conflicting work only.
+func (c *Cell) mayHold(now time.Time, l *ledger.Ledger, scope Scope) bool {
+	if l.Holder == c.instance || l.Holder == "" || !now.Before(l.LeaseUntil) {
+		return true
+	}
+	return !scope.OthersAlive(l.Holder)
+}
+
+// settle brings the ledger up to the bundle in force and to the engines' reports.
+func (c *Cell) settle(ctx context.Context, l *ledger.Ledger, scope Scope) {
+	for _, u := range scope.Upstreams {
+		l.SetEngine(u.ID, u.Memory, c.delivery(u))
+		report, err := c.report(ctx, u)
+		if err != nil {
+			l.SetUnreachable(u.ID)
+			continue
+		}
+		l.ApplyReport(u.ID, report)
+	}
+}
+
+func (c *Cell) delivery(u bundle.Upstream) ledger.Delivery {
+	switch {
+	case u.ChecksFence:
+		return ledger.DeliveryFenced
+	case c.settings.Copies:
+		return ledger.DeliveryAny
+	default:
+		return ledger.DeliveryOnce
+	}
+}
+
+// report reads an engine's report, on a new connection if the present one is gone.
+func (c *Cell) report(ctx context.Context, u bundle.Upstream) (ledger.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.EngineTimeout)
+	defer cancel()
+	session, ok := c.sessions[u.ID]
+	if !ok {
+		opened, err := c.engines.Open(ctx, u)
+		if err != nil {
+			return ledger.Report{}, err
+		}
+		session = opened
+		c.sessions[u.ID] = session
+	}
+	report, err := session.Report(ctx)
+	if err != nil {
+		c.closeSession(u.ID)
+	}
+	return report, err
+}
+
+// mustRenew reports whether the lease or the generation has to be written anew.
+func (c *Cell) mustRenew(now time.Time, current stored, scope Scope) bool {
+	l := current.ledger
+	half := l.LeaseUntil.Add(-c.settings.Lease / 2)
+	return current.version == 0 || l.Holder != c.instance || !now.Before(half) || l.Generation != scope.Generation
+}
+
+// write replaces the ledger by conditional update and learns the outcome of a lost answer.
+func (c *Cell) write(ctx context.Context, now time.Time, scope Scope, l *ledger.Ledger, expected object.Version) error {
+	const step errs.Step = "write placement cell"
+	l.Holder, l.LeaseUntil = c.instance, now.Add(c.settings.Lease)
+	l.Nonce, l.Generation = c.nonce(), scope.Generation
+	data, err := ledgerfile.Encode(l)
+	if err != nil {
+		return errs.Wrap(err, step, errs.Self)
+	}
+	if expected == 0 {
+		_, err = c.store.Create(ctx, CellKind, scope.Name, data)
+	} else {
+		_, err = c.store.Update(ctx, CellKind, scope.Name, data, expected)
+	}
+	if !errors.Is(err, object.ErrOutcomeUnknown) {
+		return errs.Wrap(err, step, "store")
+	}
+	found, readErr := c.read(ctx, scope.Name)
+	if readErr != nil {
+		return readErr
+	}
+	if found.ledger.Nonce != l.Nonce {
+		return errs.Wrap(err, step, "store")
+	}
+	return nil
+}
+
+// send sends each order once, on the connection to the boot that the order was planned for.
+func (c *Cell) send(ctx context.Context, orders []ledger.Order) {
+	for _, o := range orders {
+		session, ok := c.sessions[o.Engine]
+		if !ok {
+			continue
+		}
+		sendCtx, cancel := context.WithTimeout(ctx, c.settings.EngineTimeout)
+		err := session.Send(sendCtx, o)
+		cancel()
+		if err != nil {
+			c.closeSession(o.Engine)
+		}
+	}
+}
+
+func (c *Cell) closeSession(id bundle.UpstreamID) {
+	if session, ok := c.sessions[id]; ok {
+		session.Close()
+		delete(c.sessions, id)
+	}
+}
+
+func (c *Cell) closeSessions() {
+	for id := range c.sessions {
+		c.closeSession(id)
+	}
+}
--- /dev/null
+++ b/internal/control/placing/placing.go
@@ -0,0 +1,79 @@
+// Package placing holds placement cells: it reads the reports of their engines,
+// decides on moves, records them in the cell's ledger and sends the orders.
+package placing
+
+import (
+	"context"
+	"time"
+
+	"savoryweir/internal/coordination/placement"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/ledger"
+	"savoryweir/internal/state/object"
+)
+
+// Settings configure placement.
+type Settings struct {
+	Interval      time.Duration `help:"Time between two decisions on a cell." default:"1s" min:"50ms" max:"1m"`
+	Lease         time.Duration `help:"Time for which a holder keeps its cell after a write." default:"30s" min:"1s" max:"10m"`
+	Resend        time.Duration `help:"Time after which an order without effect is sent again." default:"10s" min:"100ms" max:"10m"`
+	EngineTimeout time.Duration `help:"Longest wait for an engine's answer." default:"2s" min:"10ms" max:"1m"`
+	CellSize      int           `help:"Engines in a placement cell." default:"18" min:"1" max:"200"`
+	// Copies is the assumption on which the release of memory rests where fencing is ignored.
+	Copies            bool    `help:"Copies of an order may reach engines that ignore fencing numbers at any time." default:"true" negatable:""`
+	LoadsAtOnce       int     `help:"Model loads at once at which the weight store keeps full speed." default:"4" min:"1" max:"1000"`
+	AdaptersInTransit int     `help:"Adapter loads at once at which the weight store keeps full speed." default:"30" min:"1" max:"10000"`
+	EngineTokens      float64 `help:"Tokens per second that one engine generates at full use." default:"5000" min:"1" max:"10000000"`
+
+	Policy placement.Settings `embed:""`
+}
+
+// Engines opens connections to model engines.
+type Engines interface {
+	// Open connects to an engine and reads its report.
+	Open(ctx context.Context, upstream bundle.Upstream) (Session, error)
+}
+
+// Session is one connection to one boot of an engine. It never reconnects, so that
+// an order on it can't reach a later boot.
+type Session interface {
+	// Report asks for the engine's present report.
+	Report(ctx context.Context) (ledger.Report, error)
+	// Send sends an order once. The answer is advisory: the next report settles the order.
+	Send(ctx context.Context, order ledger.Order) error
+	Close()
+}
+
+// Demand is the traffic of one model or adapter.
+type Demand struct {
+	Model             bundle.ModelID
+	Adapter           bundle.AdapterID
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+}
+
+// Inputs is what the rest of the control process knows.
+type Inputs interface {
+	// Bundle returns the bundle in force, or nil before the first.
+	Bundle() *bundle.Bundle
+	// Members returns the identifiers of the live instances, this one included.
+	Members() []string
+	// Leaving returns the upstreams that take no new work.
+	Leaving() []bundle.UpstreamID
+	// Demand returns the present traffic over all entries.
+	Demand() []Demand
+}
+
+// Replica is one model or adapter on an engine, for the entries' view.
+type Replica struct {
+	Upstream bundle.UpstreamID
+	Slot     ledger.Slot
+	Ready    bool
+}
+
+// The kinds and names of the store objects of placement.
+const (
+	CellKind   object.Kind = "placement-cells"
+	RosterKind object.Kind = "placement-rosters"
+	RosterName object.Name = "roster"
+)
--- /dev/null
+++ b/internal/control/placing/plan.go
@@ -0,0 +1,163 @@
+package placing
+
+import (
+	"slices"
+	"time"
+
+	"savoryweir/internal/coordination/placement"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/ledger"
+)
+
+// plan decides on moves and records their orders, and those to send again, in the ledger.
+func (c *Cell) plan(now time.Time, l *ledger.Ledger, scope Scope, fence ledger.Fence) []ledger.Order {
+	if fence == 0 {
+		return nil // the first write only creates the cell
+	}
+	orders := c.resend(now, l, scope, fence)
+	for _, a := range c.policy.Decide(now, c.snapshot(l, scope)) {
+		order, err := planAction(l, a, fence)
+		if err == nil {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+func planAction(l *ledger.Ledger, a placement.Action, fence ledger.Fence) (ledger.Order, error) {
+	if a.Action == ledger.Load {
+		return l.PlanLoad(a.Engine, a.Slot, a.Memory, fence)
+	}
+	return l.PlanUnload(a.Engine, a.Slot, a.Retired, fence)
+}
+
+// resend records again the orders that have had no effect for a while.
+func (c *Cell) resend(now time.Time, l *ledger.Ledger, scope Scope, fence ledger.Fence) []ledger.Order {
+	var orders []ledger.Order
+	for _, key := range c.tracker.overdue(now, c.settings.Resend) {
+		e := l.Engine(key.engine)
+		if e == nil || !scope.takesOrders(key.engine) {
+			continue
+		}
+		item := e.Item(key.slot)
+		if item == nil {
+			continue
+		}
+		order, err := planAgain(l, key.engine, *item, scope, fence)
+		if err == nil {
+			orders = append(orders, order)
+			c.tracker.sentAgain(key, now)
+		}
+	}
+	return orders
+}
+
+// planAgain repeats an order, or takes back a load that is not wanted any more.
+func planAgain(l *ledger.Ledger, id bundle.UpstreamID, item ledger.Item, scope Scope, fence ledger.Fence) (ledger.Order, error) {
+	retired := !scope.lists(item.Slot.Model)
+	if len(item.Unloads) > 0 || retired || !scope.wants(item.Slot) {
+		return l.PlanUnload(id, item.Slot, retired, fence)
+	}
+	return l.PlanLoad(id, item.Slot, item.Memory, fence)
+}
+
+func (s Scope) lists(id bundle.ModelID) bool {
+	return slices.ContainsFunc(s.Models, func(m bundle.Model) bool { return m.ID == id })
+}
+
+func (s Scope) wants(slot ledger.Slot) bool {
+	return slices.ContainsFunc(s.Models, func(m bundle.Model) bool {
+		return m.ID == slot.Model && m.Version == slot.Version
+	})
+}
+
+func (s Scope) takesOrders(id bundle.UpstreamID) bool {
+	listed := slices.ContainsFunc(s.Upstreams, func(u bundle.Upstream) bool { return u.ID == id })
+	return listed && !slices.Contains(s.Leaving, id)
+}
+
+// snapshot builds what the policy decides on.
+func (c *Cell) snapshot(l *ledger.Ledger, scope Scope) placement.Snapshot {
+	s := placement.Snapshot{Rates: scope.Rates}
+	for _, u := range scope.Upstreams {
+		e := l.Engine(u.ID)
+		s.Engines = append(s.Engines, placement.Engine{
+			ID: u.ID, Zone: u.Zone, Memory: u.Memory, Charged: e.Charged(), Compute: 1,
+			Usable: scope.takesOrders(u.ID) && !e.Unreachable && e.Boot != "",
+			Frees:  e.Delivery != ledger.DeliveryAny,
+			Items:  snapshotItems(e),
+		})
+	}
+	for _, m := range scope.Models {
+		s.Models = append(s.Models, placement.Model{Model: m, Demand: c.modelDemand(scope, m.ID)})
+	}
+	for _, a := range scope.Adapters {
+		s.Adapters = append(s.Adapters, placement.Adapter{Adapter: a, Demand: adapterDemand(scope, a.ID)})
+	}
+	return s
+}
+
+func snapshotItems(e *ledger.Engine) []placement.Item {
+	var items []placement.Item
+	for _, i := range e.Items {
+		items = append(items, placement.Item{Slot: i.Slot, Memory: i.Memory, State: itemState(i)})
+	}
+	return items
+}
+
+func itemState(i ledger.Item) placement.State {
+	switch {
+	case len(i.Unloads) > 0:
+		return placement.Leaving
+	case i.Ready:
+		return placement.Ready
+	default:
+		return placement.Pending
+	}
+}
+
+func (c *Cell) modelDemand(scope Scope, id bundle.ModelID) float64 {
+	tokens := 0.0
+	for _, d := range scope.Demand {
+		if d.Model == id {
+			tokens += d.TokensPerSecond
+		}
+	}
+	return tokens / c.settings.EngineTokens
+}
+
+func adapterDemand(scope Scope, id bundle.AdapterID) float64 {
+	requests := 0.0
+	for _, d := range scope.Demand {
+		if d.Adapter == id {
+			requests += d.RequestsPerSecond
+		}
+	}
+	return requests
+}
+
+// Replicas returns what the cell's engines hold, for the entries. An outdated version
+// is listed only while no version in force is ready.
+func (c *Cell) Replicas(scope Scope) []Replica {
+	if c.last == nil {
+		return nil
+	}
+	var all []Replica
+	for _, e := range c.last.Engines {
+		if e.Unreachable || !scope.takesOrders(e.ID) {
+			continue
+		}
+		for _, i := range e.Items {
+			all = append(all, Replica{Upstream: e.ID, Slot: i.Slot, Ready: i.Ready && len(i.Unloads) == 0})
+		}
+	}
+	return slices.DeleteFunc(all, func(r Replica) bool {
+		return !scope.wants(r.Slot) && hasReadyVersion(all, scope, r.Slot.Model)
+	})
+}
+
+func hasReadyVersion(all []Replica, scope Scope, id bundle.ModelID) bool {
+	return slices.ContainsFunc(all, func(r Replica) bool {
+		return r.Ready && r.Slot.Model == id && scope.wants(r.Slot)
+	})
+}
--- /dev/null
+++ b/internal/coordination/placement/plugins.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"math"
+
+	"savoryweir/internal/state/ledger"
+)
+
+// Candidate is one engine that might get a replica of a model.
+type Candidate struct {
+	Model  int
+	Engine int
+	// Gain is the unmet demand that the replica would serve, in engines.
+	Gain float64
+	// Evict are the replicas that have to go first, empty if there is room.
+	Evict []ledger.Slot
+}
+
+// Filter rejects candidates.
+type Filter interface {
+	Filter(v *view, c Candidate) bool
+}
+
+// Scorer rates a candidate. Scores of all scorers are added.
+type Scorer interface {
+	Score(v *view, c Candidate) float64
+}
+
+// Picker chooses among scored candidates and returns an index, or -1.
+type Picker interface {
+	Pick(candidates []Candidate, scores []float64) int
+}
+
+// FilterUsable rejects engines that take no orders or already have the slot.
+type FilterUsable struct{}
+
+// Filter implements Filter.
+func (FilterUsable) Filter(v *view, c Candidate) bool {
+	e := v.Engines[c.Engine]
+	return e.Usable && !e.mentions(slotOf(v.Models[c.Model]))
+}
+
+// FilterWorth rejects moves that bring less than they cost.
+type FilterWorth struct {
+	// Cost is the work, in engine-seconds, that one load or unload has to bring.
+	Cost float64
+	// Horizon is the time in seconds for which present demand is expected to last.
+	Horizon float64
+}
+
+// Filter implements Filter.
+func (f FilterWorth) Filter(_ *view, c Candidate) bool {
+	return c.Gain*f.Horizon >= f.Cost*float64(1+len(c.Evict))
+}
+
+// ScoreGain prefers the replica that serves the most unmet demand.
+type ScoreGain struct{}
+
+// Score implements Scorer.
+func (ScoreGain) Score(_ *view, c Candidate) float64 { return c.Gain }
+
+// ScoreEvictions prefers engines on which fewer replicas have to go.
+type ScoreEvictions struct{ Weight float64 }
+
+// Score implements Scorer.
+func (s ScoreEvictions) Score(_ *view, c Candidate) float64 { return -s.Weight * float64(len(c.Evict)) }
+
+// ScoreZones prefers availability zones with fewer replicas of the model.
+type ScoreZones struct{ Weight float64 }
+
+// Score implements Scorer.
+func (s ScoreZones) Score(v *view, c Candidate) float64 {
+	zone := v.Engines[c.Engine].Zone
+	same := v.count(func(e Engine) bool { return e.Zone == zone && e.Usable && e.holds(slotOf(v.Models[c.Model])) })
+	return -s.Weight * float64(same)
+}
+
+// ScoreRoom prefers engines with more free memory.
+type ScoreRoom struct{ Weight float64 }
+
+// Score implements Scorer.
+func (s ScoreRoom) Score(v *view, c Candidate) float64 {
+	return s.Weight * float64(v.free[c.Engine]) / float64(max(v.Engines[c.Engine].Memory, 1))
+}
+
+// PickBest chooses the highest score, and the first of equal ones.
+type PickBest struct{}
+
+// Pick implements Picker.
+func (PickBest) Pick(candidates []Candidate, scores []float64) int {
+	best, highest := -1, math.Inf(-1)
+	for i := range candidates {
+		if scores[i] > highest {
+			best, highest = i, scores[i]
+		}
+	}
+	return best
+}
+
+// chain is a list of filters and scorers with a picker.
+type chain struct {
+	filters []Filter
+	scorers []Scorer
+	picker  Picker
+}
+
+// pick returns the best candidate that passes all filters.
+func (k chain) pick(v *view, candidates []Candidate) (Candidate, bool) {
+	var kept []Candidate
+	var scores []float64
+	for _, c := range candidates {
+		if !k.passes(v, c) {
+			continue
+		}
+		score := 0.0
+		for _, s := range k.scorers {
+			score += s.Score(v, c)
+		}
+		kept = append(kept, c)
+		scores = append(scores, score)
+	}
+	best := k.picker.Pick(kept, scores)
+	if best < 0 {
+		return Candidate{}, false
+	}
+	return kept[best], true
+}
+
+func (k chain) passes(v *view, c Candidate) bool {
+	for _, f := range k.filters {
+		if !f.Filter(v, c) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordination/placement/steady.go
@@ -0,0 +1,207 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// Settings configure the steady policy.
+type Settings struct {
+	MoveCost   float64       `help:"Work in engine-seconds that a load or unload has to bring." default:"10" min:"0" max:"10000"`
+	Horizon    time.Duration `help:"Time for which present demand is expected to last." default:"2m" min:"1s" max:"1h"`
+	Hold       time.Duration `help:"Time for which demand must be unmet before a replica is added." default:"3s" min:"0s" max:"10m"`
+	Decay      time.Duration `help:"Time constant with which remembered demand falls." default:"10m" min:"1s" max:"24h"`
+	Headroom   float64       `help:"Share of present demand that is planned for beyond it." default:"0.1" min:"0" max:"2"`
+	Spares     bool          `help:"Fill free memory with spare replicas." default:"true" negatable:""`
+	Reserve    float64       `help:"Share of an engine's memory that spare replicas leave free for adapters." default:"0.1" min:"0" max:"1"`
+	ZoneWeight float64       `help:"Score against a second replica in one availability zone, in engines." default:"0.05" min:"0" max:"10"`
+}
+
+// Steady adds replicas where demand stays unmet and a move is worth its cost. It
+// keeps replicas when demand falls, since idle memory is worth nothing.
+type Steady struct {
+	settings Settings
+	chain    chain
+	spare    chain
+	memory   map[bundle.ModelID]float64 // remembered demand, in engines
+	last     time.Time
+	unmetAt  time.Time // since when demand has been unmet, zero if it is met
+}
+
+// NewSteady returns a policy that has seen no demand.
+func NewSteady(s Settings) *Steady {
+	room := ScoreRoom{Weight: 0.01}
+	zones := ScoreZones{Weight: s.ZoneWeight}
+	return &Steady{
+		settings: s,
+		memory:   make(map[bundle.ModelID]float64),
+		chain: chain{
+			filters: []Filter{FilterUsable{}, FilterWorth{Cost: s.MoveCost, Horizon: s.Horizon.Seconds()}},
+			scorers: []Scorer{ScoreGain{}, ScoreEvictions{Weight: s.MoveCost / s.Horizon.Seconds()}, zones, room},
+			picker:  PickBest{},
+		},
+		spare: chain{
+			filters: []Filter{FilterUsable{}},
+			scorers: []Scorer{ScoreZones{Weight: 1}, ScoreEvictions{Weight: 1}, room},
+			picker:  PickBest{},
+		},
+	}
+}
+
+// Decide implements Policy.
+func (p *Steady) Decide(now time.Time, s Snapshot) []Action {
+	p.remember(now, s.Models)
+	v := newView(s)
+	p.restore(v)
+	p.retire(v)
+	p.meetDemand(now, v)
+	if p.settings.Spares {
+		p.addSpares(v)
+	}
+	placeAdapters(v)
+	return v.actions
+}
+
+// remember follows demand up at once and down slowly.
+func (p *Steady) remember(now time.Time, models []Model) {
+	decay := 0.0
+	if !p.last.IsZero() {
+		decay = min(1, now.Sub(p.last).Seconds()/p.settings.Decay.Seconds())
+	}
+	p.last = now
+	for _, m := range models {
+		p.memory[m.ID] = max(m.Demand, p.memory[m.ID]*(1-decay))
+	}
+}
+
+// restore loads models that no engine has, then versions, then the configured minimum.
+func (p *Steady) restore(v *view) {
+	stages := []struct {
+		why     Reason
+		missing func(m Model) bool
+	}{
+		{ReasonUnreachable, func(m Model) bool { return v.replicas(m) == 0 && v.readyReplicas(m.ID) == 0 }},
+		{ReasonVersion, func(m Model) bool { return v.replicas(m) < max(1, v.outdated(m)) }},
+		{ReasonMinimum, func(m Model) bool { return v.replicas(m) < m.MinReplicas }},
+	}
+	for _, stage := range stages {
+		for m := range v.Models {
+			for v.loads > 0 && stage.missing(v.Models[m]) && p.place(v, p.spare, p.candidates(v, m), stage.why) {
+			}
+		}
+	}
+}
+
+// candidates lists all engines for one model, with the evictions that each needs.
+func (p *Steady) candidates(v *view, m int) []Candidate {
+	var list []Candidate
+	for e := range v.Engines {
+		if evict, ok := p.makeRoom(v, m, e); ok {
+			list = append(list, Candidate{Model: m, Engine: e, Evict: evict})
+		}
+	}
+	return list
+}
+
+// place loads the best candidate, or unloads what stands in its way first.
+// It reports whether the load was added.
+func (p *Steady) place(v *view, k chain, candidates []Candidate, why Reason) bool {
+	c, ok := k.pick(v, candidates)
+	if !ok {
+		return false
+	}
+	model := v.Models[c.Model]
+	if v.free[c.Engine] >= model.Memory {
+		v.load(c.Engine, slotOf(model), model.Memory, why)
+		return true
+	}
+	for _, slot := range c.Evict {
+		v.unload(c.Engine, slot, false, ReasonRoom)
+	}
+	return false
+}
+
+// retire unloads what the bundle in force does not list, once its successor is ready.
+func (p *Steady) retire(v *view) {
+	for e, engine := range v.Engines {
+		if !engine.Usable || !engine.Frees {
+			continue
+		}
+		for _, i := range slices.Clone(engine.Items) {
+			p.retireItem(v, e, i)
+		}
+	}
+}
+
+func (p *Steady) retireItem(v *view, e int, i Item) {
+	if i.State == Leaving {
+		return
+	}
+	m := slices.IndexFunc(v.Models, func(m Model) bool { return m.ID == i.Slot.Model })
+	if m < 0 {
+		v.unload(e, i.Slot, true, ReasonRetired)
+		return
+	}
+	current := slotOf(v.Models[m])
+	if i.Slot.Version == current.Version {
+		return
+	}
+	ready := v.count(func(e Engine) bool { return e.ready(current) })
+	if ready > 0 && ready >= v.outdated(v.Models[m]) {
+		v.unload(e, i.Slot, false, ReasonRetired)
+	}
+}
+
+// addSpares fills free memory, models with the fewest replicas for their demand first.
+func (p *Steady) addSpares(v *view) {
+	for v.loads > 0 {
+		m := p.neediest(v)
+		if m < 0 {
+			return
+		}
+		var list []Candidate
+		for e := range v.Engines {
+			if v.spareRoom(e, p.settings.Reserve) >= v.Models[m].Memory {
+				list = append(list, Candidate{Model: m, Engine: e})
+			}
+		}
+		if !p.place(v, p.spare, list, ReasonSpare) {
+			return
+		}
+	}
+}
+
+// neediest returns the model that fits somewhere and has the fewest replicas, or -1.
+func (p *Steady) neediest(v *view) int {
+	best, least := -1, 0
+	for m, model := range v.Models {
+		if !p.fitsAsSpare(v, model) {
+			continue
+		}
+		n := v.replicas(model)
+		if best < 0 || n < least {
+			best, least = m, n
+		}
+	}
+	return best
+}
+
+func (p *Steady) fitsAsSpare(v *view, m Model) bool {
+	for e, engine := range v.Engines {
+		if engine.Usable && !engine.mentions(slotOf(m)) && v.spareRoom(e, p.settings.Reserve) >= m.Memory {
+			return true
+		}
+	}
+	return false
+}
+
+// spareRoom returns the memory that a spare replica may take. An engine whose memory an
+// unload doesn't free gets none.
+func (v *view) spareRoom(e int, reserve float64) bundle.MiB {
+	if !v.Engines[e].Frees {
+		return 0
+	}
+	return v.free[e] - bundle.MiB(reserve*float64(v.Engines[e].Memory))
+}
--- /dev/null
+++ b/internal/protocol/ledgerfile/ledgerfile.go
@@ -0,0 +1,121 @@
+// Package ledgerfile encodes the ledger of a placement cell as a store object.
+// Each name is written once, and items refer to it by index.
+package ledgerfile
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	savoryweirv1 "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/ledger"
+)
+
+// ErrMalformed reports bytes that are no ledger.
+var ErrMalformed = errors.New("malformed ledger")
+
+// names collects each name once.
+type names struct {
+	list  []string
+	index map[string]uint32
+}
+
+func (n *names) add(name string) uint32 {
+	if at, ok := n.index[name]; ok {
+		return at
+	}
+	at := uint32(len(n.list))
+	n.list = append(n.list, name)
+	n.index[name] = at
+	return at
+}
+
+// Encode returns the bytes of a ledger.
+func Encode(l *ledger.Ledger) ([]byte, error) {
+	n := &names{index: make(map[string]uint32)}
+	n.add("") // index zero is the empty name, which costs no bytes in an item
+	m := &savoryweirv1.Ledger{
+		Holder: l.Holder, LeaseUntilUnixMillis: l.LeaseUntil.UnixMilli(), Nonce: l.Nonce, Generation: uint64(l.Generation),
+	}
+	for _, e := range l.Engines {
+		m.Engines = append(m.Engines, encodeEngine(e, n))
+	}
+	m.Names = n.list
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func encodeEngine(e ledger.Engine, n *names) *savoryweirv1.LedgerEngine {
+	m := &savoryweirv1.LedgerEngine{
+		Upstream: string(e.ID), Boot: e.Boot, Sequence: e.Sequence, Fence: uint64(e.Fence),
+		MemoryMib: uint64(e.Memory), Delivery: uint32(e.Delivery), Unreachable: e.Unreachable,
+	}
+	for _, i := range e.Items {
+		m.Items = append(m.Items, &savoryweirv1.LedgerItem{
+			Model: n.add(string(i.Slot.Model)), Version: n.add(i.Slot.Version), Adapter: n.add(string(i.Slot.Adapter)),
+			MemoryMib: uint64(i.Memory), Resident: i.Resident, Ready: i.Ready,
+			Loads: encodeFences(i.Loads), Unloads: encodeFences(i.Unloads),
+		})
+	}
+	return m
+}
+
+func encodeFences(fences []ledger.Fence) []uint64 {
+	var numbers []uint64
+	for _, f := range fences {
+		numbers = append(numbers, uint64(f))
+	}
+	return numbers
+}
+
+// Decode returns the ledger in data.
+func Decode(data []byte) (*ledger.Ledger, error) {
+	var m savoryweirv1.Ledger
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, errors.Join(ErrMalformed, err)
+	}
+	l := &ledger.Ledger{
+		Holder: m.Holder, LeaseUntil: time.UnixMilli(m.LeaseUntilUnixMillis), Nonce: m.Nonce,
+		Generation: bundle.Generation(m.Generation),
+	}
+	for _, engine := range m.Engines {
+		e, err := decodeEngine(engine, m.Names)
+		if err != nil {
+			return nil, err
+		}
+		l.Engines = append(l.Engines, e)
+	}
+	return l, nil
+}
+
+func decodeEngine(m *savoryweirv1.LedgerEngine, list []string) (ledger.Engine, error) {
+	if m.Delivery > uint32(ledger.DeliveryAny) {
+		return ledger.Engine{}, ErrMalformed
+	}
+	e := ledger.Engine{
+		ID: bundle.UpstreamID(m.Upstream), Boot: m.Boot, Sequence: m.Sequence, Fence: ledger.Fence(m.Fence),
+		Memory: bundle.MiB(m.MemoryMib), Delivery: ledger.Delivery(m.Delivery), Unreachable: m.Unreachable,
+	}
+	for _, item := range m.Items {
+		if int(max(item.Model, item.Version, item.Adapter)) >= len(list) {
+			return ledger.Engine{}, ErrMalformed
+		}
+		e.Items = append(e.Items, ledger.Item{
+			Slot: ledger.Slot{
+				Model: bundle.ModelID(list[item.Model]), Version: list[item.Version], Adapter: bundle.AdapterID(list[item.Adapter]),
+			},
+			Memory: bundle.MiB(item.MemoryMib), Resident: item.Resident, Ready: item.Ready,
+			Loads: decodeFences(item.Loads), Unloads: decodeFences(item.Unloads),
+		})
+	}
+	return e, nil
+}
+
+func decodeFences(numbers []uint64) []ledger.Fence {
+	var fences []ledger.Fence
+	for _, n := range numbers {
+		fences = append(fences, ledger.Fence(n))
+	}
+	return fences
+}
--- /dev/null
+++ b/internal/protocol/ledgerfile/ledgerfile_test.go
@@ -0,0 +1,49 @@
+package ledgerfile
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/ledger"
+)
+
+func sample() *ledger.Ledger {
+	slot := ledger.Slot{Model: "m", Version: "1"}
+	return &ledger.Ledger{
+		Holder: "a", LeaseUntil: time.UnixMilli(5), Nonce: 3, Generation: 2,
+		Engines: []ledger.Engine{{
+			ID: "e", Boot: "b", Sequence: 4, Fence: 9, Memory: 100, Delivery: ledger.DeliveryOnce,
+			Items: []ledger.Item{{Slot: slot, Memory: 10, Resident: true, Loads: []ledger.Fence{1, 2}, Unloads: []ledger.Fence{3}}},
+		}},
+	}
+}
+
+func TestDecodeReturnsWhatWasEncoded(t *testing.T) {
+	data, err := Encode(sample())
+	assert.NilError(t, err)
+	decoded, err := Decode(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded, sample())
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := Encode(sample())
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(decoded)
+		if err != nil {
+			return // names that are no valid text
+		}
+		copied, err := Decode(again)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, copied, decoded)
+	})
+}
