Seeded schedules of order, holder, engine and store faults over the memory ledger

Change: 600 schedules (150 seeds, four kinds of delivery) of two simulated minutes; checks each engine's own account against the stored ledger after every delivery, write and step.

--- /dev/null
+++ b/internal/control/placing/proof_test.go
@@ -0,0 +1,105 @@
+package placing
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"savoryweir/internal/coordination/placement"
+	"savoryweir/internal/standin/weights"
+	"savoryweir/internal/state/bundle"
+)
+
+const (
+	schedules         = 150
+	secondsOfSchedule = 120
+)
+
+var testLimits = weights.Limits{LoadsPerSecond: 1, AtOnce: 4, AdapterTime: 8 * time.Millisecond, AdaptersInTransit: 30}
+
+func testSettings(copies bool) Settings {
+	return Settings{
+		Interval: time.Second, Lease: 10 * time.Second, Resend: 3 * time.Second, EngineTimeout: time.Second,
+		Copies: copies, EngineTokens: 1000,
+		Policy: placement.Settings{
+			MoveCost: 1, Horizon: 2 * time.Minute, Decay: time.Minute, Headroom: 0.1, Spares: true, Reserve: 0.1, ZoneWeight: 0.05,
+		},
+	}
+}
+
+// testScope has engines of 100 MiB in three zones and more models than fit twice.
+func testScope(engines, models int, checksFence func(engine int) bool) Scope {
+	scope := Scope{Name: cellName, Generation: 1, Rates: placement.Rates{Loads: 4, Adapters: 30}}
+	for i := range engines {
+		scope.Upstreams = append(scope.Upstreams, bundle.Upstream{
+			ID: bundle.UpstreamID(fmt.Sprintf("e%d", i)), Zone: bundle.Zone(fmt.Sprintf("z%d", i%3)), Memory: 100, ChecksFence: checksFence(i),
+		})
+	}
+	for i := range models {
+		id := bundle.ModelID(fmt.Sprintf("m%d", i))
+		scope.Models = append(scope.Models, bundle.Model{ID: id, Version: "1", Memory: bundle.MiB(20 + 5*(i%4)), MinReplicas: 1})
+		adapter := bundle.AdapterID(fmt.Sprintf("a%d", i))
+		scope.Adapters = append(scope.Adapters, bundle.Adapter{ID: adapter, Model: id, Memory: 3})
+	}
+	return scope
+}
+
+// changeDemand gives every model a new demand, some of them a burst.
+func (w *world) changeDemand() {
+	w.scope.Demand = nil
+	for i, m := range w.scope.Models {
+		tokens := 100 * w.rand.Float64()
+		if w.chance(0.2) {
+			tokens *= 10
+		}
+		w.scope.Demand = append(w.scope.Demand,
+			Demand{Model: m.ID, TokensPerSecond: tokens},
+			Demand{Adapter: w.scope.Adapters[i].ID, RequestsPerSecond: float64(w.rand.IntN(2))})
+	}
+}
+
+func TestMemoryIsNeverOvercommittedUnderRandomSchedules(t *testing.T) {
+	all := chances{
+		lose: 0.05, late: 0.1, twice: 0.15, kill: 0.03, freeze: 0.03, staleReport: 0.2, loseAnswer: 0.1,
+		lateWrite: 0.05, interleave: 0.2, restart: 0.02, rollout: 0.02, outage: 0.05,
+	}
+	noCopies := all
+	noCopies.twice = 0
+	cases := []struct {
+		name   string
+		fenced func(engine int) bool
+		copies bool
+		faults chances
+	}{
+		{"fenced", func(int) bool { return true }, true, all},
+		{"copies", func(int) bool { return false }, true, all},
+		{"once", func(int) bool { return false }, false, noCopies},
+		{"mixed", func(i int) bool { return i%2 == 0 }, true, all},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(schedules) {
+				runSchedule(t, seed, c.fenced, c.copies, c.faults)
+			}
+		})
+	}
+}
+
+func runSchedule(t *testing.T, seed uint64, fenced func(int) bool, copies bool, f chances) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := testSettings(copies)
+		w := newWorld(seed, testScope(4, 6, fenced), testLimits, s, f)
+		for second := range secondsOfSchedule {
+			if second%15 == 0 {
+				w.changeDemand()
+			}
+			w.second(s)
+		}
+		time.Sleep(time.Minute) // let late writes end
+		if len(w.failures) > 0 {
+			t.Fatalf("seed %d: %d failures, first: %s", seed, len(w.failures), w.failures[0])
+		}
+	})
+}
