--- /dev/null
+++ b/internal/state/news/news.go
@@ -0,0 +1,49 @@
+// Package news defines what instances tell one another beside membership: the
+// bundle in force, requests that crash upstreams, and upstreams that leave.
+package news
+
+import (
+	"time"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// HashSize is the length of content hashes and fingerprints in bytes (SHA-256).
+const HashSize = 32
+
+// Hash is the SHA-256 hash of a bundle section or manifest.
+type Hash [HashSize]byte
+
+// Head names the bundle in force at an instance.
+type Head struct {
+	Generation bundle.Generation
+	Manifest   Hash
+}
+
+// Fingerprint identifies a request by its content.
+type Fingerprint [HashSize]byte
+
+// CrashSuspect is a request under which upstreams died.
+type CrashSuspect struct {
+	Fingerprint Fingerprint
+	Upstreams   []bundle.UpstreamID
+	Expires     time.Time
+}
+
+// UpstreamLeaving tells that an upstream takes no new work.
+type UpstreamLeaving struct {
+	Upstream bundle.UpstreamID
+	Since    time.Time
+}
+
+// Batch is what one message carries.
+type Batch struct {
+	Head     Head
+	Suspects []CrashSuspect
+	Leaving  []UpstreamLeaving
+}
+
+// IsEmpty reports whether the batch carries nothing.
+func (b Batch) IsEmpty() bool {
+	return b.Head.Generation == 0 && len(b.Suspects) == 0 && len(b.Leaving) == 0
+}
