--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	scripts/unit.sh
 
 bounds:
-	$(GO) test -count=1 -run 'Bound' ./...
+	scripts/bounds.sh
 
 known-red:
 	scripts/known-red.sh
--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -66,6 +66,7 @@
 	target     member.Member
 	sentAt     time.Time
 	indirectAt time.Time // zero until peers were asked
+	denials    int       // peers that did not reach the target either
 }
 
 // Detector is the failure detector of one instance.
@@ -85,6 +86,8 @@
 	penalty        int // 0 when this instance gets its answers in time
 	queue          updateQueue
 	changes        []Change
+	urgent         bool
+	accused        map[member.ID]time.Time // suspects of this instance, with the time of the last word to them
 }
 
 // New returns a detector for the instance self. Its incarnation must be higher
@@ -98,6 +101,7 @@
 		self:     self,
 		pending:  make(map[member.ID]*probe),
 		queue:    newUpdateQueue(),
+		accused:  make(map[member.ID]time.Time),
 	}
 	return d
 }
@@ -124,6 +128,14 @@
 	return taken
 }
 
+// TakeUrgent reports whether something was learnt since the last call that must
+// be passed on to all neighbours at once: a refutation, a death or a departure.
+func (d *Detector) TakeUrgent() bool {
+	taken := d.urgent
+	d.urgent = false
+	return taken
+}
+
 // Start puts this instance into its table.
 func (d *Detector) Start(now time.Time) {
 	d.table.Merge(now, d.self)
@@ -140,6 +152,7 @@
 	}
 	d.lastTick = now
 	actions := d.followUp(now)
+	actions = append(actions, d.tellAccused(now)...)
 	d.expireSuspicions(now)
 	if !now.Before(d.nextProbe) {
 		d.nextProbe = now.Add(d.settings.ProbeInterval)
@@ -175,7 +188,7 @@
 			actions = append(actions, d.askPeers(p.target)...)
 		case !p.indirectAt.IsZero() && now.Sub(p.indirectAt) >= 2*d.timeout():
 			delete(d.pending, id)
-			d.suspect(now, p.target)
+			d.suspect(now, p)
 		}
 	}
 	return actions
@@ -201,14 +214,40 @@
 	return d.settings.ProbeTimeout * time.Duration(1+d.penalty)
 }
 
-func (d *Detector) suspect(now time.Time, target member.Member) {
-	d.penalty = min(d.penalty+1, maxHealthPenalty)
+// suspect marks the target of a failed probe. When none of the peers that were
+// asked answered at all, the fault may lie with this instance, which then
+// stretches its timeouts.
+func (d *Detector) suspect(now time.Time, p *probe) {
+	if p.denials == 0 {
+		d.penalty = min(d.penalty+1, maxHealthPenalty)
+	}
+	target := p.target
 	known, ok := d.table.Get(target.ID)
 	if !ok || known.State != member.Alive || known.Incarnation != target.Incarnation {
 		return
 	}
 	target.State = member.Suspect
 	d.merge(now, target)
+	d.accused[target.ID] = time.Time{}
+}
+
+// tellAccused sends this instance's suspects the claim about them each probe
+// interval, so that they can refute it without waiting for others to tell them.
+func (d *Detector) tellAccused(now time.Time) []Action {
+	var actions []Action
+	for _, id := range sortedKeys(d.accused) {
+		known, ok := d.table.Get(id)
+		if !ok || known.State != member.Suspect {
+			delete(d.accused, id)
+			continue
+		}
+		if now.Sub(d.accused[id]) < d.settings.ProbeInterval {
+			continue
+		}
+		d.accused[id] = now
+		actions = append(actions, Action{Kind: ActionProbe, Target: known.Member, Timeout: d.timeout()})
+	}
+	return actions
 }
 
 func (d *Detector) expireSuspicions(now time.Time) {
@@ -263,6 +302,13 @@
 	delete(d.pending, from)
 }
 
+// OnDenial takes in that a peer did not reach the target of an indirect probe either.
+func (d *Detector) OnDenial(target member.ID) {
+	if p, ok := d.pending[target]; ok {
+		p.denials++
+	}
+}
+
 // OnUpdates takes in what a peer knows. It returns the members that were news.
 func (d *Detector) OnUpdates(now time.Time, updates []member.Member) []member.Member {
 	var news []member.Member
@@ -284,6 +330,7 @@
 		return
 	}
 	d.self.Incarnation = claim.Incarnation + 1
+	d.urgent = true
 	d.table.Merge(now, d.self)
 	d.queue.add(d.self)
 }
@@ -291,6 +338,7 @@
 // Leave announces that this instance stops. Its peers stop probing it.
 func (d *Detector) Leave(now time.Time) {
 	d.self.State = member.Left
+	d.urgent = true
 	d.table.Merge(now, d.self)
 	d.queue.add(d.self)
 }
@@ -313,8 +361,10 @@
 	if old.State != m.State {
 		d.changes = append(d.changes, Change{Member: m, Previous: old.State})
 	}
-	if !m.IsUsable() {
+	isRefutation := m.State == member.Alive && old.State > member.Alive
+	if !m.IsUsable() || isRefutation {
 		delete(d.pending, m.ID)
+		d.urgent = true
 	}
 	return true
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,16 @@
 	return strings.Join(lines, "\n")
 }
 
+// Defaults returns a settings struct filled with the defaults in its tags. It
+// panics if a tag is malformed, which is a programming error.
+func Defaults[T any]() T {
+	var target T
+	if err := kong.ApplyDefaults(&target); err != nil {
+		panic(err)
+	}
+	return target
+}
+
 // Program describes a binary to its users.
 type Program struct {
 	Name        string
--- a/internal/state/member/member.go
+++ b/internal/state/member/member.go
@@ -70,6 +70,7 @@
 // Table holds what one instance knows of all others and of itself.
 type Table struct {
 	records map[ID]Record
+	counts  [Left + 1]int
 	version uint64 // counts changes to the set of usable members
 }
 
@@ -83,6 +84,10 @@
 		return false
 	}
 	t.records[m.ID] = Record{Member: m, Since: now}
+	if known {
+		t.counts[old.State]--
+	}
+	t.counts[m.State]++
 	if !known || old.IsUsable() != m.IsUsable() || old.Address != m.Address {
 		t.version++
 	}
@@ -122,6 +127,9 @@
 
 // InState returns the records in one state, in order of their ids.
 func (t *Table) InState(state State) []Record {
+	if t.counts[state] == 0 {
+		return nil
+	}
 	var found []Record
 	for _, r := range t.records {
 		if r.State == state {
@@ -140,6 +148,7 @@
 	for id, r := range t.records {
 		if !r.IsUsable() && now.Sub(r.Since) > retention {
 			delete(t.records, id)
+			t.counts[r.State]--
 		}
 	}
 }
