Bundle files: INI parsing, content-addressed sections, manifest

Cause: only changed parts of a bundle may travel, and equal bundles need equal hashes however operators lay out their files. Change: protocol/bundlefile parses INI files with all faults at once, encodes a bundle into canonical sections sharded by id and a manifest, and decodes it with every hash checked. Ruled out: one section per kind (a change of one of 770 models would carry all of them) and one per entity (the manifest would carry 1,480 hashes).

--- /dev/null
+++ b/internal/protocol/bundlefile/bundlefile_test.go
@@ -0,0 +1,205 @@
+package bundlefile
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/bundle"
+)
+
+const smallFile = `
+[deployment]
+name = kalyvas
+zones = attica-1, attica-2
+[service tagger]
+kind = generation
+deadline = 5s
+[service bookings]
+kind = plain
+deadline = 2s
+route = /services/bookings
+order-paths = /orders
+[upstream tagger-1]
+service = tagger
+address = 10.0.0.1:8000
+zone = attica-1
+memory-mib = 80000
+accelerators = 1
+checks-fence = true
+[upstream bookings-1]
+service = bookings
+address = [fd00::1]:8000
+zone = attica-2
+[model tags]
+service = tagger
+version = 3
+memory-mib = 16000
+min-replicas = 1
+[adapter agency-1]
+model = tags
+memory-mib = 200
+`
+
+func parseSmall(t *testing.T) *bundle.Bundle {
+	t.Helper()
+	b, source, faults := Parse([]File{{Name: "all.ini", Data: []byte(smallFile)}})
+	assert.NilError(t, bundle.Check(faults))
+	assert.Equal(t, source["model tags"], "all.ini")
+	return b
+}
+
+func sectionsOf(e Encoded) Sections {
+	sections := make(Sections)
+	for _, s := range e.All() {
+		sections[s.Hash] = s.Data
+	}
+	return sections
+}
+
+func TestRoundTrip(t *testing.T) {
+	b := parseSmall(t)
+	assert.Equal(t, b.Services[0].Deadline, 5*time.Second)
+	assert.DeepEqual(t, b.Services[1].OrderPaths, []string{"/orders"})
+	assert.Assert(t, b.Upstreams[0].ChecksFence)
+	encoded, err := Encode(b)
+	assert.NilError(t, err)
+	decoded, err := Decode(encoded.Manifest.Hash, sectionsOf(encoded))
+	assert.NilError(t, err)
+	slices.SortFunc(b.Services, func(x, y bundle.Service) int { return -1 })
+	again, err := Encode(decoded)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, encoded)
+	texts, _, faults := Parse(Texts(b))
+	assert.NilError(t, bundle.Check(faults))
+	fromTexts, err := Encode(texts)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, fromTexts.Manifest, encoded.Manifest)
+}
+
+func TestDecodeRefusesDamage(t *testing.T) {
+	encoded, err := Encode(parseSmall(t))
+	assert.NilError(t, err)
+	t.Run("missing section", func(t *testing.T) {
+		sections := sectionsOf(encoded)
+		delete(sections, encoded.Sections[1].Hash)
+		_, err := Decode(encoded.Manifest.Hash, sections)
+		var missing *MissingError
+		assert.Assert(t, errors.As(err, &missing))
+		assert.DeepEqual(t, missing.Hashes, []bundle.Hash{encoded.Sections[1].Hash})
+	})
+	t.Run("changed section", func(t *testing.T) {
+		sections := sectionsOf(encoded)
+		sections[encoded.Sections[1].Hash] = []byte("[adapter agency-1]\nmodel = tags\nmemory-mib = 1\n")
+		_, err := Decode(encoded.Manifest.Hash, sections)
+		assert.ErrorContains(t, err, "does not match its hash")
+	})
+	t.Run("changed manifest", func(t *testing.T) {
+		sections := sectionsOf(encoded)
+		sections[encoded.Manifest.Hash] = append([]byte{0}, encoded.Manifest.Data...)
+		_, err := Decode(encoded.Manifest.Hash, sections)
+		assert.ErrorContains(t, err, "does not match its hash")
+	})
+}
+
+func TestParseReportsAllFaultsAtOnce(t *testing.T) {
+	_, _, faults := Parse([]File{
+		{Name: "a.ini", Data: []byte("stray = 1\n[model m]\nservice = s\nversion = 1\nmemory-mib = much\nmemory = 3\nversion = 2\n")},
+		{Name: "b.ini", Data: []byte("[model m]\n[cluster c]\n[adapter -x]\n[upstream u]\nservice = s\naddress = 'a\nzone = z\nchecks-fence = maybe\n")},
+		{Name: "c.ini", Data: []byte("[model\n")},
+	})
+	var lines []string
+	for _, f := range faults {
+		lines = append(lines, f.String())
+	}
+	assert.DeepEqual(t, lines, []string{
+		"a.ini: stray: the key stands before the first section",
+		"a.ini: [model m] memory: the key is unknown",
+		`a.ini: [model m] memory-mib: "much" is no whole number from 0 to 1073741824`,
+		"a.ini: [model m] min-replicas: the key is missing",
+		"a.ini: [model m] version: the key stands twice",
+		"b.ini: [model m] the section stands twice, first in a.ini",
+		"b.ini: [cluster c] the section is unknown, allowed are [deployment], [service NAME], [upstream NAME], [model NAME] and [adapter NAME]",
+		"b.ini: [adapter -x] the name after the kind must be 1 to 128 letters, digits or . _ / - and start with a letter or digit",
+		"b.ini: [upstream u] address: the value must be letters, digits, spaces or . _ / : , - [ ] and not be empty",
+		`b.ini: [upstream u] checks-fence: "maybe" is neither true nor false`,
+		"c.ini: not an INI file: unclosed section: [model\n",
+		"[deployment] the section is missing",
+	})
+}
+
+// largeBundle has the size of the target.
+func largeBundle() *bundle.Bundle {
+	b := &bundle.Bundle{Deployment: "target", Zones: []bundle.Zone{"z1"}}
+	b.Services = append(b.Services, bundle.Service{Name: "generation", Kind: bundle.KindGeneration, Deadline: time.Second})
+	for i := range 710 {
+		b.Upstreams = append(b.Upstreams, bundle.Upstream{
+			ID: bundle.UpstreamID(fmt.Sprintf("engine-%03d", i)), Service: "generation",
+			Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Zone: "z1", Memory: 640000, Accelerators: 8,
+		})
+	}
+	for i := range 770 {
+		b.Models = append(b.Models, bundle.Model{
+			ID: bundle.ModelID(fmt.Sprintf("model-%03d", i)), Service: "generation", Version: "1", Memory: 40000, MinReplicas: 1,
+		})
+	}
+	return b
+}
+
+// The control budget at the target size is 3 KB/s for an instance, with 930 changes
+// a day. A tenth of it is the bound for the spread of bundles.
+func TestBoundBytesOfOneChangeAtTargetSize(t *testing.T) {
+	const changesPerDay, secondsPerDay, boundBytesPerSecond = 930, 86400, 300
+	b := largeBundle()
+	before, err := Encode(b)
+	assert.NilError(t, err)
+	b.Models[300].Version = "2"
+	after, err := Encode(b)
+	assert.NilError(t, err)
+	have := sectionsOf(before)
+	bytes := 0
+	for _, s := range after.All() {
+		if _, ok := have[s.Hash]; !ok {
+			bytes += len(s.Data)
+		}
+	}
+	whole := 0
+	for _, s := range after.All() {
+		whole += len(s.Data)
+	}
+	t.Logf("one change carries %d of %d bytes, manifest %d bytes, %d sections", bytes, whole, len(after.Manifest.Data), len(after.Sections))
+	assert.Assert(t, bytes*changesPerDay/secondsPerDay < boundBytesPerSecond)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(smallFile))
+	f.Add([]byte("[model m]\nmemory-mib = 99999999999999999999\n"))
+	f.Add([]byte("[deployment]\nname = \"\"\"a\nb\"\"\"\nzones = ,\n"))
+	f.Add([]byte("\xef\xbb\xbf[adapter a.b]\nmodel : x\n- = y\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, _, faults := Parse([]File{{Name: "f", Data: data}})
+		if len(faults) > 0 {
+			return
+		}
+		encoded, err := Encode(b)
+		assert.NilError(t, err)
+		decoded, err := Decode(encoded.Manifest.Hash, sectionsOf(encoded))
+		assert.NilError(t, err)
+		again, err := Encode(decoded)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Manifest.Hash, encoded.Manifest.Hash)
+	})
+}
+
+func FuzzDecodeManifest(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0x0a, 0x02, 0x0a, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		hash := bundle.HashOf(data)
+		_, _ = Decode(hash, Sections{hash: data})
+	})
+}
