One type for the bundle head between peers

Cause: news.Head lacked the hash of the signed approval, so a head heard from a peer could not be verified. Change: news.Head is bundle.Head, and peercodec carries it by bundlefile.

--- a/internal/protocol/peercodec/peercodec.go
+++ b/internal/protocol/peercodec/peercodec.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
 	"savoryweir/internal/state/member"
@@ -77,10 +78,7 @@
 
 // EncodeUpdates turns members and news into one message.
 func EncodeUpdates(members []member.Member, batch news.Batch) *pb.Updates {
-	updates := &pb.Updates{Members: EncodeMembers(members)}
-	if batch.Head.Generation > 0 {
-		updates.Bundle = &pb.BundleHead{Generation: uint64(batch.Head.Generation), ManifestHash: batch.Head.Manifest[:]}
-	}
+	updates := &pb.Updates{Members: EncodeMembers(members), Bundle: bundlefile.HeadToWire(batch.Head)}
 	for _, s := range batch.Suspects {
 		updates.Suspects = append(updates.Suspects, EncodeSuspect(s))
 	}
@@ -93,8 +91,8 @@
 // DecodeNews turns a message into news and drops what makes no sense.
 func DecodeNews(updates *pb.Updates) news.Batch {
 	var batch news.Batch
-	if hash, err := DecodeHash(updates.GetBundle().GetManifestHash()); err == nil {
-		batch.Head = news.Head{Generation: bundle.Generation(updates.GetBundle().GetGeneration()), Manifest: hash}
+	if head, err := bundlefile.HeadFromWire(updates.GetBundle()); err == nil {
+		batch.Head = head
 	}
 	for _, s := range updates.GetSuspects() {
 		if suspect, err := DecodeSuspect(s); err == nil {
--- a/internal/state/news/news.go
+++ b/internal/state/news/news.go
@@ -11,14 +11,11 @@
 // HashSize is the length of content hashes and fingerprints in bytes (SHA-256).
 const HashSize = 32
 
-// Hash is the SHA-256 hash of a bundle section or manifest.
-type Hash [HashSize]byte
+// Hash is the SHA-256 hash of a bundle section, manifest or approval.
+type Hash = bundle.Hash
 
 // Head names the bundle in force at an instance.
-type Head struct {
-	Generation bundle.Generation
-	Manifest   Hash
-}
+type Head = bundle.Head
 
 // Fingerprint identifies a request by its content.
 type Fingerprint [HashSize]byte
