Control: peers over gRPC, cell replicas fetched from peers

Cause: instances must agree quickly on members, leaving upstreams, crash suspects and replicas. Ruled out: each instance watching the cell objects in the store (320 watches on each change); replicas inline in pushed news (four copies reach each instance). Change: peers service with detector goroutine and senders; cell heads spread, contents fetched once; digest with every probe repairs what repeats have missed; byte counting connections.

--- /dev/null
+++ b/internal/control/peers/fetch.go
@@ -0,0 +1,117 @@
+package peers
+
+import (
+	"context"
+
+	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/bundlefile"
+	"savoryweir/internal/protocol/peercodec"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/demand"
+	"savoryweir/internal/state/member"
+	"savoryweir/internal/state/news"
+	"savoryweir/internal/state/replica"
+
+	pb "savoryweir/api/savoryweir/v1"
+)
+
+// FetchSections implements pb.PeerServer. Sections that are not here are left out.
+func (s *Service) FetchSections(_ context.Context, request *pb.FetchSectionsRequest) (*pb.FetchSectionsResponse, error) {
+	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
+	var found []bundlefile.Section
+	hashes := request.GetHashes()
+	for _, data := range hashes[:min(len(hashes), maxSectionsPerFetch)] {
+		hash, err := bundle.HashFromBytes(data)
+		if err != nil {
+			continue
+		}
+		if section, ok := s.Sections.Section(hash); ok {
+			found = append(found, section)
+		}
+	}
+	return &pb.FetchSectionsResponse{
+		Time:     peercodec.EncodeTime(s.Clock.Now()),
+		Sections: bundlefile.SectionsToWire(found),
+	}, nil
+}
+
+// FetchSectionsFrom asks a peer for sections. The result holds those that it has.
+func (s *Service) FetchSectionsFrom(ctx context.Context, from member.Member, hashes []bundle.Hash) ([]bundlefile.Section, error) {
+	peer := errs.Peer(from.ID)
+	client, err := s.client(from.Address)
+	if err != nil {
+		return nil, errs.Wrap(err, stepSections, peer)
+	}
+	request := &pb.FetchSectionsRequest{Time: peercodec.EncodeTime(s.Clock.Now())}
+	for _, h := range hashes[:min(len(hashes), maxSectionsPerFetch)] {
+		request.Hashes = append(request.Hashes, h[:])
+	}
+	response, err := client.FetchSections(ctx, request)
+	if err != nil {
+		return nil, errs.Wrap(err, stepSections, peer)
+	}
+	s.Clock.Observe(peercodec.DecodeTime(response.GetTime()))
+	sections, err := bundlefile.SectionsFromWire(response.GetSections())
+	return sections, errs.Wrap(err, stepSections, peer)
+}
+
+// FetchCells implements pb.PeerServer. Cells that are not known here are left out.
+func (s *Service) FetchCells(_ context.Context, request *pb.FetchCellsRequest) (*pb.FetchCellsResponse, error) {
+	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
+	response := &pb.FetchCellsResponse{Time: peercodec.EncodeTime(s.Clock.Now())}
+	ids := request.GetCells()
+	for _, id := range ids[:min(len(ids), maxCellsPerFetch)] {
+		if c, ok := s.Cells.Cell(news.CellID(id)); ok {
+			response.Cells = append(response.Cells, peercodec.EncodeCell(c))
+		}
+	}
+	return response, nil
+}
+
+// FetchCellsFrom asks a peer for the replicas of cells.
+func (s *Service) FetchCellsFrom(ctx context.Context, from member.Member, ids []news.CellID) ([]replica.Cell, error) {
+	client, err := s.client(from.Address)
+	if err != nil {
+		return nil, errs.Wrap(err, stepCells, errs.Peer(from.ID))
+	}
+	request := &pb.FetchCellsRequest{Time: peercodec.EncodeTime(s.Clock.Now())}
+	for _, id := range ids[:min(len(ids), maxCellsPerFetch)] {
+		request.Cells = append(request.Cells, string(id))
+	}
+	response, err := client.FetchCells(ctx, request)
+	if err != nil {
+		return nil, errs.Wrap(err, stepCells, errs.Peer(from.ID))
+	}
+	s.Clock.Observe(peercodec.DecodeTime(response.GetTime()))
+	var found []replica.Cell
+	for _, c := range response.GetCells() {
+		found = append(found, peercodec.DecodeCell(c))
+	}
+	return found, nil
+}
+
+// ReportDemand implements pb.PeerServer.
+func (s *Service) ReportDemand(_ context.Context, request *pb.DemandReport) (*pb.DemandReportResponse, error) {
+	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
+	s.Demand.OnDemand(peercodec.DecodeDemand(request.GetSender(), request.GetIntervalMillis(), request.GetDemand()))
+	return &pb.DemandReportResponse{Time: peercodec.EncodeTime(s.Clock.Now())}, nil
+}
+
+// SendDemand tells the holder of a cell what this instance's entry saw.
+func (s *Service) SendDemand(ctx context.Context, to member.Member, report demand.Report) error {
+	client, err := s.client(to.Address)
+	if err != nil {
+		return errs.Wrap(err, stepDemand, errs.Peer(to.ID))
+	}
+	response, err := client.ReportDemand(ctx, &pb.DemandReport{
+		Time:           peercodec.EncodeTime(s.Clock.Now()),
+		Sender:         report.Instance,
+		Demand:         peercodec.EncodeDemand(report.Models),
+		IntervalMillis: report.Interval.Milliseconds(),
+	})
+	if err != nil {
+		return errs.Wrap(err, stepDemand, errs.Peer(to.ID))
+	}
+	s.Clock.Observe(peercodec.DecodeTime(response.GetTime()))
+	return nil
+}
--- a/internal/coordination/spread/board.go
+++ b/internal/coordination/spread/board.go
@@ -1,7 +1,7 @@
 // Package spread decides what an instance passes on to its neighbours. News is
 // sent at once to all neighbours and repeated with later probes, so that it
 // reaches all instances within seconds though messages get lost. The bundle
-// head goes with every message.
+// head and a digest of all cell heads go with every message.
 //
 // Board is a state machine without a clock. It is not safe for concurrent use.
 package spread
@@ -10,45 +10,39 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/news"
 )
 
 // Settings configure the spread of news.
 type Settings struct {
-	MaxItems         int           `help:"Largest number of crash suspects and of leaving upstreams in one message." default:"16" min:"1" max:"256"`
+	MaxItems         int           `help:"Largest number of items of one kind in one message." default:"16" min:"1" max:"256"`
 	Repeats          int           `help:"Number of messages that carry an item." default:"24" min:"1" max:"1000"`
 	LeavingRetention time.Duration `help:"Time for which an upstream counts as leaving." default:"10m" min:"10s" max:"24h"`
 }
 
-// suspectEntry is a crash suspect with the number of messages that carried it.
-type suspectEntry struct {
-	suspect news.CrashSuspect
-	sent    int
-}
-
-// leavingEntry is a leaving upstream with the number of messages that carried it.
-type leavingEntry struct {
-	leaving news.UpstreamLeaving
-	sent    int
-}
-
 // Board holds the news that an instance knows.
 type Board struct {
 	settings Settings
 	head     news.Head
-	suspects map[news.Fingerprint]*suspectEntry
-	leaving  map[bundle.UpstreamID]*leavingEntry
+	suspects map[news.Fingerprint]*item[news.CrashSuspect]
+	leaving  map[bundle.UpstreamID]*item[news.UpstreamLeaving]
+	cells    map[news.CellID]*item[news.CellHead]
+	digest   uint64 // exclusive or of the hashes of all cell heads
 }
 
 // NewBoard returns an empty board.
 func NewBoard(s Settings) *Board {
 	return &Board{
 		settings: s,
-		suspects: make(map[news.Fingerprint]*suspectEntry),
-		leaving:  make(map[bundle.UpstreamID]*leavingEntry),
+		suspects: make(map[news.Fingerprint]*item[news.CrashSuspect]),
+		leaving:  make(map[bundle.UpstreamID]*item[news.UpstreamLeaving]),
+		cells:    make(map[news.CellID]*item[news.CellHead]),
 	}
 }
 
@@ -62,14 +56,14 @@
 	return true
 }
 
-// Offer takes in suspects and leaving upstreams and returns those that were
-// news. The head of the batch is not taken: it changes by SetHead, once the
-// bundle is in force here.
+// Offer takes in suspects, leaving upstreams and cell heads and returns those
+// that were news. The bundle head of the batch is not taken: it changes by
+// SetHead, once the bundle is in force here.
 func (b *Board) Offer(now time.Time, batch news.Batch) news.Batch {
 	var fresh news.Batch
 	for _, s := range batch.Suspects {
 		if s.Expires.After(now) && b.offerSuspect(s) {
-			fresh.Suspects = append(fresh.Suspects, b.suspects[s.Fingerprint].suspect)
+			fresh.Suspects = append(fresh.Suspects, b.suspects[s.Fingerprint].value)
 		}
 	}
 	for _, l := range batch.Leaving {
@@ -77,103 +71,145 @@
 			fresh.Leaving = append(fresh.Leaving, l)
 		}
 	}
+	for _, c := range batch.Cells {
+		if b.offerCell(c) {
+			fresh.Cells = append(fresh.Cells, c)
+		}
+	}
 	return fresh
 }
 
 func (b *Board) offerSuspect(s news.CrashSuspect) bool {
-	entry, known := b.suspects[s.Fingerprint]
-	if !known {
+	known, ok := b.suspects[s.Fingerprint]
+	if ok {
+		merged := union(known.value.Upstreams, s.Upstreams)
+		if len(merged) == len(known.value.Upstreams) {
+			return false
+		}
+		s.Upstreams = merged
+		s.Expires = latest(s.Expires, known.value.Expires)
+	} else {
 		s.Upstreams = union(nil, s.Upstreams)
-		b.suspects[s.Fingerprint] = &suspectEntry{suspect: s}
-		return true
 	}
-	merged := union(entry.suspect.Upstreams, s.Upstreams)
-	if len(merged) == len(entry.suspect.Upstreams) {
+	b.suspects[s.Fingerprint] = &item[news.CrashSuspect]{value: s, name: string(s.Fingerprint[:])}
+	return true
+}
+
+func (b *Board) offerLeaving(l news.UpstreamLeaving) bool {
+	known, ok := b.leaving[l.Upstream]
+	if ok && !l.Since.After(known.value.Since.Add(b.settings.LeavingRetention/2)) {
 		return false
 	}
-	entry.suspect.Upstreams = merged
-	if s.Expires.After(entry.suspect.Expires) {
-		entry.suspect.Expires = s.Expires
-	}
-	entry.sent = 0
+	b.leaving[l.Upstream] = &item[news.UpstreamLeaving]{value: l, name: string(l.Upstream)}
 	return true
 }
 
-func (b *Board) offerLeaving(l news.UpstreamLeaving) bool {
-	entry, known := b.leaving[l.Upstream]
-	if known && !l.Since.After(entry.leaving.Since.Add(b.settings.LeavingRetention/2)) {
+func (b *Board) offerCell(c news.CellHead) bool {
+	known, ok := b.cells[c.Cell]
+	if ok && c.Version <= known.value.Version {
 		return false
 	}
-	b.leaving[l.Upstream] = &leavingEntry{leaving: l}
+	if ok {
+		b.digest ^= hashCell(known.value)
+	}
+	b.digest ^= hashCell(c)
+	b.cells[c.Cell] = &item[news.CellHead]{value: c, name: string(c.Cell)}
 	return true
 }
 
+func hashCell(c news.CellHead) uint64 {
+	return xxhash.Sum64String(string(c.Cell) + "\x00" + strconv.FormatUint(c.Version, 10))
+}
+
 func union(a, b []bundle.UpstreamID) []bundle.UpstreamID {
 	merged := slices.Concat(a, b)
 	slices.Sort(merged)
 	return slices.Compact(merged)
 }
 
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Head returns the bundle head in force at this instance.
+func (b *Board) Head() news.Head { return b.head }
+
+// CellsDigest is equal at two instances that know the same cell heads.
+func (b *Board) CellsDigest() uint64 { return b.digest }
+
 // Known returns all news that has not expired.
 func (b *Board) Known(now time.Time) news.Batch {
 	b.expire(now)
-	known := news.Batch{Head: b.head}
-	for _, f := range b.suspectOrder() {
-		known.Suspects = append(known.Suspects, b.suspects[f].suspect)
+	return news.Batch{
+		Head:        b.head,
+		Suspects:    values(b.suspects),
+		Leaving:     values(b.leaving),
+		Cells:       values(b.cells),
+		CellsDigest: b.digest,
 	}
-	for _, id := range slices.Sorted(maps.Keys(b.leaving)) {
-		known.Leaving = append(known.Leaving, b.leaving[id].leaving)
-	}
-	return known
 }
 
 // Next returns what goes with the next message: the head, and the items that
 // were sent least often and not yet as often as the setting says.
 func (b *Board) Next(now time.Time) news.Batch {
 	b.expire(now)
-	batch := news.Batch{Head: b.head}
-	for _, f := range b.suspectOrder() {
-		entry := b.suspects[f]
-		if entry.sent >= b.settings.Repeats || len(batch.Suspects) >= b.settings.MaxItems {
-			break
+	return news.Batch{
+		Head:        b.head,
+		Suspects:    take(b.suspects, b.settings),
+		Leaving:     take(b.leaving, b.settings),
+		Cells:       take(b.cells, b.settings),
+		CellsDigest: b.digest,
+	}
+}
+
+func (b *Board) expire(now time.Time) {
+	for f, s := range b.suspects {
+		if !s.value.Expires.After(now) {
+			delete(b.suspects, f)
 		}
-		entry.sent++
-		batch.Suspects = append(batch.Suspects, entry.suspect)
 	}
-	for _, id := range b.leavingOrder() {
-		entry := b.leaving[id]
-		if entry.sent >= b.settings.Repeats || len(batch.Leaving) >= b.settings.MaxItems {
-			break
+	for id, l := range b.leaving {
+		if now.Sub(l.value.Since) >= b.settings.LeavingRetention {
+			delete(b.leaving, id)
 		}
-		entry.sent++
-		batch.Leaving = append(batch.Leaving, entry.leaving)
 	}
-	return batch
 }
 
-// suspectOrder returns the fingerprints, least often sent first.
-func (b *Board) suspectOrder() []news.Fingerprint {
-	return slices.SortedFunc(maps.Keys(b.suspects), func(x, y news.Fingerprint) int {
-		return cmp.Or(cmp.Compare(b.suspects[x].sent, b.suspects[y].sent), slices.Compare(x[:], y[:]))
-	})
+// item is one piece of news with the number of messages that carried it.
+type item[T any] struct {
+	value T
+	name  string // orders items that were sent equally often
+	sent  int
 }
 
-// leavingOrder returns the upstreams, least often sent first.
-func (b *Board) leavingOrder() []bundle.UpstreamID {
-	return slices.SortedFunc(maps.Keys(b.leaving), func(x, y bundle.UpstreamID) int {
-		return cmp.Or(cmp.Compare(b.leaving[x].sent, b.leaving[y].sent), cmp.Compare(x, y))
-	})
+// values returns all items in order of their names.
+func values[K comparable, T any](items map[K]*item[T]) []T {
+	byName := func(x, y *item[T]) int { return cmp.Compare(x.name, y.name) }
+	var all []T
+	for _, i := range slices.SortedFunc(maps.Values(items), byName) {
+		all = append(all, i.value)
+	}
+	return all
 }
 
-func (b *Board) expire(now time.Time) {
-	for f, entry := range b.suspects {
-		if !entry.suspect.Expires.After(now) {
-			delete(b.suspects, f)
+// take returns the items of the next message and counts them as sent.
+func take[K comparable, T any](items map[K]*item[T], s Settings) []T {
+	var due []*item[T]
+	for _, i := range items {
+		if i.sent < s.Repeats {
+			due = append(due, i)
 		}
 	}
-	for id, entry := range b.leaving {
-		if now.Sub(entry.leaving.Since) >= b.settings.LeavingRetention {
-			delete(b.leaving, id)
-		}
+	slices.SortFunc(due, func(x, y *item[T]) int {
+		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.name, y.name))
+	})
+	var taken []T
+	for _, i := range due[:min(len(due), s.MaxItems)] {
+		i.sent++
+		taken = append(taken, i.value)
 	}
+	return taken
 }
--- /dev/null
+++ b/internal/coordination/spread/board_test.go
@@ -0,0 +1,58 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/settings"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/news"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newBoard() *Board { return NewBoard(settings.Defaults[Settings]()) }
+
+func TestHeadNeverGoesBack(t *testing.T) {
+	b := newBoard()
+	assert.Assert(t, b.SetHead(news.Head{Generation: 5}))
+	assert.Assert(t, !b.SetHead(news.Head{Generation: 4}))
+	assert.Equal(t, b.Known(start).Head.Generation, bundle.Generation(5))
+}
+
+func TestSuspectsMergeAndExpire(t *testing.T) {
+	b := newBoard()
+	f := news.Fingerprint{1}
+	first := news.CrashSuspect{Fingerprint: f, Upstreams: []bundle.UpstreamID{"e1"}, Expires: start.Add(time.Minute)}
+	second := news.CrashSuspect{Fingerprint: f, Upstreams: []bundle.UpstreamID{"e2"}, Expires: start.Add(2 * time.Minute)}
+	assert.Equal(t, len(b.Offer(start, news.Batch{Suspects: []news.CrashSuspect{first}}).Suspects), 1)
+	assert.Assert(t, b.Offer(start, news.Batch{Suspects: []news.CrashSuspect{first}}).IsEmpty())
+	merged := b.Offer(start, news.Batch{Suspects: []news.CrashSuspect{second}}).Suspects
+	assert.DeepEqual(t, merged[0].Upstreams, []bundle.UpstreamID{"e1", "e2"})
+	assert.Equal(t, len(b.Known(start.Add(90*time.Second)).Suspects), 1)
+	assert.Equal(t, len(b.Known(start.Add(2*time.Minute)).Suspects), 0)
+}
+
+func TestItemsAreRepeatedAFixedNumberOfTimes(t *testing.T) {
+	b := newBoard()
+	b.Offer(start, news.Batch{Leaving: []news.UpstreamLeaving{{Upstream: "e1", Since: start}}})
+	sent := 0
+	for range 100 {
+		sent += len(b.Next(start).Leaving)
+	}
+	assert.Equal(t, sent, b.settings.Repeats)
+	assert.Equal(t, len(b.Known(start).Leaving), 1)
+}
+
+func TestCellsDigestTellsDifferentKnowledge(t *testing.T) {
+	a, b := newBoard(), newBoard()
+	one, two := news.CellHead{Cell: "c1", Version: 1}, news.CellHead{Cell: "c2", Version: 7}
+	a.Offer(start, news.Batch{Cells: []news.CellHead{one, two}})
+	b.Offer(start, news.Batch{Cells: []news.CellHead{two}})
+	assert.Assert(t, a.CellsDigest() != b.CellsDigest())
+	b.Offer(start, news.Batch{Cells: []news.CellHead{one}})
+	assert.Equal(t, a.CellsDigest(), b.CellsDigest())
+	assert.Assert(t, b.Offer(start, news.Batch{Cells: []news.CellHead{{Cell: "c2", Version: 6}}}).IsEmpty())
+}
--- a/internal/protocol/peercodec/peercodec.go
+++ b/internal/protocol/peercodec/peercodec.go
@@ -85,6 +85,10 @@
 	for _, l := range batch.Leaving {
 		updates.Leaving = append(updates.Leaving, EncodeLeaving(l))
 	}
+	for _, c := range batch.Cells {
+		updates.Cells = append(updates.Cells, &pb.CellHead{Cell: string(c.Cell), Version: c.Version})
+	}
+	updates.CellsDigest = batch.CellsDigest
 	return updates
 }
 
@@ -104,6 +108,12 @@
 			batch.Leaving = append(batch.Leaving, DecodeLeaving(l))
 		}
 	}
+	for _, c := range updates.GetCells() {
+		if c.GetCell() != "" {
+			batch.Cells = append(batch.Cells, news.CellHead{Cell: news.CellID(c.GetCell()), Version: c.GetVersion()})
+		}
+	}
+	batch.CellsDigest = updates.GetCellsDigest()
 	return batch
 }
 
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -49,6 +49,9 @@
 	}
 }
 
+// C returns the channel of the waiting items, for use in a select statement.
+func (r *Ring[T]) C() <-chan T { return r.items }
+
 // Drain removes and returns up to limit waiting items without blocking.
 func (r *Ring[T]) Drain(limit int) []T {
 	var batch []T
--- a/internal/state/news/news.go
+++ b/internal/state/news/news.go
@@ -33,14 +33,26 @@
 	Since    time.Time
 }
 
+// CellID identifies a placement cell, a group of engines with one ledger.
+type CellID string
+
+// CellHead names the latest known replicas of a cell. A higher version overrides a lower one.
+type CellHead struct {
+	Cell    CellID
+	Version uint64
+}
+
 // Batch is what one message carries.
 type Batch struct {
 	Head     Head
 	Suspects []CrashSuspect
 	Leaving  []UpstreamLeaving
+	Cells    []CellHead
+	// CellsDigest is a hash over all cell heads that the sender knows.
+	CellsDigest uint64
 }
 
-// IsEmpty reports whether the batch carries nothing.
+// IsEmpty reports whether the batch carries no item; the digest is none.
 func (b Batch) IsEmpty() bool {
-	return b.Head.Generation == 0 && len(b.Suspects) == 0 && len(b.Leaving) == 0
+	return b.Head.Generation == 0 && len(b.Suspects) == 0 && len(b.Leaving) == 0 && len(b.Cells) == 0
 }
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -34,11 +34,22 @@
 	Deleted bool
 }
 
-// Instance is one entry of the platform's lagging list of instances.
+// Role tells what an instance in the platform's list runs.
+type Role string
+
+// The roles of instances.
+const (
+	RoleSavoryweir Role = "savoryweir"
+	RoleUpstream   Role = "upstream"
+)
+
+// Instance is one entry of the platform's lagging list of instances. Address
+// is that of the control process, or of the upstream.
 type Instance struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	Role    Role   `json:"role"`
 	Leaving bool   `json:"leaving"`
 }
 
--- /dev/null
+++ b/internal/transport/peerconn/pool.go
@@ -0,0 +1,108 @@
+// Package peerconn keeps the gRPC connections between the control processes of
+// the instances and counts the bytes that they carry.
+package peerconn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// Sizes that keep a connection small: control messages are short.
+const (
+	bufferBytes       = 4 << 10
+	maxMessageBytes   = 4 << 20
+	idleTimeout       = 30 * time.Second
+	dialTimeout       = 2 * time.Second
+	maxReconnectDelay = 2 * time.Second
+)
+
+// Pool holds one connection an address. It is safe for concurrent use.
+type Pool struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex // guards conns
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns an empty pool. Credentials are nil for plain TCP.
+func NewPool(c credentials.TransportCredentials, count *Counter) *Pool {
+	return &Pool{options: dialOptions(c, count), conns: make(map[string]*grpc.ClientConn)}
+}
+
+func dialOptions(c credentials.TransportCredentials, count *Counter) []grpc.DialOption {
+	if c == nil {
+		c = insecure.NewCredentials()
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(c),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithConnectParams(connectParams()),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return count.wrap(conn), nil
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+	}
+}
+
+// Get returns the connection to an address and opens it when there is none.
+// It does not wait until the connection is up.
+func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, p.options...)
+	if err != nil {
+		return nil, err
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Drop closes the connection to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	conn, ok := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if ok {
+		_ = conn.Close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// ServerOptions are the options of a server for such connections.
+func ServerOptions(c credentials.TransportCredentials) []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	}
+	if c != nil {
+		options = append(options, grpc.Creds(c))
+	}
+	return options
+}
