Bundle check: all faults at once, memory of old and new together

Cause: a bad bundle must not reach the store. Change: coordination/bundlecheck reports file, section, key and reason of every fault. Memory is packed by best fit: all replicas of the new bundle plus one replica of each replaced or removed version. Ruled out: comparing sums only, which accepts models that no engine has room for; and all old replicas, which refuses what a rolling change can do. Tests: go test -race ./internal/coordination/bundlecheck.

--- /dev/null
+++ b/internal/coordination/bundlecheck/check_test.go
@@ -0,0 +1,136 @@
+package bundlecheck
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+	"pgregory.net/rapid"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// valid returns a bundle without faults: two engines of 100 MiB, models of 40 and 30 MiB.
+func valid() *bundle.Bundle {
+	return &bundle.Bundle{
+		Deployment: "kalyvas",
+		Zones:      []bundle.Zone{"z1", "z2"},
+		Services: []bundle.Service{
+			{Name: "tagger", Kind: bundle.KindGeneration, Deadline: time.Second},
+			{Name: "bookings", Kind: bundle.KindPlain, Deadline: time.Second, Route: "/services/bookings", OrderPaths: []string{"/orders"}},
+			{Name: "flights", Kind: bundle.KindPlain, Deadline: time.Second, Route: "/services/flights"},
+		},
+		Upstreams: []bundle.Upstream{
+			{ID: "t1", Service: "tagger", Address: "10.0.0.1:80", Zone: "z1", Memory: 100, Accelerators: 1},
+			{ID: "t2", Service: "tagger", Address: "10.0.0.2:80", Zone: "z2", Memory: 100, Accelerators: 1},
+			{ID: "b1", Service: "bookings", Address: "10.0.0.3:80", Zone: "z1"},
+			{ID: "f1", Service: "flights", Address: "[fd00::1]:80", Zone: "z1"},
+		},
+		Models: []bundle.Model{
+			{ID: "a", Service: "tagger", Version: "1", Memory: 40, MinReplicas: 2},
+			{ID: "b", Service: "tagger", Version: "1", Memory: 30, MinReplicas: 2},
+		},
+		Adapters: []bundle.Adapter{{ID: "x", Model: "a", Memory: 5}},
+	}
+}
+
+func TestValidBundle(t *testing.T) {
+	assert.DeepEqual(t, Check(Input{New: valid(), Old: valid()}), []bundle.Fault(nil))
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*bundle.Bundle)
+		want   []string // parts of the faults in order
+	}{
+		{"model fits no engine", func(b *bundle.Bundle) { b.Models[0].Memory = 101 },
+			[]string{"[model a] memory-mib: the model fits no engine: it needs 101 MiB, the largest engine of service tagger has 100 MiB"}},
+		{"adapter without model", func(b *bundle.Bundle) { b.Adapters[0].Model = "c" }, []string{`[adapter x] model: there is no model "c"`}},
+		{"adapter beside model", func(b *bundle.Bundle) { b.Adapters[0].Memory = 61 }, []string{"[adapter x] memory-mib: the adapter fits no engine beside its model"}},
+		{"service without upstream", func(b *bundle.Bundle) { b.Upstreams = b.Upstreams[:3] }, []string{"[service flights] the service has no upstream"}},
+		{"route twice", func(b *bundle.Bundle) { b.Services[2].Route = "/services/bookings" },
+			[]string{"[service flights] route: route /services/bookings belongs to service bookings already"}},
+		{"route to a model twice", func(b *bundle.Bundle) { b.Models[1].ID = "a" }, []string{"[model a] the model stands twice"}},
+		{"bad routes", func(b *bundle.Bundle) { b.Services[1].Route, b.Services[2].Route = "/v1/x", "/a/../b" },
+			[]string{"[service bookings] route: paths under /v1", `[service flights] route: "/a/../b" must start`}},
+		{"route of a generation service", func(b *bundle.Bundle) { b.Services[0].Route = "/x" }, []string{"[service tagger] route"}},
+		{"order paths", func(b *bundle.Bundle) { b.Services[1].OrderPaths = []string{"/a", "/a", "b"} },
+			[]string{"[service bookings] order-paths: path /a stands twice", `[service bookings] order-paths: "b" must start`}},
+		{"duplicates", func(b *bundle.Bundle) {
+			b.Upstreams[1].ID = "t1"
+			b.Upstreams[1].Address = "[::ffff:10.0.0.1]:80"
+			b.Services[2].Name = "bookings"
+			b.Zones = append(b.Zones, "z1")
+		}, []string{
+			"[deployment] zones: zone z1 stands twice", "[service bookings] the service stands twice",
+			`[upstream f1] service: there is no service "flights"`, "[upstream t1] the upstream stands twice",
+			"[upstream t1] address: address [::ffff:10.0.0.1]:80 belongs to upstream t1 already",
+		}},
+		{"addresses", func(b *bundle.Bundle) {
+			b.Upstreams[0].Address, b.Upstreams[1].Address, b.Upstreams[2].Address = "engine:80", "10.0.0.1:0", "0.0.0.0:80"
+		}, []string{"[upstream b1] address", `[upstream t1] address: "engine:80" is no IP address`, "[upstream t2] address"}},
+		{"zone", func(b *bundle.Bundle) { b.Upstreams[0].Zone = "z3" }, []string{`[upstream t1] zone: zone "z3" is not among`}},
+		{"min replicas", func(b *bundle.Bundle) { b.Models[0].MinReplicas = 3; b.Models[1].MinReplicas = 0 },
+			[]string{"[model a] min-replicas: 3 replicas do not fit: 2 engines", "[model b] min-replicas"}},
+		{"engine without memory", func(b *bundle.Bundle) { b.Upstreams[0].Memory, b.Upstreams[0].Accelerators = 0, 0 },
+			[]string{"[model a] min-replicas", "[model b] min-replicas", "[upstream t1] accelerators", "[upstream t1] memory-mib"}},
+		{"plain service with memory", func(b *bundle.Bundle) { b.Upstreams[2].Memory = 1 }, []string{"[upstream b1] memory-mib"}},
+		{"deadline and kind", func(b *bundle.Bundle) { b.Services[0].Deadline = 0; b.Services[1].Kind = "fast" },
+			[]string{"[service bookings] kind", "[service tagger] deadline"}},
+		{"model of plain service", func(b *bundle.Bundle) { b.Models[0].Service = "bookings" }, []string{"[model a] service"}},
+		{"memory overcommitted", func(b *bundle.Bundle) { b.Models[0].Memory = 80 },
+			[]string{"[model b] memory-mib: memory of service tagger is overcommitted: all models with their replicas need 220 MiB, the 2 engines have 200 MiB"}},
+		{"old and new together", func(b *bundle.Bundle) { b.Models[0].Version = "2" },
+			[]string{"[model a] version: memory of service tagger is overcommitted during the roll-out: old and new versions together need 180 MiB"}},
+		{"other deployment", func(b *bundle.Bundle) { b.Deployment = "magnolia" }, []string{"[deployment] name"}},
+		{"empty", func(b *bundle.Bundle) { *b = bundle.Bundle{} }, []string{"[deployment] the bundle", "[deployment] name", "[deployment] name", "[deployment] zones"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := valid()
+			test.change(b)
+			faults := Check(Input{New: b, Old: valid()})
+			assert.Equal(t, len(faults), len(test.want), "%v", faults)
+			for i, want := range test.want {
+				assert.Check(t, is.Contains(faults[i].String(), want))
+			}
+		})
+	}
+}
+
+func TestFaultsNameTheirFileInOrder(t *testing.T) {
+	b := valid()
+	b.Models[0].Version, b.Models[1].Version = "", ""
+	faults := Check(Input{New: b, Files: map[string]string{"model a": "z.ini", "model b": "b.ini"}})
+	assert.Equal(t, faults[0].String(), "b.ini: [model b] version: the model has no version")
+	assert.Equal(t, faults[1].String(), "z.ini: [model a] version: the model has no version")
+}
+
+func TestRemovedModelStaysDuringRollout(t *testing.T) {
+	old := valid()
+	old.Models = append(old.Models, bundle.Model{ID: "c", Service: "tagger", Version: "1", Memory: 60, MinReplicas: 1})
+	faults := Check(Input{New: valid(), Old: old})
+	assert.Equal(t, len(faults), 1)
+	assert.Check(t, is.Contains(faults[0].String(), "[service tagger] version: memory of service tagger is overcommitted during the roll-out"))
+}
+
+func TestPackNeverExceedsTheMemoryOfAllEngines(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := make([]bundle.Upstream, rapid.IntRange(1, 6).Draw(t, "engines"))
+		for i := range engines {
+			engines[i].Memory = bundle.MiB(rapid.IntRange(1, 100).Draw(t, "memory"))
+		}
+		var needed []demand
+		for range rapid.IntRange(1, 8).Draw(t, "models") {
+			needed = append(needed, demand{
+				model:    bundle.Model{Memory: bundle.MiB(rapid.IntRange(1, 60).Draw(t, "need"))},
+				replicas: 1, isOld: true,
+			})
+		}
+		if _, ok := pack(engines, needed); ok && sumDemands(needed) > sumEngines(engines) {
+			t.Fatalf("accepted %d MiB on %d MiB", sumDemands(needed), sumEngines(engines))
+		}
+	})
+}
