Sign-off: content signatures, sealed approvals, trusted keys

Cause: a bundle without enough valid signatures is in force nowhere. Operators sign the content, so a fallback needs no new signatures; the approving operator seals the generation, so that a recorded approval cannot be replayed. Ruled out: signatures over the generation, which would make a fallback wait for N operators.

--- /dev/null
+++ b/internal/coordination/signoff/signoff_test.go
@@ -0,0 +1,84 @@
+package signoff
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/approval"
+	"savoryweir/internal/state/bundle"
+)
+
+func key(name approval.Operator) approval.Key {
+	seed := bytes.Repeat([]byte{name[0]}, ed25519.SeedSize)
+	return approval.Key{Operator: name, Private: ed25519.NewKeyFromSeed(seed)}
+}
+
+func policy() approval.Policy {
+	p := approval.Policy{Deployment: "kalyvas", Required: 2, Keys: make(map[approval.Operator]ed25519.PublicKey)}
+	for _, name := range []approval.Operator{"anna", "babis", "chara"} {
+		p.Keys[name] = key(name).Private.Public().(ed25519.PublicKey)
+	}
+	return p
+}
+
+var content = bundle.HashOf([]byte("content"))
+
+func sealed() approval.Approval {
+	return Seal(key("chara"), approval.Approval{
+		Deployment: "kalyvas", Generation: 4, Manifest: content, Action: approval.ActionApprove,
+		ApprovedAt: time.UnixMilli(1000), Nonce: "n",
+		Signatures: []approval.Signature{
+			SignContent(key("anna"), "kalyvas", content),
+			SignContent(key("babis"), "kalyvas", content),
+		},
+	})
+}
+
+func TestValidApproval(t *testing.T) {
+	assert.NilError(t, CheckApproval(policy(), sealed()))
+}
+
+func TestRefusedApprovals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*approval.Approval)
+		want   string
+	}{
+		{"no signature", func(a *approval.Approval) { a.Signatures = nil }, "0 valid signatures of 2 required"},
+		{"one signature", func(a *approval.Approval) { a.Signatures = a.Signatures[:1] }, "1 valid signatures of 2 required"},
+		{"one operator twice", func(a *approval.Approval) { a.Signatures[1] = a.Signatures[0] }, "1 valid signatures of 2 required"},
+		{"unknown operator", func(a *approval.Approval) { a.Signatures[1] = SignContent(key("zoe"), "kalyvas", content) }, `"zoe" is not trusted`},
+		{"signature under another name", func(a *approval.Approval) {
+			a.Signatures[1] = approval.Signature{Operator: "babis", Value: a.Signatures[0].Value}
+		},
+			`the signature of "babis" is not valid`},
+		{"signature of other content", func(a *approval.Approval) {
+			a.Signatures[1] = SignContent(key("babis"), "kalyvas", bundle.HashOf([]byte("other")))
+		}, "not valid for this content"},
+		{"signature for other deployment", func(a *approval.Approval) { a.Signatures[1] = SignContent(key("babis"), "magnolia", content) }, "not valid"},
+		{"short signature", func(a *approval.Approval) { a.Signatures[1].Value = []byte{1} }, "not valid"},
+		{"replayed as a later generation", func(a *approval.Approval) { a.Generation = 9 }, `seal of "chara" on generation 9 is not valid`},
+		{"other predecessor", func(a *approval.Approval) { a.Previous = content }, "seal"},
+		{"seal of an untrusted operator", func(a *approval.Approval) { *a = Seal(key("zoe"), *a) }, "who is not trusted"},
+		{"other deployment", func(a *approval.Approval) { a.Deployment = "magnolia" }, "for deployment"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a := sealed()
+			test.change(&a)
+			assert.ErrorContains(t, CheckApproval(policy(), a), test.want)
+		})
+	}
+}
+
+func TestPolicyWithoutRequiredSignaturesRefusesAll(t *testing.T) {
+	p := policy()
+	p.Required = 0
+	var refused *RefusedError
+	assert.Assert(t, errors.As(CheckApproval(p, sealed()), &refused))
+}
