--- /dev/null
+++ b/internal/control/claims/cluster_test.go
@@ -0,0 +1,355 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/object"
+	"savoryweir/internal/state/timeline"
+	"savoryweir/internal/transport/orderclient"
+)
+
+// cluster is a set of instances in one process, joined by calls with faults.
+type cluster struct {
+	ctx      context.Context
+	store    *objectapi.Memory
+	settings Settings
+	wait     sync.WaitGroup
+
+	mu        sync.Mutex // guards the rest
+	random    *rand.Rand
+	nodes     map[string]*node
+	truth     []claims.Member
+	lostReply float64 // share of calls between instances whose answer is lost
+}
+
+// node is one instance: a control process and an entry process.
+type node struct {
+	cluster *cluster
+	id      string
+	link    *objectapi.Link
+	client  *orderclient.Client // of the entry process
+
+	mu          sync.Mutex // guards the rest
+	service     *Service
+	incarnation uint64
+	stop        context.CancelFunc // of the control process
+	entry       context.Context    // ends when the entry process is killed
+	stopEntry   context.CancelFunc
+	dead        bool
+	frozen      chan struct{} // closed at the thaw, nil when not frozen
+	view        []claims.Member
+}
+
+func defaultSettings() Settings {
+	return Settings{
+		Shards: 8, KeyLifetime: time.Hour, ClockTolerance: time.Minute, WritesPerSecond: 40,
+		FinishDelay: 200 * time.Millisecond, BatchSize: 256, ActiveKiB: 8, SegmentKiB: 512,
+		MaxRecords: 200000, MaxBodyBytes: 256, MaxHeld: 4096, PeerTimeout: time.Second,
+		StoreTimeout: time.Second, WaitSlice: time.Second, RetrySpread: 5 * time.Second,
+		ResendGrace: 30 * time.Second, IdleUnload: time.Minute,
+	}
+}
+
+func clientSettings() orderclient.Settings {
+	return orderclient.Settings{
+		ClaimTimeout: 5 * time.Second, FinishTimeout: 5 * time.Second, RunningPoll: 250 * time.Millisecond,
+		RetryAfter: 2 * time.Second, Backlog: 1024, RetryInterval: 500 * time.Millisecond,
+	}
+}
+
+func newCluster(t *testing.T, instances int, seed uint64, settings Settings, limits objectapi.Limits) *cluster {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{
+		ctx:      ctx,
+		store:    objectapi.New(time.Now, limits),
+		settings: settings,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		nodes:    make(map[string]*node),
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.thaw()
+		}
+		cancel()
+		c.wait.Wait()
+	})
+	for i := range instances {
+		c.add(fmt.Sprintf("i%03d", i))
+	}
+	return c
+}
+
+func (c *cluster) add(id string) {
+	n := &node{cluster: c, id: id, link: objectapi.NewLink(c.store)}
+	c.nodes[id] = n
+	n.startControl()
+	n.startEntry()
+	c.publish(0)
+}
+
+func (c *cluster) goRun(run func()) {
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		run()
+	}()
+}
+
+func (c *cluster) float() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
+
+func (c *cluster) intN(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.IntN(n)
+}
+
+// publish gives each instance the present members, each after its own lag.
+func (c *cluster) publish(maxLag time.Duration) {
+	var truth []claims.Member
+	for _, n := range c.nodes {
+		if !n.isDead() {
+			truth = append(truth, claims.Member{ID: n.id, Address: n.id, Incarnation: n.incarnationNow()})
+		}
+	}
+	for _, n := range c.nodes {
+		lag := time.Duration(0)
+		if maxLag > 0 {
+			lag = time.Duration(c.intN(int(maxLag)))
+		}
+		if lag == 0 {
+			n.setView(truth)
+			continue
+		}
+		time.AfterFunc(lag, func() { n.setView(truth) })
+	}
+}
+
+func (n *node) setView(view []claims.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view = view
+}
+
+// Members implements Members.
+func (n *node) Members() []claims.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view
+}
+
+// Orders implements Dialer.
+func (n *node) Orders(address string) (pb.OrdersClient, error) {
+	return &conn{from: n, to: n.cluster.nodes[address], cluster: n.cluster}, nil
+}
+
+func (n *node) startControl() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.incarnation++
+	n.dead = false
+	ctx, stop := context.WithCancel(n.cluster.ctx)
+	n.stop = stop
+	clock := hlc.New(time.Now)
+	n.service = New(Options{
+		Settings: n.cluster.settings,
+		Self:     claims.Member{ID: n.id, Address: n.id, Incarnation: n.incarnation},
+		Members:  n,
+		Dialer:   n,
+		Store:    &frozenStore{node: n, incarnation: n.incarnation},
+		Recorder: timeline.NewRecorder(clock, "control", n.id, "", 16),
+		Logger:   zerolog.Nop(),
+		Random:   rand.New(rand.NewPCG(uint64(len(n.id))+n.incarnation, n.cluster.random.Uint64())),
+	})
+	service := n.service
+	n.cluster.goRun(func() { _ = service.Run(ctx) })
+}
+
+func (n *node) startEntry() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.entry, n.stopEntry = context.WithCancel(n.cluster.ctx)
+	n.client = orderclient.New(clientSettings(), &conn{from: n, to: n, cluster: n.cluster}, hlc.New(time.Now))
+	client, ctx := n.client, n.entry
+	n.cluster.goRun(func() { _ = client.Run(ctx) })
+}
+
+// kill ends both processes of the instance.
+func (n *node) kill() {
+	n.mu.Lock()
+	n.dead = true
+	n.stop()
+	n.stopEntry()
+	n.mu.Unlock()
+	n.thaw()
+}
+
+// killControl ends the control process alone.
+func (n *node) killControl() {
+	n.mu.Lock()
+	n.dead = true
+	n.stop()
+	n.mu.Unlock()
+	n.thaw()
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen == nil {
+		n.frozen = make(chan struct{})
+	}
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen != nil {
+		close(n.frozen)
+		n.frozen = nil
+	}
+}
+
+// awaitThaw blocks while the control process is frozen, whatever its timeouts.
+func (n *node) awaitThaw() {
+	for {
+		n.mu.Lock()
+		frozen := n.frozen
+		n.mu.Unlock()
+		if frozen == nil {
+			return
+		}
+		<-frozen
+	}
+}
+
+func (n *node) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+func (n *node) incarnationNow() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.incarnation
+}
+
+func (n *node) serviceNow() *Service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.service
+}
+
+// frozenStore is the store of one control process. It stops with the process.
+type frozenStore struct {
+	node        *node
+	incarnation uint64
+}
+
+func (s *frozenStore) alive() bool {
+	return !s.node.isDead() && s.node.incarnationNow() == s.incarnation
+}
+
+func (s *frozenStore) call(do func(*objectapi.Link) error) error {
+	s.node.awaitThaw()
+	if !s.alive() {
+		return object.ErrUnavailable
+	}
+	err := do(s.node.link)
+	s.node.awaitThaw()
+	return err
+}
+
+func (s *frozenStore) Get(ctx context.Context, kind object.Kind, name object.Name) (o object.Object, err error) {
+	return o, s.call(func(l *objectapi.Link) error { o, err = l.Get(ctx, kind, name); return err })
+}
+
+func (s *frozenStore) List(ctx context.Context, kind object.Kind, prefix string) (list []object.Object, err error) {
+	return list, s.call(func(l *objectapi.Link) error { list, err = l.List(ctx, kind, prefix); return err })
+}
+
+func (s *frozenStore) Create(ctx context.Context, kind object.Kind, name object.Name, data []byte) (v object.Version, err error) {
+	return v, s.call(func(l *objectapi.Link) error { v, err = l.Create(ctx, kind, name, data); return err })
+}
+
+func (s *frozenStore) Update(ctx context.Context, kind object.Kind, name object.Name, data []byte, expected object.Version) (v object.Version, err error) {
+	return v, s.call(func(l *objectapi.Link) error { v, err = l.Update(ctx, kind, name, data, expected); return err })
+}
+
+func (s *frozenStore) Delete(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) error {
+	return s.call(func(l *objectapi.Link) error { return l.Delete(ctx, kind, name, expected) })
+}
+
+// conn carries calls from one instance, or its entry, to a control process.
+type conn struct {
+	cluster  *cluster
+	from, to *node
+}
+
+var errUnreachable = status.Error(codes.Unavailable, "unreachable")
+
+// call runs a handler at the receiver. A frozen receiver handles it after its
+// thaw, also when the sender has given up.
+func call[Request, Response any](ctx context.Context, c *conn, request Request, handle func(*Service, context.Context, Request) (Response, error)) (Response, error) {
+	type result struct {
+		response Response
+		err      error
+	}
+	var none Response
+	if c.to == nil || c.to.isDead() {
+		return none, errUnreachable
+	}
+	lose := c.from != c.to && c.cluster.float() < c.cluster.lostReply
+	done := make(chan result, 1)
+	handlerCtx := ctx
+	if c.cluster.intN(2) == 0 { // the end of the call does not reach the receiver
+		handlerCtx = context.WithoutCancel(ctx)
+	}
+	go func() {
+		c.to.awaitThaw()
+		service := c.to.serviceNow()
+		response, err := handle(service, handlerCtx, request)
+		c.to.awaitThaw()
+		done <- result{response, err}
+	}()
+	select {
+	case r := <-done:
+		if lose || c.to.isDead() {
+			return none, errUnreachable
+		}
+		return r.response, r.err
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (c *conn) Claim(ctx context.Context, r *pb.ClaimRequest, _ ...grpc.CallOption) (*pb.ClaimResponse, error) {
+	return call(ctx, c, r, (*Service).Claim)
+}
+
+func (c *conn) Finish(ctx context.Context, r *pb.FinishRequest, _ ...grpc.CallOption) (*pb.FinishResponse, error) {
+	return call(ctx, c, r, (*Service).Finish)
+}
+
+func (c *conn) Lookup(ctx context.Context, r *pb.LookupRequest, _ ...grpc.CallOption) (*pb.LookupResponse, error) {
+	return call(ctx, c, r, (*Service).Lookup)
+}
--- /dev/null
+++ b/internal/control/claims/operation.go
@@ -0,0 +1,88 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/state/journal"
+)
+
+// operation is a claim or a finish that waits for its shard.
+type operation struct {
+	ctx     context.Context // ends when nobody waits for the answer any more
+	arrived time.Time
+	claim   *journal.Claim  // nil for a finish
+	finish  *journal.Finish // nil for a claim
+	answer  chan reply      // holds one reply
+}
+
+// reply is a decision, or the reason why there is none.
+type reply struct {
+	decision journal.Decision
+	refusal  refusal // empty when there is a decision
+}
+
+// refusal says why nothing was granted or recorded.
+type refusal string
+
+// The refusals.
+const (
+	refusalNone     refusal = ""
+	refusalStore    refusal = "store unavailable"
+	refusalOverload refusal = "too many claims"
+	refusalFull     refusal = "journal full"
+	refusalTimeout  refusal = "no answer in time"
+	refusalDoubt    refusal = "outcome of store write unknown"
+	refusalGivenUp  refusal = "claim given up"
+	refusalRequest  refusal = "malformed request"
+)
+
+// sure reports whether a refused claim is recorded nowhere.
+func (r refusal) sure() bool { return r != refusalTimeout && r != refusalDoubt }
+
+func newOperation(ctx context.Context, now time.Time) *operation {
+	return &operation{ctx: ctx, arrived: now, answer: make(chan reply, 1)}
+}
+
+// decide applies the operation to a draft.
+func (o *operation) decide(d *journal.Draft) journal.Decision {
+	if o.claim != nil {
+		return d.Claim(*o.claim)
+	}
+	return d.Finish(*o.finish)
+}
+
+func (o *operation) abandoned() bool { return o.ctx.Err() != nil }
+
+// queueOf describes the waiting operations to the pace.
+func queueOf(pending []*operation) claims.Queue {
+	var q claims.Queue
+	for _, op := range pending {
+		if op.claim != nil {
+			q.Claims++
+			continue
+		}
+		if q.Finishes == 0 {
+			q.OldestFinish = op.arrived
+		}
+		q.Finishes++
+	}
+	return q
+}
+
+func live(pending []*operation) []*operation {
+	var kept []*operation
+	for _, op := range pending {
+		if !op.abandoned() {
+			kept = append(kept, op)
+		}
+	}
+	return kept
+}
+
+func refuseAll(pending []*operation, why refusal) {
+	for _, op := range pending {
+		op.answer <- reply{refusal: why}
+	}
+}
--- /dev/null
+++ b/internal/control/claims/route.go
@@ -0,0 +1,147 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/state/journal"
+)
+
+// remoteOwners is how many members are asked before this instance commits itself.
+const remoteOwners = 2
+
+// claimAtOwner claims at the owner of the key's shard, else at the next member
+// in rendezvous order, else at the store itself. Since the token makes claims
+// idempotent, an owner that did not answer may still have recorded the claim.
+// Sure is false when a claim may be recorded beside an answer that grants nothing.
+func (s *Service) claimAtOwner(ctx context.Context, key journal.KeyHash, request *pb.ClaimRequest) (response *pb.ClaimResponse, sure bool) {
+	sure = true
+	for _, m := range s.route(key) {
+		answer, err := s.claimAt(ctx, m, request)
+		if err != nil {
+			sure = false
+			continue
+		}
+		response = answer
+		if answer.GetStatus() != pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE {
+			return answer, sure
+		}
+		why := refusal(answer.GetReason())
+		sure = sure && why.sure()
+		if why == refusalFull {
+			return answer, sure
+		}
+	}
+	if response == nil {
+		response = s.unavailable(refusalTimeout)
+	}
+	return response, sure
+}
+
+func (s *Service) claimAt(ctx context.Context, m claims.Member, request *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.peerTimeout())
+	defer cancel()
+	if m.ID == s.options.Self.ID {
+		return s.serveClaim(ctx, request), nil
+	}
+	client, err := s.peers.client(m)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Claim(ctx, request)
+	if err != nil {
+		s.peers.failed(m.ID, time.Now())
+		return nil, err
+	}
+	s.observe(response.GetTime())
+	return response, nil
+}
+
+// finishAtOwner records a result in the same order of members as claimAtOwner.
+func (s *Service) finishAtOwner(ctx context.Context, key journal.KeyHash, request *pb.FinishRequest) bool {
+	for _, m := range s.route(key) {
+		response, err := s.finishAt(ctx, m, request)
+		if err == nil && response.GetRecorded() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) finishAt(ctx context.Context, m claims.Member, request *pb.FinishRequest) (*pb.FinishResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.peerTimeout()+s.settings.FinishDelay)
+	defer cancel()
+	if m.ID == s.options.Self.ID {
+		return s.serveFinish(ctx, request), nil
+	}
+	client, err := s.peers.client(m)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Finish(ctx, request)
+	if err != nil {
+		s.peers.failed(m.ID, time.Now())
+		return nil, err
+	}
+	s.observe(response.GetTime())
+	return response, nil
+}
+
+// route returns the members to try for a key, this instance last at the latest.
+func (s *Service) route(key journal.KeyHash) []claims.Member {
+	now := time.Now()
+	var route []claims.Member
+	for _, m := range claims.Owners(key.Shard(s.settings.Shards), s.options.Members.Members()) {
+		if m.ID == s.options.Self.ID || len(route) == remoteOwners {
+			break
+		}
+		if s.peers.usable(m.ID, now) {
+			route = append(route, m)
+		}
+	}
+	return append(route, s.options.Self)
+}
+
+// askClaimant asks who holds a claim whether it still does, and waits up to
+// the given time for its end.
+func (s *Service) askClaimant(ctx context.Context, claimant journal.Claimant, token journal.Token, wait time.Duration) claims.Hold {
+	if claimant.Instance == s.options.Self.ID {
+		return s.lookupLocal(ctx, token, claimant.Incarnation, wait)
+	}
+	m, ok := claims.FindClaimant(claimant, s.options.Members.Members())
+	if !ok {
+		return claims.HoldLost
+	}
+	client, err := s.peers.client(m)
+	if err != nil {
+		return claims.HoldUnreachable
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+s.settings.PeerTimeout)
+	defer cancel()
+	response, err := client.Lookup(ctx, &pb.LookupRequest{
+		Time:        s.stamp(),
+		Token:       token[:],
+		Incarnation: claimant.Incarnation,
+		WaitMillis:  wait.Milliseconds(),
+	})
+	if err != nil {
+		return claims.HoldUnreachable
+	}
+	s.observe(response.GetTime())
+	return holdFromWire(response.GetStatus())
+}
+
+func holdFromWire(status pb.HoldStatus) claims.Hold {
+	switch status {
+	case pb.HoldStatus_HOLD_STATUS_HELD:
+		return claims.HoldHeld
+	case pb.HoldStatus_HOLD_STATUS_ENDED:
+		return claims.HoldEnded
+	case pb.HoldStatus_HOLD_STATUS_LOST:
+		return claims.HoldLost
+	default:
+		return claims.HoldUnreachable
+	}
+}
--- /dev/null
+++ b/internal/control/claims/shardstore.go
@@ -0,0 +1,212 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/journalcodec"
+	"savoryweir/internal/ring"
+	"savoryweir/internal/state/journal"
+	"savoryweir/internal/state/object"
+)
+
+// Store is the part of the object API that the journal uses.
+type Store interface {
+	object.Reader
+	object.Writer
+}
+
+const storePeer errs.Peer = "store"
+
+// shardStore reads and writes the objects of one shard.
+type shardStore struct {
+	id       journal.ShardID
+	store    Store
+	timeout  time.Duration
+	obsolete *ring.Ring[journal.SegmentRef] // segments for the janitor to delete
+	metrics  *metrics
+}
+
+// maxLoadAttempts bounds the reads of a shard whose segments are merged meanwhile.
+const maxLoadAttempts = 3
+
+// load brings a shard up to its present head.
+func (s *shardStore) load(ctx context.Context, shard *journal.Shard) error {
+	var err error
+	for range maxLoadAttempts {
+		err = s.loadOnce(ctx, shard)
+		if !errors.Is(err, journal.ErrMissingSegment) {
+			return err
+		}
+	}
+	return err
+}
+
+func (s *shardStore) loadOnce(ctx context.Context, shard *journal.Shard) error {
+	head, version, err := s.readHead(ctx)
+	if errors.Is(err, object.ErrNotFound) && shard.Version() == 0 {
+		return nil
+	}
+	if err != nil {
+		return errs.Wrap(err, "read journal head", storePeer)
+	}
+	read, err := s.readSegments(ctx, shard.Missing(head))
+	if err != nil {
+		return errs.Wrap(err, "read journal segment", storePeer)
+	}
+	return shard.Advance(version, head, read)
+}
+
+func (s *shardStore) readHead(ctx context.Context) (journal.Head, object.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	o, err := s.store.Get(ctx, journal.KindHead, journal.HeadName(s.id))
+	if err != nil {
+		return journal.Head{}, 0, readError(err)
+	}
+	head, err := journalcodec.DecodeHead(o.Data)
+	return head, o.Version, err
+}
+
+func (s *shardStore) readSegments(ctx context.Context, refs []journal.SegmentRef) (map[object.Name][]journal.Record, error) {
+	read := make(map[object.Name][]journal.Record, len(refs))
+	for _, ref := range refs {
+		records, err := s.readSegment(ctx, ref.Name)
+		if errors.Is(err, object.ErrNotFound) {
+			return nil, journal.ErrMissingSegment
+		}
+		if err != nil {
+			return nil, err
+		}
+		read[ref.Name] = records
+	}
+	return read, nil
+}
+
+func (s *shardStore) readSegment(ctx context.Context, name object.Name) ([]journal.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	o, err := s.store.Get(ctx, journal.KindSegment, name)
+	if err != nil {
+		return nil, readError(err)
+	}
+	return journalcodec.DecodeRecords(o.Data)
+}
+
+// readError makes a read that ran out of time count as an unavailable store.
+func readError(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return object.ErrUnavailable
+	}
+	return err
+}
+
+// write sends a planned write: the segment, then the head. It returns the
+// version of the head.
+func (s *shardStore) write(ctx context.Context, plan *journal.Write) (object.Version, error) {
+	if plan.Segment != nil {
+		version, err := s.writeSegment(ctx, *plan.Segment)
+		if err != nil {
+			return 0, errs.Wrap(err, "write journal segment", storePeer)
+		}
+		plan.Head.Segments[len(plan.Head.Segments)-1].Version = version
+	}
+	version, err := s.writeHead(ctx, *plan)
+	return version, errs.Wrap(err, "write journal head", storePeer)
+}
+
+func (s *shardStore) writeSegment(ctx context.Context, segment journal.Segment) (object.Version, error) {
+	data, err := journalcodec.EncodeRecords(segment.Records)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.metrics.wrote(len(data))
+	return s.store.Create(ctx, journal.KindSegment, segment.Name, data)
+}
+
+func (s *shardStore) writeHead(ctx context.Context, plan journal.Write) (object.Version, error) {
+	data, err := journalcodec.EncodeHead(plan.Head)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.metrics.wroteHead(len(data))
+	name := journal.HeadName(plan.Shard)
+	if plan.Expected == 0 {
+		return s.store.Create(ctx, journal.KindHead, name, data)
+	}
+	return s.store.Update(ctx, journal.KindHead, name, data, plan.Expected)
+}
+
+// discard hands segments that no head names to the janitor. When its ring is
+// full they stay until the shard is opened the next time.
+func (s *shardStore) discard(refs []journal.SegmentRef) {
+	for _, ref := range refs {
+		s.obsolete.Offer(ref)
+	}
+}
+
+// open reads a shard for the first time, with one listing of its segments. It
+// discards segments that no head will ever name.
+func (s *shardStore) open(ctx context.Context, shard *journal.Shard) error {
+	listed, err := s.list(ctx)
+	if err != nil {
+		return errs.Wrap(err, "list journal segments", storePeer)
+	}
+	head, version, err := s.readHead(ctx)
+	if errors.Is(err, object.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return errs.Wrap(err, "read journal head", storePeer)
+	}
+	read, err := decodeListed(listed, head)
+	if err != nil {
+		return errs.Wrap(err, "read journal segment", storePeer)
+	}
+	if err := shard.Advance(version, head, read); err != nil {
+		return s.load(ctx, shard)
+	}
+	s.discardOrphans(listed, head, version)
+	return nil
+}
+
+func (s *shardStore) list(ctx context.Context) ([]object.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	listed, err := s.store.List(ctx, journal.KindSegment, journal.SegmentPrefix(s.id))
+	return listed, readError(err)
+}
+
+// decodeListed decodes the listed segments that the head names.
+func decodeListed(listed []object.Object, head journal.Head) (map[object.Name][]journal.Record, error) {
+	named := make(map[object.Name]bool, len(head.Segments))
+	for _, ref := range head.Segments {
+		named[ref.Name] = true
+	}
+	read := make(map[object.Name][]journal.Record, len(named))
+	for _, o := range listed {
+		if !named[o.Name] {
+			continue
+		}
+		records, err := journalcodec.DecodeRecords(o.Data)
+		if err != nil {
+			return nil, err
+		}
+		read[o.Name] = records
+	}
+	return read, nil
+}
+
+func (s *shardStore) discardOrphans(listed []object.Object, head journal.Head, version object.Version) {
+	for _, o := range listed {
+		if journal.IsOrphan(o.Name, head, version) {
+			s.obsolete.Offer(journal.SegmentRef{Name: o.Name, Version: o.Version})
+		}
+	}
+}
--- a/internal/state/order/order.go
+++ b/internal/state/order/order.go
@@ -39,6 +39,8 @@
 	Status      int // HTTP status of the upstream's answer, zero if there was none
 	ContentType string
 	Body        []byte
+	BodyOmitted bool   // the body was too long to be recorded
+	BodyHash    []byte // SHA-256 hash of an omitted body
 }
 
 // ClaimState is the standing of an order when it is claimed.
