--- /dev/null
+++ b/internal/coordination/routing/filters.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"time"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// UsableFilter keeps candidates that are up, below their limit and have the model.
+type UsableFilter struct{}
+
+// Filter implements Filter.
+func (UsableFilter) Filter(_ time.Time, request Request, candidates []Candidate) []Candidate {
+	return Usable(request, candidates)
+}
+
+// RoomFilter keeps candidates whose estimated load leaves a place in the batch,
+// so that the request waits in the entry, where its deadline counts, and not in
+// the engine. Candidates with unknown batch size are kept.
+type RoomFilter struct {
+	// Overbook is how many requests above the batch size may wait at the engine.
+	// It hides the round trip between the entry and the engine.
+	Overbook int
+}
+
+// Filter implements Filter.
+func (f RoomFilter) Filter(_ time.Time, _ Request, candidates []Candidate) []Candidate {
+	var kept []Candidate
+	for _, c := range candidates {
+		if c.Slots == 0 || c.estimate() < f.places(c) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+func (f RoomFilter) places(c Candidate) float64 {
+	places := float64(c.Slots + f.Overbook)
+	if c.RecoveryShare > 0 {
+		places *= c.RecoveryShare
+	}
+	return places
+}
+
+// ZoneFilter keeps local candidates, and those of other availability zones only
+// while they have spare places. A zone that loses its upstreams can then use the
+// spare places of its neighbours but not crowd out their own requests.
+type ZoneFilter struct {
+	Local bundle.Zone
+	// SpillBelow is the share of the batch in use up to which other zones may be used.
+	SpillBelow float64
+}
+
+// Filter implements Filter.
+func (f ZoneFilter) Filter(_ time.Time, _ Request, candidates []Candidate) []Candidate {
+	var kept []Candidate
+	for _, c := range candidates {
+		if c.Zone == f.Local || f.isSpare(c) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+func (f ZoneFilter) isSpare(c Candidate) bool {
+	return c.Slots == 0 || c.estimate() < f.SpillBelow*float64(c.Slots)
+}
+
+// PairFilter narrows the candidates to the two that the request's hashes name:
+// the first by its prefix, the second by its fingerprint. Equal requests have the
+// same pair at every entry, so a request that crashes its upstream reaches at
+// most two, even when entries run it at the same moment and know nothing of each
+// other. A hot prefix still spreads over all upstreams by the second choice.
+//
+// It must be the first filter: the pair is taken from all hosts of the model,
+// also those without room. An upstream leaves the pairs only after it was down
+// for Settle, when all entries have heard which requests were running on it.
+type PairFilter struct {
+	Settle time.Duration
+}
+
+// Filter implements Filter.
+func (f PairFilter) Filter(now time.Time, request Request, candidates []Candidate) []Candidate {
+	hosts := f.hosts(now, request, candidates)
+	if len(hosts) < 2 {
+		return hosts
+	}
+	first := highest(hosts, firstKey(request), "")
+	second := highest(hosts, request.Fingerprint, hosts[first].Upstream)
+	hosts[first].firstChoice = true
+	return []Candidate{hosts[first], hosts[second]}
+}
+
+func (f PairFilter) hosts(now time.Time, request Request, candidates []Candidate) []Candidate {
+	hosts := make([]Candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if request.Model != "" && !c.HasModel {
+			continue
+		}
+		if !c.DownSince.IsZero() && now.Sub(c.DownSince) >= f.Settle {
+			continue
+		}
+		hosts = append(hosts, c)
+	}
+	return hosts
+}
+
+func firstKey(request Request) uint64 {
+	if request.PrefixHash != 0 {
+		return request.PrefixHash
+	}
+	return ^request.Fingerprint
+}
--- /dev/null
+++ b/internal/coordination/routing/policies.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// NewRandom returns the policy that picks any usable upstream.
+func NewRandom(r *rand.Rand) Scheduler {
+	return Scheduler{Filters: []Filter{UsableFilter{}}, Chooser: RandomChoice{Rand: r}}
+}
+
+// NewLeastReported returns the policy that picks the lowest reported load.
+func NewLeastReported() Scheduler {
+	return Scheduler{
+		Filters: []Filter{UsableFilter{}},
+		Scorers: []Scorer{ReportedLoad{}},
+		Chooser: LowestCost{},
+	}
+}
+
+// NewTwoChoices returns power of two choices on own in-flight plus reported load.
+func NewTwoChoices(r *rand.Rand) Scheduler {
+	return Scheduler{
+		Filters: []Filter{UsableFilter{}},
+		Scorers: []Scorer{OwnAndReportedLoad{}},
+		Chooser: TwoChoices{Rand: r},
+	}
+}
+
+// NewLateTwoChoices returns power of two choices on the estimated load. Requests
+// wait in the entry until an upstream has room.
+func NewLateTwoChoices(r *rand.Rand, overbook int) Scheduler {
+	return Scheduler{
+		Filters: []Filter{UsableFilter{}, RoomFilter{Overbook: overbook}},
+		Scorers: []Scorer{EstimatedLoad{}},
+		Chooser: TwoChoices{Rand: r},
+	}
+}
+
+// NewLeastEstimated returns the policy that picks the lowest estimated load
+// among upstreams with room. A home queue uses it: one entry binds all requests
+// of a model, so that its estimate misses few of them.
+func NewLeastEstimated(overbook int) Scheduler {
+	return Scheduler{
+		Filters: []Filter{UsableFilter{}, RoomFilter{Overbook: overbook}},
+		Scorers: []Scorer{EstimatedLoad{}},
+		Chooser: LowestCost{},
+	}
+}
+
+// KeyedSettings are the settings of NewKeyed.
+type KeyedSettings struct {
+	Settle      time.Duration // how long a lost upstream keeps its place in the pairs
+	Overbook    int           // requests above the batch size that may wait at an engine
+	PrefixBonus float64       // load that a cached prefix outweighs
+	Zone        bundle.Zone   // availability zone of this instance
+	ZonePenalty float64       // load that a local upstream may have more
+}
+
+// NewKeyed returns prefix affinity with bounded load: the cheaper of the two
+// upstreams that the request's hashes name, see PairFilter.
+func NewKeyed(s KeyedSettings) Scheduler {
+	return Scheduler{
+		Filters: []Filter{PairFilter{Settle: s.Settle}, UsableFilter{}, RoomFilter{Overbook: s.Overbook}},
+		Scorers: []Scorer{
+			EstimatedLoad{},
+			FirstChoiceBonus{Requests: s.PrefixBonus},
+			ZonePenalty{Local: s.Zone, Requests: s.ZonePenalty},
+		},
+		Chooser: LowestCost{},
+	}
+}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -1,4 +1,13 @@
 // Package routing picks the upstream of a request from a snapshot of candidates.
+//
+// An entry builds one Candidate for each upstream of the service, in bundle
+// order and including those that are down, and calls Pick of the Scheduler that
+// NewKeyed returns. ErrNoUpstream means that the request stays in the admission
+// queue until an answer frees a place. The other policies are there to be
+// compared by the policy bench.
+//
+// A Scheduler is made of plugins with one verb each: filters drop candidates,
+// scorers give each a cost, and a chooser takes one.
 package routing
 
 import (
@@ -27,7 +36,9 @@
 	Class      Class
 	Deadline   time.Time
 	PrefixHash uint64 // hash of the prompt prefix, zero when there is none
-	Excluded   []bundle.UpstreamID
+	// Fingerprint is the hash of the whole request. Resends have the same one.
+	Fingerprint uint64
+	Excluded    []bundle.UpstreamID
 }
 
 // Load is an upstream's own report.
@@ -48,6 +59,16 @@
 	HasAdapter bool
 	Ejected    bool
 	Leaving    bool
+	// SentSinceReport counts requests that this entry sent after Reported was made.
+	SentSinceReport int
+	// Slots is the batch size of the upstream, zero when unknown.
+	Slots int
+	// RecoveryShare is the share of normal load while the upstream recovers, zero for all.
+	RecoveryShare float64
+	// DownSince tells when the upstream was seen to be down or leaving, zero when it is up.
+	DownSince time.Time
+
+	firstChoice bool // set by PairFilter
 }
 
 // ErrNoUpstream reports that no candidate can take the request.
--- /dev/null
+++ b/internal/coordination/routing/scheduler.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"time"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// Filter drops candidates that must not take the request.
+type Filter interface {
+	Filter(now time.Time, request Request, candidates []Candidate) []Candidate
+}
+
+// Scorer gives the cost of a candidate in requests of load. Lower is better.
+type Scorer interface {
+	Score(now time.Time, request Request, candidate Candidate) float64
+}
+
+// Chooser returns the index of one of the scored candidates, of which there is at least one.
+type Chooser interface {
+	Choose(scored []Scored) int
+}
+
+// Scored is a candidate with the sum of its costs.
+type Scored struct {
+	Candidate Candidate
+	Cost      float64
+}
+
+// Scheduler applies its filters in order, adds up the costs and chooses.
+type Scheduler struct {
+	Filters []Filter
+	Scorers []Scorer
+	Chooser Chooser
+}
+
+// Pick implements Picker.
+func (s Scheduler) Pick(now time.Time, request Request, candidates []Candidate) (bundle.UpstreamID, error) {
+	for _, f := range s.Filters {
+		candidates = f.Filter(now, request, candidates)
+	}
+	if len(candidates) == 0 {
+		return "", ErrNoUpstream
+	}
+	scored := make([]Scored, 0, len(candidates))
+	for _, c := range candidates {
+		scored = append(scored, Scored{Candidate: c, Cost: s.cost(now, request, c)})
+	}
+	return scored[s.Chooser.Choose(scored)].Candidate.Upstream, nil
+}
+
+func (s Scheduler) cost(now time.Time, request Request, c Candidate) float64 {
+	var sum float64
+	for _, scorer := range s.Scorers {
+		sum += scorer.Score(now, request, c)
+	}
+	return sum
+}
