--- a/internal/coordination/admission/pace.go
+++ b/internal/coordination/admission/pace.go
@@ -32,6 +32,13 @@
 	p.backlog = more
 }
 
+// shrunk records that requests left without a dispatch and how many still wait.
+func (p *pace) shrunk(waiting int) {
+	if waiting == 0 {
+		p.backlog = false
+	}
+}
+
 // interval returns the mean, or the time without a dispatch when that is longer,
 // so that a service that hangs is noticed.
 func (p *pace) interval(now time.Time) time.Duration {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -130,6 +130,7 @@
 		i := slices.IndexFunc(q.waiting[c], func(r Request) bool { return r.ID == id })
 		if i >= 0 {
 			q.waiting[c] = slices.Delete(q.waiting[c], i, i+1)
+			q.pace.shrunk(q.Len())
 			return true
 		}
 	}
@@ -150,6 +151,7 @@
 		}
 		q.waiting[c] = kept
 	}
+	q.pace.shrunk(q.Len())
 	return refused
 }
 
--- /dev/null
+++ b/internal/coordination/outlier/outlier.go
@@ -0,0 +1,234 @@
+// Package outlier takes failing and slow upstreams out of the choice and brings
+// them back in steps.
+//
+// An entry keeps one Detector for each service. It calls Observe when an attempt
+// ends and passes Status to routing as Candidate.Ejected and RecoveryShare. A
+// share of the upstreams is always kept: when most of them fail, the fault is the
+// service's own, and taking out more would only move the load to the rest.
+package outlier
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"savoryweir/internal/state/bundle"
+)
+
+// Settings are the settings of a Detector.
+type Settings struct {
+	Failures      int           // failures in a row that eject
+	FailureRate   float64       // share of the mean outcome that ejects
+	MinSamples    int           // attempts before the rate or the speed counts
+	SlowFactor    float64       // mean time relative to the median upstream that ejects
+	KeepShare     float64       // share of the upstreams that is never ejected
+	EjectFor      time.Duration // first ejection, doubled for each further one
+	EjectForMax   time.Duration
+	RecoverySteps []float64 // shares of normal load
+	StepTime      time.Duration
+}
+
+// DefaultSettings returns the settings to start from.
+func DefaultSettings() Settings {
+	return Settings{
+		Failures:      5,
+		FailureRate:   0.5,
+		MinSamples:    20,
+		SlowFactor:    3,
+		KeepShare:     0.5,
+		EjectFor:      2 * time.Second,
+		EjectForMax:   30 * time.Second,
+		RecoverySteps: []float64{0.1, 0.25, 0.5},
+		StepTime:      time.Second,
+	}
+}
+
+const meanWeight = 0.1 // of the latest attempt in the means
+
+const (
+	stateHealthy    = "healthy"
+	stateEjected    = "ejected"
+	stateRecovering = "recovering"
+
+	eventEject   = "eject"
+	eventAdmit   = "admit"
+	eventRecover = "recover"
+)
+
+// Result is one ended attempt.
+type Result struct {
+	Failed bool
+	// Slowness is the time taken relative to the expected one, zero when unknown.
+	Slowness float64
+}
+
+// Status is what routing does with an upstream.
+type Status struct {
+	Ejected       bool
+	RecoveryShare float64 // zero for all
+}
+
+// Detector judges the upstreams of one service.
+type Detector struct {
+	settings  Settings
+	upstreams map[bundle.UpstreamID]*record
+}
+
+type record struct {
+	lifecycle   *fsm.FSM
+	since       time.Time // start of the present state
+	ejections   int
+	inRow       int
+	samples     int
+	failureRate float64
+	slowness    float64
+}
+
+// New returns a detector for the given upstreams.
+func New(settings Settings, upstreams []bundle.UpstreamID) *Detector {
+	d := &Detector{settings: settings, upstreams: make(map[bundle.UpstreamID]*record)}
+	d.SetUpstreams(upstreams)
+	return d
+}
+
+// SetUpstreams adds and removes upstreams after a change of configuration.
+func (d *Detector) SetUpstreams(upstreams []bundle.UpstreamID) {
+	for id := range d.upstreams {
+		if !slices.Contains(upstreams, id) {
+			delete(d.upstreams, id)
+		}
+	}
+	for _, id := range upstreams {
+		if d.upstreams[id] == nil {
+			d.upstreams[id] = newRecord()
+		}
+	}
+}
+
+func newRecord() *record {
+	return &record{lifecycle: fsm.NewFSM(stateHealthy, fsm.Events{
+		{Name: eventEject, Src: []string{stateHealthy, stateRecovering}, Dst: stateEjected},
+		{Name: eventAdmit, Src: []string{stateEjected}, Dst: stateRecovering},
+		{Name: eventRecover, Src: []string{stateRecovering}, Dst: stateHealthy},
+	}, nil)}
+}
+
+// Observe records an ended attempt.
+func (d *Detector) Observe(now time.Time, upstream bundle.UpstreamID, result Result) {
+	r := d.upstreams[upstream]
+	if r == nil {
+		return
+	}
+	d.advance(now, r)
+	r.observe(result)
+	if r.lifecycle.Is(stateEjected) || !d.isOutlier(r) || !d.mayEject(now) {
+		return
+	}
+	r.ejections++
+	r.enter(now, eventEject)
+}
+
+// Status returns how routing may use the upstream.
+func (d *Detector) Status(now time.Time, upstream bundle.UpstreamID) Status {
+	r := d.upstreams[upstream]
+	if r == nil {
+		return Status{}
+	}
+	d.advance(now, r)
+	switch r.lifecycle.Current() {
+	case stateEjected:
+		return Status{Ejected: true}
+	case stateRecovering:
+		return Status{RecoveryShare: d.settings.RecoverySteps[d.step(now, r)]}
+	default:
+		return Status{}
+	}
+}
+
+// advance moves the record through the states that depend on time alone.
+func (d *Detector) advance(now time.Time, r *record) {
+	if r.lifecycle.Is(stateEjected) && now.Sub(r.since) >= d.ejectFor(r) {
+		r.enter(now, eventAdmit)
+	}
+	if r.lifecycle.Is(stateRecovering) && d.step(now, r) >= len(d.settings.RecoverySteps) {
+		r.enter(now, eventRecover)
+	}
+	if r.lifecycle.Is(stateHealthy) && now.Sub(r.since) > 2*d.settings.EjectForMax {
+		r.ejections = 0
+	}
+}
+
+func (d *Detector) step(now time.Time, r *record) int {
+	return int(now.Sub(r.since) / d.settings.StepTime)
+}
+
+func (d *Detector) ejectFor(r *record) time.Duration {
+	period := d.settings.EjectFor
+	for range r.ejections - 1 {
+		period = min(2*period, d.settings.EjectForMax)
+	}
+	return period
+}
+
+func (d *Detector) isOutlier(r *record) bool {
+	if r.inRow >= d.settings.Failures || (r.lifecycle.Is(stateRecovering) && r.inRow > 0) {
+		return true
+	}
+	if r.samples < d.settings.MinSamples {
+		return false
+	}
+	return r.failureRate >= d.settings.FailureRate || r.slowness > d.settings.SlowFactor*d.medianSlowness()
+}
+
+// mayEject reports whether one more ejection leaves the floor of kept upstreams.
+func (d *Detector) mayEject(now time.Time) bool {
+	kept := 0
+	for _, r := range d.upstreams {
+		d.advance(now, r)
+		if !r.lifecycle.Is(stateEjected) {
+			kept++
+		}
+	}
+	floor := max(d.settings.KeepShare*float64(len(d.upstreams)), 1)
+	return float64(kept-1) >= floor
+}
+
+func (d *Detector) medianSlowness() float64 {
+	values := make([]float64, 0, len(d.upstreams))
+	for _, r := range d.upstreams {
+		if r.samples > 0 {
+			values = append(values, r.slowness)
+		}
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+func (r *record) observe(result Result) {
+	r.samples++
+	failed := 0.0
+	r.inRow++
+	if result.Failed {
+		failed = 1
+	} else {
+		r.inRow = 0
+	}
+	r.failureRate += meanWeight * (failed - r.failureRate)
+	if result.Slowness > 0 {
+		r.slowness += meanWeight * (result.Slowness - r.slowness)
+	}
+}
+
+// enter changes the state and forgets the samples of the last one.
+func (r *record) enter(now time.Time, event string) {
+	if err := r.lifecycle.Event(context.Background(), event); err != nil {
+		return
+	}
+	r.since = now
+	r.inRow = 0
+	r.samples = 0
+	r.failureRate = 0
+	r.slowness = 0
+}
--- a/internal/coordination/routing/filters.go
+++ b/internal/coordination/routing/filters.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"savoryweir/internal/state/bundle"
@@ -75,6 +76,7 @@
 // It must be the first filter: the pair is taken from all hosts of the model,
 // also those without room. An upstream leaves the pairs only after it was down
 // for Settle, when all entries have heard which requests were running on it.
+// Excluded upstreams stay in the pair, so that a retry goes to the other of the two.
 type PairFilter struct {
 	Settle time.Duration
 }
@@ -97,7 +99,7 @@
 		if request.Model != "" && !c.HasModel {
 			continue
 		}
-		if !c.DownSince.IsZero() && now.Sub(c.DownSince) >= f.Settle {
+		if f.hasSettled(now, c) && !slices.Contains(request.Excluded, c.Upstream) {
 			continue
 		}
 		hosts = append(hosts, c)
@@ -105,6 +107,10 @@
 	return hosts
 }
 
+func (f PairFilter) hasSettled(now time.Time, c Candidate) bool {
+	return !c.DownSince.IsZero() && now.Sub(c.DownSince) >= f.Settle
+}
+
 func firstKey(request Request) uint64 {
 	if request.PrefixHash != 0 {
 		return request.PrefixHash
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -13,6 +13,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"savoryweir/internal/state/bundle"
@@ -116,10 +117,5 @@
 	if request.Model != "" && !c.HasModel {
 		return false
 	}
-	for _, id := range request.Excluded {
-		if id == c.Upstream {
-			return false
-		}
-	}
-	return true
+	return !slices.Contains(request.Excluded, c.Upstream)
 }
