--- a/internal/control/cells/cells.go
+++ b/internal/control/cells/cells.go
@@ -4,9 +4,9 @@
 package cells
 
 import (
+	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -73,22 +73,16 @@
 	return c, ok
 }
 
-// Replicas returns those of all cells, in the order of the cells' ids.
-func (s *Store) Replicas() []replica.Replica {
+// All returns all cells in the order of their ids.
+func (s *Store) All() []replica.Cell {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := make([]replica.Cell, 0, len(s.cells))
 	for _, c := range s.cells {
 		all = append(all, c)
 	}
-	slices.SortFunc(all, func(a, b replica.Cell) int {
-		return strings.Compare(string(a.Head.Cell), string(b.Head.Cell))
-	})
-	var replicas []replica.Replica
-	for _, c := range all {
-		replicas = append(replicas, c.Replicas...)
-	}
-	return replicas
+	slices.SortFunc(all, func(a, b replica.Cell) int { return cmp.Compare(a.Head.Cell, b.Head.Cell) })
+	return all
 }
 
 // put takes in a cell if it is newer than the known one.
--- a/internal/control/peers/peers_test.go
+++ b/internal/control/peers/peers_test.go
@@ -136,9 +136,9 @@
 	late := start(t, "late", a.Self.Address)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, i := range append(others, late) {
-			replicas := i.cells.Replicas()
-			if len(replicas) != 1 || !replicas[0].Ready {
-				return poll.Continue("%s has %v", i.Self.ID, replicas)
+			c, _ := i.cells.Cell("cell-1")
+			if len(c.Replicas) != 1 || !c.Replicas[0].Ready {
+				return poll.Continue("%s has %v", i.Self.ID, c)
 			}
 		}
 		return poll.Success()
--- a/internal/control/peers/service.go
+++ b/internal/control/peers/service.go
@@ -137,6 +137,12 @@
 // Snapshot returns the present knowledge. The caller must not change it.
 func (s *Service) Snapshot() *Snapshot { return s.snapshot.Load() }
 
+// Known returns the usable members and all news.
+func (s *Service) Known() ([]member.Member, news.Batch) {
+	known := s.Snapshot()
+	return known.Usable(), known.News
+}
+
 // Changed receives a token after the snapshot has changed.
 func (s *Service) Changed() <-chan struct{} { return s.changed }
 
--- /dev/null
+++ b/internal/control/view/service.go
@@ -0,0 +1,189 @@
+// Package view serves the local entry process: it streams the view that the
+// entry routes by, and takes in what the entry saw.
+package view
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"savoryweir/internal/protocol/bundlefile"
+	"savoryweir/internal/protocol/peercodec"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/demand"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/member"
+	"savoryweir/internal/state/news"
+	"savoryweir/internal/state/replica"
+
+	pb "savoryweir/api/savoryweir/v1"
+)
+
+// minInterval is the shortest time between two views sent to an entry.
+const minInterval = 50 * time.Millisecond
+
+// Bundles supplies the bundle in force.
+type Bundles interface {
+	// InForce returns the head in force and its sections, the manifest included.
+	InForce() (bundle.Head, []bundlefile.Section)
+}
+
+// Peers supplies what the instances tell one another.
+type Peers interface {
+	// Known returns the usable members and all news.
+	Known() ([]member.Member, news.Batch)
+	// Offer tells the peers of news that was seen here.
+	Offer(ctx context.Context, batch news.Batch) error
+}
+
+// Cells supplies the replicas of all placement cells.
+type Cells interface {
+	// All returns the cells in the order of their ids.
+	All() []replica.Cell
+}
+
+// DemandSink takes what entries saw of models.
+type DemandSink interface {
+	OnDemand(report demand.Report)
+}
+
+// Options are the parts that a Service uses.
+type Options struct {
+	Instance string
+	Clock    *hlc.Clock
+	Bundles  Bundles
+	Peers    Peers
+	Cells    Cells
+	Demand   DemandSink
+}
+
+// Service implements pb.LocalServer.
+type Service struct {
+	pb.UnimplementedLocalServer
+	Options
+
+	mu      sync.Mutex    // guards changed
+	changed chan struct{} // closed and replaced at each change
+}
+
+// New returns a service.
+func New(o Options) *Service {
+	return &Service{Options: o, changed: make(chan struct{})}
+}
+
+// Notify tells all entries that the view has changed.
+func (s *Service) Notify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Service) nextChange() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// WatchView implements pb.LocalServer.
+func (s *Service) WatchView(request *pb.WatchViewRequest, stream pb.Local_WatchViewServer) error {
+	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
+	sent := newSentParts()
+	for {
+		changed := s.nextChange()
+		if err := stream.Send(s.view(sent)); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-stream.Context().Done():
+			return nil
+		}
+		select {
+		case <-time.After(minInterval):
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+// sentParts are the parts of views that a stream has carried.
+type sentParts struct {
+	sections map[bundle.Hash]bool
+	cells    map[news.CellHead]bool
+}
+
+func newSentParts() *sentParts {
+	return &sentParts{sections: make(map[bundle.Hash]bool), cells: make(map[news.CellHead]bool)}
+}
+
+// newSections returns the sections that the entry does not hold. The entry
+// keeps those of the bundle in force and forgets the others.
+func (p *sentParts) newSections(sections []bundlefile.Section) []bundlefile.Section {
+	held := make(map[bundle.Hash]bool, len(sections))
+	var unsent []bundlefile.Section
+	for _, section := range sections {
+		held[section.Hash] = true
+		if !p.sections[section.Hash] {
+			unsent = append(unsent, section)
+		}
+	}
+	p.sections = held
+	return unsent
+}
+
+// newCells returns the cells that were not sent yet and notes them as sent.
+func (p *sentParts) newCells(cells []replica.Cell) []*pb.CellReplicas {
+	var unsent []*pb.CellReplicas
+	for _, c := range cells {
+		if !p.cells[c.Head] {
+			p.cells[c.Head] = true
+			unsent = append(unsent, peercodec.EncodeCell(c))
+		}
+	}
+	return unsent
+}
+
+// view returns the present view with the parts that were not sent yet.
+func (s *Service) view(sent *sentParts) *pb.View {
+	head, sections := s.Bundles.InForce()
+	members, known := s.Peers.Known()
+	v := &pb.View{
+		Time:         peercodec.EncodeTime(s.Clock.Now()),
+		Generation:   uint64(head.Generation),
+		ManifestHash: head.Manifest[:],
+		Sections:     bundlefile.SectionsToWire(sent.newSections(sections)),
+		Cells:        sent.newCells(s.Cells.All()),
+		Members:      peercodec.EncodeMembers(members),
+	}
+	for _, l := range known.Leaving {
+		v.LeavingUpstreams = append(v.LeavingUpstreams, string(l.Upstream))
+	}
+	for _, suspect := range known.Suspects {
+		v.Suspects = append(v.Suspects, peercodec.EncodeSuspect(suspect))
+	}
+	return v
+}
+
+// Report implements pb.LocalServer.
+func (s *Service) Report(ctx context.Context, request *pb.ReportRequest) (*pb.ReportResponse, error) {
+	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
+	var batch news.Batch
+	for _, suspect := range request.GetSuspects() {
+		if decoded, err := peercodec.DecodeSuspect(suspect); err == nil {
+			batch.Suspects = append(batch.Suspects, decoded)
+		}
+	}
+	for _, l := range request.GetLeaving() {
+		batch.Leaving = append(batch.Leaving, peercodec.DecodeLeaving(l))
+	}
+	if len(request.GetDemand()) > 0 {
+		s.Demand.OnDemand(peercodec.DecodeDemand(s.Instance, request.GetIntervalMillis(), request.GetDemand()))
+	}
+	if !batch.IsEmpty() {
+		if err := s.Peers.Offer(ctx, batch); err != nil {
+			return nil, err
+		}
+	}
+	return &pb.ReportResponse{Time: peercodec.EncodeTime(s.Clock.Now())}, nil
+}
