--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -25,8 +25,11 @@
 	KindOrderFinished Kind = "order.finished"
 	KindOrderUnknown  Kind = "order.unknown"
 
-	KindBundleAccepted Kind = "bundle.accepted"
-	KindBundleInForce  Kind = "bundle.in_force"
+	KindBundleHeard      Kind = "bundle.heard"
+	KindBundleAccepted   Kind = "bundle.accepted" // signatures and content are valid
+	KindBundleInForce    Kind = "bundle.in_force"
+	KindBundleRefused    Kind = "bundle.refused"
+	KindBundleSuperseded Kind = "bundle.superseded"
 
 	KindMemberJoined    Kind = "member.joined"
 	KindMemberSuspected Kind = "member.suspected"
