Entry: sentinel connections tell a dead upstream from a cut connection; tests of answers and orders

Cause: a request whose connection was cut twice was refused as one that crashes upstreams, and upstreams left out after a fault were never tried again. Ruled out: counting every cut as a death (refuses innocent requests); judging by other requests in progress (says nothing when there is one). Change: one idle connection per upstream with work, whose end marks the end of the process; upstreams left out for other faults come back as last choice.

--- /dev/null
+++ b/internal/entry/answer_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/standin/engine"
+	"savoryweir/internal/standin/service"
+)
+
+func TestStreamIsWholeAndItsOwnUnderFaults(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults []engine.Fault
+	}{
+		{"none", nil},
+		{"silent before the first event", []engine.Fault{{Kind: engine.FaultSilent, Count: 1}}},
+		{"silent", []engine.Fault{{Kind: engine.FaultSilent, After: 5, Count: 1}}},
+		{"cut before the first event", []engine.Fault{{Kind: engine.FaultCut, Count: 1}}},
+		{"cut", []engine.Fault{{Kind: engine.FaultCut, After: 5, Count: 1}}},
+		{"doubled", []engine.Fault{{Kind: engine.FaultDoubled, After: 5, Count: 1}}},
+		{"crossed", []engine.Fault{{Kind: engine.FaultCrossed, After: 5, Count: 1}}},
+		{"no end mark", []engine.Fault{{Kind: engine.FaultNoEnd, Count: 1}}},
+		{"refused", []engine.Fault{{Kind: engine.FaultRefuse, Count: 1}}},
+		{"cut, then wrong offset", []engine.Fault{{Kind: engine.FaultCut, After: 5, Count: 1}, {Kind: engine.FaultWrongOffset, Count: 1}}},
+		{"silent, then crossed", []engine.Fault{{Kind: engine.FaultSilent, After: 5, Count: 1}, {Kind: engine.FaultCrossed, After: 2, Count: 1}}},
+	} {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, stream %v", test.name, stream), func(t *testing.T) {
+				t.Parallel()
+				one, two := startEngine(t, "e1"), startEngine(t, "e2")
+				e := startEntry(t, &sharedView{data: viewOf(one, two)}, nil, nil)
+				for _, f := range test.faults {
+					one.engine.Inject(f)
+					two.engine.Inject(f)
+				}
+				if stream {
+					assertWhole(t, e.stream(t, "r1", "hello", 40), "hello", 40)
+					return
+				}
+				got := e.do(http.MethodPost, chatPath, chatBody("hello", 40, false))
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				assert.Assert(t, contains(got.body, engine.Text(engine.Prompt(testModel, "hello"), 40)), got.body)
+			})
+		}
+	}
+}
+
+func TestManyStreamsGetTheirOwnAnswers(t *testing.T) {
+	one, two := startEngine(t, "e1"), startEngine(t, "e2")
+	e := startEntry(t, &sharedView{data: viewOf(one, two)}, nil, nil)
+	one.engine.Inject(engine.Fault{Kind: engine.FaultCrossed, After: 3, Count: 5})
+	two.engine.Inject(engine.Fault{Kind: engine.FaultDoubled, After: 4, Count: 5})
+	var group sync.WaitGroup
+	for i := range 24 {
+		group.Go(func() {
+			content := fmt.Sprintf("content %d", i)
+			assertWhole(t, e.stream(t, "same-id", content, 20), content, 20)
+		})
+	}
+	group.Wait()
+}
+
+func TestCallerResumesAtAnotherEntry(t *testing.T) {
+	one := startEngine(t, "e1")
+	views := &sharedView{data: viewOf(one)}
+	first, second := startEntry(t, views, nil, nil), startEntry(t, views, nil, nil)
+	body := chatBody("hello", 60, true)
+	response, err := client.Do(request(http.MethodPost, first.url+chatPath, body, header{httpapi.HeaderRequestID, "r1"}))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var got streamed
+	readStream(t, response.Body, "r1", &got, 10)
+	first.kill()
+	_, _ = io.Copy(io.Discard, response.Body)
+	response, err = client.Do(request(http.MethodPost, second.url+chatPath, body,
+		header{httpapi.HeaderRequestID, "r1"}, header{httpapi.HeaderResumeOffset, "10"}))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	readStream(t, response.Body, "r1", &got, 1<<20)
+	assertWhole(t, got, "hello", 60)
+}
+
+func TestSilentConnectionIsReplacedWhileItsUpstreamKeepsOtherWork(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, nil)
+	one.engine.Inject(engine.Fault{Kind: engine.FaultSilent, Match: "victim", After: 5, Count: 1})
+	var group sync.WaitGroup
+	group.Go(func() { assertWhole(t, e.stream(t, "other", "bystander", 500), "bystander", 500) })
+	assertWhole(t, e.stream(t, "r1", "victim", 20), "victim", 20)
+	group.Wait()
+	assert.Equal(t, one.engine.Started(), 3, "the bystander once and the victim twice")
+}
+
+func TestReadIsWholeAndItsOwnUnderFaults(t *testing.T) {
+	for _, kind := range []service.FaultKind{
+		service.FaultHang, service.FaultFail, service.FaultRunThenCut, service.FaultCutAnswer, service.FaultCrossed, service.FaultRefuse,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			one, two := startService(t, "s1"), startService(t, "s2")
+			e := startEntry(t, &sharedView{data: viewOf(one, two)}, nil, nil)
+			one.service.Inject(service.Fault{Kind: kind, Count: 1})
+			two.service.Inject(service.Fault{Kind: kind, Count: 1})
+			got := e.do(http.MethodGet, "/services/booking/status", "")
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+			assert.Equal(t, got.header.Get(httpapi.HeaderOutcome), "ran")
+		})
+	}
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	one, two := startService(t, "s1"), startService(t, "s2")
+	e := startEntry(t, &sharedView{data: viewOf(one, two)}, nil, func(s *Settings) {
+		s.Upstreams.RetryBurst = 3
+		s.Upstreams.RetryShare = 0
+	})
+	for _, n := range []*node{one, two} {
+		n.service.Inject(service.Fault{Kind: service.FaultFail})
+	}
+	for range 20 {
+		got := e.do(http.MethodGet, "/services/booking/status", "")
+		assert.Equal(t, got.status, http.StatusInternalServerError)
+	}
+	assert.Equal(t, counterOf(t, e, "retries_total"), 3.0)
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -33,6 +33,8 @@
 	request     routing.Request
 	fingerprint Fingerprint
 	started     time.Time
+	// deadUpstreams died under the call and get no further send of it.
+	deadUpstreams []bundle.UpstreamID
 	// sameUpstream gets the next send on a new connection. Empty when there is none.
 	sameUpstream bundle.UpstreamID
 }
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -97,13 +97,12 @@
 // connection is not taken for a dead upstream.
 func (s *Server) judgeBroken(ctx context.Context, c *call, f *flight, fault *upstreamFault, sent bool) bool {
 	brokenAt := s.now()
-	ctx, cancel := context.WithTimeout(ctx, s.settings.Upstreams.ProbeTimeout)
+	limited, cancel := context.WithTimeout(ctx, s.settings.Upstreams.ProbeTimeout)
 	defer cancel()
-	probe := s.repeat.Probe(ctx, f.upstream.Address)
+	probe := s.repeat.Probe(limited, f.upstream.Address)
 	var timeout net.Error
 	unreachable := probe != nil && errors.As(probe, &timeout) && timeout.Timeout()
-	onlyConnection := probe == nil && (f.reused || s.table.outlived(f, brokenAt))
-	died := fault.kind == faultCut && sent && !unreachable && !onlyConnection
+	died := fault.kind == faultCut && sent && !unreachable && (probe != nil || s.processEnded(ctx, f, brokenAt))
 	if died {
 		s.noteDeath(c, f.upstream.ID)
 	}
@@ -119,6 +118,7 @@
 func (s *Server) noteDeath(c *call, id bundle.UpstreamID) {
 	suspect := s.suspects.died(s.now(), c.fingerprint, id)
 	s.reports.addSuspect(suspect)
+	c.deadUpstreams = append(c.deadUpstreams, id)
 	s.metrics.deaths.WithLabelValues(string(id)).Inc()
 	s.log.Warn().Str("request", c.id).Str("upstream", string(id)).Msg("Upstream died under a request.")
 }
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -202,7 +202,6 @@
 	response, sent, err := s.repeat.Do(ctx, g.request(f))
 	if err != nil {
 		left := sent.MayHaveLeft()
-		f.reused = sent.Reused()
 		g.sent = g.sent || left
 		return sendFault(ctx, err, left)
 	}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,356 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/protocol/sse"
+	"savoryweir/internal/settings"
+	"savoryweir/internal/standin/engine"
+	"savoryweir/internal/standin/serve"
+	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/order"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	testModel    = "small"
+	crashMarker  = "crash-me"
+	patience     = 10 * time.Second // for what must happen; no test passes by it
+	testDeadline = 8 * time.Second
+)
+
+// node is a stand-in behind a server of its own.
+type node struct {
+	id      bundle.UpstreamID
+	address string
+	engine  *engine.Engine
+	service *service.Service
+	stop    func()
+}
+
+func startServer(t *testing.T, handler http.Handler) (string, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := serve.NewServer(handler)
+	go func() { _ = server.Serve(listener) }()
+	stop := sync.OnceFunc(func() { _ = server.Close() })
+	t.Cleanup(stop)
+	return listener.Addr().String(), stop
+}
+
+func startEngine(t *testing.T, id string) *node {
+	t.Helper()
+	n := &node{id: bundle.UpstreamID(id)}
+	n.engine = engine.New(engine.Settings{
+		Models: []string{testModel}, MaxBatch: 8, StepBase: time.Millisecond, CacheSize: 8,
+		CrashMarker: crashMarker, OnCrash: func() { n.stop() },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.engine.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	n.address, n.stop = startServer(t, n.engine.Handler())
+	return n
+}
+
+func startService(t *testing.T, id string) *node {
+	t.Helper()
+	n := &node{id: bundle.UpstreamID(id), service: service.New()}
+	n.address, n.stop = startServer(t, n.service.Handler())
+	return n
+}
+
+func viewOf(nodes ...*node) ViewData {
+	data := ViewData{Bundle: bundle.Bundle{
+		Generation: 7,
+		Services: []bundle.Service{
+			{Name: "tagger", Kind: bundle.KindGeneration},
+			{Name: "booking", Kind: bundle.KindPlain, OrderPaths: []string{service.OrderPath}},
+		},
+		Models:   []bundle.Model{{ID: testModel, Service: "tagger"}},
+		Adapters: []bundle.Adapter{{ID: "small-de", Model: testModel}},
+	}}
+	for _, n := range nodes {
+		u := bundle.Upstream{ID: n.id, Service: "booking", Address: n.address}
+		if n.engine != nil {
+			u.Service = "tagger"
+			data.Replicas = append(data.Replicas, Replica{Upstream: n.id, Model: testModel, Ready: true})
+		}
+		data.Bundle.Upstreams = append(data.Bundle.Upstreams, u)
+	}
+	return data
+}
+
+// sharedView is a view source that also takes reports, as if spread to all instances.
+type sharedView struct {
+	mu   sync.Mutex // guards data
+	data ViewData
+}
+
+func (s *sharedView) View() *View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return NewView(s.data)
+}
+
+func (s *sharedView) set(change func(*ViewData)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.data)
+}
+
+func (s *sharedView) Report(_ context.Context, r Report) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.data.Leaving = mergeUpstreams(s.data.Leaving, r.Leaving)
+	s.data.Suspects = append(append([]Suspect(nil), s.data.Suspects...), r.Suspects...)
+	return nil
+}
+
+// memoryClaims keeps claims in memory.
+type memoryClaims struct {
+	mu     sync.Mutex // guards the fields below
+	states map[order.Key]*memoryClaim
+	down   error
+	lose   bool // answers to claims are lost after they took effect
+}
+
+type memoryClaim struct {
+	fingerprint order.Fingerprint
+	done        bool
+	result      order.Result
+}
+
+func newMemoryClaims() *memoryClaims { return &memoryClaims{states: make(map[order.Key]*memoryClaim)} }
+
+func (m *memoryClaims) Claim(_ context.Context, c order.Claim) (order.Answer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down != nil {
+		return order.Answer{}, m.down
+	}
+	known, ok := m.states[c.Key]
+	switch {
+	case !ok:
+		m.states[c.Key] = &memoryClaim{fingerprint: c.Fingerprint}
+		if m.lose {
+			return order.Answer{}, context.DeadlineExceeded
+		}
+		return order.Answer{State: order.ClaimGranted, Token: "token"}, nil
+	case known.fingerprint != c.Fingerprint:
+		return order.Answer{State: order.ClaimMismatch}, nil
+	case known.done:
+		return order.Answer{State: order.ClaimFinished, Result: known.result}, nil
+	default:
+		return order.Answer{State: order.ClaimRunning}, nil
+	}
+}
+
+func (m *memoryClaims) Finish(_ context.Context, c order.Claim, _ string, r order.Result) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.Outcome == order.OutcomeNotRun {
+		delete(m.states, c.Key)
+		return nil
+	}
+	*m.states[c.Key] = memoryClaim{fingerprint: c.Fingerprint, done: true, result: r}
+	return nil
+}
+
+// testEntry is an entry with open listeners.
+type testEntry struct {
+	*Server
+	url        string
+	operations string
+	signals    chan os.Signal
+	ended      chan error
+	kill       context.CancelFunc
+}
+
+func testSettings(t *testing.T) Settings {
+	t.Helper()
+	var s Settings
+	_, err := settings.Parse(settings.Program{Name: "entry", Stdout: io.Discard, Stderr: io.Discard}, &s,
+		[]string{"--instance-id=i1", "--instance-zone=a"})
+	assert.NilError(t, err)
+	s.Upstreams.IdleTimeout = 200 * time.Millisecond
+	s.Upstreams.FirstByteTimeout = 600 * time.Millisecond
+	s.Upstreams.SuspectFor = time.Hour
+	s.Upstreams.EjectFor = 300 * time.Millisecond
+	s.Queue.MaxWait = 2 * time.Second
+	s.Orders.PollEvery = 10 * time.Millisecond
+	s.Shutdown.BalancerLag = 0
+	return s
+}
+
+func startEntry(t *testing.T, views ViewSource, claims Claims, change func(*Settings)) *testEntry {
+	t.Helper()
+	s := testSettings(t)
+	if change != nil {
+		change(&s)
+	}
+	reporter, _ := views.(Reporter)
+	server, err := New(s, Dependencies{Views: views, Claims: claims, Reporter: reporter, Log: zerolog.New(zerolog.NewTestWriter(t))})
+	assert.NilError(t, err)
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	operations, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &testEntry{
+		Server: server, url: "http://" + callers.Addr().String(), operations: "http://" + operations.Addr().String(),
+		signals: make(chan os.Signal, 2), ended: make(chan error, 1), kill: cancel,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.ended <- server.Serve(ctx, callers, operations, e.signals)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		wait, stop := context.WithTimeout(context.Background(), patience)
+		defer stop()
+		assert.NilError(t, server.drain.wait(wait))
+		server.Close()
+	})
+	return e
+}
+
+// reply is a whole answer to a test's request.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r reply) failure(t *testing.T) httpapi.ErrorDetail {
+	t.Helper()
+	var body httpapi.ErrorBody
+	assert.NilError(t, json.Unmarshal([]byte(r.body), &body), "%d %s", r.status, r.body)
+	return body.Error
+}
+
+// client has no connections of its own kept, so that goroutines end with a test.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+type header struct{ name, value string }
+
+func request(method, url, body string, headers ...header) *http.Request {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set(httpapi.HeaderDeadline, fmt.Sprint(testDeadline.Milliseconds()))
+	for _, h := range headers {
+		r.Header.Set(h.name, h.value)
+	}
+	return r
+}
+
+func call0(r *http.Request) reply {
+	response, err := client.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(body), err}
+}
+
+func (e *testEntry) do(method, path, body string, headers ...header) reply {
+	return call0(request(method, e.url+path, body, headers...))
+}
+
+func chatBody(content string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":%v}`, testModel, content, tokens, stream)
+}
+
+func (e *testEntry) order(id string, headers ...header) reply {
+	return e.do(http.MethodPost, "/services/booking/orders/new", id, headers...)
+}
+
+// streamed is what a caller got of a stream.
+type streamed struct {
+	text   string
+	last   int
+	ended  bool
+	failed *httpapi.ErrorDetail
+}
+
+// readStream checks ids and offsets of a stream's events up to limit, and adds them to got.
+func readStream(t *testing.T, body io.Reader, id string, got *streamed, limit int) {
+	t.Helper()
+	events := sse.NewReader(bufio.NewReader(body), 1<<20)
+	for got.last < limit {
+		event, err := events.Next()
+		if err != nil {
+			return
+		}
+		if event.Name == eventErrorName {
+			var failure httpapi.ErrorBody
+			assert.NilError(t, json.Unmarshal(event.Data, &failure))
+			got.failed = &failure.Error
+			return
+		}
+		if bytes.Equal(event.Data, []byte(httpapi.EndMark)) {
+			got.ended = true
+			return
+		}
+		var chunk httpapi.Chunk
+		assert.NilError(t, json.Unmarshal(event.Data, &chunk))
+		assert.Equal(t, chunk.ID, id)
+		assert.Equal(t, event.ID, got.last+1)
+		got.last = event.ID
+		got.text += chunk.Choices[0].Delta.Content
+	}
+}
+
+func (e *testEntry) stream(t *testing.T, id, content string, tokens int) streamed {
+	t.Helper()
+	var got streamed
+	response, err := client.Do(request(http.MethodPost, e.url+chatPath, chatBody(content, tokens, true), header{httpapi.HeaderRequestID, id}))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	readStream(t, response.Body, id, &got, 1<<20)
+	return got
+}
+
+func assertWhole(t *testing.T, got streamed, content string, tokens int) {
+	t.Helper()
+	assert.Assert(t, got.failed == nil, "%+v", got.failed)
+	assert.Assert(t, got.ended, "no end mark after %d events", got.last)
+	assert.Equal(t, got.text, engine.Text(engine.Prompt(testModel, content), tokens))
+}
+
+// eventually waits until holds returns true.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("did not happen: %s", what)
+}
--- /dev/null
+++ b/internal/entry/order_test.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/order"
+)
+
+func contains(text, part string) bool { return strings.Contains(text, part) }
+
+// counterOf returns the sum of a counter over its labels.
+func counterOf(t *testing.T, e *testEntry, name string) float64 {
+	t.Helper()
+	families, err := e.metrics.registry.Gather()
+	assert.NilError(t, err)
+	sum := 0.0
+	for _, family := range families {
+		if family.GetName() != metricsNamespace+"_"+name {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			sum += m.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
+
+func key(k string) header { return header{httpapi.HeaderIdempotencyKey, k} }
+
+// Each failure of an order, the outcome that its caller is told, and its runs.
+func TestOutcomeOfOrderIsTheTruth(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		fault   service.Fault
+		change  func(*Settings)
+		headers []header
+		outcome order.Outcome
+		runs    int
+	}{
+		{name: "answered", outcome: order.OutcomeRan, runs: 1},
+		{name: "refused", fault: service.Fault{Kind: service.FaultRefuse}, outcome: order.OutcomeNotRun},
+		{name: "run, then cut", fault: service.Fault{Kind: service.FaultRunThenCut}, outcome: order.OutcomeUnknown, runs: 1},
+		{name: "cut within the answer", fault: service.Fault{Kind: service.FaultCutAnswer}, outcome: order.OutcomeUnknown, runs: 1},
+		{name: "crossed answer", fault: service.Fault{Kind: service.FaultCrossed}, outcome: order.OutcomeUnknown, runs: 1},
+		{name: "hung", fault: service.Fault{Kind: service.FaultHang}, outcome: order.OutcomeUnknown},
+		{name: "failed with an answer", fault: service.Fault{Kind: service.FaultFail}, outcome: order.OutcomeRan},
+		{
+			name: "answer after the caller left", fault: service.Fault{Kind: service.FaultSlow, DelayMillis: 300},
+			headers: []header{{httpapi.HeaderDeadline, "100"}}, outcome: order.OutcomeUnknown, runs: 1,
+		},
+	} {
+		for _, keyed := range []bool{true, false} {
+			name := test.name + ", without key"
+			headers := test.headers
+			if keyed {
+				name = test.name + ", with key"
+				headers = append([]header{key("o1")}, headers...)
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				one, two := startService(t, "s1"), startService(t, "s2")
+				claims := newMemoryClaims()
+				e := startEntry(t, &sharedView{data: viewOf(one, two)}, claims, nil)
+				if test.fault.Kind != "" {
+					one.service.Inject(test.fault)
+					two.service.Inject(test.fault)
+				}
+				got := e.order("o1", headers...)
+				outcome := order.Outcome(got.header.Get(httpapi.HeaderOutcome))
+				assert.Equal(t, outcome, test.outcome, got.body)
+				waitForRuns(t, e, test.runs, one, two)
+				one.service.ClearFaults()
+				two.service.ClearFaults()
+				if !keyed {
+					return
+				}
+				again := e.order("o1", key("o1"))
+				if test.outcome == order.OutcomeNotRun {
+					assert.Equal(t, again.header.Get(httpapi.HeaderOutcome), "ran", again.body)
+					test.runs++
+				}
+				waitForRuns(t, e, test.runs, one, two)
+			})
+		}
+	}
+}
+
+// waitForRuns waits until no order is in progress and compares the runs of order o1.
+func waitForRuns(t *testing.T, e *testEntry, runs int, nodes ...*node) {
+	t.Helper()
+	eventually(t, "orders end", func() bool {
+		_, background := e.drain.calls()
+		return background == 0
+	})
+	sum := func() int {
+		n := 0
+		for _, node := range nodes {
+			n += node.service.RunsOf("o1")
+		}
+		return n
+	}
+	eventually(t, "the order ran as often as expected", func() bool { return sum() >= runs })
+	assert.Equal(t, sum(), runs)
+}
+
+func TestOrderRunsOnceWhenSentToTwoEntriesAtOnce(t *testing.T) {
+	one, two := startService(t, "s1"), startService(t, "s2")
+	views, claims := &sharedView{data: viewOf(one, two)}, newMemoryClaims()
+	entries := []*testEntry{startEntry(t, views, claims, nil), startEntry(t, views, claims, nil)}
+	one.service.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 50})
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() {
+			got := entries[i%2].order("o1", key("o1"))
+			assert.Check(t, got.status == http.StatusOK, got.body)
+		})
+	}
+	group.Wait()
+	assert.Equal(t, one.service.RunsOf("o1")+two.service.RunsOf("o1"), 1)
+}
+
+func TestKeyOfAnotherOrderIsRefused(t *testing.T) {
+	one := startService(t, "s1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, newMemoryClaims(), nil)
+	assert.Equal(t, e.order("o1", key("k")).status, http.StatusOK)
+	got := e.order("o2", key("k"))
+	assert.Equal(t, got.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeKeyReused)
+	assert.Equal(t, one.service.RunsOf("k"), 1)
+}
+
+func TestOrderWithoutClaimIsNotSent(t *testing.T) {
+	one := startService(t, "s1")
+	claims := newMemoryClaims()
+	claims.down = &order.UnavailableError{RetryAfter: 3 * time.Second, Cause: errors.New("store outage")}
+	e := startEntry(t, &sharedView{data: viewOf(one)}, claims, nil)
+	got := e.order("o1", key("o1"))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.header.Get("Retry-After"), "3")
+	assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun)
+	resend := e.order("o1", key("o1"), header{httpapi.HeaderAttempt, "2"})
+	assert.Equal(t, resend.failure(t).Outcome, order.OutcomeUnknown, "an earlier send may have run")
+	assert.Equal(t, one.service.RunsOf("o1"), 0)
+}
+
+func TestOrderWhoseClaimAnswerIsLostIsNotSent(t *testing.T) {
+	one := startService(t, "s1")
+	claims := newMemoryClaims()
+	claims.lose = true
+	e := startEntry(t, &sharedView{data: viewOf(one)}, claims, nil)
+	got := e.order("o1", key("o1"))
+	assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun)
+	assert.Equal(t, one.service.RunsOf("o1"), 0)
+}
+
+// An upstream that can't be reached got no byte, so the order goes to the other one.
+func TestOrderIsSentElsewhereWhenNoByteLeft(t *testing.T) {
+	one := startService(t, "s1")
+	gone := &node{id: "s2", address: closedAddress(t)}
+	e := startEntry(t, &sharedView{data: viewOf(gone, one)}, newMemoryClaims(), nil)
+	for range 8 {
+		assert.Equal(t, e.order("o1", key("o1")).status, http.StatusOK)
+	}
+	assert.Equal(t, one.service.RunsOf("o1"), 1)
+}
+
+func TestOrderIsNotRunWhenNoUpstreamIsReached(t *testing.T) {
+	gone := &node{id: "s2", address: closedAddress(t)}
+	e := startEntry(t, &sharedView{data: viewOf(gone)}, newMemoryClaims(), func(s *Settings) { s.Queue.MaxWait = 50 * time.Millisecond })
+	got := e.order("o1", key("o1"))
+	assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun, got.body)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func TestPathsThatHideAnOrderAreRefused(t *testing.T) {
+	one := startService(t, "s1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, newMemoryClaims(), nil)
+	for _, path := range []string{"//orders/new", "/x/../orders/new", "/%6frders%2Fnew", "/./orders/new", "/orders;x/new"} {
+		got := e.do(http.MethodPost, "/services/booking"+path, "o1")
+		assert.Equal(t, got.status, http.StatusBadRequest, path)
+		assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun)
+	}
+	assert.Equal(t, len(one.service.AllRuns())+one.service.Reads(), 0)
+}
+
+func TestOrderPaths(t *testing.T) {
+	s := bundle.Service{OrderPaths: []string{"/orders/"}}
+	for path, expected := range map[string]bool{
+		"/orders/1": true, "/orders": true, "/orders/": true, "/ORDERS/1": true, "/order": false, "/ordersheet": false, "/status": false,
+	} {
+		assert.Equal(t, isOrderPath(s, path), expected, path)
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -216,7 +216,6 @@
 	})
 	if err != nil {
 		left := sent.MayHaveLeft()
-		f.reused = sent.Reused()
 		return nil, left, sendFault(ctx, err, left)
 	}
 	defer closeBody(response)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -53,6 +53,8 @@
 	reports  *reports
 	demand   *demandCounts
 	drain    *drainer
+
+	sentinels *sentinels
 }
 
 // New returns a server. Run or Handler serves it.
@@ -74,6 +76,8 @@
 		reports:  newReports(),
 		demand:   newDemandCounts(),
 		drain:    newDrainer(),
+
+		sentinels: newSentinels(),
 	}
 	server.recorder = timeline.NewRecorder(hlc.New(d.Now), processName, s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents)
 	server.metrics = newMetrics(func() float64 {
@@ -107,6 +111,7 @@
 
 // Close closes idle connections to upstreams.
 func (s *Server) Close() {
+	s.sentinels.close()
 	s.repeat.CloseIdle()
 	s.once.CloseIdle()
 }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -21,7 +20,6 @@
 	started  time.Time
 	suspect  bool // an upstream died under the request before
 	fresh    bool // the request goes on a new connection
-	reused   bool // the connection broke before the answer and had carried other requests
 }
 
 // upstreamState is what this entry knows of one upstream.
@@ -31,6 +29,9 @@
 	failures     int // in a row
 	ejectedUntil time.Time
 	leavingUntil time.Time
+	watched      bool      // a sentinel connection is open or being opened
+	watchedSince time.Time // zero while no sentinel connection is open
+	processEnded time.Time // when the last sentinel connection broke
 }
 
 func (u *upstreamState) holdsSuspect() bool {
@@ -79,7 +80,12 @@
 	candidates := t.candidates(now, c, suspect)
 	id, err := t.pick(now, c, candidates)
 	if errors.Is(err, routing.ErrNoUpstream) && allEjected(candidates) {
-		id, err = t.pick(now, c, withoutEjection(candidates))
+		candidates = withoutEjection(candidates)
+		id, err = t.pick(now, c, candidates)
+	}
+	if errors.Is(err, routing.ErrNoUpstream) && len(c.request.Excluded) > len(c.deadUpstreams) {
+		c.request.Excluded = slices.Clone(c.deadUpstreams)
+		id, err = t.pick(now, c, candidates)
 	}
 	if err != nil {
 		return nil, t.freed, err
@@ -170,18 +176,6 @@
 	return fresh
 }
 
-// outlived reports whether another request that was in progress at an upstream before a time still is.
-func (t *upstreamTable) outlived(f *flight, before time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for other := range t.state(f.upstream.ID).flights {
-		if other != f && other.started.Before(before) {
-			return true
-		}
-	}
-	return false
-}
-
 // observe reads what an upstream tells of itself in an answer. It reports
 // whether the upstream has begun to leave.
 func (t *upstreamTable) observe(now time.Time, id bundle.UpstreamID, h http.Header) bool {
@@ -214,76 +208,3 @@
 	}
 	return found
 }
-
-// inFlight returns the number of requests in progress at an upstream.
-func (t *upstreamTable) inFlight(id bundle.UpstreamID) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.state(id).flights)
-}
-
-// waitForUpstream acquires an upstream, and waits for one until the queue's limit or ctx ends.
-func (s *Server) waitForUpstream(ctx context.Context, c *call, suspect bool) (*flight, error) {
-	f, freed, err := s.table.acquire(s.now(), c, suspect)
-	if err == nil {
-		return f, nil
-	}
-	if !s.queue.enter(c.service.Name) {
-		return nil, err
-	}
-	defer s.queue.leave(c.service.Name)
-	ctx, cancel := context.WithTimeoutCause(ctx, s.settings.Queue.MaxWait, err)
-	defer cancel()
-	for {
-		if err := waitFreed(ctx, freed); err != nil {
-			return nil, err
-		}
-		if f, freed, err = s.table.acquire(s.now(), c, suspect); err == nil {
-			return f, nil
-		}
-	}
-}
-
-// queuePoll is the longest time between looks for an upstream whose ejection or loading ended.
-const queuePoll = 50 * time.Millisecond
-
-func waitFreed(ctx context.Context, freed <-chan struct{}) error {
-	timer := time.NewTimer(queuePoll)
-	defer timer.Stop()
-	select {
-	case <-freed:
-		return nil
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
-// queueCounts bounds the requests that wait for each service.
-type queueCounts struct {
-	limit int
-
-	mu      sync.Mutex // guards waiting
-	waiting map[bundle.ServiceName]int
-}
-
-func newQueueCounts(limit int) *queueCounts {
-	return &queueCounts{limit: limit, waiting: make(map[bundle.ServiceName]int)}
-}
-
-func (q *queueCounts) enter(name bundle.ServiceName) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waiting[name] >= q.limit {
-		return false
-	}
-	q.waiting[name]++
-	return true
-}
-
-func (q *queueCounts) leave(name bundle.ServiceName) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.waiting[name]--
-}
--- a/internal/transport/upstreamhttp/client.go
+++ b/internal/transport/upstreamhttp/client.go
@@ -44,12 +44,12 @@
 	writeBufferBytes   = 8 << 10
 )
 
-// Steps of errors.
+const stepProbe errs.Step = "probe upstream"
+
 const (
-	stepProbe  errs.Step = "probe upstream"
-	probePath            = "/healthz"
-	schemeHTTP           = "http"
-	schemeTLS            = "https"
+	probePath  = "/healthz"
+	schemeHTTP = "http"
+	schemeTLS  = "https"
 )
 
 var errProbeStatus = errors.New("upstream answered the probe with a server error")
@@ -60,6 +60,7 @@
 	exact    bool
 	transfer *http.Transport
 	probe    *http.Transport // opens a connection for each request
+	dial     dialFunc        // opens a connection, with TLS when that is on
 }
 
 // NewClient returns a client. Close it to close its idle connections.
@@ -67,10 +68,11 @@
 	probe := newTransport(s)
 	probe.DisableKeepAlives = true
 	client := &Client{
-		scheme: schemeHTTP, exact: s.Protocol != ProtocolH2C, transfer: newTransport(s), probe: probe,
+		scheme: schemeHTTP, exact: s.Protocol != ProtocolH2C, transfer: newTransport(s), probe: probe, dial: probe.DialContext,
 	}
 	if s.TLS != nil {
 		client.scheme = schemeTLS
+		client.dial = probe.DialTLSContext
 	}
 	return client
 }
--- a/internal/transport/upstreamhttp/sent.go
+++ b/internal/transport/upstreamhttp/sent.go
@@ -64,10 +64,9 @@
 type Sent struct {
 	exact bool // connections carry one request at a time
 
-	mu     sync.Mutex // guards marks, lost and reused
-	marks  []connMark
-	lost   bool // a connection could not be tracked
-	reused bool // the last connection has carried another request before
+	mu    sync.Mutex // guards marks and lost
+	marks []connMark
+	lost  bool // a connection could not be tracked
 }
 
 type connMark struct {
@@ -82,7 +81,6 @@
 func (s *Sent) gotConn(info httptrace.GotConnInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reused = info.Reused
 	conn := tracked(info.Conn)
 	if conn == nil {
 		s.lost = true
@@ -106,11 +104,3 @@
 	}
 	return false
 }
-
-// Reused reports whether the request went over a connection that had carried another.
-// Its other side may have closed it for idleness in the same moment.
-func (s *Sent) Reused() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.reused
-}
