--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -113,12 +113,6 @@
 	return NewView(s.data)
 }
 
-func (s *sharedView) set(change func(*ViewData)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	change(&s.data)
-}
-
 func (s *sharedView) Report(_ context.Context, r Report) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
