Control process wired; entry takes its view and claims from it

Cause: parts stood alone; the path needs entry and control as processes. Ruled out: nothing. Change: savoryweir-control with membership, bundles, claims, view, instance list; entry joined to it.

--- a/cmd/savoryweir-entry/main.go
+++ b/cmd/savoryweir-entry/main.go
@@ -7,10 +7,18 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/rs/zerolog"
+
+	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/entry"
+	"savoryweir/internal/entry/controlview"
 	"savoryweir/internal/logging"
 	"savoryweir/internal/settings"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/transport/orderclient"
+	"savoryweir/internal/transport/peerconn"
 )
 
 const description = `Data path of savoryweir: takes requests of callers and passes them to upstreams.
@@ -37,20 +45,37 @@
 		fmt.Println("settings are right")
 		return nil
 	}
-	view, err := entry.LoadViewFile(s.View.File)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logging.New(os.Stderr, s.Log, "entry", s.Instance.ID)
+	dependencies, err := connect(ctx, s, log)
 	if err != nil {
 		return err
 	}
-	server, err := entry.New(s, entry.Dependencies{
-		Views:  entry.StaticSource{Static: view},
-		Claims: entry.NoClaims{},
-		Log:    logging.New(os.Stderr, s.Log, "entry", s.Instance.ID),
-	})
+	server, err := entry.New(s, dependencies)
 	if err != nil {
 		return err
 	}
 	defer server.Close()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	return server.Run(context.Background(), signals)
+	return server.Run(ctx, signals)
+}
+
+// connect joins the entry to its control process, or to a fixed view when a file is set.
+func connect(ctx context.Context, s entry.Settings, log zerolog.Logger) (entry.Dependencies, error) {
+	if s.View.File != "" {
+		view, err := entry.LoadViewFile(s.View.File)
+		return entry.Dependencies{Views: entry.StaticSource{Static: view}, Claims: entry.NoClaims{}, Log: log}, err
+	}
+	conn, err := peerconn.NewPool(nil, &peerconn.Counter{}).Get(s.View.Control)
+	if err != nil {
+		return entry.Dependencies{}, err
+	}
+	clock := hlc.New(time.Now)
+	source := controlview.New(pb.NewLocalClient(conn), clock, logging.For(log, "view"))
+	orders := orderclient.New(s.Claims, pb.NewOrdersClient(conn), clock)
+	go source.Run(ctx)
+	go func() { _ = orders.Run(ctx) }()
+	return entry.Dependencies{Views: source, Reporter: source, Claims: orders, Log: log, Clock: clock}, nil
 }
--- a/internal/control/peers/peers_test.go
+++ b/internal/control/peers/peers_test.go
@@ -44,9 +44,12 @@
 
 type nothing struct{}
 
-func (nothing) OfferHead(bundle.Head, member.Member)                   {}
-func (nothing) Section(bundle.Hash) (s bundlefile.Section, found bool) { return s, false }
-func (nothing) OnDemand(demand.Report)                                 {}
+func (nothing) OfferHead(bundle.Head, member.Member) {}
+func (nothing) PeersHeard()                          {}
+func (nothing) OnDemand(demand.Report)               {}
+func (nothing) FetchSections(context.Context, []bundle.Hash) ([]bundlefile.Section, error) {
+	return nil, nil
+}
 
 func start(t *testing.T, id string, seeds ...string) *instance {
 	t.Helper()
--- a/internal/control/peers/service.go
+++ b/internal/control/peers/service.go
@@ -43,12 +43,14 @@
 type HeadListener interface {
 	// OfferHead tells that source has head in force. It must not block.
 	OfferHead(head bundle.Head, source member.Member)
+	// PeersHeard tells that a peer has answered after the start.
+	PeersHeard()
 }
 
 // SectionStore holds the sections of bundles by their hashes.
 type SectionStore interface {
-	// Section returns the section with the given hash, if it is here.
-	Section(hash bundle.Hash) (bundlefile.Section, bool)
+	// FetchSections returns those of the sections that are here.
+	FetchSections(ctx context.Context, hashes []bundle.Hash) ([]bundlefile.Section, error)
 }
 
 // CellStore holds the replicas of placement cells.
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,52 @@
+// Package control is the control process: it keeps membership, the bundle in
+// force, placement and order claims, and serves the local entry process. A
+// fault here never cuts a caller.
+package control
+
+import (
+	"time"
+
+	"savoryweir/internal/control/bundles"
+	"savoryweir/internal/control/claims"
+	"savoryweir/internal/coordination/membership"
+	"savoryweir/internal/coordination/spread"
+	"savoryweir/internal/logging"
+	"savoryweir/internal/settings"
+	"savoryweir/internal/transport/storeclient"
+	"savoryweir/internal/transport/tlsconf"
+)
+
+// Settings are all settings of the control process.
+type Settings struct {
+	settings.Common
+	Instance   settings.Instance    `embed:"" prefix:"instance-"`
+	Log        logging.Settings     `embed:"" prefix:"log-"`
+	Peers      PeerSettings         `embed:"" prefix:"peers-"`
+	Local      LocalSettings        `embed:"" prefix:"local-"`
+	Operations OperationsSettings   `embed:"" prefix:"operations-"`
+	Store      storeclient.Settings `embed:"" prefix:"store-"`
+	Membership membership.Settings  `embed:"" prefix:"membership-"`
+	Spread     spread.Settings      `embed:"" prefix:"spread-"`
+	Bundles    bundles.Settings     `embed:"" prefix:"bundles-"`
+	Orders     claims.Settings      `embed:"" prefix:"orders-"`
+}
+
+// PeerSettings describe the port for the other instances' control processes.
+type PeerSettings struct {
+	Port         int              `help:"Port for the control processes of other instances, at the instance's address." default:"9082" min:"1" max:"65535"`
+	Seeds        []string         `help:"IP addresses and ports of control processes to ask at the start, when the platform's list can't be read."`
+	ListInterval time.Duration    `help:"Time between two reads of the platform's list of instances." default:"10s" min:"100ms" max:"10m"`
+	ListReaders  int              `help:"Number of instances that read the platform's list and watch the bundle pointer." default:"3" min:"1" max:"64"`
+	TLS          tlsconf.Settings `embed:"" prefix:"tls-"`
+}
+
+// LocalSettings describe the port for the entry process of the same instance.
+type LocalSettings struct {
+	Address string `help:"Loopback address and port for the entry process of this instance." default:"127.0.0.1:9081"`
+}
+
+// OperationsSettings describe the port for operators.
+type OperationsSettings struct {
+	Address        string `help:"IP address and port for metrics, health, status and time line." default:"127.0.0.1:9083"`
+	TimelineEvents int    `help:"Events kept for the time line." default:"1024" min:"16" max:"1000000"`
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -32,6 +32,7 @@
 	Reporter Reporter // nil reports nothing
 	Log      zerolog.Logger
 	Now      func() time.Time // nil takes the system's clock
+	Clock    *hlc.Clock       // nil makes one from Now
 }
 
 // Server is the entry process.
@@ -62,6 +63,9 @@
 	if d.Now == nil {
 		d.Now = time.Now
 	}
+	if d.Clock == nil {
+		d.Clock = hlc.New(d.Now)
+	}
 	server := &Server{
 		settings: s,
 		log:      logging.For(d.Log, partEntry),
@@ -79,7 +83,7 @@
 
 		sentinels: newSentinels(),
 	}
-	server.recorder = timeline.NewRecorder(hlc.New(d.Now), processName, s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents)
+	server.recorder = timeline.NewRecorder(d.Clock, processName, s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents)
 	server.metrics = newMetrics(func() float64 {
 		calls, _ := server.drain.calls()
 		return float64(len(calls))
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"savoryweir/internal/logging"
 	"savoryweir/internal/settings"
+	"savoryweir/internal/transport/orderclient"
 	"savoryweir/internal/transport/tlsconf"
 	"savoryweir/internal/transport/upstreamhttp"
 )
@@ -12,15 +13,16 @@
 // Settings are all settings of the entry process.
 type Settings struct {
 	settings.Common
-	Instance   settings.Instance  `embed:"" prefix:"instance-"`
-	Log        logging.Settings   `embed:"" prefix:"log-"`
-	Callers    CallerSettings     `embed:"" prefix:"callers-"`
-	Upstreams  UpstreamSettings   `embed:"" prefix:"upstreams-"`
-	Queue      QueueSettings      `embed:"" prefix:"queue-"`
-	Orders     OrderSettings      `embed:"" prefix:"orders-"`
-	Operations OperationsSettings `embed:"" prefix:"operations-"`
-	Shutdown   ShutdownSettings   `embed:"" prefix:"shutdown-"`
-	View       ViewSettings       `embed:"" prefix:"view-"`
+	Instance   settings.Instance    `embed:"" prefix:"instance-"`
+	Log        logging.Settings     `embed:"" prefix:"log-"`
+	Callers    CallerSettings       `embed:"" prefix:"callers-"`
+	Upstreams  UpstreamSettings     `embed:"" prefix:"upstreams-"`
+	Queue      QueueSettings        `embed:"" prefix:"queue-"`
+	Orders     OrderSettings        `embed:"" prefix:"orders-"`
+	Claims     orderclient.Settings `embed:"" prefix:"claims-"`
+	Operations OperationsSettings   `embed:"" prefix:"operations-"`
+	Shutdown   ShutdownSettings     `embed:"" prefix:"shutdown-"`
+	View       ViewSettings         `embed:"" prefix:"view-"`
 }
 
 // CallerSettings describe the port for callers and the limits of their requests.
