Entry: routing, queue, limits, budgets, ejection and suspects by the decision packages

Cause: the entry used simple stand-ins of these decisions. Change: keyed routing over pairs, one admission queue, retry budget and outlier detector for each service, one limiter for each upstream, shared crash suspects, probes that bring a lost upstream back. Ruled out: expected time of a whole answer by a mean over all requests (refuses short requests); lateness of plain calls (endpoints differ).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"net/http"
@@ -10,7 +11,9 @@
 
 	"github.com/google/uuid"
 
+	"savoryweir/internal/coordination/admission"
 	"savoryweir/internal/coordination/routing"
+	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/order"
@@ -31,14 +34,18 @@
 	view        *View
 	service     bundle.Service
 	request     routing.Request
-	fingerprint Fingerprint
+	fingerprint [sha256.Size]byte // of the work
 	started     time.Time
-	// deadUpstreams died under the call and get no further send of it.
-	deadUpstreams []bundle.UpstreamID
+	caller      admission.Caller
+	queueID     admission.RequestID // of the send in progress
+	cleared     []suspect.Record    // suspicions that the call's answer refuted
 	// sameUpstream gets the next send on a new connection. Empty when there is none.
 	sameUpstream bundle.UpstreamID
 }
 
+// suspectID identifies the work among those under which upstreams died.
+func (c *call) suspectID() suspect.Fingerprint { return suspect.Of(c.service.Name, c.fingerprint[:]) }
+
 // outcomeOf tells whether a generation ran, from what is known of its sends.
 func outcomeOf(sent, progressed bool) order.Outcome {
 	switch {
@@ -72,7 +79,7 @@
 }
 
 // setService completes the call once its service is known.
-func (s *Server) setService(c *call, service bundle.Service) {
+func (s *Server) setService(r *http.Request, c *call, service bundle.Service) {
 	c.service = service
 	limit := c.headers.Deadline
 	if limit == 0 {
@@ -83,7 +90,9 @@
 	}
 	c.request.Service = service.Name
 	c.request.Deadline = c.started.Add(limit)
-	s.budgets.earn(service.Name)
+	c.caller = admission.Caller(r.Header.Get("Authorization"))
+	c.request.Fingerprint = c.suspectID().Key()
+	s.table.earn(c)
 	s.metrics.requests.WithLabelValues(string(service.Name), string(c.headers.Class)).Inc()
 	s.record(c, timeline.KindRequestReceived, "", "")
 }
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,268 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"savoryweir/internal/coordination/admission"
+	"savoryweir/internal/coordination/limit"
+	"savoryweir/internal/coordination/outlier"
+	"savoryweir/internal/coordination/routing"
+	"savoryweir/internal/coordination/suspect"
+	"savoryweir/internal/state/bundle"
+)
+
+// refusedError reports that the queue refused a request.
+type refusedError struct{ refusal admission.Refusal }
+
+// Error implements the error interface.
+func (e *refusedError) Error() string { return fmt.Sprintf("request refused: %s", e.refusal.Reason) }
+
+// errSuspect reports that a request is not sent because upstreams died under it.
+var errSuspect = errors.New("upstreams died under the request")
+
+// waiter is a request that waits for an upstream.
+type waiter struct {
+	id     admission.RequestID
+	call   *call
+	result chan grant // takes exactly one grant unless the waiter was cancelled
+}
+
+// grant is the end of a wait.
+type grant struct {
+	flight *flight
+	err    error
+}
+
+// acquire waits for an upstream until the call's deadline can't be met, the
+// queue's longest wait has passed, or ctx ends.
+func (t *upstreamTable) acquire(ctx context.Context, now func() time.Time, c *call) (*flight, error) {
+	w, err := t.enqueue(now(), c)
+	if err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(t.settings.Queue.MaxWait)
+	defer timer.Stop()
+	select {
+	case g := <-w.result:
+		return g.flight, g.err
+	case <-timer.C:
+		err = routing.ErrNoUpstream
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if t.cancel(now(), w) {
+		return nil, err
+	}
+	g := <-w.result
+	if g.flight != nil {
+		t.release(now(), g.flight, attemptResult{abandoned: true})
+	}
+	return nil, err
+}
+
+// enqueue admits the call and dispatches what can be sent now.
+func (t *upstreamTable) enqueue(now time.Time, c *call) (*waiter, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.suspects.Decide(now, c.suspectID()).Verdict == suspect.Refuse {
+		return nil, errSuspect
+	}
+	s := t.service(c)
+	t.nextID++
+	request := admission.Request{
+		ID: t.nextID, Caller: c.caller, Class: c.request.Class, Deadline: c.request.Deadline,
+		Expected: s.perToken.times(1),
+	}
+	if refusal, ok := s.queue.Offer(now, request); !ok {
+		return nil, &refusedError{refusal}
+	}
+	w := &waiter{id: request.ID, call: c, result: make(chan grant, 1)}
+	s.waiters[w.id] = w
+	t.dispatch(now, s)
+	return w, nil
+}
+
+// cancel removes a waiting request and reports whether it still waited.
+func (t *upstreamTable) cancel(_ time.Time, w *waiter) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(w.call)
+	delete(s.waiters, w.id)
+	return s.queue.Cancel(w.id)
+}
+
+// dispatch gives upstreams to waiting requests while there is room. The caller holds mu.
+func (t *upstreamTable) dispatch(now time.Time, s *serviceState) {
+	for s.queue.Len() > 0 {
+		var granted *flight
+		place := func(r admission.Request) bool {
+			granted = t.place(now, s.waiters[r.ID])
+			return granted != nil
+		}
+		request, ok := s.queue.Take(now, t.places(s), place)
+		if !ok {
+			return
+		}
+		granted.call.queueID = request.ID
+		s.waiters[request.ID].result <- grant{flight: granted}
+		delete(s.waiters, request.ID)
+	}
+}
+
+// places returns the places of the service's upstreams. The caller holds mu.
+func (t *upstreamTable) places(s *serviceState) admission.Places {
+	var p admission.Places
+	for _, w := range s.waiters {
+		for _, u := range w.call.view.upstreams[w.call.service.Name] {
+			state := t.state(u.ID)
+			if !state.downSince.IsZero() {
+				continue
+			}
+			p.Total += state.limiter.Limit()
+			p.Free += max(state.limiter.Limit()-len(state.flights), 0)
+		}
+		break
+	}
+	return p
+}
+
+// place picks an upstream for a waiting request, or returns nil. The caller holds mu.
+func (t *upstreamTable) place(now time.Time, w *waiter) *flight {
+	c := w.call
+	decision := t.suspects.Decide(now, c.suspectID())
+	candidates := t.candidates(now, c)
+	if decision.Verdict != suspect.Run {
+		t.isolate(now, decision, candidates)
+	}
+	id, ok := t.pick(now, c, candidates)
+	if !ok {
+		return nil
+	}
+	upstreams := c.view.upstreams[c.service.Name]
+	i := slices.IndexFunc(upstreams, func(u bundle.Upstream) bool { return u.ID == id })
+	state := t.state(id)
+	f := &flight{upstream: upstreams[i], call: c, started: now, fresh: id == c.sameUpstream, beside: len(state.flights)}
+	c.sameUpstream = ""
+	state.flights[f] = struct{}{}
+	state.sent++
+	t.suspects.Started(c.suspectID(), id)
+	return f
+}
+
+// isolate marks the upstreams that a suspect must not run on as ejected. The caller holds mu.
+func (t *upstreamTable) isolate(now time.Time, d suspect.Decision, candidates []routing.Candidate) {
+	for i, c := range candidates {
+		outside := len(d.Only) > 0 && !slices.Contains(d.Only, c.Upstream)
+		if outside || slices.Contains(d.Excluded, c.Upstream) || t.suspects.Busy(now, c.Upstream) {
+			candidates[i].Ejected = true
+		}
+	}
+}
+
+// pick prefers the upstream whose connection broke under the call, so that the
+// connection alone is replaced. Upstreams left out for a fault come back when no
+// other one is left. The caller holds mu.
+func (t *upstreamTable) pick(now time.Time, c *call, candidates []routing.Candidate) (bundle.UpstreamID, bool) {
+	if c.sameUpstream != "" && usable(c, candidates, c.sameUpstream) {
+		return c.sameUpstream, true
+	}
+	id, err := t.picker.Pick(now, c.request, candidates)
+	if err != nil && len(c.request.Excluded) > 0 {
+		again := c.request
+		again.Excluded = nil
+		id, err = t.picker.Pick(now, again, candidates)
+	}
+	return id, err == nil
+}
+
+func usable(c *call, candidates []routing.Candidate, id bundle.UpstreamID) bool {
+	return slices.ContainsFunc(routing.Usable(c.request, candidates), func(u routing.Candidate) bool { return u.Upstream == id })
+}
+
+// attemptResult is the end of one send.
+type attemptResult struct {
+	abandoned bool // nothing was sent, or the caller left
+	failed    bool
+	tokens    int // of a stream
+}
+
+// release ends a request at its upstream and gives the place to the next one.
+func (t *upstreamTable) release(now time.Time, f *flight, r attemptResult) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.service(f.call)
+	state := t.state(f.upstream.ID)
+	delete(state.flights, f)
+	s.queue.Done(f.call.queueID)
+	if !state.diedAt.After(f.started) {
+		completed := !r.failed && !r.abandoned
+		if record, news := t.suspects.Ended(now, f.call.suspectID(), f.upstream.ID, completed); news {
+			f.call.cleared = append(f.call.cleared, record)
+		}
+	}
+	t.learn(now, s, state, f, r)
+	t.dispatch(now, s)
+}
+
+// learn adapts limits and the judgement of the upstream. Only streams have a
+// time that answers can be compared by. The caller holds mu.
+func (t *upstreamTable) learn(now time.Time, s *serviceState, state *upstreamState, f *flight, r attemptResult) {
+	if r.abandoned {
+		return
+	}
+	took := now.Sub(f.started)
+	sample := limit.Sample{Took: took, Expected: took, InFlight: f.beside + 1, Failed: r.failed}
+	result := outlier.Result{Failed: r.failed}
+	if expected := s.perToken.times(r.tokens); expected > 0 {
+		sample.Expected = expected
+		result.Slowness = took.Seconds() / expected.Seconds()
+	}
+	state.limiter.Observe(now, sample)
+	s.detector.Observe(now, f.upstream.ID, result)
+	if r.tokens > 0 && !r.failed {
+		s.perToken = s.perToken.with(took / time.Duration(r.tokens))
+	}
+}
+
+// died notes the end of an upstream's process once and returns the records to share.
+func (t *upstreamTable) died(now time.Time, f *flight) []suspect.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.state(f.upstream.ID)
+	if state.diedAt.After(f.started) {
+		return nil
+	}
+	state.diedAt = now
+	if state.downSince.IsZero() {
+		state.downSince = now
+	}
+	return t.suspects.Died(now, f.upstream.ID)
+}
+
+// merge takes in the suspects of other instances.
+func (t *upstreamTable) merge(now time.Time, records []suspect.Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range records {
+		t.suspects.Merge(now, r)
+	}
+}
+
+// expire refuses waiting requests that can't meet their deadline any more, and
+// gives out places that became free with time.
+func (t *upstreamTable) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		for _, refusal := range s.queue.Expire(now) {
+			w := s.waiters[refusal.Request.ID]
+			delete(s.waiters, refusal.Request.ID)
+			w.result <- grant{err: &refusedError{refusal}}
+		}
+		t.dispatch(now, s)
+	}
+}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"savoryweir/internal/coordination/admission"
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/state/order"
 )
@@ -78,6 +79,16 @@
 	}
 }
 
+// queueFailure answers a request that the queue refused. It comes at once, with the time to come back.
+func queueFailure(refused *refusedError, outcome order.Outcome) *Failure {
+	if refused.refusal.Reason == admission.ReasonDeadline {
+		failure := deadlineFailure(outcome, refused.refusal.RetryAfter)
+		failure.Message = "The answer would not be whole before the deadline."
+		return failure
+	}
+	return unavailable(httpapi.CodeNoCapacity, "Too many requests wait for this service.", outcome, refused.refusal.RetryAfter)
+}
+
 func suspectFailure(outcome order.Outcome) *Failure {
 	return &Failure{
 		Code: httpapi.CodeRequestSuspect, Status: http.StatusUnprocessableEntity,
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -33,7 +33,7 @@
 		s.reject(w, c, badRequest(err))
 		return
 	}
-	if failure := s.routeChat(c, chat); failure != nil {
+	if failure := s.routeChat(r, c, chat); failure != nil {
 		s.reject(w, c, failure)
 		return
 	}
@@ -41,7 +41,7 @@
 }
 
 // routeChat finds the model and its service.
-func (s *Server) routeChat(c *call, chat httpapi.ChatRequest) *Failure {
+func (s *Server) routeChat(r *http.Request, c *call, chat httpapi.ChatRequest) *Failure {
 	model, adapter, ok := c.view.Resolve(chat.Model)
 	if !ok {
 		return notFound(httpapi.CodeUnknownModel, "No model or adapter has this name.")
@@ -54,7 +54,7 @@
 	c.request.Adapter = adapter
 	c.request.PrefixHash = chat.PrefixHash
 	c.fingerprint = chat.Fingerprint
-	s.setService(c, service)
+	s.setService(r, c, service)
 	return nil
 }
 
@@ -106,38 +106,45 @@
 	s := g.server
 	fruitless := 0
 	for {
-		deaths := s.suspects.deaths(s.now(), g.call.view, g.call.fingerprint)
-		if len(deaths) >= maxDeaths {
-			return suspectFailure(g.outcome())
-		}
-		f, err := s.waitForUpstream(ctx, g.call, len(deaths) > 0)
+		f, err := s.waitForUpstream(ctx, g.call)
 		if err != nil {
 			return g.noUpstream(ctx, err)
 		}
 		s.record(g.call, timeline.KindRequestRouted, f.upstream.ID, "")
 		before := g.reader.offset
 		err = g.send(ctx, f)
-		s.table.release(f)
-		if err == nil {
-			s.table.succeeded(f.upstream.ID)
-			return nil
-		}
-		if g.reader.offset > before {
-			fruitless = 0
-		} else {
-			fruitless++
-		}
-		if failure := g.giveUp(ctx, f, err, fruitless); failure != nil {
+		failure := g.after(ctx, f, err, before, &fruitless)
+		s.releaseFlight(f, resultOf(ctx, err, g.reader.offset-before))
+		if err == nil || failure != nil {
 			return failure
 		}
 		s.record(g.call, timeline.KindRequestRetried, f.upstream.ID, err.Error())
 	}
 }
 
+// after judges a failed send, and counts those in a row that brought nothing.
+func (g *generation) after(ctx context.Context, f *flight, err error, before int, fruitless *int) *Failure {
+	if err == nil {
+		return nil
+	}
+	*fruitless++
+	if g.reader.offset > before {
+		*fruitless = 0
+	}
+	return g.giveUp(ctx, f, err, *fruitless)
+}
+
 func (g *generation) noUpstream(ctx context.Context, err error) *Failure {
 	if cause := causeOf(ctx); cause != nil {
 		return g.ended(cause)
 	}
+	if errors.Is(err, errSuspect) {
+		return suspectFailure(g.outcome())
+	}
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		return queueFailure(refused, g.outcome())
+	}
 	if g.sent {
 		return upstreamFailure(err, g.outcome(), g.server.settings.Queue.RetryAfter)
 	}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -26,14 +26,14 @@
 // upstreamID returns a new id for one send, so that a late answer to an earlier send is told apart.
 func (p *plainCall) upstreamID() string { return uuid.NewString() }
 
-func fingerprintPlain(p *plainCall) Fingerprint {
+func fingerprintPlain(p *plainCall) [sha256.Size]byte {
 	h := sha256.New()
 	for _, part := range []string{p.method, p.path} {
 		h.Write([]byte(part))
 		h.Write([]byte{0})
 	}
 	h.Write(p.body)
-	return Fingerprint(h.Sum(nil))
+	return [sha256.Size]byte(h.Sum(nil))
 }
 
 // orderRun is the work for one order. It goes on after its caller has left.
@@ -195,6 +195,9 @@
 
 // replay answers from the record of an earlier run.
 func (o *orderRun) replay(r order.Result) orderEnd {
+	if r.Outcome == order.OutcomeNotRun {
+		return orderEnd{failure: (&refusal{status: r.Status, outcome: r.Outcome}).failure(o.server.settings.Queue.RetryAfter)}
+	}
 	if r.Outcome != order.OutcomeRan {
 		return orderEnd{failure: unknownOrder(nil)}
 	}
@@ -238,26 +241,22 @@
 func (o *orderRun) send(ctx, caller context.Context) (*plainAnswer, *Failure) {
 	s, p := o.server, o.call
 	for failed := 1; ; failed++ {
-		deaths := s.suspects.deaths(s.now(), p.view, p.fingerprint)
-		if len(deaths) >= maxDeaths {
-			return nil, suspectFailure(order.OutcomeNotRun)
-		}
-		f, err := s.waitForUpstream(caller, p.call, len(deaths) > 0)
+		f, err := s.waitForUpstream(caller, p.call)
 		if err != nil {
 			return nil, s.plainEnded(caller, err, order.OutcomeNotRun)
 		}
 		if !o.phase.CompareAndSwap(phasePending, phaseSending) {
-			s.table.release(f)
+			s.releaseFlight(f, attemptResult{abandoned: true})
 			return nil, deadlineFailure(order.OutcomeNotRun, s.settings.Queue.RetryAfter)
 		}
 		s.record(p.call, timeline.KindRequestRouted, f.upstream.ID, "")
 		answer, left, err := s.sendPlain(ctx, s.once, p, f, true)
-		s.table.release(f)
 		if err == nil && left {
-			s.table.succeeded(f.upstream.ID)
+			s.releaseFlight(f, attemptResult{failed: answer.status >= http.StatusInternalServerError})
 			return o.answered(answer)
 		}
 		s.judgePlain(ctx, p, f, answer, err, left)
+		s.releaseFlight(f, attemptResult{failed: true})
 		if left {
 			return nil, unknownOrder(err)
 		}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -63,12 +63,12 @@
 		s.reject(w, c, badRequest(err))
 		return
 	}
-	s.setService(c, service)
 	p := &plainCall{call: c, method: r.Method, path: rest, header: plainHeaders(r.Header), body: body}
 	if r.URL.RawQuery != "" {
 		p.path += "?" + r.URL.RawQuery
 	}
 	c.fingerprint = fingerprintPlain(p)
+	s.setService(r, c, service)
 	ctx, cancel := c.context(r)
 	defer cancel()
 	if isOrderPath(service, rest) {
@@ -131,28 +131,25 @@
 func (s *Server) read(ctx context.Context, p *plainCall) (*plainAnswer, *Failure) {
 	outcome := order.OutcomeNotRun
 	for failed := 1; ; failed++ {
-		deaths := s.suspects.deaths(s.now(), p.view, p.fingerprint)
-		if len(deaths) >= maxDeaths {
-			return nil, suspectFailure(outcome)
-		}
-		f, err := s.waitForUpstream(ctx, p.call, len(deaths) > 0)
+		f, err := s.waitForUpstream(ctx, p.call)
 		if err != nil {
 			return nil, s.plainEnded(ctx, err, outcome)
 		}
 		s.record(p.call, timeline.KindRequestRouted, f.upstream.ID, "")
 		answer, left, err := s.sendPlain(ctx, s.repeat, p, f, false)
-		s.table.release(f)
 		if err == nil && answer.status < http.StatusInternalServerError {
-			s.table.succeeded(f.upstream.ID)
+			s.releaseFlight(f, attemptResult{})
 			return answer, nil
 		}
 		if left {
 			outcome = order.OutcomeUnknown
 		}
 		if cause := causeOf(ctx); cause != nil {
+			s.releaseFlight(f, resultOf(ctx, cause, 0))
 			return nil, s.plainEnded(ctx, cause, outcome)
 		}
 		s.judgePlain(ctx, p, f, answer, err, left)
+		s.releaseFlight(f, attemptResult{failed: true})
 		if !s.mayRetry(p.call, failed) || !repeatable(p.method) && left {
 			return s.lastRead(answer, err, outcome)
 		}
@@ -179,7 +176,12 @@
 }
 
 func (s *Server) plainEnded(ctx context.Context, err error, outcome order.Outcome) *Failure {
+	var refused *refusedError
 	switch cause := causeOf(ctx); {
+	case errors.Is(err, errSuspect):
+		return suspectFailure(outcome)
+	case errors.As(err, &refused):
+		return queueFailure(refused, outcome)
 	case errors.Is(cause, errDeadline):
 		return deadlineFailure(outcome, s.settings.Queue.RetryAfter)
 	case cause != nil:
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/routing"
+	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/ring"
 	"savoryweir/internal/state/bundle"
 )
@@ -26,15 +27,15 @@
 
 // reports collects what is to be reported.
 type reports struct {
-	suspects *ring.Ring[Suspect]
+	suspects *ring.Ring[suspect.Record]
 	leaving  *ring.Ring[bundle.UpstreamID]
 }
 
 func newReports() *reports {
-	return &reports{suspects: ring.New[Suspect](reportRing), leaving: ring.New[bundle.UpstreamID](reportRing)}
+	return &reports{suspects: ring.New[suspect.Record](reportRing), leaving: ring.New[bundle.UpstreamID](reportRing)}
 }
 
-func (r *reports) addSuspect(s Suspect)            { r.suspects.Offer(s) }
+func (r *reports) addSuspect(s suspect.Record)     { r.suspects.Offer(s) }
 func (r *reports) addLeaving(id bundle.UpstreamID) { r.leaving.Offer(id) }
 
 // demandKey names what callers asked for.
@@ -109,8 +110,8 @@
 	if err := s.reporter.Report(ctx, report); err == nil {
 		return
 	}
-	for _, suspect := range report.Suspects {
-		s.reports.addSuspect(suspect)
+	for _, record := range report.Suspects {
+		s.reports.addSuspect(record)
 	}
 	for _, id := range report.Leaving {
 		s.reports.addLeaving(id)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,7 +3,6 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -47,9 +46,6 @@
 	repeat   *upstreamhttp.Client // for requests that may be repeated
 	once     *upstreamhttp.Client // for orders
 	table    *upstreamTable
-	queue    *queueCounts
-	budgets  *retryBudgets
-	suspects *suspectTable
 	reports  *reports
 	demand   *demandCounts
 	drain    *drainer
@@ -69,10 +65,7 @@
 		views:    d.Views,
 		claims:   d.Claims,
 		reporter: d.Reporter,
-		table:    newUpstreamTable(s.Upstreams),
-		queue:    newQueueCounts(s.Queue.Length),
-		budgets:  newRetryBudgets(s.Upstreams.RetryShare, s.Upstreams.RetryBurst),
-		suspects: newSuspectTable(s.Upstreams.SuspectFor),
+		table:    newUpstreamTable(s),
 		reports:  newReports(),
 		demand:   newDemandCounts(),
 		drain:    newDrainer(),
@@ -179,6 +172,3 @@
 	s.metrics.duration.WithLabelValues(string(c.service.Name)).Observe(s.now().Sub(c.started).Seconds())
 	s.record(c, timeline.KindRequestFinished, "", "")
 }
-
-// RunDuties runs the background duties until ctx ends.
-func (s *Server) RunDuties(ctx context.Context) { s.runReports(ctx) }
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -1,15 +1,16 @@
 package entry
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"savoryweir/internal/coordination/admission"
+	"savoryweir/internal/coordination/limit"
 	"savoryweir/internal/coordination/routing"
+	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/state/bundle"
 )
@@ -17,48 +18,59 @@
 // flight is one request in progress at an upstream.
 type flight struct {
 	upstream bundle.Upstream
+	call     *call
 	started  time.Time
-	suspect  bool // an upstream died under the request before
 	fresh    bool // the request goes on a new connection
+	beside   int  // requests at the upstream when this one was sent
 }
 
 // upstreamState is what this entry knows of one upstream.
 type upstreamState struct {
 	flights      map[*flight]struct{}
+	limiter      *limit.Limiter
 	load         routing.Load
-	failures     int // in a row
-	ejectedUntil time.Time
-	leavingUntil time.Time
+	sent         int       // requests since load
+	leavingSince time.Time // zero while the upstream takes new work
+	leavingUntil time.Time // as its own answers tell
+	downSince    time.Time // zero while the upstream is up
+	diedAt       time.Time // last end of the upstream's process
+	address      string
+
 	watched      bool      // a sentinel connection is open or being opened
 	watchedSince time.Time // zero while no sentinel connection is open
 	processEnded time.Time // when the last sentinel connection broke
 }
 
-func (u *upstreamState) holdsSuspect() bool {
-	for f := range u.flights {
-		if f.suspect {
-			return true
-		}
-	}
-	return false
-}
-
-// upstreamTable tracks all upstreams and picks one for each request.
+// upstreamTable tracks all upstreams and picks one for each request. Its methods
+// in lower layers of calls expect mu to be held where they say so.
 type upstreamTable struct {
-	settings UpstreamSettings
+	settings Settings
 	picker   routing.Picker
+	random   *rand.Rand
 
-	mu     sync.Mutex // guards states and freed
-	states map[bundle.UpstreamID]*upstreamState
-	freed  chan struct{} // closed when a request ends
+	mu       sync.Mutex // guards all below
+	states   map[bundle.UpstreamID]*upstreamState
+	services map[bundle.ServiceName]*serviceState
+	suspects *suspect.Registry
+	nextID   admission.RequestID
 }
 
-func newUpstreamTable(s UpstreamSettings) *upstreamTable {
+func newUpstreamTable(s Settings) *upstreamTable {
+	suspects := suspect.DefaultSettings()
+	suspects.Lifetime = s.Upstreams.SuspectFor
 	return &upstreamTable{
 		settings: s,
-		picker:   routing.PowerOfTwo{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))},
+		picker: routing.NewKeyed(routing.KeyedSettings{
+			Settle:      s.Upstreams.Settle,
+			Overbook:    s.Upstreams.Overbook,
+			PrefixBonus: s.Upstreams.PrefixBonus,
+			Zone:        bundle.Zone(s.Instance.Zone),
+			ZonePenalty: s.Upstreams.ZonePenalty,
+		}),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		states:   make(map[bundle.UpstreamID]*upstreamState),
-		freed:    make(chan struct{}),
+		services: make(map[bundle.ServiceName]*serviceState),
+		suspects: suspect.New(suspects),
 	}
 }
 
@@ -66,114 +78,62 @@
 func (t *upstreamTable) state(id bundle.UpstreamID) *upstreamState {
 	u, ok := t.states[id]
 	if !ok {
-		u = &upstreamState{flights: make(map[*flight]struct{})}
+		limits := limit.DefaultSettings()
+		limits.Max = t.settings.Upstreams.MaxInFlight
+		limits.Start = min(limits.Start, limits.Max)
+		u = &upstreamState{flights: make(map[*flight]struct{}), limiter: limit.New(limits)}
 		t.states[id] = u
 	}
 	return u
 }
 
-// acquire picks an upstream and counts the request there. When it returns
-// routing.ErrNoUpstream, the channel is closed after the next request has ended.
-func (t *upstreamTable) acquire(now time.Time, c *call, suspect bool) (*flight, <-chan struct{}, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	candidates := t.candidates(now, c, suspect)
-	id, err := t.pick(now, c, candidates)
-	if errors.Is(err, routing.ErrNoUpstream) && allEjected(candidates) {
-		candidates = withoutEjection(candidates)
-		id, err = t.pick(now, c, candidates)
-	}
-	if errors.Is(err, routing.ErrNoUpstream) && len(c.request.Excluded) > len(c.deadUpstreams) {
-		c.request.Excluded = slices.Clone(c.deadUpstreams)
-		id, err = t.pick(now, c, candidates)
-	}
-	if err != nil {
-		return nil, t.freed, err
-	}
-	upstreams := c.view.upstreams[c.service.Name]
-	i := slices.IndexFunc(upstreams, func(u bundle.Upstream) bool { return u.ID == id })
-	f := &flight{upstream: upstreams[i], started: now, suspect: suspect, fresh: id == c.sameUpstream}
-	c.sameUpstream = ""
-	t.state(id).flights[f] = struct{}{}
-	return f, nil, nil
-}
-
-// pick prefers the upstream whose connection broke under the call, so that the
-// connection alone is replaced.
-func (t *upstreamTable) pick(now time.Time, c *call, candidates []routing.Candidate) (bundle.UpstreamID, error) {
-	for _, usable := range routing.Usable(c.request, candidates) {
-		if usable.Upstream == c.sameUpstream {
-			return usable.Upstream, nil
-		}
-	}
-	return t.picker.Pick(now, c.request, candidates)
-}
-
-// candidates describes the upstreams of the call's service. The caller holds mu.
-func (t *upstreamTable) candidates(now time.Time, c *call, suspect bool) []routing.Candidate {
+// candidates describes all upstreams of the call's service. The caller holds mu.
+func (t *upstreamTable) candidates(now time.Time, c *call) []routing.Candidate {
 	upstreams := c.view.upstreams[c.service.Name]
 	found := make([]routing.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
-		if c.request.Model != "" && !c.view.Serves(u.ID, c.request.Model, "") {
-			continue
-		}
-		state := t.state(u.ID)
-		found = append(found, routing.Candidate{
-			Upstream:   u.ID,
-			Zone:       u.Zone,
-			InFlight:   len(state.flights),
-			Limit:      t.settings.MaxInFlight,
-			Reported:   state.load,
-			HasModel:   true,
-			HasAdapter: c.request.Adapter == "" || c.view.Serves(u.ID, c.request.Model, c.request.Adapter),
-			Ejected:    now.Before(state.ejectedUntil) || suspect && state.holdsSuspect(),
-			Leaving:    c.view.leaving[u.ID] || now.Before(state.leavingUntil),
-		})
+		found = append(found, t.candidate(now, c, u))
 	}
 	return found
 }
 
-func allEjected(candidates []routing.Candidate) bool {
-	return !slices.ContainsFunc(candidates, func(c routing.Candidate) bool { return !c.Ejected && !c.Leaving })
-}
-
-func withoutEjection(candidates []routing.Candidate) []routing.Candidate {
-	kept := slices.Clone(candidates)
-	for i := range kept {
-		kept[i].Ejected = false
+func (t *upstreamTable) candidate(now time.Time, c *call, u bundle.Upstream) routing.Candidate {
+	state := t.state(u.ID)
+	state.address = u.Address
+	status := t.service(c).detector.Status(now, u.ID)
+	leaving := c.view.leaving[u.ID] || now.Before(state.leavingUntil)
+	state.setLeaving(now, leaving)
+	return routing.Candidate{
+		Upstream:        u.ID,
+		Zone:            u.Zone,
+		InFlight:        len(state.flights),
+		Limit:           state.limiter.Limit(),
+		Reported:        state.load,
+		SentSinceReport: state.sent,
+		HasModel:        c.request.Model == "" || c.view.Serves(u.ID, c.request.Model, ""),
+		HasAdapter:      c.request.Adapter == "" || c.view.Serves(u.ID, c.request.Model, c.request.Adapter),
+		Ejected:         status.Ejected || !state.downSince.IsZero(),
+		RecoveryShare:   status.RecoveryShare,
+		Leaving:         leaving,
+		DownSince:       state.goneSince(),
 	}
-	return kept
 }
 
-// release ends a request at its upstream and wakes the waiting requests.
-func (t *upstreamTable) release(f *flight) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.state(f.upstream.ID).flights, f)
-	close(t.freed)
-	t.freed = make(chan struct{})
-}
-
-// succeeded notes an answer that was whole.
-func (t *upstreamTable) succeeded(id bundle.UpstreamID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.state(id).failures = 0
+func (u *upstreamState) setLeaving(now time.Time, leaving bool) {
+	switch {
+	case !leaving:
+		u.leavingSince = time.Time{}
+	case u.leavingSince.IsZero():
+		u.leavingSince = now
+	}
 }
 
-// failed notes a fault of an upstream and reports whether it was ejected for it.
-func (t *upstreamTable) failed(now time.Time, id bundle.UpstreamID, dead bool) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	state := t.state(id)
-	state.failures++
-	if !dead && state.failures < t.settings.EjectAfter {
-		return false
+// goneSince returns since when the upstream is down or leaves, zero when neither.
+func (u *upstreamState) goneSince() time.Time {
+	if u.downSince.IsZero() || !u.leavingSince.IsZero() && u.leavingSince.Before(u.downSince) {
+		return u.leavingSince
 	}
-	state.failures = 0
-	fresh := now.After(state.ejectedUntil)
-	state.ejectedUntil = now.Add(t.settings.EjectFor)
-	return fresh
+	return u.downSince
 }
 
 // observe reads what an upstream tells of itself in an answer. It reports
@@ -187,15 +147,52 @@
 	state := t.state(id)
 	if errRunning == nil && errWaiting == nil {
 		state.load = routing.Load{Running: running, Waiting: waiting, SeenAt: now}
+		state.sent = 0
 	}
+	state.downSince = time.Time{}
 	if !leaving {
 		return false
 	}
 	fresh := now.After(state.leavingUntil)
-	state.leavingUntil = now.Add(t.settings.LeavingFor)
+	state.leavingUntil = now.Add(t.settings.Upstreams.LeavingFor)
 	return fresh
 }
 
+// setDown notes that an upstream could not be reached.
+func (t *upstreamTable) setDown(now time.Time, id bundle.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if state := t.state(id); state.downSince.IsZero() {
+		state.downSince = now
+	}
+}
+
+// setUp notes that a probe reached an upstream.
+func (t *upstreamTable) setUp(id bundle.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state(id).downSince = time.Time{}
+}
+
+// downUpstream is an upstream that is to be probed.
+type downUpstream struct {
+	id      bundle.UpstreamID
+	address string
+}
+
+// down returns the upstreams that could not be reached lately.
+func (t *upstreamTable) down() []downUpstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []downUpstream
+	for id, state := range t.states {
+		if !state.downSince.IsZero() && state.address != "" {
+			found = append(found, downUpstream{id, state.address})
+		}
+	}
+	return found
+}
+
 // loads returns the reports that were seen after a time.
 func (t *upstreamTable) loads(after time.Time) []UpstreamLoad {
 	t.mu.Lock()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,12 +1,11 @@
 package entry
 
 import (
-	"crypto/sha256"
 	"encoding/json"
 	"os"
-	"slices"
 	"time"
 
+	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/state/bundle"
 )
@@ -19,22 +18,12 @@
 	Ready    bool
 }
 
-// Fingerprint identifies the work of a request.
-type Fingerprint [sha256.Size]byte
-
-// Suspect is a request under which upstreams died.
-type Suspect struct {
-	Fingerprint Fingerprint
-	Upstreams   []bundle.UpstreamID
-	Expires     time.Time
-}
-
 // ViewData is the content of a view.
 type ViewData struct {
 	Bundle   bundle.Bundle
 	Replicas []Replica
 	Leaving  []bundle.UpstreamID
-	Suspects []Suspect
+	Suspects []suspect.Record
 }
 
 // View is an immutable snapshot that a request keeps from start to end.
@@ -43,7 +32,6 @@
 	upstreams map[bundle.ServiceName][]bundle.Upstream
 	replicas  map[Replica]bool
 	leaving   map[bundle.UpstreamID]bool
-	suspects  map[Fingerprint]Suspect
 }
 
 // NewView indexes data, which must not change afterwards.
@@ -53,7 +41,6 @@
 		upstreams: make(map[bundle.ServiceName][]bundle.Upstream),
 		replicas:  make(map[Replica]bool),
 		leaving:   make(map[bundle.UpstreamID]bool),
-		suspects:  make(map[Fingerprint]Suspect),
 	}
 	for _, u := range data.Bundle.Upstreams {
 		v.upstreams[u.Service] = append(v.upstreams[u.Service], u)
@@ -66,9 +53,6 @@
 	for _, id := range data.Leaving {
 		v.leaving[id] = true
 	}
-	for _, s := range data.Suspects {
-		v.suspects[s.Fingerprint] = s
-	}
 	return v
 }
 
@@ -119,7 +103,7 @@
 
 // Report is what the entry saw of upstreams and requests since the last report.
 type Report struct {
-	Suspects []Suspect
+	Suspects []suspect.Record
 	Leaving  []bundle.UpstreamID
 	Loads    []UpstreamLoad
 	Demand   []ModelDemand
@@ -141,14 +125,3 @@
 	Tokens          uint64
 	MissedDeadlines uint64
 }
-
-// mergeUpstreams returns both lists without doubles.
-func mergeUpstreams(a, b []bundle.UpstreamID) []bundle.UpstreamID {
-	merged := slices.Clone(a)
-	for _, id := range b {
-		if !slices.Contains(merged, id) {
-			merged = append(merged, id)
-		}
-	}
-	return merged
-}
