News: crash suspects as the suspect package shares them, cleared records included

Cause: the suspect package landed with shorter fingerprints and records that clear a request. Change: news, board and codec follow it. Conclusion: one meaning on both sides.

--- a/internal/coordination/spread/board.go
+++ b/internal/coordination/spread/board.go
@@ -80,21 +80,32 @@
 }
 
 func (b *Board) offerSuspect(s news.CrashSuspect) bool {
-	known, ok := b.suspects[s.Fingerprint]
-	if ok {
-		merged := union(known.value.Upstreams, s.Upstreams)
-		if len(merged) == len(known.value.Upstreams) {
+	s.Upstreams = union(nil, s.Upstreams)
+	if known, ok := b.suspects[s.Fingerprint]; ok {
+		merged, isNews := mergeSuspects(known.value, s)
+		if !isNews {
 			return false
 		}
-		s.Upstreams = merged
-		s.Expires = latest(s.Expires, known.value.Expires)
-	} else {
-		s.Upstreams = union(nil, s.Upstreams)
+		s = merged
 	}
 	b.suspects[s.Fingerprint] = &item[news.CrashSuspect]{value: s, name: string(s.Fingerprint[:])}
 	return true
 }
 
+// mergeSuspects joins two records of a request and reports whether the offered
+// one was news. A record without upstreams clears the request, and the later of
+// a cleared and an uncleared record wins.
+func mergeSuspects(known, offered news.CrashSuspect) (news.CrashSuspect, bool) {
+	if len(known.Upstreams) == 0 || len(offered.Upstreams) == 0 {
+		return offered, offered.Expires.After(known.Expires)
+	}
+	merged := offered
+	merged.Upstreams = union(known.Upstreams, offered.Upstreams)
+	merged.Expires = latest(known.Expires, offered.Expires)
+	isNews := len(merged.Upstreams) > len(known.Upstreams) || merged.Expires.After(known.Expires)
+	return merged, isNews
+}
+
 func (b *Board) offerLeaving(l news.UpstreamLeaving) bool {
 	known, ok := b.leaving[l.Upstream]
 	if ok && !l.Since.After(known.value.Since.Add(b.settings.LeavingRetention/2)) {
@@ -121,10 +132,15 @@
 	return xxhash.Sum64String(string(c.Cell) + "\x00" + strconv.FormatUint(c.Version, 10))
 }
 
+// union returns a and those of b that are not in a, in their order.
 func union(a, b []bundle.UpstreamID) []bundle.UpstreamID {
-	merged := slices.Concat(a, b)
-	slices.Sort(merged)
-	return slices.Compact(merged)
+	merged := slices.Clone(a)
+	for _, id := range b {
+		if !slices.Contains(merged, id) {
+			merged = append(merged, id)
+		}
+	}
+	return merged
 }
 
 func latest(a, b time.Time) time.Time {
--- a/internal/coordination/spread/board_test.go
+++ b/internal/coordination/spread/board_test.go
@@ -35,6 +35,17 @@
 	assert.Equal(t, len(b.Known(start.Add(2*time.Minute)).Suspects), 0)
 }
 
+func TestLaterClearedSuspectWins(t *testing.T) {
+	b := newBoard()
+	f := news.Fingerprint{2}
+	accused := news.CrashSuspect{Fingerprint: f, Upstreams: []bundle.UpstreamID{"e1"}, Expires: start.Add(time.Minute)}
+	cleared := news.CrashSuspect{Fingerprint: f, Expires: start.Add(2 * time.Minute)}
+	b.Offer(start, news.Batch{Suspects: []news.CrashSuspect{accused}})
+	assert.Equal(t, len(b.Offer(start, news.Batch{Suspects: []news.CrashSuspect{cleared}}).Suspects), 1)
+	assert.Assert(t, b.Offer(start, news.Batch{Suspects: []news.CrashSuspect{accused}}).IsEmpty())
+	assert.Equal(t, len(b.Known(start).Suspects[0].Upstreams), 0)
+}
+
 func TestItemsAreRepeatedAFixedNumberOfTimes(t *testing.T) {
 	b := newBoard()
 	b.Offer(start, news.Batch{Leaving: []news.UpstreamLeaving{{Upstream: "e1", Since: start}}})
--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/entry"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/bundlefile"
@@ -160,15 +161,13 @@
 		data.Leaving = append(data.Leaving, bundle.UpstreamID(id))
 	}
 	for _, encoded := range message.GetSuspects() {
-		suspect, err := peercodec.DecodeSuspect(encoded)
-		if err != nil {
-			continue
+		if decoded, err := peercodec.DecodeSuspect(encoded); err == nil {
+			data.Suspects = append(data.Suspects, suspect.Record{
+				Fingerprint: suspect.Fingerprint(decoded.Fingerprint),
+				Upstreams:   decoded.Upstreams,
+				Expires:     decoded.Expires,
+			})
 		}
-		data.Suspects = append(data.Suspects, entry.Suspect{
-			Fingerprint: entry.Fingerprint(suspect.Fingerprint),
-			Upstreams:   suspect.Upstreams,
-			Expires:     suspect.Expires,
-		})
 	}
 	return data
 }
@@ -180,11 +179,11 @@
 		Time:           peercodec.EncodeTime(s.clock.Now()),
 		IntervalMillis: s.sinceLastReport(now).Milliseconds(),
 	}
-	for _, suspect := range report.Suspects {
+	for _, record := range report.Suspects {
 		request.Suspects = append(request.Suspects, peercodec.EncodeSuspect(news.CrashSuspect{
-			Fingerprint: news.Fingerprint(suspect.Fingerprint),
-			Upstreams:   suspect.Upstreams,
-			Expires:     suspect.Expires,
+			Fingerprint: news.Fingerprint(record.Fingerprint),
+			Upstreams:   record.Upstreams,
+			Expires:     record.Expires,
 		}))
 	}
 	for _, id := range report.Leaving {
--- a/internal/protocol/peercodec/peercodec.go
+++ b/internal/protocol/peercodec/peercodec.go
@@ -17,8 +17,8 @@
 // ErrBadMember reports a member without an id or with an unknown state.
 var ErrBadMember = errors.New("member has no id or an unknown state")
 
-// ErrBadHash reports a hash of the wrong length.
-var ErrBadHash = errors.New("hash has the wrong length")
+// ErrBadFingerprint reports a fingerprint of the wrong length.
+var ErrBadFingerprint = errors.New("fingerprint has the wrong length")
 
 // EncodeTime turns a clock reading into its message.
 func EncodeTime(t hlc.Timestamp) *pb.Timestamp {
@@ -117,14 +117,6 @@
 	return batch
 }
 
-// DecodeHash checks the length of a hash.
-func DecodeHash(data []byte) (news.Hash, error) {
-	if len(data) != news.HashSize {
-		return news.Hash{}, ErrBadHash
-	}
-	return news.Hash(data), nil
-}
-
 // EncodeSuspect turns a crash suspect into its message.
 func EncodeSuspect(s news.CrashSuspect) *pb.CrashSuspect {
 	encoded := &pb.CrashSuspect{Fingerprint: s.Fingerprint[:], ExpiresUnixMillis: s.Expires.UnixMilli()}
@@ -134,14 +126,13 @@
 	return encoded
 }
 
-// DecodeSuspect turns a message into a crash suspect, or returns ErrBadHash.
+// DecodeSuspect turns a message into a crash suspect, or returns ErrBadFingerprint.
 func DecodeSuspect(s *pb.CrashSuspect) (news.CrashSuspect, error) {
-	hash, err := DecodeHash(s.GetFingerprint())
-	if err != nil {
-		return news.CrashSuspect{}, err
+	if len(s.GetFingerprint()) != news.FingerprintSize {
+		return news.CrashSuspect{}, ErrBadFingerprint
 	}
 	decoded := news.CrashSuspect{
-		Fingerprint: news.Fingerprint(hash),
+		Fingerprint: news.Fingerprint(s.GetFingerprint()),
 		Expires:     time.UnixMilli(s.GetExpiresUnixMillis()),
 	}
 	for _, u := range s.GetUpstreams() {
--- a/internal/state/news/news.go
+++ b/internal/state/news/news.go
@@ -8,8 +8,8 @@
 	"savoryweir/internal/state/bundle"
 )
 
-// HashSize is the length of content hashes and fingerprints in bytes (SHA-256).
-const HashSize = 32
+// FingerprintSize is the length of a request's fingerprint in bytes.
+const FingerprintSize = 16
 
 // Hash is the SHA-256 hash of a bundle section, manifest or approval.
 type Hash = bundle.Hash
@@ -18,9 +18,10 @@
 type Head = bundle.Head
 
 // Fingerprint identifies a request by its content.
-type Fingerprint [HashSize]byte
+type Fingerprint [FingerprintSize]byte
 
-// CrashSuspect is a request under which upstreams died.
+// CrashSuspect is a request under which upstreams died, in the order of their
+// deaths. No upstreams means that the request completed and is cleared.
 type CrashSuspect struct {
 	Fingerprint Fingerprint
 	Upstreams   []bundle.UpstreamID
