--- a/internal/control/claims/claim.go
+++ b/internal/control/claims/claim.go
@@ -35,7 +35,7 @@
 	if !s.holds.open(token, request.GetSession(), time.Now()) {
 		return s.unavailable(refusalOverload)
 	}
-	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(request.GetDeadlineUnixMillis()))
+	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(request.GetGiveUpUnixMillis()))
 	defer cancel()
 	key := journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey()))
 	response, sure := s.claimUntilDecided(ctx, key, request)
@@ -47,9 +47,7 @@
 		response, sure = s.unavailable(refusalTimeout), false
 	}
 	s.holds.abandon(token)
-	if !sure {
-		s.release(request, key, token)
-	}
+	response.InDoubt = !sure
 	return response
 }
 
@@ -88,6 +86,7 @@
 		Fingerprint:        local.GetFingerprint(),
 		Token:              local.GetToken(),
 		DeadlineUnixMillis: local.GetDeadlineUnixMillis(),
+		GiveUpUnixMillis:   local.GetGiveUpUnixMillis(),
 		Claimant:           ordermsg.ClaimantToWire(s.claimant()),
 	}
 }
@@ -117,6 +116,8 @@
 	if !ok {
 		return s.unavailable(refusalRequest)
 	}
+	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(request.GetGiveUpUnixMillis()))
+	defer cancel()
 	op := newOperation(ctx, time.Now())
 	op.claim = &claim
 	r := s.submit(claim.Key.Shard(s.settings.Shards), op)
--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -32,7 +32,6 @@
 	mu        sync.Mutex // guards the rest
 	random    *rand.Rand
 	nodes     map[string]*node
-	truth     []claims.Member
 	lostReply float64 // share of calls between instances whose answer is lost
 }
 
@@ -329,6 +328,9 @@
 		service := c.to.serviceNow()
 		response, err := handle(service, handlerCtx, request)
 		c.to.awaitThaw()
+		if service != c.to.serviceNow() {
+			err = errUnreachable
+		}
 		done <- result{response, err}
 	}()
 	select {
--- a/internal/control/claims/finish.go
+++ b/internal/control/claims/finish.go
@@ -7,7 +7,6 @@
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
 	"savoryweir/internal/protocol/ordermsg"
-	"savoryweir/internal/ring"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/journal"
 	"savoryweir/internal/state/order"
@@ -27,9 +26,6 @@
 // finishWorkers is how many results are sent at the same time.
 const finishWorkers = 16
 
-// releaseWorkers is how many given-up claims are released at the same time.
-const releaseWorkers = 4
-
 // finishBackoff spaces the attempts at one result.
 var finishBackoff = claims.Backoff{Base: 200 * time.Millisecond, Cap: 5 * time.Second}
 
@@ -57,6 +53,8 @@
 	case <-task.done:
 	case <-ctx.Done():
 		return s.notRecorded(refusalTimeout)
+	case <-s.runContext().Done():
+		return s.notRecorded(refusalTimeout)
 	}
 	if !task.saved {
 		return s.notRecorded(refusalStore)
@@ -73,10 +71,11 @@
 		expires: time.Now().Add(s.settings.KeyLifetime),
 		done:    make(chan struct{}),
 		request: &pb.FinishRequest{
-			Service:   request.GetService(),
-			Key:       request.GetKey(),
-			Token:     token[:],
-			Forwarded: true,
+			Service:     request.GetService(),
+			Key:         request.GetKey(),
+			Token:       token[:],
+			Forwarded:   true,
+			Fingerprint: request.GetFingerprint(),
 			Result: &pb.OrderResult{
 				Outcome:     request.GetResult().GetOutcome(),
 				Status:      uint32(stored.Status),
@@ -89,15 +88,6 @@
 	}
 }
 
-// release queues the end of a claim that was given up and may be recorded.
-func (s *Service) release(claim *pb.ClaimRequest, key journal.KeyHash, token journal.Token) {
-	s.releasing.Offer(s.newFinishTask(&pb.FinishRequest{
-		Service: claim.GetService(),
-		Key:     claim.GetKey(),
-		Result:  &pb.OrderResult{Outcome: pb.OrderOutcome_ORDER_OUTCOME_NOT_RUN},
-	}, token))
-}
-
 func (s *Service) notRecorded(why refusal) *pb.FinishResponse {
 	return &pb.FinishResponse{
 		Time:             s.stamp(),
@@ -107,9 +97,9 @@
 }
 
 // finishDuty sends queued results, one after another.
-func (s *Service) finishDuty(ctx context.Context, queue *ring.Ring[*finishTask]) {
+func (s *Service) finishDuty(ctx context.Context) {
 	for {
-		task, err := queue.Get(ctx)
+		task, err := s.finishing.Get(ctx)
 		if err != nil {
 			return
 		}
@@ -138,11 +128,18 @@
 	if !ok {
 		return s.notRecorded(refusalRequest)
 	}
+	fingerprint, ok := ordermsg.FingerprintFromWire(request.GetFingerprint())
+	result := ordermsg.ResultFromWire(request.GetResult())
+	if !ok && result.Outcome == order.OutcomeNotRun {
+		return s.notRecorded(refusalRequest)
+	}
 	op := newOperation(ctx, time.Now())
 	op.finish = &journal.Finish{
-		Key:    journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
-		Token:  token,
-		Result: ordermsg.ResultFromWire(request.GetResult()),
+		Key:         journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
+		Token:       token,
+		Fingerprint: fingerprint,
+		Claimant:    s.claimant(),
+		Result:      result,
 	}
 	r := s.submit(op.finish.Key.Shard(s.settings.Shards), op)
 	if r.refusal != refusalNone {
--- a/internal/control/claims/service.go
+++ b/internal/control/claims/service.go
@@ -53,8 +53,7 @@
 	holds     *holds
 	peers     *peers
 	metrics   *metrics
-	finishing *ring.Ring[*finishTask] // results of the entry
-	releasing *ring.Ring[*finishTask] // claims that were given up
+	finishing *ring.Ring[*finishTask]
 	obsolete  *ring.Ring[journal.SegmentRef]
 
 	mu      sync.Mutex // guards the rest
@@ -76,24 +75,27 @@
 		holds:     newHolds(o.Settings.MaxHeld),
 		peers:     newPeers(o.Dialer, source),
 		finishing: ring.New[*finishTask](o.Settings.MaxHeld),
-		releasing: ring.New[*finishTask](o.Settings.MaxHeld),
 		obsolete:  ring.New[journal.SegmentRef](obsoleteCapacity),
 		workers:   make(map[journal.ShardID]*worker),
+		running:   notRunning(),
 	}
 	s.metrics = newMetrics(o.Registerer, func() float64 { return float64(s.holds.len()) })
 	return s
 }
 
+func notRunning() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
 // Run starts the duties of the service and waits until ctx ends and all are done.
 func (s *Service) Run(ctx context.Context) error {
 	s.mu.Lock()
 	s.running = ctx
 	s.mu.Unlock()
 	for range finishWorkers {
-		s.start(func() { s.finishDuty(ctx, s.finishing) })
-	}
-	for range releaseWorkers {
-		s.start(func() { s.finishDuty(ctx, s.releasing) })
+		s.start(func() { s.finishDuty(ctx) })
 	}
 	s.start(func() { s.janitorDuty(ctx) })
 	s.start(func() { s.expiryDuty(ctx) })
@@ -110,29 +112,52 @@
 	}()
 }
 
+const drainPoll = 50 * time.Millisecond
+
+// Drain waits until all orders of the local entry are finished and durable, or
+// ctx ends. A process that shuts down calls it before it ends Run's context.
+func (s *Service) Drain(ctx context.Context) error {
+	for s.holds.len()+s.finishing.Len() > 0 {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		sleep(ctx, drainPoll)
+	}
+	return nil
+}
+
+// runContext returns the context of Run. It has ended when the service does not run.
+func (s *Service) runContext() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
 // Held returns how many orders of the local entry are claimed and unfinished.
 func (s *Service) Held() int { return s.holds.len() }
 
 // submit gives an operation to the worker of its shard and waits for the reply.
 func (s *Service) submit(id journal.ShardID, op *operation) reply {
-	if !s.enqueue(id, op) {
+	running, ok := s.enqueue(id, op)
+	if !ok {
 		return reply{refusal: refusalOverload}
 	}
 	select {
 	case r := <-op.answer:
 		return r
 	case <-op.ctx.Done():
-		return reply{refusal: refusalTimeout}
+	case <-running.Done():
 	}
+	return reply{refusal: refusalTimeout}
 }
 
-// enqueue opens the shard when needed. The lock keeps a worker from stopping
-// with an operation in its ring.
-func (s *Service) enqueue(id journal.ShardID, op *operation) bool {
+// enqueue opens the shard when needed, and returns the context of the running
+// service. The lock keeps a worker from stopping with an operation in its ring.
+func (s *Service) enqueue(id journal.ShardID, op *operation) (context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running == nil || s.running.Err() != nil {
-		return false
+	if s.running.Err() != nil {
+		return nil, false
 	}
 	w, ok := s.workers[id]
 	if !ok {
@@ -141,7 +166,7 @@
 		ctx := s.running
 		s.start(func() { w.run(ctx, func() bool { return s.close(ctx, w) }) })
 	}
-	return w.ring.Offer(op)
+	return s.running, w.ring.Offer(op)
 }
 
 func (s *Service) newWorker(id journal.ShardID) *worker {
--- a/internal/state/journal/draft.go
+++ b/internal/state/journal/draft.go
@@ -18,9 +18,11 @@
 
 // Finish is the end of a claimed order.
 type Finish struct {
-	Key    KeyHash
-	Token  Token
-	Result order.Result
+	Key         KeyHash
+	Token       Token
+	Fingerprint Fingerprint // needed for OutcomeNotRun
+	Claimant    Claimant
+	Result      order.Result
 }
 
 // Verdict is the answer to a claim or a finish.
@@ -148,6 +150,9 @@
 // already, or when the token holds no claim, which an outdated shard may show wrongly.
 func (d *Draft) Finish(f Finish) Decision {
 	r, ok := d.lookup(f.Key)
+	if !ok && f.Result.Outcome == order.OutcomeNotRun {
+		return d.releaseEarly(f)
+	}
 	if !ok || r.Token != f.Token {
 		d.verify = true
 		return Decision{VerdictNotHolder, r}
@@ -164,3 +169,19 @@
 	d.put(r)
 	return Decision{VerdictRecorded, r}
 }
+
+// releaseEarly records that a claim was given up which is not recorded. The
+// claim may still arrive, and must not hold the order then.
+func (d *Draft) releaseEarly(f Finish) Decision {
+	r := Record{
+		Key:         f.Key,
+		Token:       f.Token,
+		Fingerprint: f.Fingerprint,
+		State:       StateReleased,
+		Claimant:    f.Claimant,
+		Deadline:    d.now.Truncate(time.Millisecond),
+		Expires:     d.now.Add(d.shard.limits.Lifetime).Truncate(time.Millisecond),
+	}
+	d.put(r)
+	return Decision{VerdictRecorded, r}
+}
--- a/internal/transport/orderclient/orderclient.go
+++ b/internal/transport/orderclient/orderclient.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -43,6 +44,7 @@
 	clock    *hlc.Clock
 	session  string
 	backlog  *ring.Ring[*pb.FinishRequest]
+	pending  atomic.Int64 // requests in the backlog and at its workers
 }
 
 // New returns a client for one entry process.
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout)
 	defer cancel()
 	token := newToken()
-	response, err := c.orders.Claim(ctx, c.claimRequest(claim, token))
+	response, err := c.orders.Claim(ctx, c.claimRequest(ctx, claim, token))
 	if err == nil && ctx.Err() != nil {
 		err = ctx.Err()
 	}
@@ -88,10 +90,14 @@
 		return order.Answer{}, c.unavailable(errs.Wrap(err, "claim order", controlPeer), c.settings.RetryAfter)
 	}
 	c.clock.Observe(ordermsg.Time(response.GetTime()))
+	if response.GetInDoubt() {
+		c.giveUp(claim, token)
+	}
 	return c.answer(response, token)
 }
 
-func (c *Client) claimRequest(claim order.Claim, token journal.Token) *pb.ClaimRequest {
+func (c *Client) claimRequest(ctx context.Context, claim order.Claim, token journal.Token) *pb.ClaimRequest {
+	giveUp, _ := ctx.Deadline()
 	return &pb.ClaimRequest{
 		Time:               ordermsg.Stamp(c.clock.Now()),
 		Service:            string(claim.Service),
@@ -101,6 +107,7 @@
 		Token:              token[:],
 		Session:            c.session,
 		DeadlineUnixMillis: claim.Deadline.UnixMilli(),
+		GiveUpUnixMillis:   giveUp.UnixMilli(),
 	}
 }
 
@@ -126,15 +133,25 @@
 
 // giveUp queues the release of a claim that may be recorded or granted.
 func (c *Client) giveUp(claim order.Claim, token journal.Token) {
-	c.backlog.Offer(c.finishRequest(claim, token, order.Result{Outcome: order.OutcomeNotRun}))
+	c.queue(c.finishRequest(claim, token, order.Result{Outcome: order.OutcomeNotRun}))
+}
+
+func (c *Client) queue(request *pb.FinishRequest) bool {
+	c.pending.Add(1)
+	if c.backlog.Offer(request) {
+		return true
+	}
+	c.pending.Add(-1)
+	return false
 }
 
 func (c *Client) finishRequest(claim order.Claim, token journal.Token, result order.Result) *pb.FinishRequest {
 	return &pb.FinishRequest{
-		Service: string(claim.Service),
-		Key:     string(claim.Key),
-		Token:   token[:],
-		Result:  ordermsg.ResultToWire(result),
+		Service:     string(claim.Service),
+		Key:         string(claim.Key),
+		Token:       token[:],
+		Fingerprint: claim.Fingerprint[:],
+		Result:      ordermsg.ResultToWire(result),
 	}
 }
 
@@ -153,7 +170,7 @@
 	}
 	request := c.finishRequest(claim, parsed, result)
 	err = c.send(ctx, request)
-	if err != nil && !c.backlog.Offer(request) {
+	if err != nil && !c.queue(request) {
 		err = errors.Join(err, errBacklogFull)
 	}
 	return errs.Wrap(err, "finish order", controlPeer)
@@ -198,11 +215,12 @@
 		for c.send(ctx, request) != nil && sleep(ctx, c.settings.RetryInterval) {
 			continue
 		}
+		c.pending.Add(-1)
 	}
 }
 
 // Backlog returns how many results and releases wait for the control process.
-func (c *Client) Backlog() int { return c.backlog.Len() }
+func (c *Client) Backlog() int { return int(c.pending.Load()) }
 
 func newToken() journal.Token {
 	var t journal.Token
