--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -115,6 +115,18 @@
 	return c.random.Float64()
 }
 
+func (c *cluster) losesReply() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64() < c.lostReply
+}
+
+func (c *cluster) setLostReplies(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lostReply = share
+}
+
 func (c *cluster) intN(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -176,7 +188,7 @@
 		Store:    &frozenStore{node: n, incarnation: n.incarnation},
 		Recorder: timeline.NewRecorder(clock, "control", n.id, "", 16),
 		Logger:   zerolog.Nop(),
-		Random:   rand.New(rand.NewPCG(uint64(len(n.id))+n.incarnation, n.cluster.random.Uint64())),
+		Random:   rand.New(rand.NewPCG(uint64(len(n.id))+n.incarnation, uint64(n.cluster.intN(1<<30)))),
 	})
 	service := n.service
 	n.cluster.goRun(func() { _ = service.Run(ctx) })
@@ -252,6 +264,12 @@
 	return n.incarnation
 }
 
+func (n *node) clientNow() *orderclient.Client {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.client
+}
+
 func (n *node) serviceNow() *Service {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -317,7 +335,7 @@
 	if c.to == nil || c.to.isDead() {
 		return none, errUnreachable
 	}
-	lose := c.from != c.to && c.cluster.float() < c.cluster.lostReply
+	lose := c.from != c.to && c.cluster.losesReply()
 	done := make(chan result, 1)
 	handlerCtx := ctx
 	if c.cluster.intN(2) == 0 { // the end of the call does not reach the receiver
--- a/internal/control/claims/history_test.go
+++ b/internal/control/claims/history_test.go
@@ -190,7 +190,7 @@
 		settings.MaxRecords = 60 // the journal fills up
 	}
 	c := newCluster(t, 5, seed, settings, limits)
-	c.lostReply = 0.02
+	c.setLostReplies(0.02)
 	m := newModel()
 	h := &history{cluster: c, model: m, upstream: &upstream{cluster: c, model: m}, counts: make(map[string]int)}
 	until := time.Now().Add(historyLength)
@@ -200,7 +200,7 @@
 		time.Sleep(orderSpacing)
 	}
 	time.Sleep(2 * time.Minute) // callers, upstreams and disturbances end
-	c.lostReply = 0
+	c.setLostReplies(0)
 	unknown := h.upstream.verify(t, c.nodes["i000"])
 	m.check()
 	t.Logf("seed %d: %d requests, %d orders ran, %d unknown of %d in flight at a kill, %d refused by a full journal, slowest refusal %v, %v",
--- a/internal/control/claims/model_test.go
+++ b/internal/control/claims/model_test.go
@@ -40,7 +40,6 @@
 	runs       map[string][]int         // attempts that ran, by key
 	inFlight   map[*node]map[string]int // unfinished requests by entry and key
 	cut        map[string]bool          // keys in flight at a killed instance
-	unanswered map[string]bool          // keys whose upstream gave no answer
 	slowest    time.Duration            // longest time until a refused claim was answered
 	full       int                      // keys refused at the end by a full journal
 	violations []string
@@ -185,7 +184,7 @@
 	claim := testClaim(a.key, a.body)
 	claim.Deadline = time.Now().Add(callerPatience)
 	start := time.Now()
-	answer, err := n.client.Claim(entry, claim)
+	answer, err := n.clientNow().Claim(entry, claim)
 	if entry.Err() != nil {
 		return toldNothing
 	}
@@ -230,7 +229,7 @@
 		}
 	}
 	u.cluster.goRun(func() {
-		_ = n.client.Finish(entry, claim, token, result)
+		_ = n.clientNow().Finish(entry, claim, token, result)
 		u.leave(entry, n, a)
 	})
 	return t
@@ -238,7 +237,7 @@
 
 // leave ends an order's time at an entry, once nothing of it waits there.
 func (u *upstream) leave(entry context.Context, n *node, a *attempt) {
-	for n.client.Backlog() > 0 && entry.Err() == nil {
+	for n.clientNow().Backlog() > 0 && entry.Err() == nil {
 		time.Sleep(50 * time.Millisecond)
 	}
 	if entry.Err() == nil {
@@ -265,7 +264,7 @@
 // verifyKey asks under the body that the key belongs to.
 func (u *upstream) verifyKey(n *node, key, body string) (unknown bool) {
 	claim := testClaim(key, body)
-	answer, err := n.client.Claim(context.Background(), claim)
+	answer, err := n.clientNow().Claim(context.Background(), claim)
 	runs := u.model.runs[key]
 	switch {
 	case answer.State == order.ClaimMismatch && body == "book":
@@ -280,7 +279,7 @@
 		if len(runs) > 0 {
 			u.model.violate("key %s ran as attempt %v and was granted again", key, runs)
 		}
-		_ = n.client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeNotRun})
+		_ = n.clientNow().Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeNotRun})
 	case answer.State == order.ClaimFinished && answer.Result.Outcome == order.OutcomeUnknown:
 		if !u.model.cut[key] {
 			u.model.violate("key %s ends unknown without a killed claimant, ran: %v", key, runs)
