Bundles: callers' names are the routes; peers as sources of sections

Cause: the entry routes by service, model and adapter names, so a separate route key would have said nothing; a name that stands for both a model and an adapter is the double route. Peers give few sections at once. Tests: go test -race ./internal/protocol/bundlefile ./internal/coordination/bundlecheck ./internal/control/bundles.

--- a/internal/control/bundles/assemble.go
+++ b/internal/control/bundles/assemble.go
@@ -90,10 +90,9 @@
 	sources := append([]SectionSource{a.store}, c.sources...)
 	for _, source := range slices.Backward(sources) {
 		missing := lacking(c.fetched, hashes)
-		if len(missing) == 0 {
-			return nil
+		for len(missing) > 0 && a.fetchFrom(ctx, source, c, missing) {
+			missing = lacking(c.fetched, hashes)
 		}
-		a.fetchFrom(ctx, source, c, missing)
 	}
 	if missing := lacking(c.fetched, hashes); len(missing) > 0 {
 		return &bundlefile.MissingError{Hashes: missing}
@@ -111,19 +110,24 @@
 	return missing
 }
 
-// fetchFrom asks one source. Data that was not asked for or does not match its hash is dropped.
-func (a *adopter) fetchFrom(ctx context.Context, source SectionSource, c *candidate, hashes []bundle.Hash) {
+// fetchFrom asks one source and reports whether it gave anything, since sources may
+// give few sections at once. Data that was not asked for or does not match its hash
+// is dropped.
+func (a *adopter) fetchFrom(ctx context.Context, source SectionSource, c *candidate, hashes []bundle.Hash) bool {
 	ctx, cancel := context.WithTimeout(ctx, a.settings.FetchTimeout)
 	defer cancel()
 	sections, err := source.FetchSections(ctx, hashes)
 	if err != nil && !errors.Is(err, context.Canceled) {
-		a.log.Debug().Err(err).Msg("Sections not fetched.")
+		a.log.Debug().Err(err).Str("peer", string(source.Peer())).Msg("Sections not fetched.")
 	}
+	given := false
 	for _, s := range sections {
 		if !slices.Contains(hashes, s.Hash) || bundle.HashOf(s.Data) != s.Hash {
 			continue
 		}
 		c.fetched[s.Hash] = s.Data
 		a.metrics.fetched.Add(float64(len(s.Data)))
+		given = true
 	}
+	return given
 }
--- a/internal/control/bundles/bench_test.go
+++ b/internal/control/bundles/bench_test.go
@@ -73,6 +73,17 @@
 // Peer and FetchSections make an instance a source for others.
 func (i *instance) Peer() errs.Peer { return errs.Peer(i.name) }
 
+// FetchSections gives few sections at once, as peers do.
+func (i *instance) FetchSections(_ context.Context, hashes []bundle.Hash) ([]bundlefile.Section, error) {
+	var found []bundlefile.Section
+	for _, hash := range hashes[:min(len(hashes), 2)] {
+		if section, ok := i.Section(hash); ok {
+			found = append(found, section)
+		}
+	}
+	return found, nil
+}
+
 func newTestBench(t *testing.T) *bench {
 	memory := objectapi.New(time.Now, objectapi.Limits{})
 	b := &bench{t: t, memory: memory, store: bundlestore.New(memory)}
--- a/internal/control/bundles/manager.go
+++ b/internal/control/bundles/manager.go
@@ -41,6 +41,7 @@
 	rewatch     chan struct{} // closed and replaced when watching changes
 	peersHeard  chan struct{} // closed when peers have answered
 	peersClosed bool
+	fetcher     PeerFetcher
 }
 
 // New returns a manager without a bundle. Run starts it.
@@ -135,19 +136,12 @@
 	return m.watching, m.rewatch
 }
 
-// FetchSections returns those of the sections that this process holds: of the
-// generation in force and the one before. It serves peers and never fails.
-func (m *Manager) FetchSections(_ context.Context, hashes []bundle.Hash) ([]bundlefile.Section, error) {
+// Section returns one section that this process holds.
+func (m *Manager) Section(hash bundle.Hash) (bundlefile.Section, bool) {
 	m.mu.Lock()
-	held := m.held()
-	m.mu.Unlock()
-	var found []bundlefile.Section
-	for _, hash := range hashes {
-		if data, ok := held[hash]; ok {
-			found = append(found, bundlefile.Section{Hash: hash, Data: data})
-		}
-	}
-	return found, nil
+	defer m.mu.Unlock()
+	data, ok := m.held()[hash]
+	return bundlefile.Section{Hash: hash, Data: data}, ok
 }
 
 // held returns all data by hash. The caller holds m.mu.
--- a/internal/coordination/bundlecheck/check.go
+++ b/internal/coordination/bundlecheck/check.go
@@ -184,7 +184,10 @@
 	for _, a := range c.bundle.Adapters {
 		section := adapterSection(a)
 		if seen[a.ID] {
-			c.fault(section, "", "the adapter stands twice")
+			c.fault(section, "", "the adapter stands twice, so callers' route to it is not unique")
+		}
+		if _, ok := c.bundle.Model(bundle.ModelID(a.ID)); ok {
+			c.fault(section, "", "a model has the same name, so callers' route to it is not unique")
 		}
 		seen[a.ID] = true
 		if a.Memory <= 0 {
--- a/internal/coordination/bundlecheck/services.go
+++ b/internal/coordination/bundlecheck/services.go
@@ -7,16 +7,12 @@
 	"savoryweir/internal/state/bundle"
 )
 
-// reservedRoute is the path prefix of the generation interface.
-const reservedRoute = "/v1"
-
 func (c *checker) services() {
 	seen := make(map[bundle.ServiceName]bool)
-	routes := make(map[string]bundle.ServiceName)
 	for _, s := range c.bundle.Services {
 		section := serviceSection(s)
 		if seen[s.Name] {
-			c.fault(section, "", "the service stands twice")
+			c.fault(section, "", "the service stands twice, so callers' route to it is not unique")
 		}
 		seen[s.Name] = true
 		if s.Deadline <= 0 || s.Deadline > maxDeadline {
@@ -29,7 +25,7 @@
 		case bundle.KindGeneration:
 			c.generation(section, s)
 		case bundle.KindPlain:
-			c.plain(section, s, routes)
+			c.plain(section, s)
 		default:
 			c.fault(section, "kind", "%q is neither %s nor %s", s.Kind, bundle.KindGeneration, bundle.KindPlain)
 		}
@@ -37,9 +33,6 @@
 }
 
 func (c *checker) generation(section string, s bundle.Service) {
-	if s.Route != "" {
-		c.fault(section, "route", "callers reach a generation service by its models")
-	}
 	if len(s.OrderPaths) > 0 {
 		c.fault(section, "order-paths", "a generation service takes no orders")
 	}
@@ -49,19 +42,7 @@
 	}
 }
 
-func (c *checker) plain(section string, s bundle.Service, routes map[string]bundle.ServiceName) {
-	switch other, taken := routes[s.Route]; {
-	case s.Route == "":
-		c.fault(section, "route", "a plain service needs a route")
-	case !isPath(s.Route):
-		c.fault(section, "route", "%q must start with /, must not end with / and holds no empty or dot element", s.Route)
-	case s.Route == reservedRoute || strings.HasPrefix(s.Route, reservedRoute+"/"):
-		c.fault(section, "route", "paths under %s belong to generation services", reservedRoute)
-	case taken:
-		c.fault(section, "route", "route %s belongs to service %s already", s.Route, other)
-	default:
-		routes[s.Route] = s.Name
-	}
+func (c *checker) plain(section string, s bundle.Service) {
 	for i, path := range s.OrderPaths {
 		if path != "/" && !isPath(path) {
 			c.fault(section, "order-paths", "%q must start with /, must not end with / and holds no empty or dot element", path)
--- a/internal/protocol/bundlefile/bundlefile_test.go
+++ b/internal/protocol/bundlefile/bundlefile_test.go
@@ -22,7 +22,6 @@
 [service bookings]
 kind = plain
 deadline = 2s
-route = /services/bookings
 order-paths = /orders
 [upstream tagger-1]
 service = tagger
--- a/internal/protocol/bundlefile/doc.go
+++ b/internal/protocol/bundlefile/doc.go
@@ -32,7 +32,6 @@
 	keyZones        = "zones"
 	keyKind         = "kind"
 	keyDeadline     = "deadline"
-	keyRoute        = "route"
 	keyOrderPaths   = "order-paths"
 	keyService      = "service"
 	keyAddress      = "address"
--- a/internal/protocol/bundlefile/parse.go
+++ b/internal/protocol/bundlefile/parse.go
@@ -126,7 +126,6 @@
 		Name:       name,
 		Kind:       bundle.ServiceKind(r.text(keyKind)),
 		Deadline:   r.duration(keyDeadline),
-		Route:      r.optionalText(keyRoute),
 		OrderPaths: r.optionalList(keyOrderPaths),
 	}
 }
--- a/internal/protocol/bundlefile/reader.go
+++ b/internal/protocol/bundlefile/reader.go
@@ -80,11 +80,6 @@
 	return value
 }
 
-func (r *reader) optionalText(key string) string {
-	value, _ := r.take(key)
-	return value
-}
-
 func (r *reader) list(key string) []string {
 	value, ok := r.require(key)
 	if !ok {
--- a/internal/protocol/bundlefile/text.go
+++ b/internal/protocol/bundlefile/text.go
@@ -48,9 +48,6 @@
 	w := newTextWriter(sectionName(kindService, string(s.Name)))
 	w.put(keyKind, s.Kind)
 	w.put(keyDeadline, s.Deadline)
-	if s.Route != "" {
-		w.put(keyRoute, s.Route)
-	}
 	w.putList(keyOrderPaths, s.OrderPaths)
 	return entity{id: string(s.Name), body: w.String()}
 }
--- a/internal/state/bundle/bundle.go
+++ b/internal/state/bundle/bundle.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -44,8 +43,6 @@
 	Name     ServiceName
 	Kind     ServiceKind
 	Deadline time.Duration // default time to the whole answer
-	// Route is the path prefix under which callers reach a plain service.
-	Route string
 	// OrderPaths are the path prefixes of a plain service whose calls must not be repeated.
 	OrderPaths []string
 }
@@ -116,22 +113,6 @@
 	return b.Adapters[i], true
 }
 
-// ServiceOfPath returns the plain service with the longest route that is a prefix of path.
-func (b *Bundle) ServiceOfPath(path string) (Service, bool) {
-	var found Service
-	for _, s := range b.Services {
-		if s.Route != "" && len(s.Route) > len(found.Route) && underRoute(path, s.Route) {
-			found = s
-		}
-	}
-	return found, found.Route != ""
-}
-
-func underRoute(path, route string) bool {
-	rest, ok := strings.CutPrefix(path, route)
-	return ok && (rest == "" || rest[0] == '/')
-}
-
 // UpstreamsOf returns the upstreams of a service in bundle order.
 func (b *Bundle) UpstreamsOf(name ServiceName) []Upstream {
 	var found []Upstream
