Claims tests: wait until the services run; control uses the bundles part's own peer sources

Cause: TestClaimFinishResend failed in about half of its runs: claims came before Run had started and were refused, which is right for the service and wrong in the test. Change: the harness waits for the bubble to settle after starting.

--- a/internal/control/adapters.go
+++ b/internal/control/adapters.go
@@ -1,13 +1,10 @@
 package control
 
 import (
-	"context"
-
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/control/bundles"
 	"savoryweir/internal/control/peers"
 	"savoryweir/internal/coordination/claims"
-	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/demand"
@@ -15,35 +12,6 @@
 	"savoryweir/internal/transport/peerconn"
 )
 
-// headListener hands bundle heads heard from peers to the bundles part. It
-// implements peers.HeadListener.
-type headListener struct {
-	bundles *bundles.Manager
-	peers   *peers.Service
-}
-
-// OfferHead implements peers.HeadListener.
-func (l *headListener) OfferHead(head bundle.Head, source member.Member) {
-	l.bundles.Offer(head, peerSections{peers: l.peers, source: source})
-}
-
-// PeersHeard implements peers.HeadListener.
-func (l *headListener) PeersHeard() { l.bundles.PeersHeard() }
-
-// peerSections fetches bundle sections from one peer. It implements bundles.SectionSource.
-type peerSections struct {
-	peers  *peers.Service
-	source member.Member
-}
-
-// Peer implements bundles.SectionSource.
-func (p peerSections) Peer() errs.Peer { return errs.Peer(p.source.ID) }
-
-// FetchSections implements bundles.SectionSource.
-func (p peerSections) FetchSections(ctx context.Context, hashes []bundle.Hash) ([]bundlefile.Section, error) {
-	return p.peers.FetchSectionsFrom(ctx, p.source, hashes)
-}
-
 // bundleView implements view.Bundles.
 type bundleView struct{ bundles *bundles.Manager }
 
--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -90,6 +91,7 @@
 	for i := range instances {
 		c.add(fmt.Sprintf("i%03d", i))
 	}
+	synctest.Wait() // a service refuses claims before its Run has started
 	return c
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -167,7 +167,6 @@
 		Metrics:  p.registry,
 		Rand:     newRandom(),
 	})
-	heads := &headListener{bundles: p.bundles}
 	p.peers = peers.New(peers.Options{
 		Membership: s.Membership,
 		Spread:     s.Spread,
@@ -178,12 +177,12 @@
 		Recorder:   p.recorder,
 		Log:        logging.For(root, partPeers),
 		Random:     newRandom(),
-		Heads:      heads,
+		Heads:      p.bundles,
 		Sections:   p.bundles,
 		Cells:      p.cells,
 		Demand:     discardDemand{},
 	})
-	heads.peers = p.peers
+	p.bundles.SetPeerFetcher(p.peers)
 	p.claims = claims.New(claims.Options{
 		Settings:   s.Orders,
 		Self:       claimMember(self),
--- a/internal/control/peers/fetch.go
+++ b/internal/control/peers/fetch.go
@@ -16,17 +16,18 @@
 )
 
 // FetchSections implements pb.PeerServer. Sections that are not here are left out.
-func (s *Service) FetchSections(ctx context.Context, request *pb.FetchSectionsRequest) (*pb.FetchSectionsResponse, error) {
+func (s *Service) FetchSections(_ context.Context, request *pb.FetchSectionsRequest) (*pb.FetchSectionsResponse, error) {
 	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
-	var hashes []bundle.Hash
-	for _, data := range request.GetHashes()[:min(len(request.GetHashes()), maxSectionsPerFetch)] {
-		if hash, err := bundle.HashFromBytes(data); err == nil {
-			hashes = append(hashes, hash)
+	var found []bundlefile.Section
+	hashes := request.GetHashes()
+	for _, data := range hashes[:min(len(hashes), maxSectionsPerFetch)] {
+		hash, err := bundle.HashFromBytes(data)
+		if err != nil {
+			continue
+		}
+		if section, ok := s.Sections.Section(hash); ok {
+			found = append(found, section)
 		}
-	}
-	found, err := s.Sections.FetchSections(ctx, hashes)
-	if err != nil {
-		return nil, err
 	}
 	return &pb.FetchSectionsResponse{
 		Time:     peercodec.EncodeTime(s.Clock.Now()),
--- a/internal/control/peers/peers_test.go
+++ b/internal/control/peers/peers_test.go
@@ -47,8 +47,8 @@
 func (nothing) OfferHead(bundle.Head, member.Member) {}
 func (nothing) PeersHeard()                          {}
 func (nothing) OnDemand(demand.Report)               {}
-func (nothing) FetchSections(context.Context, []bundle.Hash) ([]bundlefile.Section, error) {
-	return nil, nil
+func (nothing) Section(bundle.Hash) (bundlefile.Section, bool) {
+	return bundlefile.Section{}, false
 }
 
 func start(t *testing.T, id string, seeds ...string) *instance {
--- a/internal/control/peers/service.go
+++ b/internal/control/peers/service.go
@@ -49,8 +49,8 @@
 
 // SectionStore holds the sections of bundles by their hashes.
 type SectionStore interface {
-	// FetchSections returns those of the sections that are here.
-	FetchSections(ctx context.Context, hashes []bundle.Hash) ([]bundlefile.Section, error)
+	// Section returns the section with the given hash, if it is here.
+	Section(hash bundle.Hash) (bundlefile.Section, bool)
 }
 
 // CellStore holds the replicas of placement cells.
