Fleet bench: real control processes at several sizes, cost read from the kernel

Cause: the control budget (3 % of a core, 64 MB, 3 KB/s) must be measured on processes, not worked out.

--- /dev/null
+++ b/internal/bench/fleet/fleet.go
@@ -0,0 +1,242 @@
+// Package fleet runs many real control processes on the loopback interface
+// against a stand-in of the object API, and reads what they cost.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"savoryweir/internal/protocol/approvalfile"
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/status"
+)
+
+// Rates of the store and times of the run.
+const (
+	storeWritesPerSecond = 300
+	storeReadsPerSecond  = 2000
+	startPatience        = time.Minute
+	pollInterval         = 50 * time.Millisecond
+	seedCount            = 3
+)
+
+// Fleet is a running set of control processes.
+type Fleet struct {
+	Store     *objectapi.Memory
+	Processes []*Process
+	Approver  *Approver
+	server    *httptest.Server
+	folder    string
+}
+
+// Process is one control process.
+type Process struct {
+	ID         string
+	peers      string
+	Local      string
+	operations string
+	command    *exec.Cmd
+}
+
+// Start starts count control processes from the folder of binaries. Extra are
+// further command-line flags for each.
+func Start(binaries string, count int, extra ...string) (*Fleet, error) {
+	folder, err := os.MkdirTemp("", "fleet")
+	if err != nil {
+		return nil, err
+	}
+	approver, err := NewApprover()
+	if err != nil {
+		return nil, err
+	}
+	store := objectapi.New(time.Now, objectapi.Limits{WritesPerSecond: storeWritesPerSecond, ReadsPerSecond: storeReadsPerSecond})
+	f := &Fleet{
+		Store:    store,
+		Approver: approver,
+		server:   httptest.NewServer(objectapi.Handler(store)),
+		folder:   folder,
+	}
+	if err := os.WriteFile(f.trustedKeys(), approver.trustedFile(), 0o600); err != nil {
+		return nil, err
+	}
+	if err := f.startProcesses(binaries, count, extra); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) trustedKeys() string { return filepath.Join(f.folder, "trusted.ini") }
+
+func (f *Fleet) startProcesses(binaries string, count int, extra []string) error {
+	for i := range count {
+		ports, err := freePorts(3)
+		if err != nil {
+			return err
+		}
+		f.Processes = append(f.Processes, &Process{
+			ID: fmt.Sprintf("i%03d", i), peers: ports[0], Local: ports[1], operations: ports[2],
+		})
+	}
+	var seeds []string
+	for _, p := range f.Processes[:min(seedCount, count)] {
+		seeds = append(seeds, p.peers)
+	}
+	for i, p := range f.Processes {
+		if err := p.start(f, binaries, fmt.Sprintf("zone-%d", i%3), seeds, extra); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freePorts returns loopback addresses that were free just now.
+func freePorts(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (p *Process) start(f *Fleet, binaries, zone string, seeds, extra []string) error {
+	_, port, err := net.SplitHostPort(p.peers)
+	if err != nil {
+		return err
+	}
+	arguments := append([]string{
+		"--instance-id=" + p.ID, "--instance-zone=" + zone, "--instance-address=127.0.0.1",
+		"--log-level=warn", "--peers-port=" + port, "--peers-seeds=" + strings.Join(seeds, ","),
+		"--local-address=" + p.Local, "--operations-address=" + p.operations,
+		"--store-url=" + f.server.URL, "--bundles-trusted-keys=" + f.trustedKeys(),
+	}, extra...)
+	p.command = exec.Command(filepath.Join(binaries, "savoryweir-control"), arguments...)
+	p.command.Stderr = os.Stderr
+	return p.command.Start()
+}
+
+// Stop ends all processes and the store.
+func (f *Fleet) Stop() {
+	for _, p := range f.Processes {
+		if p.command != nil && p.command.Process != nil {
+			_ = p.command.Process.Kill()
+			_ = p.command.Wait()
+		}
+	}
+	f.server.Close()
+	_ = os.RemoveAll(f.folder)
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() error {
+	if err := p.command.Process.Kill(); err != nil {
+		return err
+	}
+	_ = p.command.Wait() // reports the kill
+	return nil
+}
+
+// Status reads the process's own report.
+func (p *Process) Status() (status.Status, error) {
+	var s status.Status
+	response, err := http.Get("http://" + p.operations + "/status")
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return s, json.NewDecoder(response.Body).Decode(&s)
+}
+
+// WaitFor polls all processes until each satisfies the condition, and returns how long that took.
+func (f *Fleet) WaitFor(ctx context.Context, condition func(status.Status) bool) (time.Duration, error) {
+	start := time.Now()
+	for _, p := range f.Processes {
+		for {
+			s, err := p.Status()
+			if err == nil && condition(s) {
+				break
+			}
+			if time.Since(start) > startPatience {
+				return 0, fmt.Errorf("%s did not reach the state in %s: %+v, %w", p.ID, startPatience, s, err)
+			}
+			select {
+			case <-time.After(pollInterval):
+			case <-ctx.Done():
+				return 0, context.Cause(ctx)
+			}
+		}
+	}
+	return time.Since(start), nil
+}
+
+// WaitMembers waits until each process sees all others alive.
+func (f *Fleet) WaitMembers(ctx context.Context) error {
+	_, err := f.WaitFor(ctx, func(s status.Status) bool {
+		alive := 0
+		for _, m := range s.Members {
+			if m.State == "alive" {
+				alive++
+			}
+		}
+		return alive == len(f.Processes)
+	})
+	return err
+}
+
+// Approve brings a bundle into force and returns the time until it is in force everywhere.
+func (f *Fleet) Approve(ctx context.Context, b *bundle.Bundle) (time.Duration, error) {
+	head, err := f.Approver.Approve(ctx, f.Store, b)
+	if err != nil {
+		return 0, err
+	}
+	return f.WaitFor(ctx, func(s status.Status) bool { return s.Generation >= head.Generation })
+}
+
+// trustedFile returns the file with the approver's public key.
+func (a *Approver) trustedFile() []byte {
+	header := fmt.Sprintf("[policy]\ndeployment = %s\nrequired-signatures = 1\n", deployment)
+	return append([]byte(header), approvalfile.EncodeTrusted(a.key)...)
+}
+
+// readMetric returns the value of a metric without labels.
+func (p *Process) readMetric(name string) (float64, error) {
+	response, err := http.Get("http://" + p.operations + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return findMetric(response.Body, name)
+}
+
+// parseFields reads the numbers at the given places of a line, counted from zero.
+func parseFields(line string, places ...int) ([]float64, error) {
+	fields := strings.Fields(line)
+	var numbers []float64
+	for _, place := range places {
+		if place >= len(fields) {
+			return nil, fmt.Errorf("line has %d fields, want more than %d", len(fields), place)
+		}
+		number, err := strconv.ParseFloat(fields[place], 64)
+		if err != nil {
+			return nil, err
+		}
+		numbers = append(numbers, number)
+	}
+	return numbers, nil
+}
