--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -97,13 +97,17 @@
 	s.record(c, timeline.KindRequestReceived, "", "")
 }
 
-// readBody reads the request's body within the size and time limits.
+// readBody reads the request's body within the size and time limits. After a
+// failure the deadline stays, so that the rest of the body is not waited for.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.settings.Callers.ReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.Callers.MaxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
 	_ = control.SetReadDeadline(time.Time{})
-	return body, err
+	return body, nil
 }
 
 // context returns the call's context, which ends at the deadline or when the caller leaves.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -98,17 +98,21 @@
 // dispatch gives upstreams to waiting requests while there is room. The caller holds mu.
 func (t *upstreamTable) dispatch(now time.Time, s *serviceState) {
 	for s.queue.Len() > 0 {
-		var granted *flight
+		var g grant
 		place := func(r admission.Request) bool {
-			granted = t.place(now, s.waiters[r.ID])
-			return granted != nil
+			g = t.place(now, s.waiters[r.ID])
+			return g != grant{}
 		}
 		request, ok := s.queue.Take(now, t.places(s), place)
 		if !ok {
 			return
 		}
-		granted.call.queueID = request.ID
-		s.waiters[request.ID].result <- grant{flight: granted}
+		if g.err != nil {
+			s.queue.Done(request.ID)
+		}
+		w := s.waiters[request.ID]
+		w.call.queueID = request.ID
+		w.result <- g
 		delete(s.waiters, request.ID)
 	}
 }
@@ -130,17 +134,21 @@
 	return p
 }
 
-// place picks an upstream for a waiting request, or returns nil. The caller holds mu.
-func (t *upstreamTable) place(now time.Time, w *waiter) *flight {
+// place picks an upstream for a waiting request, or refuses it when upstreams
+// died under it meanwhile. It returns an empty grant when there is no room. The caller holds mu.
+func (t *upstreamTable) place(now time.Time, w *waiter) grant {
 	c := w.call
 	decision := t.suspects.Decide(now, c.suspectID())
+	if decision.Verdict == suspect.Refuse {
+		return grant{err: errSuspect}
+	}
 	candidates := t.candidates(now, c)
 	if decision.Verdict != suspect.Run {
 		t.isolate(now, decision, candidates)
 	}
 	id, ok := t.pick(now, c, candidates)
 	if !ok {
-		return nil
+		return grant{}
 	}
 	upstreams := c.view.upstreams[c.service.Name]
 	i := slices.IndexFunc(upstreams, func(u bundle.Upstream) bool { return u.ID == id })
@@ -150,7 +158,7 @@
 	state.flights[f] = struct{}{}
 	state.sent++
 	t.suspects.Started(c.suspectID(), id)
-	return f
+	return grant{flight: f}
 }
 
 // isolate marks the upstreams that a suspect must not run on as ejected. The caller holds mu.
--- /dev/null
+++ b/internal/entry/drain_test.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/standin/engine"
+	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/order"
+)
+
+func (e *testEntry) readiness(t *testing.T) int {
+	t.Helper()
+	response, err := client.Get(e.operations + "/readyz")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func TestShutdownCutsNoRequest(t *testing.T) {
+	one, two := startEngine(t, "e1"), startService(t, "s1")
+	e := startEntry(t, &sharedView{data: viewOf(one, two)}, newMemoryClaims(), func(s *Settings) {
+		s.Shutdown.BalancerLag = 150 * time.Millisecond
+	})
+	two.service.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 200})
+	var group sync.WaitGroup
+	group.Go(func() { assertWhole(t, e.stream(t, "r1", "hello", 400), "hello", 400) })
+	group.Go(func() { assert.Check(t, e.order("o1", key("o1")).status == http.StatusOK) })
+	eventually(t, "both are in progress", func() bool {
+		calls, background := e.drain.calls()
+		return len(calls) == 2 && background == 1 && one.engine.Started() == 1
+	})
+	e.signals <- syscall.SIGTERM
+	eventually(t, "readiness goes", func() bool { return e.readiness(t) == http.StatusServiceUnavailable })
+	assertWhole(t, e.stream(t, "r2", "late", 3), "late", 3)
+	group.Wait()
+	assert.NilError(t, <-e.ended)
+	assert.Equal(t, two.service.RunsOf("o1"), 1)
+}
+
+func TestShutdownWaitsForOrdersWhoseCallersLeft(t *testing.T) {
+	two := startService(t, "s1")
+	claims := newMemoryClaims()
+	e := startEntry(t, &sharedView{data: viewOf(two)}, claims, nil)
+	two.service.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 300})
+	got := e.order("o1", key("o1"), header{httpapi.HeaderDeadline, "50"})
+	assert.Equal(t, got.failure(t).Outcome, order.OutcomeUnknown)
+	e.signals <- syscall.SIGTERM
+	assert.NilError(t, <-e.ended)
+	assert.Equal(t, claims.states["o1"].result.Outcome, order.OutcomeRan)
+}
+
+func TestLongStreamIsHandedOverAtShutdown(t *testing.T) {
+	one := startEngine(t, "e1")
+	views := &sharedView{data: viewOf(one)}
+	first := startEntry(t, views, nil, func(s *Settings) { s.Shutdown.HandoverTime = 50 * time.Millisecond })
+	second := startEntry(t, views, nil, nil)
+	body := chatBody("hello", 2000, true)
+	response, err := client.Do(request(http.MethodPost, first.url+chatPath, body, header{httpapi.HeaderRequestID, "r1"}))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var got streamed
+	got.open(response.Body)
+	readStream(t, "r1", &got, 5)
+	first.signals <- syscall.SIGTERM
+	readStream(t, "r1", &got, 1<<20)
+	assert.Assert(t, got.failed != nil)
+	assert.Equal(t, got.failed.Code, httpapi.CodeStopping)
+	assert.Assert(t, got.failed.RetryAfterSeconds > 0)
+	assert.NilError(t, <-first.ended)
+	resumed := request(http.MethodPost, second.url+chatPath, body, header{httpapi.HeaderRequestID, "r1"},
+		header{httpapi.HeaderResumeOffset, itoa(got.last)})
+	response, err = client.Do(resumed)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	got.failed = nil
+	got.open(response.Body)
+	readStream(t, "r1", &got, 1<<20)
+	assertWhole(t, got, "hello", 2000)
+}
+
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, nil)
+	one.engine.Inject(engine.Fault{Kind: engine.FaultSlow, Factor: 50})
+	var group sync.WaitGroup
+	group.Go(func() {
+		response, err := client.Do(request(http.MethodPost, e.url+chatPath, chatBody("hello", 1000, true)))
+		if err == nil {
+			var got streamed
+			got.open(response.Body)
+			readStream(t, response.Header.Get(httpapi.HeaderRequestID), &got, 1<<20)
+			assert.Check(t, !got.ended)
+			_ = response.Body.Close()
+		}
+	})
+	eventually(t, "the stream is in progress", func() bool { return one.engine.Started() == 1 })
+	e.signals <- syscall.SIGTERM
+	e.signals <- syscall.SIGTERM
+	assert.Assert(t, errors.Is(<-e.ended, ErrCut))
+	group.Wait()
+}
+
+func TestShutdownAnswersQueuedRequests(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, func(s *Settings) { s.Upstreams.MaxInFlight = 1 })
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() { assertWhole(t, e.stream(t, "r"+itoa(i), "hello", 20), "hello", 20) })
+	}
+	eventually(t, "requests wait", func() bool {
+		calls, _ := e.drain.calls()
+		return len(calls) == 6
+	})
+	e.signals <- syscall.SIGTERM
+	group.Wait()
+	assert.NilError(t, <-e.ended)
+}
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -74,19 +74,15 @@
 
 // judgeFault notes a fault of an upstream. It reports whether the call must
 // not be sent to the upstream again.
-func (s *Server) judgeFault(ctx context.Context, c *call, f *flight, err error, sent bool) bool {
+func (s *Server) judgeFault(c *call, f *flight, fault *upstreamFault, sent bool) bool {
 	id := f.upstream.ID
-	var fault *upstreamFault
-	if !errors.As(err, &fault) {
-		fault = &upstreamFault{kind: faultCut, err: err}
-	}
 	s.metrics.faults.WithLabelValues(string(id), string(fault.kind)).Inc()
 	switch fault.kind {
 	case faultConnect:
 		s.noteFailed(c, id, true, fault)
 		return true
 	case faultCut, faultSilent:
-		return s.judgeBroken(ctx, c, f, fault, sent)
+		return s.judgeBroken(c, f, fault, sent)
 	default:
 		s.noteFailed(c, id, false, fault)
 		return true
@@ -94,15 +90,16 @@
 }
 
 // judgeBroken probes the upstream over a new connection, so that a broken
-// connection is not taken for a dead upstream.
-func (s *Server) judgeBroken(ctx context.Context, c *call, f *flight, fault *upstreamFault, sent bool) bool {
+// connection is not taken for a dead upstream. It does so also when the caller
+// has left, since the caller may send the request again.
+func (s *Server) judgeBroken(c *call, f *flight, fault *upstreamFault, sent bool) bool {
 	brokenAt := s.now()
-	limited, cancel := context.WithTimeout(ctx, s.settings.Upstreams.ProbeTimeout)
+	limited, cancel := context.WithTimeout(context.Background(), s.settings.Upstreams.ProbeTimeout)
 	defer cancel()
 	probe := s.repeat.Probe(limited, f.upstream.Address)
 	var timeout net.Error
 	unreachable := probe != nil && errors.As(probe, &timeout) && timeout.Timeout()
-	died := fault.kind == faultCut && sent && !unreachable && (probe != nil || s.processEnded(ctx, f, brokenAt))
+	died := fault.kind == faultCut && sent && !unreachable && (probe != nil || s.processEnded(f, brokenAt))
 	if died {
 		s.noteDeath(c, f)
 	}
@@ -165,7 +162,7 @@
 func (s *Server) waitForUpstream(ctx context.Context, c *call) (*flight, error) {
 	f, err := s.table.acquire(ctx, s.now, c)
 	if err == nil {
-		s.watchUpstream(f.upstream)
+		s.watchUpstream(ctx, f.upstream)
 	}
 	return f, err
 }
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -168,6 +168,10 @@
 // giveUp decides after a failed send whether the request is finally refused.
 func (g *generation) giveUp(ctx context.Context, f *flight, err error, fruitless int) *Failure {
 	s := g.server
+	var fault *upstreamFault
+	if errors.As(err, &fault) && s.judgeFault(g.call, f, fault, g.sent) {
+		g.call.exclude(f.upstream.ID)
+	}
 	if cause := causeOf(ctx); cause != nil {
 		return g.ended(cause)
 	}
@@ -178,9 +182,6 @@
 	if errors.As(err, &refused) {
 		return g.afterRefusal(f, refused, fruitless)
 	}
-	if s.judgeFault(ctx, g.call, f, err, g.sent) {
-		g.call.exclude(f.upstream.ID)
-	}
 	if fruitless > 0 && !s.mayRetry(g.call, fruitless) {
 		return upstreamFailure(err, g.outcome(), s.settings.Queue.RetryAfter)
 	}
--- /dev/null
+++ b/internal/entry/limits_test.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/standin/engine"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/order"
+	"savoryweir/internal/state/timeline"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func TestBadRequestsAreAnsweredWithACode(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, func(s *Settings) { s.Callers.MaxBodyBytes = 2048 })
+	for _, test := range []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		headers []header
+		status  int
+		code    httpapi.Code
+	}{
+		{"no JSON", "POST", chatPath, "{", nil, 400, httpapi.CodeBadRequest},
+		{"null", "POST", chatPath, "null", nil, 400, httpapi.CodeBadRequest},
+		{"two objects", "POST", chatPath, "{}{}", nil, 400, httpapi.CodeBadRequest},
+		{"no model", "POST", chatPath, `{"messages":[{"role":"user","content":"a"}]}`, nil, 400, httpapi.CodeBadRequest},
+		{"no messages", "POST", chatPath, `{"model":"small","messages":[]}`, nil, 400, httpapi.CodeBadRequest},
+		{"bad stream flag", "POST", chatPath, `{"model":"small","stream":1,"messages":[{"role":"user","content":"a"}]}`, nil, 400, httpapi.CodeBadRequest},
+		{"unknown model", "POST", chatPath, `{"model":"x","messages":[{"role":"user","content":"a"}]}`, nil, 404, httpapi.CodeUnknownModel},
+		{"too large", "POST", chatPath, strings.Repeat("x", 4096), nil, 413, httpapi.CodeBodyTooLarge},
+		{"method", "GET", chatPath, "", nil, 405, httpapi.CodeMethodNotAllowed},
+		{"route", "GET", "/other", "", nil, 404, httpapi.CodeUnknownRoute},
+		{"service", "GET", "/services/none/x", "", nil, 404, httpapi.CodeUnknownService},
+		{"generation as plain service", "GET", "/services/tagger/x", "", nil, 404, httpapi.CodeUnknownService},
+		{"class", "POST", chatPath, "{}", []header{{httpapi.HeaderClass, "soon"}}, 400, httpapi.CodeBadRequest},
+		{"deadline", "POST", chatPath, "{}", []header{{httpapi.HeaderDeadline, "-1"}}, 400, httpapi.CodeBadRequest},
+		{"request id", "POST", chatPath, "{}", []header{{httpapi.HeaderRequestID, "a b"}}, 400, httpapi.CodeBadRequest},
+		{"key", "GET", "/services/booking/x", "", []header{{httpapi.HeaderIdempotencyKey, strings.Repeat("k", 300)}}, 400, httpapi.CodeBadRequest},
+	} {
+		got := e.do(test.method, test.path, test.body, test.headers...)
+		assert.Equal(t, got.status, test.status, "%s: %s", test.name, got.body)
+		failure := got.failure(t)
+		assert.Equal(t, failure.Code, test.code, test.name)
+		assert.Equal(t, failure.Outcome, order.OutcomeNotRun, test.name)
+		assert.Assert(t, failure.RequestID != "", test.name)
+	}
+	large := e.do(http.MethodPost, chatPath, "{}", header{"X-Large", strings.Repeat("x", 64<<10)})
+	assert.Equal(t, large.status, http.StatusRequestHeaderFieldsTooLarge)
+	assert.Equal(t, one.engine.Started(), 0)
+}
+
+func TestGivenUpRequestsAreAnsweredAtOnceWithRetryAfter(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, func(s *Settings) {
+		s.Upstreams.MaxInFlight = 1
+		s.Queue.Length = 1
+		s.Queue.MaxWait = time.Hour
+	})
+	one.engine.Inject(engine.Fault{Kind: engine.FaultSlow, Factor: 100})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{}, 2)
+	for range 2 {
+		go func() {
+			call0(request(http.MethodPost, e.url+chatPath, chatBody("hello", 50, true)).WithContext(ctx))
+			ended <- struct{}{}
+		}()
+	}
+	eventually(t, "one runs and one waits", func() bool {
+		return e.queued("tagger") == 1 && one.engine.Started() == 1
+	})
+	got := e.do(http.MethodPost, chatPath, chatBody("other", 2, true), header{httpapi.HeaderDeadline, "60000"})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeNoCapacity)
+	assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	cancel()
+	<-ended
+	<-ended
+	eventually(t, "places of callers that left are free", func() bool {
+		calls, _ := e.drain.calls()
+		return len(calls) == 0
+	})
+}
+
+// queued returns the number of requests that wait for a service.
+func (e *testEntry) queued(name bundle.ServiceName) int {
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	s, ok := e.table.services[name]
+	if !ok {
+		return 0
+	}
+	return s.queue.Len()
+}
+
+func TestNoViewIsNotReady(t *testing.T) {
+	e := startEntry(t, StaticSource{}, nil, nil)
+	got := e.do(http.MethodPost, chatPath, chatBody("hello", 2, true))
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeNotReady)
+	assert.Equal(t, e.readiness(t), http.StatusServiceUnavailable)
+}
+
+func TestTimelineTellsOfARequest(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, nil)
+	e.stream(t, "r1", "hello", 2)
+	response, err := client.Get(e.operations + "/timeline")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var kinds []timeline.Kind
+	for decoder := json.NewDecoder(response.Body); decoder.More(); {
+		var event timeline.Event
+		assert.NilError(t, decoder.Decode(&event))
+		if event.Request == "r1" {
+			assert.Equal(t, event.Generation, uint64(7))
+			kinds = append(kinds, event.Kind)
+		}
+	}
+	assert.DeepEqual(t, kinds, []timeline.Kind{timeline.KindRequestReceived, timeline.KindRequestRouted, timeline.KindRequestFinished})
+}
+
+// Any header and body gets an answer with a status of 4xx or better, and no panic.
+func FuzzCallerRequest(f *testing.F) {
+	f.Add("/v1/chat/completions", "1000", "now", "key", "5", []byte(chatBody("hello", 2, true)))
+	f.Add("/v1/chat/completions", "", "later", "", "", []byte(`{"model":"small","messages":[{"role":1}]}`))
+	f.Add("/v1/chat/completions", "x", "", "k\n", "-5", []byte(`[[[[`))
+	f.Add("/services/booking/orders/1", "", "long", "k", "", []byte("x"))
+	f.Add("/services/booking/..%2forders", "", "overnight", "", "99999999999999999999", []byte{0xff, 0})
+	data := viewOf(&node{id: "s1", address: "127.0.0.1:1"})
+	var s Settings
+	s.Callers.MaxBodyBytes, s.Callers.MaxStreams, s.Callers.ReadTimeout = 1<<20, 10, time.Second
+	s.Callers.DefaultDeadline, s.Queue.MaxWait = 20*time.Millisecond, time.Millisecond
+	s.Queue.RetryAfter, s.Orders.MaxWait, s.Orders.ClaimTimeout = time.Second, time.Second, time.Second
+	s.Operations.TimelineEvents, s.Upstreams.MaxInFlight = 16, 1
+	server, err := New(s, Dependencies{Views: StaticSource{NewView(data)}, Claims: NoClaims{}, Log: zerolog.Nop()})
+	assert.NilError(f, err)
+	f.Cleanup(server.Close)
+	handler := server.Handler()
+	f.Fuzz(func(t *testing.T, path, deadline, class, key, offset string, body []byte) {
+		r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(body))
+		r.URL.Path = path
+		r.Header[http.CanonicalHeaderKey(httpapi.HeaderDeadline)] = []string{deadline}
+		r.Header[http.CanonicalHeaderKey(httpapi.HeaderClass)] = []string{class}
+		r.Header[http.CanonicalHeaderKey(httpapi.HeaderIdempotencyKey)] = []string{key}
+		r.Header[http.CanonicalHeaderKey(httpapi.HeaderResumeOffset)] = []string{offset}
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		assert.Assert(t, w.Code >= 300, "no upstream was there to answer")
+		assert.Assert(t, w.Code < 400 || json.Valid(w.Body.Bytes()), "%q", w.Body.String())
+	})
+}
+
+// A server that answers with foreign bytes never makes an answer that passes for whole.
+func FuzzUpstreamStream(f *testing.F) {
+	good := `{"id":"up","choices":[{"index":0,"delta":{"content":"a"}}]}`
+	f.Add([]byte("id: 1\ndata: " + good + "\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("id: 2\ndata: " + good + "\n\n"))
+	f.Add([]byte("data: [DONE]\n"))
+	f.Add([]byte("id: x\n\n\n: comment\r\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		r := streamReader{upstreamID: "up", callerID: "own", maxTokens: 100}
+		out := &countingSink{}
+		err := r.copy(context.Background(), bytes.NewReader(stream), 1024, out)
+		assert.Equal(t, err == nil, out.ended)
+		assert.Equal(t, out.last, r.offset)
+	})
+}
+
+type countingSink struct {
+	last  int
+	ended bool
+}
+
+func (c *countingSink) event(offset int, _ []byte, _ bool) error { c.last = offset; return nil }
+func (c *countingSink) finish() error                            { c.ended = true; return nil }
+
+// A caller that sends a request slowly does not hold a connection for ever.
+func TestSlowRequestIsCutOff(t *testing.T) {
+	e := startEntry(t, &sharedView{data: viewOf()}, nil, func(s *Settings) { s.Callers.ReadTimeout = 100 * time.Millisecond })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+	answer := make([]byte, 12)
+	_, err = conn.Read(answer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer), "HTTP/1.1 400")
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -255,7 +255,7 @@
 			s.releaseFlight(f, attemptResult{failed: answer.status >= http.StatusInternalServerError})
 			return o.answered(answer)
 		}
-		s.judgePlain(ctx, p, f, answer, err, left)
+		s.judgePlain(p, f, answer, err, left)
 		s.releaseFlight(f, attemptResult{failed: true})
 		if left {
 			return nil, unknownOrder(err)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -38,6 +38,7 @@
 var (
 	errBadPath    = errors.New("the path holds empty or relative parts, or encoded separators")
 	errNoEndMark  = errors.New("the answer has neither a length nor an end mark")
+	errFailedCall = errors.New("the call failed")
 	errBodyLength = errors.New("the answer is larger than the limit")
 )
 
@@ -144,12 +145,11 @@
 		if left {
 			outcome = order.OutcomeUnknown
 		}
+		s.judgePlain(p, f, answer, err, left)
+		s.releaseFlight(f, resultOf(ctx, errFailedCall, 0))
 		if cause := causeOf(ctx); cause != nil {
-			s.releaseFlight(f, resultOf(ctx, cause, 0))
 			return nil, s.plainEnded(ctx, cause, outcome)
 		}
-		s.judgePlain(ctx, p, f, answer, err, left)
-		s.releaseFlight(f, attemptResult{failed: true})
 		if !s.mayRetry(p.call, failed) || !repeatable(p.method) && left {
 			return s.lastRead(answer, err, outcome)
 		}
@@ -193,11 +193,15 @@
 	}
 }
 
-func (s *Server) judgePlain(ctx context.Context, p *plainCall, f *flight, answer *plainAnswer, err error, left bool) {
-	if err == nil {
-		err = newFault(faultStatus, "status %d", answer.status)
+func (s *Server) judgePlain(p *plainCall, f *flight, answer *plainAnswer, err error, left bool) {
+	var fault *upstreamFault
+	switch {
+	case err == nil:
+		fault = &upstreamFault{kind: faultStatus, err: &refusal{status: answer.status, outcome: answer.outcome}}
+	case !errors.As(err, &fault):
+		return
 	}
-	if s.judgeFault(ctx, p.call, f, err, left) {
+	if s.judgeFault(p.call, f, fault, left) {
 		p.exclude(f.upstream.ID)
 	}
 }
--- a/internal/entry/sentinels.go
+++ b/internal/entry/sentinels.go
@@ -37,22 +37,33 @@
 	s.group.Wait()
 }
 
-// watchUpstream opens a sentinel connection unless the upstream has one.
-func (s *Server) watchUpstream(u bundle.Upstream) {
-	if s.sentinels.ctx.Err() != nil || !s.table.startWatch(u.ID) {
+// watchUpstream opens a sentinel connection unless the upstream has one, and
+// waits until it is open or could not be opened.
+func (s *Server) watchUpstream(ctx context.Context, u bundle.Upstream) {
+	if s.sentinels.ctx.Err() != nil {
 		return
 	}
-	s.sentinels.group.Go(func() { s.keepSentinel(u) })
+	ready, start := s.table.startWatch(u.ID)
+	if start {
+		s.sentinels.group.Go(func() { s.keepSentinel(u) })
+	}
+	select {
+	case <-ready:
+	case <-ctx.Done():
+	}
 }
 
 // keepSentinel keeps the connection open while the upstream has work.
 func (s *Server) keepSentinel(u bundle.Upstream) {
 	for s.sentinels.ctx.Err() == nil {
+		opened := s.now()
 		s.runSentinel(u)
 		if !s.table.keepsWatch(u.ID) {
 			return
 		}
-		pause(s.sentinels.ctx, sentinelReopen)
+		if s.now().Sub(opened) < sentinelWindow {
+			pause(s.sentinels.ctx, sentinelReopen)
+		}
 	}
 }
 
@@ -62,6 +73,7 @@
 	sentinel, err := s.repeat.OpenSentinel(ctx, u.Address)
 	cancel()
 	if err != nil {
+		s.table.setWatched(u.ID, time.Time{})
 		return
 	}
 	s.table.setWatched(u.ID, s.now())
@@ -87,8 +99,8 @@
 
 // processEnded reports whether the upstream's process ended when a connection
 // to it broke. Without a sentinel connection of that time, it is taken for ended.
-func (s *Server) processEnded(ctx context.Context, f *flight, brokenAt time.Time) bool {
-	pause(ctx, sentinelGrace)
+func (s *Server) processEnded(f *flight, brokenAt time.Time) bool {
+	pause(s.sentinels.ctx, sentinelGrace)
 	since, ended := s.table.watchOf(f.upstream.ID)
 	if ended.After(brokenAt.Add(-sentinelWindow)) {
 		return true
@@ -96,16 +108,18 @@
 	return since.IsZero() || since.After(brokenAt)
 }
 
-// startWatch reports whether the caller is to open a sentinel connection.
-func (t *upstreamTable) startWatch(id bundle.UpstreamID) bool {
+// startWatch returns a channel that is closed once the opening of the sentinel
+// connection has ended, and whether the caller is to open it.
+func (t *upstreamTable) startWatch(id bundle.UpstreamID) (<-chan struct{}, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.state(id)
 	if state.watched {
-		return false
+		return state.watchReady, false
 	}
 	state.watched = true
-	return true
+	state.watchReady = make(chan struct{})
+	return state.watchReady, true
 }
 
 // keepsWatch reports whether the upstream still has work, and ends the watch otherwise.
@@ -114,13 +128,19 @@
 	defer t.mu.Unlock()
 	state := t.state(id)
 	state.watched = len(state.flights) > 0
+	if state.watched {
+		state.watchReady = make(chan struct{})
+	}
 	return state.watched
 }
 
-func (t *upstreamTable) setWatched(id bundle.UpstreamID, now time.Time) {
+// setWatched notes since when the sentinel connection is open, zero when it could not be opened.
+func (t *upstreamTable) setWatched(id bundle.UpstreamID, since time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state(id).watchedSince = now
+	state := t.state(id)
+	state.watchedSince = since
+	close(state.watchReady)
 }
 
 func (t *upstreamTable) setBroken(id bundle.UpstreamID, now time.Time) {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -36,9 +36,10 @@
 	diedAt       time.Time // last end of the upstream's process
 	address      string
 
-	watched      bool      // a sentinel connection is open or being opened
-	watchedSince time.Time // zero while no sentinel connection is open
-	processEnded time.Time // when the last sentinel connection broke
+	watched      bool          // a sentinel connection is open or being opened
+	watchReady   chan struct{} // closed once the opening has ended
+	watchedSince time.Time     // zero while no sentinel connection is open
+	processEnded time.Time     // when the last sentinel connection broke
 }
 
 // upstreamTable tracks all upstreams and picks one for each request. Its methods
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -58,6 +58,7 @@
 	reports []stampedLoad
 	started int
 	slow    float64
+	ended   bool
 }
 
 type stampedLoad struct {
@@ -73,6 +74,7 @@
 
 // Run gives out tokens until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
+	defer e.end()
 	for {
 		wait := e.step()
 		if wait > 0 {
@@ -89,6 +91,17 @@
 	}
 }
 
+// end closes the streams of all requests, and of those to come.
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	for _, s := range slices.Concat(e.waiting, e.running) {
+		close(s.tokens)
+	}
+	e.waiting, e.running = nil, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -176,10 +189,10 @@
 		close(s.tokens)
 		return s
 	}
-	e.mu.Lock()
-	e.waiting = append(e.waiting, s)
-	e.started++
-	e.mu.Unlock()
+	if !e.enqueue(s) {
+		close(s.tokens)
+		return s
+	}
 	select {
 	case e.wake <- struct{}{}:
 	default:
@@ -187,6 +200,17 @@
 	return s
 }
 
+func (e *Engine) enqueue(s *sequence) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended {
+		return false
+	}
+	e.waiting = append(e.waiting, s)
+	e.started++
+	return true
+}
+
 // Load returns the load as it was LoadLag ago.
 func (e *Engine) Load() Load {
 	e.mu.Lock()
