--- /dev/null
+++ b/internal/ctl/source.go
@@ -0,0 +1,114 @@
+package ctl
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"savoryweir/internal/coordination/bundlecheck"
+	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/bundlefile"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/transport/bundlestore"
+)
+
+// loaded is a bundle that a command names, with its files if it has any.
+type loaded struct {
+	bundle  *bundle.Bundle
+	encoded bundlefile.Encoded
+	files   bundlefile.Source
+}
+
+// inForce is the latest approved bundle. Bundle is nil when there is none.
+type inForce struct {
+	pointer bundlestore.Pointer
+	bundle  *bundle.Bundle
+}
+
+// readDirectory reads all INI files of a bundle.
+func readDirectory(path string) ([]bundlefile.File, error) {
+	const step errs.Step = "read bundle"
+	names, err := filepath.Glob(filepath.Join(path, "*.ini"))
+	if err != nil {
+		return nil, errs.Wrap(err, step, errs.Self)
+	}
+	if len(names) == 0 {
+		return nil, errs.New(step, errs.Self, path+" holds no file *.ini")
+	}
+	var files []bundlefile.File
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errs.Wrap(err, step, errs.Self)
+		}
+		files = append(files, bundlefile.File{Name: filepath.Base(name), Data: data})
+	}
+	return files, nil
+}
+
+// load reads the bundle that name stands for: a directory, a generation or the hash of
+// a manifest. Faults of files come back together with those of the check.
+func (env *Environment) load(name string, old *bundle.Bundle) (loaded, error) {
+	if info, err := os.Stat(name); err == nil && info.IsDir() {
+		return loadDirectory(name, old)
+	}
+	manifest, err := env.resolve(name)
+	if err != nil {
+		return loaded{}, err
+	}
+	b, err := env.store().Bundle(env.Context, manifest)
+	if err != nil {
+		return loaded{}, err
+	}
+	return checked(loaded{bundle: b}, nil, old)
+}
+
+func loadDirectory(path string, old *bundle.Bundle) (loaded, error) {
+	files, err := readDirectory(path)
+	if err != nil {
+		return loaded{}, err
+	}
+	b, source, faults := bundlefile.Parse(files)
+	return checked(loaded{bundle: b, files: source}, faults, old)
+}
+
+// checked adds the faults of the check, which needs a bundle that could be read whole.
+func checked(l loaded, faults []bundle.Fault, old *bundle.Bundle) (loaded, error) {
+	if len(faults) == 0 {
+		faults = bundlecheck.Check(bundlecheck.Input{New: l.bundle, Old: old, Files: l.files})
+	}
+	if err := bundle.Check(faults); err != nil {
+		return loaded{}, err
+	}
+	var err error
+	l.encoded, err = bundlefile.Encode(l.bundle)
+	return l, errs.Wrap(err, "encode bundle", errs.Self)
+}
+
+// resolve finds the manifest of a generation or reads a hash.
+func (env *Environment) resolve(name string) (bundle.Hash, error) {
+	const step errs.Step = "find bundle"
+	if generation, err := strconv.ParseUint(name, 10, 64); err == nil && len(name) < len(bundle.Hash{}) {
+		approved, err := env.store().Approved(env.Context, bundle.Generation(generation))
+		if err != nil {
+			return bundle.Hash{}, errs.Wrap(err, step+errs.Step(fmt.Sprintf(" of generation %d", generation)), "store")
+		}
+		return approved.Manifest, nil
+	}
+	hash, err := bundle.ParseHash(name)
+	if err != nil {
+		return bundle.Hash{}, errs.New(step, errs.Self, fmt.Sprintf("%q is no directory, no generation and no hash of a manifest", name))
+	}
+	return hash, nil
+}
+
+// inForce reads the latest approved bundle.
+func (env *Environment) inForce() (inForce, error) {
+	pointer, err := env.store().Pointer(env.Context)
+	if err != nil || pointer.Version == 0 {
+		return inForce{}, err
+	}
+	b, err := env.store().Bundle(env.Context, pointer.Approval.Manifest)
+	return inForce{pointer: pointer, bundle: b}, err
+}
--- /dev/null
+++ b/internal/protocol/timelinefile/text.go
@@ -0,0 +1,54 @@
+package timelinefile
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"savoryweir/internal/state/timeline"
+)
+
+// timeFormat shows a time of day to the millisecond.
+const timeFormat = "2006-01-02 15:04:05.000"
+
+// FormatTime writes the time of an event with its logical counter.
+func FormatTime(e timeline.Event) string {
+	return fmt.Sprintf("%s+%d", time.UnixMilli(e.Time.WallMillis).UTC().Format(timeFormat), e.Time.Logical)
+}
+
+// Details writes the fields of an event that apply.
+func Details(e timeline.Event) string {
+	var parts []string
+	add := func(name, value string) {
+		if value != "" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	add("request", e.Request)
+	add("order", e.Order)
+	add("upstream", e.Upstream)
+	add("model", e.Model)
+	if e.Generation > 0 {
+		add("generation", fmt.Sprint(e.Generation))
+	}
+	if e.Note != "" {
+		parts = append(parts, fmt.Sprintf("%q", e.Note))
+	}
+	return strings.Join(parts, " ")
+}
+
+// WriteText writes one aligned line for each event.
+func WriteText(w io.Writer, events []timeline.Event) error {
+	width := 0
+	for _, lane := range timeline.Lanes(events) {
+		width = max(width, len(lane.String()))
+	}
+	for _, e := range events {
+		line := fmt.Sprintf("%s  %-*s  %-20s  %s", FormatTime(e), width, e.Lane(), e.Kind, Details(e))
+		if _, err := fmt.Fprintln(w, strings.TrimRight(line, " ")); err != nil {
+			return fmt.Errorf("write time line: %w", err)
+		}
+	}
+	return nil
+}
