--- a/internal/coordination/bundlecheck/check.go
+++ b/internal/coordination/bundlecheck/check.go
@@ -156,6 +156,9 @@
 	engines := c.bundle.UpstreamsOf(m.Service)
 	fitting := 0
 	for _, u := range engines {
+		if u.Memory <= 0 {
+			return // reported at the upstream
+		}
 		if u.Memory >= m.Memory {
 			fitting++
 		}
--- a/internal/ctl/source.go
+++ b/internal/ctl/source.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 
 	"savoryweir/internal/coordination/bundlecheck"
@@ -73,10 +74,17 @@
 	return checked(loaded{bundle: b, files: source}, faults, old)
 }
 
-// checked adds the faults of the check, which needs a bundle that could be read whole.
-func checked(l loaded, faults []bundle.Fault, old *bundle.Bundle) (loaded, error) {
-	if len(faults) == 0 {
-		faults = bundlecheck.Check(bundlecheck.Input{New: l.bundle, Old: old, Files: l.files})
+// checked adds the faults of the check to those of reading the files. Sections that
+// could not be read right are left out of the check's faults, and nothing is checked
+// when a whole file could not be read.
+func checked(l loaded, unreadable []bundle.Fault, old *bundle.Bundle) (loaded, error) {
+	faults := slices.Clone(unreadable)
+	if !slices.ContainsFunc(unreadable, func(f bundle.Fault) bool { return f.Section == "" }) {
+		for _, fault := range bundlecheck.Check(bundlecheck.Input{New: l.bundle, Old: old, Files: l.files}) {
+			if !slices.ContainsFunc(unreadable, func(f bundle.Fault) bool { return f.Section == fault.Section }) {
+				faults = append(faults, fault)
+			}
+		}
 	}
 	if err := bundle.Check(faults); err != nil {
 		return loaded{}, err
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -22,7 +22,9 @@
 type Error struct {
 	Step Step
 	Peer Peer
-	err  error
+
+	cause error
+	err   error // cause with its stack trace
 }
 
 // Wrap attaches step and peer to err. It returns nil when err is nil.
@@ -30,17 +32,18 @@
 	if err == nil {
 		return nil
 	}
-	return &Error{Step: step, Peer: peer, err: eris.Wrap(err, string(step))}
+	return &Error{Step: step, Peer: peer, cause: err, err: eris.Wrap(err, string(step))}
 }
 
 // New returns an error with the given step, peer and message.
 func New(step Step, peer Peer, message string) error {
-	return &Error{Step: step, Peer: peer, err: eris.New(message)}
+	err := eris.New(message)
+	return &Error{Step: step, Peer: peer, cause: err, err: err}
 }
 
 // Error implements the error interface.
 func (e *Error) Error() string {
-	return fmt.Sprintf("%s (peer %s): %v", e.Step, e.Peer, eris.Cause(e.err))
+	return fmt.Sprintf("%s (peer %s): %v", e.Step, e.Peer, e.cause)
 }
 
 // Unwrap returns the wrapped error, so that errors.Is and errors.As see the cause.
--- a/internal/protocol/bundlefile/parse.go
+++ b/internal/protocol/bundlefile/parse.go
@@ -53,7 +53,7 @@
 	}
 	parsed, err := ini.LoadSources(iniOptions, file.Data)
 	if err != nil {
-		p.fault(file.Name, "", "", "not an INI file: "+err.Error())
+		p.fault(file.Name, "", "", "not an INI file: "+strings.TrimSpace(err.Error()))
 		return
 	}
 	for _, section := range parsed.Sections() {
