--- a/internal/control/peers/peers_test.go
+++ b/internal/control/peers/peers_test.go
@@ -44,9 +44,12 @@
 
 type nothing struct{}
 
-func (nothing) OfferHead(bundle.Head, member.Member)                   {}
-func (nothing) Section(bundle.Hash) (s bundlefile.Section, found bool) { return s, false }
-func (nothing) OnDemand(demand.Report)                                 {}
+func (nothing) OfferHead(bundle.Head, member.Member) {}
+func (nothing) PeersHeard()                          {}
+func (nothing) OnDemand(demand.Report)               {}
+func (nothing) Section(bundle.Hash) (bundlefile.Section, bool) {
+	return bundlefile.Section{}, false
+}
 
 func start(t *testing.T, id string, seeds ...string) *instance {
 	t.Helper()
@@ -136,9 +139,9 @@
 	late := start(t, "late", a.Self.Address)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, i := range append(others, late) {
-			replicas := i.cells.Replicas()
-			if len(replicas) != 1 || !replicas[0].Ready {
-				return poll.Continue("%s has %v", i.Self.ID, replicas)
+			c, _ := i.cells.Cell("cell-1")
+			if len(c.Replicas) != 1 || !c.Replicas[0].Ready {
+				return poll.Continue("%s has %v", i.Self.ID, c)
 			}
 		}
 		return poll.Success()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,7 +3,6 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -32,6 +31,7 @@
 	Reporter Reporter // nil reports nothing
 	Log      zerolog.Logger
 	Now      func() time.Time // nil takes the system's clock
+	Clock    *hlc.Clock       // nil makes one from Now
 }
 
 // Server is the entry process.
@@ -47,12 +47,11 @@
 	repeat   *upstreamhttp.Client // for requests that may be repeated
 	once     *upstreamhttp.Client // for orders
 	table    *upstreamTable
-	queue    *queueCounts
-	budgets  *retryBudgets
-	suspects *suspectTable
 	reports  *reports
 	demand   *demandCounts
 	drain    *drainer
+
+	sentinels *sentinels
 }
 
 // New returns a server. Run or Handler serves it.
@@ -60,6 +59,9 @@
 	if d.Now == nil {
 		d.Now = time.Now
 	}
+	if d.Clock == nil {
+		d.Clock = hlc.New(d.Now)
+	}
 	server := &Server{
 		settings: s,
 		log:      logging.For(d.Log, partEntry),
@@ -67,15 +69,14 @@
 		views:    d.Views,
 		claims:   d.Claims,
 		reporter: d.Reporter,
-		table:    newUpstreamTable(s.Upstreams),
-		queue:    newQueueCounts(s.Queue.Length),
-		budgets:  newRetryBudgets(s.Upstreams.RetryShare, s.Upstreams.RetryBurst),
-		suspects: newSuspectTable(s.Upstreams.SuspectFor),
+		table:    newUpstreamTable(s),
 		reports:  newReports(),
 		demand:   newDemandCounts(),
 		drain:    newDrainer(),
+
+		sentinels: newSentinels(),
 	}
-	server.recorder = timeline.NewRecorder(hlc.New(d.Now), processName, s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents)
+	server.recorder = timeline.NewRecorder(d.Clock, processName, s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents)
 	server.metrics = newMetrics(func() float64 {
 		calls, _ := server.drain.calls()
 		return float64(len(calls))
@@ -107,6 +108,7 @@
 
 // Close closes idle connections to upstreams.
 func (s *Server) Close() {
+	s.sentinels.close()
 	s.repeat.CloseIdle()
 	s.once.CloseIdle()
 }
@@ -174,6 +176,3 @@
 	s.metrics.duration.WithLabelValues(string(c.service.Name)).Observe(s.now().Sub(c.started).Seconds())
 	s.record(c, timeline.KindRequestFinished, "", "")
 }
-
-// RunDuties runs the background duties until ctx ends.
-func (s *Server) RunDuties(ctx context.Context) { s.runReports(ctx) }
