--- a/internal/control/bundles/adopt.go
+++ b/internal/control/bundles/adopt.go
@@ -120,6 +120,10 @@
 	}
 }
 
+func (c *candidate) dropSource(source SectionSource) {
+	c.sources = slices.DeleteFunc(c.sources, func(s SectionSource) bool { return s.Peer() == source.Peer() })
+}
+
 // tryDue works on the candidates that are due, the highest generation first, until
 // one is in force.
 func (a *adopter) tryDue(ctx context.Context) {
--- a/internal/control/bundles/assemble.go
+++ b/internal/control/bundles/assemble.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"savoryweir/internal/coordination/bundlecheck"
 	"savoryweir/internal/coordination/signoff"
@@ -87,19 +88,31 @@
 			c.fetched[hash] = data
 		}
 	}
-	sources := append([]SectionSource{a.store}, c.sources...)
-	for _, source := range slices.Backward(sources) {
-		missing := lacking(c.fetched, hashes)
-		for len(missing) > 0 && a.fetchFrom(ctx, source, c, missing) {
-			missing = lacking(c.fetched, hashes)
-		}
+	missing := lacking(c.fetched, hashes)
+	for _, source := range slices.Backward(slices.Clone(c.sources)) {
+		missing = a.fetchAllFrom(ctx, source, a.settings.FetchTimeout, c, missing)
 	}
-	if missing := lacking(c.fetched, hashes); len(missing) > 0 {
+	missing = a.fetchAllFrom(ctx, a.store, a.settings.StoreTimeout, c, missing)
+	if len(missing) > 0 {
 		return &bundlefile.MissingError{Hashes: missing}
 	}
 	return nil
 }
 
+// fetchAllFrom asks one source until nothing is missing or it gives nothing more, and
+// returns what is still missing. Sources may give few sections at once. One that gives
+// nothing is not asked again until it offers the head again.
+func (a *adopter) fetchAllFrom(ctx context.Context, source SectionSource, timeout time.Duration, c *candidate, missing []bundle.Hash) []bundle.Hash {
+	for len(missing) > 0 {
+		if !a.fetchFrom(ctx, source, timeout, c, missing) {
+			c.dropSource(source)
+			break
+		}
+		missing = lacking(c.fetched, missing)
+	}
+	return missing
+}
+
 func lacking(have bundlefile.Sections, hashes []bundle.Hash) []bundle.Hash {
 	var missing []bundle.Hash
 	for _, hash := range hashes {
@@ -110,11 +123,10 @@
 	return missing
 }
 
-// fetchFrom asks one source and reports whether it gave anything, since sources may
-// give few sections at once. Data that was not asked for or does not match its hash
-// is dropped.
-func (a *adopter) fetchFrom(ctx context.Context, source SectionSource, c *candidate, hashes []bundle.Hash) bool {
-	ctx, cancel := context.WithTimeout(ctx, a.settings.FetchTimeout)
+// fetchFrom asks one source and reports whether it gave anything. Data that was not
+// asked for or does not match its hash is dropped.
+func (a *adopter) fetchFrom(ctx context.Context, source SectionSource, timeout time.Duration, c *candidate, hashes []bundle.Hash) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sections, err := source.FetchSections(ctx, hashes)
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/control/bundles/bench_test.go
+++ b/internal/control/bundles/bench_test.go
@@ -25,8 +25,8 @@
 )
 
 var testSettings = Settings{
-	StartWait: 3 * time.Second, WatchWait: 30 * time.Second, PollInterval: time.Minute,
-	FetchTimeout: 3 * time.Second, RetryMin: 200 * time.Millisecond, RetryMax: 5 * time.Second,
+	StartWait: 3 * time.Second, WatchWait: 5 * time.Second, PollInterval: time.Minute,
+	FetchTimeout: time.Second, StoreTimeout: 5 * time.Second, RetryMin: 200 * time.Millisecond, RetryMax: 5 * time.Second,
 }
 
 func operatorKey(name approval.Operator) approval.Key {
@@ -141,13 +141,17 @@
 // stop ends all instances and checks that no generation ever went down.
 func (b *bench) stop() {
 	for _, i := range b.instances {
-		i.cancel()
-		<-i.done
-		assert.Check(b.t, slices.IsSorted(i.generations()), "%s reverted: %v", i.name, i.generations())
+		b.stopInstance(i)
 	}
 	b.instances = nil
 }
 
+func (b *bench) stopInstance(i *instance) {
+	i.cancel()
+	<-i.done
+	assert.Check(b.t, slices.IsSorted(i.generations()), "%s reverted: %v", i.name, i.generations())
+}
+
 // approve signs content by the given operators and moves the pointer.
 func (b *bench) approve(content *bundle.Bundle, signers ...approval.Operator) bundle.Head {
 	b.t.Helper()
--- a/internal/control/bundles/manager_test.go
+++ b/internal/control/bundles/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,6 +15,9 @@
 	"savoryweir/internal/state/bundle"
 )
 
+// inForceWithin is the target for an accepted bundle to be in force everywhere.
+const inForceWithin = 10 * time.Second
+
 const spread = 5 * time.Second // more than enough for a watch, a fetch and two rounds between peers
 
 func TestAcceptedBundleComesIntoForce(t *testing.T) {
@@ -107,7 +111,9 @@
 		other.Offer(head, watcher)
 		b.gossip(3*testSettings.PollInterval, watcher, other)
 		b.wantGeneration(1, watcher, other)
+		// A badly signed approval right after does not hide a valid one from any watcher.
 		b.approve(testBundle("3"), "anna", "babis")
+		b.approve(testBundle("4"), "anna")
 		b.gossip(spread, watcher, other)
 		b.wantGeneration(3, watcher, other)
 	})
@@ -154,9 +160,9 @@
 }
 
 // hangingSource never answers, as a connection that went silent.
-type hangingSource struct{}
+type hangingSource struct{ name errs.Peer }
 
-func (hangingSource) Peer() errs.Peer { return "silent" }
+func (s hangingSource) Peer() errs.Peer { return s.name }
 
 func (hangingSource) FetchSections(ctx context.Context, _ []bundle.Hash) ([]bundlefile.Section, error) {
 	<-ctx.Done()
@@ -170,9 +176,10 @@
 		b.gossip(spread, watcher, slow)
 		slow.link.SetFaults(objectapi.LinkFaults{Cut: true})
 		second := b.approve(testBundle("2"), "anna", "babis")
-		slow.Offer(second, hangingSource{}) // the roll-out of generation 2 begins and stalls
+		slow.Offer(second, hangingSource{"silent"}) // the roll-out of generation 2 begins and stalls
 		time.Sleep(time.Second)
 		b.approve(testBundle("1"), "anna", "babis") // generation 3 has the content of generation 1
+		time.Sleep(100 * time.Millisecond)          // the watcher has taken it
 		b.gossip(2*spread, watcher, slow)
 		b.wantGeneration(3, watcher, slow)
 		assert.DeepEqual(t, slow.generations(), []bundle.Generation{1, 3})
@@ -180,6 +187,21 @@
 	})
 }
 
+// Ten peers told of the bundle and went silent right after.
+func TestSilentPeersDelayABundleBySecondsOnly(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		i := b.start(false, objectapi.LinkFaults{})
+		time.Sleep(spread)
+		head := b.approve(testBundle("1"), "anna", "babis")
+		const peers = 10
+		for n := range peers {
+			i.Offer(head, hangingSource{errs.Peer(fmt.Sprint(n))})
+		}
+		time.Sleep(inForceWithin)
+		b.wantGeneration(1, i)
+	})
+}
+
 // forgingSource answers with other data than asked for.
 type forgingSource struct{}
 
--- a/internal/control/bundles/watch.go
+++ b/internal/control/bundles/watch.go
@@ -5,17 +5,22 @@
 	"errors"
 	"time"
 
+	"savoryweir/internal/coordination/signoff"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/object"
+	"savoryweir/internal/state/timeline"
 	"savoryweir/internal/transport/bundlestore"
 )
 
 // storeSource fetches sections from the store.
 type storeSource struct{ store PointerStore }
 
+// maxUnsigned is how many badly signed approvals in a row are passed over.
+const maxUnsigned = 64
+
 // storePeer names the store in errors.
 const storePeer errs.Peer = "store"
 
@@ -123,8 +128,7 @@
 	if err != nil {
 		return 0, errs.Wrap(err, "read bundle pointer", storePeer)
 	}
-	m.offerPointer(o)
-	return o.Version, nil
+	return o.Version, m.offerPointer(ctx, o)
 }
 
 func (m *Manager) watchPointer(ctx context.Context, after object.Version) (object.Version, error) {
@@ -133,19 +137,56 @@
 		return after, errs.Wrap(err, "watch bundle pointer", storePeer)
 	}
 	for _, e := range events {
-		if !e.Deleted && e.Object.Name == approvalfile.PointerName {
-			m.offerPointer(e.Object)
+		if e.Deleted || e.Object.Name != approvalfile.PointerName {
+			continue
+		}
+		if err := m.offerPointer(ctx, e.Object); err != nil {
+			return after, err
 		}
 	}
 	return next, nil
 }
 
-func (m *Manager) offerPointer(o object.Object) {
+// offerPointer puts the pointer's approval forward. If it is not signed as the policy
+// requires, the latest one before it that is comes from the history, so that a writer
+// without keys cannot hide an approved generation.
+func (m *Manager) offerPointer(ctx context.Context, o object.Object) error {
+	pointer, signed := m.offerApproval(o)
+	if signed {
+		return nil
+	}
+	m.metrics.refused.Inc()
+	generation := pointer.Approval.Generation
+	for range maxUnsigned {
+		if generation <= m.Head().Generation+1 {
+			return nil
+		}
+		generation--
+		o, err := m.options.Store.Get(ctx, approvalfile.KindHistory, approvalfile.HistoryName(generation))
+		if errors.Is(err, object.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return errs.Wrap(err, "read bundle history", storePeer)
+		}
+		if _, signed := m.offerApproval(o); signed {
+			return nil
+		}
+	}
+	return nil
+}
+
+// offerApproval offers a recorded approval and reports whether its signatures suffice.
+func (m *Manager) offerApproval(o object.Object) (bundlestore.Pointer, bool) {
 	pointer, err := bundlestore.DecodePointer(o)
+	if err == nil {
+		err = signoff.CheckApproval(m.options.Policy, pointer.Approval)
+	}
 	if err != nil {
-		m.metrics.refused.Inc()
-		m.log.Error().Err(err).Msg("Pointer not readable.")
-		return
+		m.log.Error().Err(err).Str("object", string(o.Name)).Msg("Approval refused.")
+		m.record(timeline.KindBundleRefused, pointer.Head(), err.Error())
+		return pointer, false
 	}
 	m.Offer(pointer.Head(), pointerSource{storeSource: m.store, approval: bundlefile.NewSection(o.Data)})
+	return pointer, true
 }
--- a/internal/ctl/bundle.go
+++ b/internal/ctl/bundle.go
@@ -19,7 +19,7 @@
 	Sign     SignCommand     `cmd:"" help:"Sign the content of a bundle."`
 	Approve  ApproveCommand  `cmd:"" help:"Bring a signed bundle into force as the next generation."`
 	Fallback FallbackCommand `cmd:"" help:"Bring the content of an earlier generation into force again."`
-	History  HistoryCommand  `cmd:"" help:"List all generations."`
+	History  HistoryCommand  `cmd:"" help:"List the latest generations."`
 	Show     ShowCommand     `cmd:"" help:"Print a bundle with its signatures."`
 }
 
@@ -98,17 +98,19 @@
 }
 
 // HistoryCommand lists the generations.
-type HistoryCommand struct{}
+type HistoryCommand struct {
+	Limit int `help:"Largest number of generations." default:"20" min:"1" max:"10000"`
+}
 
 // Help implements kong's detailed help.
 func (HistoryCommand) Help() string {
 	return `Example:
-  savoryweirctl bundle history`
+  savoryweirctl bundle history --limit 100`
 }
 
 // Run prints a line for each generation, the latest first.
 func (c *HistoryCommand) Run(env *Environment) error {
-	approvals, err := env.store().History(env.Context)
+	approvals, err := env.store().History(env.Context, c.Limit)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -166,7 +166,7 @@
 	for number, name := range []string{"i1", "i2"} {
 		recorder := timeline.NewRecorder(hlc.New(time.Now), "control", name, "attica-1", 100)
 		i := &instance{name: name, recorder: recorder, Manager: bundles.New(bundles.Options{
-			Settings: bundles.Settings{WatchWait: time.Second, PollInterval: time.Hour, FetchTimeout: time.Minute, RetryMin: time.Millisecond, RetryMax: time.Second},
+			Settings: bundles.Settings{WatchWait: time.Second, PollInterval: time.Hour, FetchTimeout: time.Minute, StoreTimeout: time.Minute, RetryMin: time.Millisecond, RetryMax: time.Second},
 			Policy:   policy, Store: s.memory, Recorder: recorder, Logger: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, 1)),
 		})}
 		server := httptest.NewServer(operations.Handler(operations.Options{
--- a/internal/transport/bundlestore/bundlestore_test.go
+++ b/internal/transport/bundlestore/bundlestore_test.go
@@ -181,11 +181,14 @@
 	for g := range bundle.Generation(3) {
 		assert.NilError(t, b.stores[0].Move(t.Context(), b.pointer(t), attempt(g+1, fmt.Sprintf("n%d", g+1))))
 	}
-	history, err := b.stores[1].History(t.Context())
+	history, err := b.stores[1].History(t.Context(), 10)
 	assert.NilError(t, err)
 	assert.Equal(t, len(history), 3)
 	assert.Equal(t, history[0].Nonce, "n3")
 	assert.Equal(t, history[2].Nonce, "n1")
+	latest, err := b.stores[1].History(t.Context(), 2)
+	assert.NilError(t, err)
+	assert.Equal(t, len(latest), 2)
 	first, err := b.stores[1].Approved(t.Context(), 1)
 	assert.NilError(t, err)
 	assert.Equal(t, first.Nonce, "n1")
--- a/internal/transport/bundlestore/move.go
+++ b/internal/transport/bundlestore/move.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/approvalfile"
@@ -143,29 +142,19 @@
 	return s.history(ctx, generation)
 }
 
-// History returns all approvals, the latest first.
-func (s *Store) History(ctx context.Context) ([]approval.Approval, error) {
+// History returns the latest approvals, at most limit, the latest first.
+func (s *Store) History(ctx context.Context, limit int) ([]approval.Approval, error) {
 	current, err := s.Pointer(ctx)
-	if err != nil {
+	if err != nil || current.Version == 0 {
 		return nil, err
 	}
-	found, err := s.objects.List(ctx, approvalfile.KindHistory, "")
-	if err != nil {
-		return nil, errs.Wrap(err, "list bundle history", peer)
-	}
-	var approvals []approval.Approval
-	for _, o := range found {
-		a, err := approvalfile.DecodeApproval(o.Data)
+	approvals := []approval.Approval{current.Approval}
+	for g := current.Approval.Generation - 1; g > 0 && len(approvals) < limit; g-- {
+		earlier, err := s.history(ctx, g)
 		if err != nil {
-			return nil, errs.Wrap(err, "decode bundle history", peer)
+			return nil, err
 		}
-		if a.Generation < current.Approval.Generation {
-			approvals = append(approvals, a)
-		}
-	}
-	if current.Version != 0 {
-		approvals = append(approvals, current.Approval)
+		approvals = append(approvals, earlier)
 	}
-	slices.Reverse(approvals)
 	return approvals, nil
 }
