--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -39,7 +39,7 @@
 	ReasonDeadline Reason = "deadline can't be met"
 )
 
-// Places are the requests that the service's upstreams can run for this entry.
+// Places are the requests that the service's upstreams can run, for all entries.
 type Places struct {
 	Total int
 	Free  int
@@ -96,6 +96,7 @@
 	if !q.meetsDeadline(now, request, q.ahead(c, at)) {
 		return q.refuse(now, request, ReasonDeadline), false
 	}
+	q.usage.see(now, request.Caller)
 	if q.Len() == 0 {
 		q.pace.backlogStarts(now)
 	}
@@ -171,15 +172,16 @@
 func (q *Queue) order(places Places) []class {
 	var order []class
 	long := float64(q.byClass[classLong])
-	total := float64(places.Total)
-	if long < q.settings.LongFloor*total {
+	running := float64(len(q.running) + 1)
+	if long < q.settings.LongFloor*running {
 		order = append(order, classLong)
 	}
 	order = append(order, classNow)
-	if long < q.settings.LongShare*total {
+	if long < q.settings.LongShare*running {
 		order = append(order, classLong)
 	}
-	if float64(places.Free) > q.settings.OvernightReserve*total && len(q.waiting[classNow]) == 0 {
+	reserve := q.settings.OvernightReserve * float64(places.Total)
+	if float64(places.Free) > reserve && len(q.waiting[classNow]) == 0 {
 		order = append(order, classOvernight)
 	}
 	return order
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// negligibleUse is the decayed use below which a caller is forgotten.
-const negligibleUse = float64(time.Millisecond)
+const (
+	// negligibleUse is the decayed use below which a caller is forgotten.
+	negligibleUse = float64(time.Millisecond)
+	// presence is the use recorded of a caller that only waits.
+	presence = float64(10 * time.Millisecond)
+)
 
 // usage records what each caller used lately, decayed by half each window.
 type usage struct {
@@ -26,6 +30,15 @@
 	u.total += float64(cost)
 }
 
+// see counts the caller among those that share the service.
+func (u *usage) see(now time.Time, caller Caller) {
+	u.decay(now)
+	if missing := presence - u.callers[caller]; missing > 0 {
+		u.callers[caller] += missing
+		u.total += missing
+	}
+}
+
 // isOver reports whether caller used more than its equal share and the slack.
 func (u *usage) isOver(now time.Time, caller Caller, slack float64) bool {
 	u.decay(now)
--- /dev/null
+++ b/internal/coordination/bulkhead/bulkhead_test.go
@@ -0,0 +1,44 @@
+package bulkhead
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryweir/internal/state/bundle"
+)
+
+func fillUp(b *Bulkhead, service bundle.ServiceName) int {
+	n := 0
+	for b.Enter(service) {
+		n++
+	}
+	return n
+}
+
+func TestFullServiceLeavesTheReserveOfOthers(t *testing.T) {
+	b := New(Settings{Reserved: 10, Shared: 5})
+	assert.Equal(t, fillUp(b, "sick"), 15)
+	assert.Equal(t, fillUp(b, "sound"), 10)
+}
+
+func TestNoPlaceIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Settings{Reserved: 3, Shared: 4})
+		services := []bundle.ServiceName{"a", "b", "c"}
+		for _, step := range rapid.SliceOf(rapid.IntRange(0, 5)).Draw(t, "steps") {
+			if step < 3 {
+				b.Enter(services[step])
+			} else {
+				b.Leave(services[step-3])
+			}
+		}
+		for _, s := range services {
+			for b.Used(s) > 0 {
+				b.Leave(s)
+			}
+		}
+		assert.Equal(t, fillUp(b, "a"), 7)
+	})
+}
--- a/internal/coordination/outlier/outlier.go
+++ b/internal/coordination/outlier/outlier.go
@@ -74,8 +74,11 @@
 type Detector struct {
 	settings  Settings
 	upstreams map[bundle.UpstreamID]*record
+	median    float64 // of the slowness of all upstreams, computed when needed
 }
 
+// record is what the detector knows of one upstream. Most upstreams never leave
+// the healthy state, so their lifecycle is made at the first ejection.
 type record struct {
 	lifecycle   *fsm.FSM
 	since       time.Time // start of the present state
@@ -102,17 +105,17 @@
 	}
 	for _, id := range upstreams {
 		if d.upstreams[id] == nil {
-			d.upstreams[id] = newRecord()
+			d.upstreams[id] = &record{}
 		}
 	}
 }
 
-func newRecord() *record {
-	return &record{lifecycle: fsm.NewFSM(stateHealthy, fsm.Events{
+func newLifecycle() *fsm.FSM {
+	return fsm.NewFSM(stateHealthy, fsm.Events{
 		{Name: eventEject, Src: []string{stateHealthy, stateRecovering}, Dst: stateEjected},
 		{Name: eventAdmit, Src: []string{stateEjected}, Dst: stateRecovering},
 		{Name: eventRecover, Src: []string{stateRecovering}, Dst: stateHealthy},
-	}, nil)}
+	}, nil)
 }
 
 // Observe records an ended attempt.
@@ -123,7 +126,7 @@
 	}
 	d.advance(now, r)
 	r.observe(result)
-	if r.lifecycle.Is(stateEjected) || !d.isOutlier(r) || !d.mayEject(now) {
+	if r.is(stateEjected) || !d.isOutlier(r) || !d.mayEject(now) {
 		return
 	}
 	r.ejections++
@@ -137,7 +140,7 @@
 		return Status{}
 	}
 	d.advance(now, r)
-	switch r.lifecycle.Current() {
+	switch r.state() {
 	case stateEjected:
 		return Status{Ejected: true}
 	case stateRecovering:
@@ -149,13 +152,13 @@
 
 // advance moves the record through the states that depend on time alone.
 func (d *Detector) advance(now time.Time, r *record) {
-	if r.lifecycle.Is(stateEjected) && now.Sub(r.since) >= d.ejectFor(r) {
+	if r.is(stateEjected) && now.Sub(r.since) >= d.ejectFor(r) {
 		r.enter(now, eventAdmit)
 	}
-	if r.lifecycle.Is(stateRecovering) && d.step(now, r) >= len(d.settings.RecoverySteps) {
+	if r.is(stateRecovering) && d.step(now, r) >= len(d.settings.RecoverySteps) {
 		r.enter(now, eventRecover)
 	}
-	if r.lifecycle.Is(stateHealthy) && now.Sub(r.since) > 2*d.settings.EjectForMax {
+	if r.is(stateHealthy) && now.Sub(r.since) > 2*d.settings.EjectForMax {
 		r.ejections = 0
 	}
 }
@@ -173,13 +176,13 @@
 }
 
 func (d *Detector) isOutlier(r *record) bool {
-	if r.inRow >= d.settings.Failures || (r.lifecycle.Is(stateRecovering) && r.inRow > 0) {
+	if r.inRow >= d.settings.Failures || (r.is(stateRecovering) && r.inRow > 0) {
 		return true
 	}
 	if r.samples < d.settings.MinSamples {
 		return false
 	}
-	return r.failureRate >= d.settings.FailureRate || r.slowness > d.settings.SlowFactor*d.medianSlowness()
+	return r.failureRate >= d.settings.FailureRate || d.isSlow(r)
 }
 
 // mayEject reports whether one more ejection leaves the floor of kept upstreams.
@@ -187,7 +190,7 @@
 	kept := 0
 	for _, r := range d.upstreams {
 		d.advance(now, r)
-		if !r.lifecycle.Is(stateEjected) {
+		if !r.is(stateEjected) {
 			kept++
 		}
 	}
@@ -195,10 +198,19 @@
 	return float64(kept-1) >= floor
 }
 
-func (d *Detector) medianSlowness() float64 {
+// isSlow compares with the last median, and with a fresh one before it says yes.
+func (d *Detector) isSlow(r *record) bool {
+	if r.slowness <= d.settings.SlowFactor*d.median {
+		return false
+	}
+	d.median = d.computeMedian()
+	return r.slowness > d.settings.SlowFactor*d.median
+}
+
+func (d *Detector) computeMedian() float64 {
 	values := make([]float64, 0, len(d.upstreams))
 	for _, r := range d.upstreams {
-		if r.samples > 0 {
+		if r.slowness > 0 {
 			values = append(values, r.slowness)
 		}
 	}
@@ -206,6 +218,15 @@
 	return values[len(values)/2]
 }
 
+func (r *record) state() string {
+	if r.lifecycle == nil {
+		return stateHealthy
+	}
+	return r.lifecycle.Current()
+}
+
+func (r *record) is(state string) bool { return r.state() == state }
+
 func (r *record) observe(result Result) {
 	r.samples++
 	failed := 0.0
@@ -216,13 +237,20 @@
 		r.inRow = 0
 	}
 	r.failureRate += meanWeight * (failed - r.failureRate)
-	if result.Slowness > 0 {
+	switch {
+	case result.Slowness <= 0:
+	case r.slowness == 0:
+		r.slowness = result.Slowness
+	default:
 		r.slowness += meanWeight * (result.Slowness - r.slowness)
 	}
 }
 
 // enter changes the state and forgets the samples of the last one.
 func (r *record) enter(now time.Time, event string) {
+	if r.lifecycle == nil {
+		r.lifecycle = newLifecycle()
+	}
 	if err := r.lifecycle.Event(context.Background(), event); err != nil {
 		return
 	}
--- a/internal/coordination/routing/filters.go
+++ b/internal/coordination/routing/filters.go
@@ -67,11 +67,10 @@
 	return c.Slots == 0 || c.estimate() < f.SpillBelow*float64(c.Slots)
 }
 
-// PairFilter narrows the candidates to the two that the request's hashes name:
-// the first by its prefix, the second by its fingerprint. Equal requests have the
-// same pair at every entry, so a request that crashes its upstream reaches at
-// most two, even when entries run it at the same moment and know nothing of each
-// other. A hot prefix still spreads over all upstreams by the second choice.
+// PairFilter narrows the candidates to the two that the request's hashes name.
+// Equal requests have the same pair at every entry, so a request that crashes its
+// upstream reaches at most two, even when entries run it at the same moment and
+// know nothing of each other.
 //
 // It must be the first filter: the pair is taken from all hosts of the model,
 // also those without room. An upstream leaves the pairs only after it was down
@@ -79,6 +78,9 @@
 // Excluded upstreams stay in the pair, so that a retry goes to the other of the two.
 type PairFilter struct {
 	Settle time.Duration
+	// ByPrefix takes the first upstream by the prefix in place of the fingerprint.
+	// A hot prefix still spreads over all upstreams by the second one.
+	ByPrefix bool
 }
 
 // Filter implements Filter.
@@ -87,7 +89,7 @@
 	if len(hosts) < 2 {
 		return hosts
 	}
-	first := highest(hosts, firstKey(request), "")
+	first := highest(hosts, f.firstKey(request), "")
 	second := highest(hosts, request.Fingerprint, hosts[first].Upstream)
 	hosts[first].firstChoice = true
 	return []Candidate{hosts[first], hosts[second]}
@@ -111,8 +113,8 @@
 	return !c.DownSince.IsZero() && now.Sub(c.DownSince) >= f.Settle
 }
 
-func firstKey(request Request) uint64 {
-	if request.PrefixHash != 0 {
+func (f PairFilter) firstKey(request Request) uint64 {
+	if f.ByPrefix && request.PrefixHash != 0 {
 		return request.PrefixHash
 	}
 	return ^request.Fingerprint
--- a/internal/coordination/routing/policies.go
+++ b/internal/coordination/routing/policies.go
@@ -55,16 +55,22 @@
 type KeyedSettings struct {
 	Settle      time.Duration // how long a lost upstream keeps its place in the pairs
 	Overbook    int           // requests above the batch size that may wait at an engine
-	PrefixBonus float64       // load that a cached prefix outweighs
+	PrefixBonus float64       // load that a cached prefix outweighs, zero for no affinity
 	Zone        bundle.Zone   // availability zone of this instance
 	ZonePenalty float64       // load that a local upstream may have more
 }
 
-// NewKeyed returns prefix affinity with bounded load: the cheaper of the two
-// upstreams that the request's hashes name, see PairFilter.
+// DefaultKeyedSettings returns the settings to start from.
+func DefaultKeyedSettings(zone bundle.Zone) KeyedSettings {
+	return KeyedSettings{Settle: 4 * time.Second, Overbook: 8, Zone: zone, ZonePenalty: 0.5}
+}
+
+// NewKeyed returns the cheaper of the two upstreams that the request's hashes
+// name, see PairFilter. With a PrefixBonus it is prefix affinity with bounded load.
 func NewKeyed(s KeyedSettings) Scheduler {
+	pair := PairFilter{Settle: s.Settle, ByPrefix: s.PrefixBonus > 0}
 	return Scheduler{
-		Filters: []Filter{PairFilter{Settle: s.Settle}, UsableFilter{}, RoomFilter{Overbook: s.Overbook}},
+		Filters: []Filter{pair, UsableFilter{}, RoomFilter{Overbook: s.Overbook}},
 		Scorers: []Scorer{
 			EstimatedLoad{},
 			FirstChoiceBonus{Requests: s.PrefixBonus},
--- /dev/null
+++ b/internal/coordination/routing/routing_test.go
@@ -0,0 +1,159 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryweir/internal/state/bundle"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func hosts(n int) []Candidate {
+	var candidates []Candidate
+	for i := range n {
+		candidates = append(candidates, Candidate{
+			Upstream: bundle.UpstreamID(fmt.Sprintf("engine-%d", i)),
+			Zone:     bundle.Zone(fmt.Sprintf("zone-%d", i%3)),
+			Limit:    32, Slots: 32, HasModel: true,
+		})
+	}
+	return candidates
+}
+
+func TestPoliciesNeverPickAnUnusableUpstream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		candidates := hosts(rapid.IntRange(1, 12).Draw(t, "hosts"))
+		for i := range candidates {
+			candidates[i].Ejected = r.IntN(3) == 0
+			candidates[i].Leaving = r.IntN(4) == 0
+			candidates[i].HasModel = r.IntN(4) != 0
+			candidates[i].InFlight = r.IntN(40)
+		}
+		request := Request{Model: "m", Fingerprint: r.Uint64(), Excluded: []bundle.UpstreamID{"engine-0"}}
+		for _, p := range []Picker{
+			NewRandom(r), NewLeastReported(), NewTwoChoices(r), NewLateTwoChoices(r, 2),
+			NewLeastEstimated(2), NewKeyed(DefaultKeyedSettings("zone-0")), PowerOfTwo{Rand: r},
+		} {
+			id, err := p.Pick(start, request, candidates)
+			if err != nil {
+				assert.ErrorIs(t, err, ErrNoUpstream)
+				continue
+			}
+			for _, c := range candidates {
+				assert.Assert(t, c.Upstream != id || c.accepts(request), "picked %s", id)
+			}
+		}
+	})
+}
+
+// Entries see different loads, ejections and deaths of the same upstreams, yet a
+// request reaches only its pair until a death has settled.
+func TestEqualRequestsReachAtMostTwoUpstreams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		settings := DefaultKeyedSettings("zone-0")
+		settings.PrefixBonus = float64(r.IntN(2) * 4)
+		picker := NewKeyed(settings)
+		request := Request{Model: "m", Fingerprint: r.Uint64(), PrefixHash: r.Uint64()}
+		reached := make(map[bundle.UpstreamID]bool)
+		for range 50 {
+			candidates := hosts(9)
+			for i := range candidates {
+				candidates[i].InFlight = r.IntN(33)
+				candidates[i].Ejected = r.IntN(3) == 0
+				if candidates[i].Ejected {
+					candidates[i].DownSince = start.Add(-time.Duration(r.Int64N(int64(settings.Settle))))
+				}
+			}
+			if id, err := picker.Pick(start, request, candidates); err == nil {
+				reached[id] = true
+			}
+		}
+		assert.Assert(t, len(reached) <= 2, "reached %v", reached)
+	})
+}
+
+func TestRequestLeavesItsPairAfterTheDeathsSettled(t *testing.T) {
+	picker := NewKeyed(DefaultKeyedSettings("zone-0"))
+	request := Request{Model: "m", Fingerprint: 42}
+	candidates := hosts(9)
+	for _, c := range (PairFilter{}).Filter(start, request, candidates) {
+		for i := range candidates {
+			if candidates[i].Upstream == c.Upstream {
+				candidates[i].Ejected = true
+				candidates[i].DownSince = start
+			}
+		}
+	}
+	_, err := picker.Pick(start.Add(time.Second), request, candidates)
+	assert.ErrorIs(t, err, ErrNoUpstream)
+	_, err = picker.Pick(start.Add(5*time.Second), request, candidates)
+	assert.NilError(t, err)
+}
+
+func TestRetryGoesToTheOtherOfThePair(t *testing.T) {
+	picker := NewKeyed(DefaultKeyedSettings("zone-0"))
+	request := Request{Model: "m", Fingerprint: 7}
+	first, err := picker.Pick(start, request, hosts(9))
+	assert.NilError(t, err)
+	request.Excluded = []bundle.UpstreamID{first}
+	candidates := hosts(9)
+	for i := range candidates {
+		if candidates[i].Upstream == first {
+			candidates[i].Ejected = true
+			candidates[i].DownSince = start.Add(-time.Hour)
+		}
+	}
+	second, err := picker.Pick(start, request, candidates)
+	assert.NilError(t, err)
+	pair := (PairFilter{}).Filter(start, Request{Model: "m", Fingerprint: 7}, hosts(9))
+	assert.Assert(t, second != first)
+	assert.Assert(t, pair[0].Upstream == second || pair[1].Upstream == second)
+}
+
+func TestZoneFilterKeepsNeighboursForTheirOwnRequests(t *testing.T) {
+	filter := ZoneFilter{Local: "zone-0", SpillBelow: 0.5}
+	candidates := hosts(3)
+	candidates[0].Reported.Running = 32
+	candidates[1].Reported.Running = 20
+	candidates[2].Reported.Running = 10
+	kept := filter.Filter(start, Request{}, candidates)
+	assert.Equal(t, len(kept), 2)
+	assert.Equal(t, kept[0].Upstream, bundle.UpstreamID("engine-0"))
+	assert.Equal(t, kept[1].Upstream, bundle.UpstreamID("engine-2"))
+}
+
+func TestRoomFilterCountsWhatWasSentAfterTheReport(t *testing.T) {
+	candidates := hosts(1)
+	candidates[0].Reported.Running = 30
+	assert.Equal(t, len(RoomFilter{}.Filter(start, Request{}, candidates)), 1)
+	candidates[0].SentSinceReport = 2
+	assert.Equal(t, len(RoomFilter{}.Filter(start, Request{}, candidates)), 0)
+	assert.Equal(t, len(RoomFilter{Overbook: 2}.Filter(start, Request{}, candidates)), 1)
+}
+
+func TestRecoveringUpstreamGetsItsShareOfPlaces(t *testing.T) {
+	candidates := hosts(1)
+	candidates[0].RecoveryShare = 0.25
+	candidates[0].Reported.Running = 7
+	assert.Equal(t, len(RoomFilter{}.Filter(start, Request{}, candidates)), 1)
+	candidates[0].Reported.Running = 8
+	assert.Equal(t, len(RoomFilter{}.Filter(start, Request{}, candidates)), 0)
+}
+
+func TestHomeMovesOnlyTheKeysOfTheMemberThatLeft(t *testing.T) {
+	members := []string{"a", "b", "c", "d"}
+	for key := range uint64(500) {
+		before := Home(key, members)
+		after := Home(key, members[:3])
+		assert.Assert(t, before == "d" || before == after)
+	}
+	assert.Equal(t, Home(1, nil), "")
+}
--- /dev/null
+++ b/internal/coordination/suspect/suspect_test.go
@@ -0,0 +1,130 @@
+package suspect
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryweir/internal/state/bundle"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func print(text string) Fingerprint { return Of("tagger", []byte(text)) }
+
+func TestCrashingRequestIsRefusedAfterTwoUpstreams(t *testing.T) {
+	r := New(DefaultSettings())
+	f := print("crash")
+	assert.Equal(t, r.Decide(start, f).Verdict, Run)
+	r.Started(f, "a")
+	r.Died(start, "a")
+	assert.DeepEqual(t, r.Decide(start, f), Decision{Verdict: Isolate, Excluded: []bundle.UpstreamID{"a"}})
+	r.Started(f, "b")
+	assert.Assert(t, r.Busy(start, "b"))
+	r.Died(start, "b")
+	assert.Equal(t, r.Decide(start, f).Verdict, Refuse)
+	assert.Equal(t, r.Decide(start.Add(23*time.Hour), f).Verdict, Refuse)
+	assert.Equal(t, r.Decide(start.Add(46*time.Hour), f).Verdict, Refuse, "a resend renews the record")
+}
+
+func TestInnocentOfBothBatchesIsNotRefused(t *testing.T) {
+	r := New(DefaultSettings())
+	crash, innocent := print("crash"), print("innocent")
+	for _, upstream := range []bundle.UpstreamID{"a", "b"} {
+		r.Started(crash, upstream)
+		r.Started(innocent, upstream)
+		r.Died(start, upstream)
+	}
+	decision := r.Decide(start, innocent)
+	assert.Equal(t, decision.Verdict, Isolate)
+	assert.DeepEqual(t, decision.Only, []bundle.UpstreamID{"a", "b"})
+	r.Started(innocent, "a")
+	cleared, ok := r.Ended(start, innocent, "a", true)
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Decide(start, innocent).Verdict, Run)
+	assert.Equal(t, len(cleared.Upstreams), 0)
+}
+
+func TestFaultyUpstreamCondemnsNobody(t *testing.T) {
+	r := New(DefaultSettings())
+	f := print("innocent")
+	r.Started(print("other"), "b")
+	r.Died(start, "b")
+	r.Started(f, "a")
+	r.Died(start, "a")
+	r.Started(f, "b")
+	r.Died(start.Add(10*time.Second), "b")
+	assert.Equal(t, r.Decide(start.Add(10*time.Second), f).Verdict, Isolate)
+}
+
+func TestRecordsOfOtherInstancesAreJoined(t *testing.T) {
+	a, b := New(DefaultSettings()), New(DefaultSettings())
+	f := print("crash")
+	a.Started(f, "a")
+	records := a.Died(start, "a")
+	assert.Assert(t, b.Merge(start, records[0]))
+	assert.Assert(t, !b.Merge(start, records[0]))
+	assert.DeepEqual(t, b.Decide(start, f).Excluded, []bundle.UpstreamID{"a"})
+	b.Started(f, "b")
+	records = b.Died(start.Add(time.Second), "b")
+	assert.Assert(t, a.Merge(start, records[0]))
+	assert.Equal(t, a.Decide(start.Add(time.Second), f).Verdict, Refuse)
+}
+
+func TestOldRecordDoesNotUndoAClearedOne(t *testing.T) {
+	a, b := New(DefaultSettings()), New(DefaultSettings())
+	f := print("innocent")
+	a.Started(f, "a")
+	blamed := a.Died(start, "a")[0]
+	a.Started(f, "b")
+	cleared, _ := a.Ended(start.Add(time.Second), f, "b", true)
+	b.Merge(start, cleared)
+	b.Merge(start, blamed)
+	assert.Equal(t, b.Decide(start, f).Verdict, Run)
+}
+
+func TestRecordsAreBounded(t *testing.T) {
+	settings := DefaultSettings()
+	settings.Capacity = 8
+	r := New(settings)
+	for i := range 100 {
+		r.Merge(start, Record{Fingerprint: Of("tagger", []byte{byte(i)}), Upstreams: []bundle.UpstreamID{"a"}, Expires: start.Add(time.Hour)})
+	}
+	assert.Equal(t, len(r.records), 8)
+}
+
+// Whatever order deaths and records arrive in, no instance ever allows a third upstream.
+func TestNoThirdUpstreamOnceRecordsArrived(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		registries := []*Registry{New(DefaultSettings()), New(DefaultSettings()), New(DefaultSettings())}
+		pool := []bundle.UpstreamID{"a", "b", "c", "d", "e"}
+		crashed := make(map[bundle.UpstreamID]bool)
+		crash := print("crash")
+		now := start
+		for range 40 {
+			now = now.Add(5 * time.Second)
+			at := registries[r.IntN(len(registries))]
+			decision := at.Decide(now, crash)
+			target := pool[r.IntN(len(pool))]
+			if len(decision.Only) > 0 {
+				target = decision.Only[r.IntN(len(decision.Only))]
+			}
+			if decision.Verdict == Refuse || len(decision.Excluded) > 0 && decision.Excluded[0] == target {
+				continue
+			}
+			at.Started(crash, target)
+			at.Started(Of("tagger", []byte{byte(r.IntN(4))}), target)
+			crashed[target] = true
+			for _, record := range at.Died(now, target) {
+				for _, other := range registries {
+					other.Merge(now, record)
+				}
+			}
+		}
+		assert.Assert(t, len(crashed) <= MaxUpstreams, "crashed %v", crashed)
+	})
+}
