--- a/internal/bench/policy/lane.go
+++ b/internal/bench/policy/lane.go
@@ -134,7 +134,7 @@
 		return l.places
 	}
 	l.placesAt = l.sim.now
-	l.places = admission.Places{}
+	l.places = admission.Places{Instances: len(l.sim.instances)}
 	for _, v := range l.views {
 		if !v.downSince.IsZero() {
 			continue
@@ -326,11 +326,11 @@
 
 func (v *view) end(now time.Time, a *attempt, completed bool, at time.Duration) {
 	v.inFlight--
-	if v.limiter == nil {
+	if v.limiter == nil || !completed {
 		return
 	}
 	v.limiter.Observe(now, limit.Sample{
-		Took: at - a.sentAt, Expected: a.expected, InFlight: a.inFlight, Failed: !completed,
+		Took: at - a.sentAt, Expected: a.expected, InFlight: a.inFlight,
 	})
 }
 
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -44,12 +44,32 @@
 func TestOvernightWorkLeavesPlacesFree(t *testing.T) {
 	q := newQueue()
 	q.Offer(start, request(1, routing.ClassOvernight, time.Hour))
-	_, ok := q.Take(start, Places{Total: 100, Free: 10}, anywhere)
+	_, ok := q.Take(start, Places{Total: 100, Free: 30}, anywhere)
 	assert.Assert(t, !ok)
-	_, ok = q.Take(start, Places{Total: 100, Free: 11}, anywhere)
+	_, ok = q.Take(start.Add(time.Second), Places{Total: 100, Free: 31}, anywhere)
 	assert.Assert(t, ok)
 }
 
+// Eight entries with the same lagging view fill a gap once, not eight times.
+func TestEntriesShareTheGaps(t *testing.T) {
+	sent := 0
+	for range 8 {
+		q := newQueue()
+		for id := range RequestID(100) {
+			q.Offer(start, request(id, routing.ClassOvernight, time.Hour))
+		}
+		for at := time.Duration(0); at <= time.Second; at += 50 * time.Millisecond {
+			for {
+				if _, ok := q.Take(start.Add(at), Places{Total: 100, Free: 70, Instances: 8}, anywhere); !ok {
+					break
+				}
+				sent++
+			}
+		}
+	}
+	assert.Assert(t, sent >= 30 && sent <= 80, "sent %d into a gap of 40", sent)
+}
+
 func TestOvernightWaitsForRequestsWantedNow(t *testing.T) {
 	q := newQueue()
 	q.Offer(start, request(1, routing.ClassOvernight, time.Hour))
--- a/internal/coordination/admission/estimator.go
+++ b/internal/coordination/admission/estimator.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-const estimatorWeight = 0.02 // of the latest answer in the mean
+const estimatorWeight = 0.1 // of the latest answer in the mean
 
 // Estimator predicts the time of an answer from its length and the present pace
 // of the service. An entry keeps one for each service.
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -41,8 +41,9 @@
 
 // Places are the requests that the service's upstreams can run, for all entries.
 type Places struct {
-	Total int
-	Free  int
+	Total     int
+	Free      int
+	Instances int // entries that fill these places
 }
 
 // Queue holds the waiting requests of one service. It is not safe for concurrent use.
@@ -54,6 +55,7 @@
 	byClass  [classCount]int
 	usage    *usage
 	pace     pace
+	gaps     gaps
 }
 
 type class int
@@ -107,7 +109,8 @@
 // Take removes the next request for which place returns true. It returns false
 // when none can run now.
 func (q *Queue) Take(now time.Time, places Places, place func(Request) bool) (Request, bool) {
-	for _, c := range q.order(places) {
+	q.gaps.refill(now, places, q.settings)
+	for _, c := range q.order() {
 		if request, ok := q.takeFrom(now, c, place); ok {
 			return request, true
 		}
@@ -169,7 +172,7 @@
 func (q *Queue) Running() int { return len(q.running) }
 
 // order returns the classes in the order in which they may use a free place.
-func (q *Queue) order(places Places) []class {
+func (q *Queue) order() []class {
 	var order []class
 	long := float64(q.byClass[classLong])
 	running := float64(len(q.running) + 1)
@@ -180,8 +183,7 @@
 	if long < q.settings.LongShare*running {
 		order = append(order, classLong)
 	}
-	reserve := q.settings.OvernightReserve * float64(places.Total)
-	if float64(places.Free) > reserve && len(q.waiting[classNow]) == 0 {
+	if q.gaps.tokens >= 1 && len(q.waiting[classNow]) == 0 {
 		order = append(order, classOvernight)
 	}
 	return order
@@ -205,6 +207,9 @@
 func (q *Queue) start(now time.Time, c class, request Request) {
 	q.running[request.ID] = request
 	q.byClass[c]++
+	if c == classOvernight {
+		q.gaps.tokens--
+	}
 	q.usage.add(now, request.Caller, request.Expected)
 	q.pace.took(now, q.Len() > 0)
 }
--- a/internal/coordination/admission/settings.go
+++ b/internal/coordination/admission/settings.go
@@ -21,6 +21,7 @@
 	LongFloor float64
 	// OvernightReserve is the share of places that overnight work leaves free.
 	OvernightReserve float64
+	OvernightPeriod  time.Duration // in which an entry fills its part of the gaps
 	FairnessWindow   time.Duration // half-life of the callers' recorded use
 	FairnessSlack    float64       // how far above its fair share a caller keeps its place
 	RetryAfterMin    time.Duration
@@ -33,7 +34,8 @@
 		Length:           4096,
 		LongShare:        0.5,
 		LongFloor:        0.1,
-		OvernightReserve: 0.1,
+		OvernightReserve: 0.3,
+		OvernightPeriod:  time.Second,
 		FairnessWindow:   10 * time.Second,
 		FairnessSlack:    0.5,
 		RetryAfterMin:    time.Second,
--- a/internal/coordination/limit/limit.go
+++ b/internal/coordination/limit/limit.go
@@ -2,8 +2,10 @@
 //
 // An entry keeps one Limiter for each upstream, passes Limit to routing as
 // Candidate.Limit and calls Observe when an attempt ends. The limit grows by one
-// for each round of good answers while it is in use, and shrinks by a factor at
-// most once in a Window when answers are late or refused.
+// for each round of good answers while it is in use, faster below its start value,
+// and shrinks by a factor at most once in a Window when answers are late or
+// refused for load. Other failures are left to package outlier: an upstream that
+// failed is not slower once it is back.
 package limit
 
 import "time"
@@ -16,11 +18,12 @@
 	Tolerance float64       // time above the expected one, as a factor, that counts as late
 	Decrease  float64       // factor on the limit at a late answer
 	Window    time.Duration // least time between two decreases
+	Regain    float64       // growth for each good answer below Start
 }
 
 // DefaultSettings returns the settings to start from.
 func DefaultSettings() Settings {
-	return Settings{Min: 1, Max: 256, Start: 32, Tolerance: 2.5, Decrease: 0.8, Window: time.Second}
+	return Settings{Min: 1, Max: 256, Start: 32, Tolerance: 2.5, Decrease: 0.8, Window: time.Second, Regain: 0.25}
 }
 
 // Sample is one ended attempt.
@@ -28,7 +31,7 @@
 	Took     time.Duration
 	Expected time.Duration
 	InFlight int  // when the attempt was sent
-	Failed   bool // refused, broken or timed out
+	Refused  bool // by the upstream, for load
 }
 
 // Limiter is the limit of one upstream.
@@ -48,15 +51,24 @@
 
 // Observe adapts the limit to an ended attempt.
 func (l *Limiter) Observe(now time.Time, s Sample) {
-	if s.Failed || l.isLate(s) {
+	if s.Refused || l.isLate(s) {
 		l.decrease(now)
 		return
 	}
 	if 2*s.InFlight >= l.Limit() {
-		l.limit = min(l.limit+1/l.limit, float64(l.settings.Max))
+		l.limit = min(l.limit+l.growth(), float64(l.settings.Max))
 	}
 }
 
+// growth returns the step for one good answer. Below the start value the limit
+// grows by a share of itself in each round.
+func (l *Limiter) growth() float64 {
+	if l.limit < float64(l.settings.Start) {
+		return l.settings.Regain
+	}
+	return 1 / l.limit
+}
+
 func (l *Limiter) isLate(s Sample) bool {
 	return float64(s.Took) > l.settings.Tolerance*float64(s.Expected)
 }
--- a/internal/coordination/outlier/outlier.go
+++ b/internal/coordination/outlier/outlier.go
@@ -39,7 +39,7 @@
 		SlowFactor:    3,
 		KeepShare:     0.5,
 		EjectFor:      2 * time.Second,
-		EjectForMax:   30 * time.Second,
+		EjectForMax:   4 * time.Second,
 		RecoverySteps: []float64{0.1, 0.25, 0.5},
 		StepTime:      time.Second,
 	}
--- a/internal/coordination/routing/filters.go
+++ b/internal/coordination/routing/filters.go
@@ -22,21 +22,27 @@
 	// Overbook is how many requests above the batch size may wait at the engine.
 	// It hides the round trip between the entry and the engine.
 	Overbook int
+	// OvernightShare is the share of the batch up to which overnight requests are
+	// sent, so that they don't slow down the others. Zero stands for all.
+	OvernightShare float64
 }
 
 // Filter implements Filter.
-func (f RoomFilter) Filter(_ time.Time, _ Request, candidates []Candidate) []Candidate {
+func (f RoomFilter) Filter(_ time.Time, request Request, candidates []Candidate) []Candidate {
 	var kept []Candidate
 	for _, c := range candidates {
-		if c.Slots == 0 || c.estimate() < f.places(c) {
+		if c.Slots == 0 || c.estimate() < f.places(request, c) {
 			kept = append(kept, c)
 		}
 	}
 	return kept
 }
 
-func (f RoomFilter) places(c Candidate) float64 {
+func (f RoomFilter) places(request Request, c Candidate) float64 {
 	places := float64(c.Slots + f.Overbook)
+	if request.Class == ClassOvernight && f.OvernightShare > 0 {
+		places = f.OvernightShare * float64(c.Slots)
+	}
 	if c.RecoveryShare > 0 {
 		places *= c.RecoveryShare
 	}
--- a/internal/coordination/routing/policies.go
+++ b/internal/coordination/routing/policies.go
@@ -34,7 +34,7 @@
 // wait in the entry until an upstream has room.
 func NewLateTwoChoices(r *rand.Rand, overbook int) Scheduler {
 	return Scheduler{
-		Filters: []Filter{UsableFilter{}, RoomFilter{Overbook: overbook}},
+		Filters: []Filter{UsableFilter{}, newRoomFilter(overbook)},
 		Scorers: []Scorer{EstimatedLoad{}},
 		Chooser: TwoChoices{Rand: r},
 	}
@@ -45,7 +45,7 @@
 // of a model, so that its estimate misses few of them.
 func NewLeastEstimated(overbook int) Scheduler {
 	return Scheduler{
-		Filters: []Filter{UsableFilter{}, RoomFilter{Overbook: overbook}},
+		Filters: []Filter{UsableFilter{}, newRoomFilter(overbook)},
 		Scorers: []Scorer{EstimatedLoad{}},
 		Chooser: LowestCost{},
 	}
@@ -70,7 +70,7 @@
 func NewKeyed(s KeyedSettings) Scheduler {
 	pair := PairFilter{Settle: s.Settle, ByPrefix: s.PrefixBonus > 0}
 	return Scheduler{
-		Filters: []Filter{pair, UsableFilter{}, RoomFilter{Overbook: s.Overbook}},
+		Filters: []Filter{pair, UsableFilter{}, newRoomFilter(s.Overbook)},
 		Scorers: []Scorer{
 			EstimatedLoad{},
 			FirstChoiceBonus{Requests: s.PrefixBonus},
@@ -79,3 +79,10 @@
 		Chooser: LowestCost{},
 	}
 }
+
+// overnightShare leaves the room that package admission reserves.
+const overnightShare = 0.7
+
+func newRoomFilter(overbook int) RoomFilter {
+	return RoomFilter{Overbook: overbook, OvernightShare: overnightShare}
+}
