--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -195,7 +195,8 @@
 type attemptResult struct {
 	abandoned bool // nothing was sent, or the caller left
 	failed    bool
-	tokens    int // of a stream
+	refused   bool // by the upstream, for load
+	tokens    int  // of a stream
 }
 
 // release ends a request at its upstream and gives the place to the next one.
@@ -207,7 +208,7 @@
 	delete(state.flights, f)
 	s.queue.Done(f.call.queueID)
 	if !state.diedAt.After(f.started) {
-		completed := !r.failed && !r.abandoned
+		completed := !r.failed && !r.refused && !r.abandoned
 		if record, news := t.suspects.Ended(now, f.call.suspectID(), f.upstream.ID, completed); news {
 			f.call.cleared = append(f.call.cleared, record)
 		}
@@ -223,7 +224,7 @@
 		return
 	}
 	took := now.Sub(f.started)
-	sample := limit.Sample{Took: took, Expected: took, InFlight: f.beside + 1, Failed: r.failed}
+	sample := limit.Sample{Took: took, Expected: took, InFlight: f.beside + 1, Refused: r.refused}
 	result := outlier.Result{Failed: r.failed}
 	if expected := s.perToken.times(r.tokens); expected > 0 {
 		sample.Expected = expected
@@ -231,7 +232,7 @@
 	}
 	state.limiter.Observe(now, sample)
 	s.detector.Observe(now, f.upstream.ID, result)
-	if r.tokens > 0 && !r.failed {
+	if r.tokens > 0 && !r.failed && !r.refused {
 		s.perToken = s.perToken.with(took / time.Duration(r.tokens))
 	}
 }
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -155,9 +155,18 @@
 	if cause != nil || errors.Is(err, errCallerGone) {
 		return attemptResult{abandoned: true}
 	}
+	var refused *refusal
+	if errors.As(err, &refused) && refused.forLoad() {
+		return attemptResult{refused: true}
+	}
 	return attemptResult{failed: true, tokens: tokens}
 }
 
+// forLoad reports whether the upstream refused because it is full.
+func (r *refusal) forLoad() bool {
+	return r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable
+}
+
 // waitForUpstream acquires an upstream for the call and watches over it.
 func (s *Server) waitForUpstream(ctx context.Context, c *call) (*flight, error) {
 	f, err := s.table.acquire(ctx, s.now, c)
