--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,8 @@
 
 // Settings describes a stand-in engine.
 type Settings struct {
-	Models      []string      // models and adapters that the engine serves
+	Models      []string      // models and adapters that the engine serves, unless Memory is set
+	Memory      Memory        // nil serves Models at all times
 	MaxBatch    int           // requests that run at once
 	StepBase    time.Duration // time of a step with an empty batch
 	StepPerRun  time.Duration // time that each running request adds to a step
@@ -24,6 +26,22 @@
 	CrashMarker string        // a request that holds this text crashes the engine
 }
 
+// Memory tells which models and adapters are loaded, and takes the orders to load them.
+type Memory interface {
+	// Serves reports whether the model or adapter is ready.
+	Serves(name string) bool
+	// Handler serves the order and residency API and its switches.
+	Handler() http.Handler
+}
+
+// serves reports whether the engine can run a request for a model or adapter.
+func (s Settings) serves(name string) bool {
+	if s.Memory != nil {
+		return s.Memory.Serves(name)
+	}
+	return slices.Contains(s.Models, name)
+}
+
 // DefaultTokens is the length of an answer to a request without max_tokens.
 const DefaultTokens = 16
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -7,7 +7,6 @@
 	"hash/fnv"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -30,6 +29,9 @@
 		e.SetLeaving(r.URL.Query().Get("value") != "false")
 	})
 	mux.HandleFunc("GET /admin/started", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, e.Started()) })
+	if e.settings.Memory != nil {
+		mux.Handle("/", e.settings.Memory.Handler())
+	}
 	return mux
 }
 
@@ -91,7 +93,7 @@
 	}
 	offset, _ := strconv.Atoi(r.Header.Get(httpapi.HeaderResumeOffset))
 	fault := e.faults.take(string(body), offset > 0)
-	if fault.Kind == FaultRefuse || !slices.Contains(e.settings.Models, request.Model) {
+	if fault.Kind == FaultRefuse || !e.settings.serves(request.Model) {
 		w.Header().Set(httpapi.HeaderOutcome, string(order.OutcomeNotRun))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/residency/server.go
+++ b/internal/standin/residency/server.go
@@ -19,6 +19,30 @@
 	return mux
 }
 
+// Serving adapts an engine's memory to the generation part of the stand-in.
+type Serving struct{ Engine *Engine }
+
+// Serves reports whether a model, or an adapter, is ready under any version.
+func (s Serving) Serves(name string) bool {
+	for _, r := range s.Engine.Now().Residents {
+		if r.State != enginehttp.StateReady {
+			continue
+		}
+		if r.Slot.Adapter == name || (r.Slot.Adapter == "" && r.Slot.Model == name) {
+			return true
+		}
+	}
+	return false
+}
+
+// Handler serves orders, reports and, below /residency-admin, the switches.
+func (s Serving) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", Handler(s.Engine))
+	mux.Handle("/residency-admin/", http.StripPrefix("/residency-admin", AdminHandler(s.Engine)))
+	return mux
+}
+
 // AdminHandler serves the switches of the stand-in: POST /faults, POST /restart and GET /account.
 func AdminHandler(e *Engine) http.Handler {
 	mux := http.NewServeMux()
