--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -138,7 +138,7 @@
 senders=()
 for i in 1 2 3; do
   curl -s --max-time 20 -o "$out/order-$i.txt" -w '%{http_code} %header{call-outcome} replayed=%header{idempotent-replayed}\n' \
-    "http://127.0.0.1:1700$i/services/bookings/orders" -H 'Idempotency-Key: demo-IO-17' \
+    "http://127.0.0.1:1700$i/services/bookings/orders/new" -H 'Idempotency-Key: demo-IO-17' \
     -d '{"advertiser": "acme", "amount": 100}' >"$out/order-$i.status" &
   senders+=($!)
 done
