--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -151,7 +151,7 @@
 }
 
 func (s *Source) viewData(message *pb.View) entry.ViewData {
-	data := entry.ViewData{Bundle: *s.bundle}
+	data := entry.ViewData{Bundle: *s.bundle, Manifest: s.manifest}
 	for _, c := range s.cells {
 		for _, r := range c.Replicas {
 			data.Replicas = append(data.Replicas, entry.Replica(r))
--- a/internal/entry/operations.go
+++ b/internal/entry/operations.go
@@ -1,41 +1,45 @@
 package entry
 
 import (
-	"encoding/json"
+	"errors"
 	"net/http"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"savoryweir/internal/state/status"
+	"savoryweir/internal/transport/operations"
+)
+
+var (
+	errStopping        = errors.New("stopping")
+	errNoConfiguration = errors.New("no configuration")
 )
 
 // Operations returns the interface for operators and the balancer.
 func (s *Server) Operations() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.HandleFunc("GET /timeline", s.serveTimeline)
-	return mux
+	return operations.Handler(operations.Options{
+		Metrics: s.metrics.registry,
+		Ready:   s.ready,
+		Status:  s.status,
+		Events:  s.recorder.Events,
+	})
 }
 
-// serveReady tells the balancer whether this instance takes new requests.
-func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	switch {
-	case s.drain.isStopping():
-		http.Error(w, "stopping", http.StatusServiceUnavailable)
-	case s.views.View() == nil:
-		http.Error(w, "no configuration", http.StatusServiceUnavailable)
-	default:
-		_, _ = w.Write([]byte("ready\n"))
+// ready tells the balancer whether this instance takes new requests.
+func (s *Server) ready() error {
+	if s.drain.isStopping() {
+		return errStopping
+	}
+	if s.views.View() == nil {
+		return errNoConfiguration
 	}
+	return nil
 }
 
-// serveTimeline writes the recorded events as JSON lines.
-func (s *Server) serveTimeline(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	encoder := json.NewEncoder(w)
-	for _, event := range s.recorder.Events() {
-		if err := encoder.Encode(event); err != nil {
-			return
-		}
+// status tells operators the generation that new requests run under.
+func (s *Server) status() status.Status {
+	report := status.Status{Process: processName, Instance: s.settings.Instance.ID, Zone: s.settings.Instance.Zone}
+	if view := s.views.View(); view != nil {
+		report.Generation = view.Bundle.Generation
+		report.Manifest = view.Manifest.String()
 	}
+	return report
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -21,6 +21,7 @@
 // ViewData is the content of a view.
 type ViewData struct {
 	Bundle   bundle.Bundle
+	Manifest bundle.Hash // of the bundle
 	Replicas []Replica
 	Leaving  []bundle.UpstreamID
 	Suspects []suspect.Record
