--- a/internal/control/adapters.go
+++ b/internal/control/adapters.go
@@ -1,14 +1,24 @@
 package control
 
 import (
+	"context"
+	"time"
+
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/control/bundles"
+	"savoryweir/internal/control/cells"
+	"savoryweir/internal/control/demandflow"
 	"savoryweir/internal/control/peers"
+	"savoryweir/internal/control/placing"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/coordination/membership"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/demand"
 	"savoryweir/internal/state/member"
+	"savoryweir/internal/state/news"
+	"savoryweir/internal/state/replica"
+	"savoryweir/internal/transport/engineclient"
 	"savoryweir/internal/transport/peerconn"
 )
 
@@ -52,8 +62,80 @@
 	return pb.NewOrdersClient(conn), nil
 }
 
-// discardDemand drops demand reports.
-type discardDemand struct{}
+// localDemand takes the reports of the local entry. It implements view.DemandSink.
+type localDemand struct{ flow *demandflow.Flow }
+
+// OnDemand implements view.DemandSink.
+func (l localDemand) OnDemand(report demand.Report) { l.flow.OnLocal(report) }
+
+// placingInputs implements placing.Inputs and demandflow.Owners.
+type placingInputs struct {
+	peers   *peers.Service
+	bundles *bundles.Manager
+	flow    *demandflow.Flow
+	cells   int // of each service
+}
+
+// Bundle implements placing.Inputs.
+func (p placingInputs) Bundle() *bundle.Bundle {
+	current := p.bundles.Current()
+	if current == nil {
+		return nil
+	}
+	return current.Bundle
+}
+
+// Members implements placing.Inputs.
+func (p placingInputs) Members() []member.Member { return p.peers.Snapshot().Usable() }
+
+// Leaving implements placing.Inputs.
+func (p placingInputs) Leaving() []bundle.UpstreamID {
+	var leaving []bundle.UpstreamID
+	for _, l := range p.peers.Snapshot().News.Leaving {
+		leaving = append(leaving, l.Upstream)
+	}
+	return leaving
+}
+
+// Demand implements placing.Inputs.
+func (p placingInputs) Demand(now time.Time) []placing.Demand { return p.flow.Demand(now) }
 
-// OnDemand drops the report.
-func (discardDemand) OnDemand(demand.Report) {}
+// Owner implements demandflow.Owners.
+func (p placingInputs) Owner(id bundle.ModelID) (member.Member, bool) {
+	b := p.Bundle()
+	if b == nil {
+		return member.Member{}, false
+	}
+	m, ok := b.Model(id)
+	if !ok {
+		return member.Member{}, false
+	}
+	name := placing.CellName(m.Service, placing.CellOf(string(id), p.cells))
+	ranked := membership.Rank(placing.OwnerTask(name), p.Members())
+	if len(ranked) == 0 {
+		return member.Member{}, false
+	}
+	return ranked[0], true
+}
+
+// cellPublisher implements placing.Publisher.
+type cellPublisher struct {
+	cells *cells.Store
+	peers *peers.Service
+}
+
+// Cell implements placing.Publisher.
+func (p cellPublisher) Cell(id news.CellID) (replica.Cell, bool) { return p.cells.Cell(id) }
+
+// Publish implements placing.Publisher.
+func (p cellPublisher) Publish(ctx context.Context, c replica.Cell) error {
+	return p.cells.Publish(ctx, c, p.peers)
+}
+
+// engines implements placing.Engines.
+type engines struct{}
+
+// Open implements placing.Engines.
+func (engines) Open(ctx context.Context, upstream bundle.Upstream) (placing.Session, error) {
+	return engineclient.Dial(ctx, upstream)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,7 +19,9 @@
 	"savoryweir/internal/control/bundles"
 	"savoryweir/internal/control/cells"
 	"savoryweir/internal/control/claims"
+	"savoryweir/internal/control/demandflow"
 	"savoryweir/internal/control/peers"
+	"savoryweir/internal/control/placing"
 	"savoryweir/internal/control/view"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/logging"
@@ -41,6 +43,7 @@
 	partBundles logging.Part = "bundles"
 	partCells   logging.Part = "cells"
 	partOrders  logging.Part = "orders"
+	partPlacing logging.Part = "placement"
 )
 
 // Times of the end of the process.
@@ -67,6 +70,8 @@
 	bundles *bundles.Manager
 	claims  *claims.Service
 	view    *view.Service
+	flow    *demandflow.Flow
+	holder  *placing.Holder
 
 	peerServer, localServer     *grpc.Server
 	peerListener, localListener net.Listener
@@ -157,6 +162,7 @@
 		Zone:        bundle.Zone(s.Instance.Zone),
 		Incarnation: uint64(time.Now().UnixNano()),
 	}
+	p.flow = demandflow.New(s.Demand, self.ID, logging.For(root, partPlacing))
 	p.cells = cells.New(logging.For(root, partCells))
 	p.bundles = bundles.New(bundles.Options{
 		Settings: s.Bundles,
@@ -180,7 +186,7 @@
 		Heads:      p.bundles,
 		Sections:   p.bundles,
 		Cells:      p.cells,
-		Demand:     discardDemand{},
+		Demand:     p.flow,
 	})
 	p.bundles.SetPeerFetcher(p.peers)
 	p.claims = claims.New(claims.Options{
@@ -200,8 +206,22 @@
 		Bundles:  bundleView{bundles: p.bundles},
 		Peers:    p.peers,
 		Cells:    p.cells,
-		Demand:   discardDemand{},
+		Demand:   localDemand{flow: p.flow},
 	})
+	p.holder = placing.NewHolder(placing.Options{
+		Settings:  s.Placement,
+		Self:      self.ID,
+		Store:     p.store,
+		Engines:   engines{},
+		Inputs:    p.placingInputs(),
+		Publisher: cellPublisher{cells: p.cells, peers: p.peers},
+		Log:       logging.For(root, partPlacing),
+		Random:    newRandom(),
+	})
+}
+
+func (p *Process) placingInputs() placingInputs {
+	return placingInputs{peers: p.peers, bundles: p.bundles, flow: p.flow, cells: p.settings.Placement.CellsPerService}
 }
 
 // newRandom returns a generator for one goroutine, seeded by the system.
@@ -219,6 +239,8 @@
 	group.Go(func() error { return p.cells.Run(working, p.peers, p.peers) })
 	group.Go(func() error { return p.bundles.Run(working) })
 	group.Go(func() error { return p.claims.Run(working) })
+	group.Go(func() error { return p.holder.Run(working) })
+	group.Go(func() error { return p.flow.Run(working, p.placingInputs(), p.peers) })
 	group.Go(func() error { return p.runNotifier(working) })
 	group.Go(func() error { return p.runHeads(working) })
 	group.Go(func() error { return p.runInstanceList(working) })
--- a/internal/control/placing/placing.go
+++ b/internal/control/placing/placing.go
@@ -18,7 +18,8 @@
 	Lease         time.Duration `help:"Time for which a holder keeps its cell after a write." default:"30s" min:"1s" max:"10m"`
 	Resend        time.Duration `help:"Time after which an order without effect is sent again." default:"10s" min:"100ms" max:"10m"`
 	EngineTimeout time.Duration `help:"Longest wait for an engine's answer." default:"2s" min:"10ms" max:"1m"`
-	CellSize      int           `help:"Engines in a placement cell." default:"18" min:"1" max:"200"`
+	// CellsPerService must be the same on all instances and must not change while engines hold models.
+	CellsPerService int `help:"Placement cells of each service. The same on all instances, for good." default:"1" min:"1" max:"256"`
 	// Copies is the assumption on which the release of memory rests where fencing is ignored.
 	Copies            bool    `help:"Copies of an order may reach engines that ignore fencing numbers at any time." default:"true" negatable:""`
 	LoadsAtOnce       int     `help:"Model loads at once at which the weight store keeps full speed." default:"4" min:"1" max:"1000"`
@@ -52,18 +53,6 @@
 	TokensPerSecond   float64
 }
 
-// Inputs is what the rest of the control process knows.
-type Inputs interface {
-	// Bundle returns the bundle in force, or nil before the first.
-	Bundle() *bundle.Bundle
-	// Members returns the identifiers of the live instances, this one included.
-	Members() []string
-	// Leaving returns the upstreams that take no new work.
-	Leaving() []bundle.UpstreamID
-	// Demand returns the present traffic over all entries.
-	Demand() []Demand
-}
-
 // Replica is one model or adapter on an engine, for the entries' view.
 type Replica struct {
 	Upstream bundle.UpstreamID
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -8,6 +8,8 @@
 
 	"savoryweir/internal/control/bundles"
 	"savoryweir/internal/control/claims"
+	"savoryweir/internal/control/demandflow"
+	"savoryweir/internal/control/placing"
 	"savoryweir/internal/coordination/membership"
 	"savoryweir/internal/coordination/spread"
 	"savoryweir/internal/logging"
@@ -29,6 +31,8 @@
 	Spread     spread.Settings      `embed:"" prefix:"spread-"`
 	Bundles    bundles.Settings     `embed:"" prefix:"bundles-"`
 	Orders     claims.Settings      `embed:"" prefix:"orders-"`
+	Placement  placing.Settings     `embed:"" prefix:"placement-"`
+	Demand     demandflow.Settings  `embed:"" prefix:"demand-"`
 }
 
 // PeerSettings describe the port for the other instances' control processes.
