--- a/internal/coordination/bundlecheck/check.go
+++ b/internal/coordination/bundlecheck/check.go
@@ -25,7 +25,7 @@
 
 // Check returns the faults of the new bundle, in the order of files and sections.
 func Check(in Input) []bundle.Fault {
-	c := checker{bundle: in.New, files: in.Files}
+	c := checker{bundle: in.New, files: in.Files, index: newIndex(in.New)}
 	c.deployment(in.Old)
 	c.services()
 	c.upstreams()
@@ -41,6 +41,7 @@
 }
 
 type checker struct {
+	index
 	bundle *bundle.Bundle
 	files  map[string]string
 	faults []bundle.Fault
@@ -92,7 +93,7 @@
 		}
 		seen[u.ID] = true
 		c.address(section, u, addresses)
-		if !slices.Contains(c.bundle.Zones, u.Zone) {
+		if !c.zones[u.Zone] {
 			c.fault(section, "zone", "zone %q is not among the zones of the deployment", u.Zone)
 		}
 		c.upstreamOfService(section, u)
@@ -100,7 +101,7 @@
 }
 
 func (c *checker) upstreamOfService(section string, u bundle.Upstream) {
-	service, ok := c.bundle.Service(u.Service)
+	service, ok := c.serviceOf[u.Service]
 	if !ok {
 		c.fault(section, "service", "there is no service %q", u.Service)
 		return
@@ -144,7 +145,7 @@
 }
 
 func (c *checker) modelOfService(section string, m bundle.Model) {
-	service, ok := c.bundle.Service(m.Service)
+	service, ok := c.serviceOf[m.Service]
 	if !ok {
 		c.fault(section, "service", "there is no service %q", m.Service)
 		return
@@ -153,7 +154,7 @@
 		c.fault(section, "service", "service %q is not of kind %s", m.Service, bundle.KindGeneration)
 		return
 	}
-	engines := c.bundle.UpstreamsOf(m.Service)
+	engines := c.upstreamsOf[m.Service]
 	fitting := 0
 	for _, u := range engines {
 		if u.Memory <= 0 {
@@ -189,19 +190,19 @@
 		if seen[a.ID] {
 			c.fault(section, "", "the adapter stands twice, so callers' route to it is not unique")
 		}
-		if _, ok := c.bundle.Model(bundle.ModelID(a.ID)); ok {
+		if _, ok := c.modelOf[bundle.ModelID(a.ID)]; ok {
 			c.fault(section, "", "a model has the same name, so callers' route to it is not unique")
 		}
 		seen[a.ID] = true
 		if a.Memory <= 0 {
 			c.fault(section, "memory-mib", "the adapter's memory must be 1 MiB or more")
 		}
-		model, ok := c.bundle.Model(a.Model)
+		model, ok := c.modelOf[a.Model]
 		if !ok {
 			c.fault(section, "model", "there is no model %q", a.Model)
 			continue
 		}
-		most := largest(c.bundle.UpstreamsOf(model.Service))
+		most := largest(c.upstreamsOf[model.Service])
 		if model.Memory <= most && a.Memory > most-model.Memory {
 			c.fault(section, "memory-mib", "the adapter fits no engine beside its model: both need %d MiB, the largest engine has %d MiB",
 				a.Memory+model.Memory, most)
--- a/internal/coordination/bundlecheck/memory.go
+++ b/internal/coordination/bundlecheck/memory.go
@@ -28,13 +28,13 @@
 		if s.Kind != bundle.KindGeneration {
 			continue
 		}
-		engines := c.bundle.UpstreamsOf(s.Name)
+		engines := c.upstreamsOf[s.Name]
 		needed := newDemands(c.bundle, s.Name)
 		if misfit, ok := pack(engines, needed); !ok {
 			c.overcommitted(s, engines, needed, misfit)
 			continue
 		}
-		leaving := oldDemands(c.bundle, old, s.Name)
+		leaving := c.oldDemands(old, s.Name)
 		both := append(needed, leaving...)
 		if misfit, ok := pack(engines, both); !ok {
 			c.overcommittedInRollout(s, engines, both, leaving, misfit)
@@ -52,7 +52,7 @@
 func (c *checker) overcommittedInRollout(s bundle.Service, engines []bundle.Upstream, both, leaving []demand, misfit demand) {
 	largest := slices.MaxFunc(leaving, func(a, b demand) int { return cmp.Compare(a.model.Memory, b.model.Memory) })
 	section := serviceSection(s)
-	if _, kept := c.bundle.Model(largest.model.ID); kept {
+	if _, kept := c.modelOf[largest.model.ID]; kept {
 		section = modelSection(largest.model)
 	}
 	version := "the new version"
@@ -75,7 +75,7 @@
 }
 
 // oldDemands returns the versions in force that the new bundle no longer has.
-func oldDemands(b, old *bundle.Bundle, service bundle.ServiceName) []demand {
+func (c *checker) oldDemands(old *bundle.Bundle, service bundle.ServiceName) []demand {
 	if old == nil {
 		return nil
 	}
@@ -84,7 +84,7 @@
 		if m.Service != service {
 			continue
 		}
-		kept, ok := b.Model(m.ID)
+		kept, ok := c.modelOf[m.ID]
 		if !ok || kept.Version != m.Version || kept.Service != m.Service {
 			leaving = append(leaving, demand{model: m, replicas: 1, isOld: true})
 		}
--- a/internal/coordination/bundlecheck/services.go
+++ b/internal/coordination/bundlecheck/services.go
@@ -18,7 +18,7 @@
 		if s.Deadline <= 0 || s.Deadline > maxDeadline {
 			c.fault(section, "deadline", "%s is not above 0 and at most %s", s.Deadline, maxDeadline)
 		}
-		if len(c.bundle.UpstreamsOf(s.Name)) == 0 {
+		if len(c.upstreamsOf[s.Name]) == 0 {
 			c.fault(section, "", "the service has no upstream")
 		}
 		switch s.Kind {
@@ -36,8 +36,7 @@
 	if len(s.OrderPaths) > 0 {
 		c.fault(section, "order-paths", "a generation service takes no orders")
 	}
-	hasModel := slices.ContainsFunc(c.bundle.Models, func(m bundle.Model) bool { return m.Service == s.Name })
-	if !hasModel {
+	if !c.hasModel[s.Name] {
 		c.fault(section, "", "the generation service has no model")
 	}
 }
