--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -98,17 +98,21 @@
 // dispatch gives upstreams to waiting requests while there is room. The caller holds mu.
 func (t *upstreamTable) dispatch(now time.Time, s *serviceState) {
 	for s.queue.Len() > 0 {
-		var granted *flight
+		var g grant
 		place := func(r admission.Request) bool {
-			granted = t.place(now, s.waiters[r.ID])
-			return granted != nil
+			g = t.place(now, s.waiters[r.ID])
+			return g != grant{}
 		}
 		request, ok := s.queue.Take(now, t.places(s), place)
 		if !ok {
 			return
 		}
-		granted.call.queueID = request.ID
-		s.waiters[request.ID].result <- grant{flight: granted}
+		if g.err != nil {
+			s.queue.Done(request.ID)
+		}
+		w := s.waiters[request.ID]
+		w.call.queueID = request.ID
+		w.result <- g
 		delete(s.waiters, request.ID)
 	}
 }
@@ -130,17 +134,21 @@
 	return p
 }
 
-// place picks an upstream for a waiting request, or returns nil. The caller holds mu.
-func (t *upstreamTable) place(now time.Time, w *waiter) *flight {
+// place picks an upstream for a waiting request, or refuses it when upstreams
+// died under it meanwhile. It returns an empty grant when there is no room. The caller holds mu.
+func (t *upstreamTable) place(now time.Time, w *waiter) grant {
 	c := w.call
 	decision := t.suspects.Decide(now, c.suspectID())
+	if decision.Verdict == suspect.Refuse {
+		return grant{err: errSuspect}
+	}
 	candidates := t.candidates(now, c)
 	if decision.Verdict != suspect.Run {
 		t.isolate(now, decision, candidates)
 	}
 	id, ok := t.pick(now, c, candidates)
 	if !ok {
-		return nil
+		return grant{}
 	}
 	upstreams := c.view.upstreams[c.service.Name]
 	i := slices.IndexFunc(upstreams, func(u bundle.Upstream) bool { return u.ID == id })
@@ -150,7 +158,7 @@
 	state.flights[f] = struct{}{}
 	state.sent++
 	t.suspects.Started(c.suspectID(), id)
-	return f
+	return grant{flight: f}
 }
 
 // isolate marks the upstreams that a suspect must not run on as ejected. The caller holds mu.
@@ -187,7 +195,8 @@
 type attemptResult struct {
 	abandoned bool // nothing was sent, or the caller left
 	failed    bool
-	tokens    int // of a stream
+	refused   bool // by the upstream, for load
+	tokens    int  // of a stream
 }
 
 // release ends a request at its upstream and gives the place to the next one.
@@ -199,7 +208,7 @@
 	delete(state.flights, f)
 	s.queue.Done(f.call.queueID)
 	if !state.diedAt.After(f.started) {
-		completed := !r.failed && !r.abandoned
+		completed := !r.failed && !r.refused && !r.abandoned
 		if record, news := t.suspects.Ended(now, f.call.suspectID(), f.upstream.ID, completed); news {
 			f.call.cleared = append(f.call.cleared, record)
 		}
@@ -215,7 +224,7 @@
 		return
 	}
 	took := now.Sub(f.started)
-	sample := limit.Sample{Took: took, Expected: took, InFlight: f.beside + 1, Failed: r.failed}
+	sample := limit.Sample{Took: took, Expected: took, InFlight: f.beside + 1, Refused: r.refused}
 	result := outlier.Result{Failed: r.failed}
 	if expected := s.perToken.times(r.tokens); expected > 0 {
 		sample.Expected = expected
@@ -223,7 +232,7 @@
 	}
 	state.limiter.Observe(now, sample)
 	s.detector.Observe(now, f.upstream.ID, result)
-	if r.tokens > 0 && !r.failed {
+	if r.tokens > 0 && !r.failed && !r.refused {
 		s.perToken = s.perToken.with(took / time.Duration(r.tokens))
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,8 @@
 
 // Settings describes a stand-in engine.
 type Settings struct {
-	Models      []string      // models and adapters that the engine serves
+	Models      []string      // models and adapters that the engine serves, unless Memory is set
+	Memory      Memory        // nil serves Models at all times
 	MaxBatch    int           // requests that run at once
 	StepBase    time.Duration // time of a step with an empty batch
 	StepPerRun  time.Duration // time that each running request adds to a step
@@ -24,6 +26,22 @@
 	CrashMarker string        // a request that holds this text crashes the engine
 }
 
+// Memory tells which models and adapters are loaded, and takes the orders to load them.
+type Memory interface {
+	// Serves reports whether the model or adapter is ready.
+	Serves(name string) bool
+	// Handler serves the order and residency API and its switches.
+	Handler() http.Handler
+}
+
+// serves reports whether the engine can run a request for a model or adapter.
+func (s Settings) serves(name string) bool {
+	if s.Memory != nil {
+		return s.Memory.Serves(name)
+	}
+	return slices.Contains(s.Models, name)
+}
+
 // DefaultTokens is the length of an answer to a request without max_tokens.
 const DefaultTokens = 16
 
@@ -58,6 +76,7 @@
 	reports []stampedLoad
 	started int
 	slow    float64
+	ended   bool
 }
 
 type stampedLoad struct {
@@ -73,6 +92,7 @@
 
 // Run gives out tokens until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
+	defer e.end()
 	for {
 		wait := e.step()
 		if wait > 0 {
@@ -89,6 +109,17 @@
 	}
 }
 
+// end closes the streams of all requests, and of those to come.
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	for _, s := range slices.Concat(e.waiting, e.running) {
+		close(s.tokens)
+	}
+	e.waiting, e.running = nil, nil
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -176,10 +207,10 @@
 		close(s.tokens)
 		return s
 	}
-	e.mu.Lock()
-	e.waiting = append(e.waiting, s)
-	e.started++
-	e.mu.Unlock()
+	if !e.enqueue(s) {
+		close(s.tokens)
+		return s
+	}
 	select {
 	case e.wake <- struct{}{}:
 	default:
@@ -187,6 +218,17 @@
 	return s
 }
 
+func (e *Engine) enqueue(s *sequence) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended {
+		return false
+	}
+	e.waiting = append(e.waiting, s)
+	e.started++
+	return true
+}
+
 // Load returns the load as it was LoadLag ago.
 func (e *Engine) Load() Load {
 	e.mu.Lock()
