--- a/internal/bench/policy/faults.go
+++ b/internal/bench/policy/faults.go
@@ -90,6 +90,7 @@
 		}
 		template := newDemand(&s.scenario, i).next(0)
 		template.crash = true
+		template.model = 0 // the model with the most replicas
 		template.print = suspect.Of(spec.Service, []byte("crash"))
 		template.counted = false
 		s.after(spec.Start, func() {
--- a/internal/bench/policy/policies.go
+++ b/internal/bench/policy/policies.go
@@ -126,6 +126,14 @@
 	return p
 }
 
+// Unsuspecting is Keyed without the registry of crash suspects.
+func Unsuspecting() Policy {
+	p := Keyed()
+	p.Name = "keyed-unsuspecting"
+	p.Suspects = false
+	return p
+}
+
 // PerfectKnowledge is a central scheduler that sees the true state without delay.
 // It is the bound that the other policies are measured against.
 func PerfectKnowledge() Policy {
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -64,6 +64,7 @@
 	accelerators int
 	instances    int
 	duration     time.Duration
+	warmup       time.Duration
 	workDone     float64
 	workWasted   float64
 	hits, misses int
@@ -74,7 +75,7 @@
 type Second struct{ Met, Total int }
 
 func newResult(s Scenario, p Policy) *Result {
-	r := &Result{Scenario: s.Name, Policy: p.Name, exact: p.Exact, instances: s.Instances, duration: s.Duration}
+	r := &Result{Scenario: s.Name, Policy: p.Name, exact: p.Exact, instances: s.Instances, duration: s.Duration, warmup: s.Warmup}
 	r.Timeline = make([]Second, int(s.Duration/time.Second)+1)
 	for _, spec := range s.Services {
 		if spec.Models > 0 {
--- a/internal/bench/policy/table.go
+++ b/internal/bench/policy/table.go
@@ -4,9 +4,16 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
 )
 
-// WriteTable prints a line for each result, and the attainment of each class.
+const afterFault = 10 * time.Second
+
+// WriteTable prints the figures of a bench. Crashes are deaths by the crashing
+// request, crashed the upstreams that it reached, innocent the other requests that
+// were refused as suspects.
+//
+// It prints a line for each result, and the attainment of each class.
 func WriteTable(w io.Writer, title string, results []*Result) error {
 	fmt.Fprintf(w, "%s\n", title)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -14,20 +21,35 @@
 	for _, c := range results[0].Classes {
 		fmt.Fprintf(t, "%s/%s %%\t", c.Service, c.Class)
 	}
-	fmt.Fprint(t, "retries\tresends\twasted %\tcache %\tmsg/s\tB/s\t\n")
+	fmt.Fprint(t, "crashes\tcrashed\tinnocent\tretries\tresends\twasted %\tcache %\tmsg/s\tB/s\t\n")
 	for _, r := range results {
 		writeRow(t, r, Bound(results))
 	}
 	return t.Flush()
 }
 
+// WriteWindows prints the attainment of the first service's class now before,
+// during and from 10 s after a fault.
+func WriteWindows(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "policy\tbefore %\tduring %\tafter 10 s %\t\n")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.2f\t\n", r.Policy,
+			100*r.Window(r.warmup, faultStart-afterFault),
+			100*r.Window(faultStart, faultStart+faultDuration),
+			100*r.Window(faultStart+faultDuration+afterFault, r.duration-afterFault))
+	}
+	return t.Flush()
+}
+
 func writeRow(w io.Writer, r *Result, bound float64) {
 	fmt.Fprintf(w, "%s\t%.4f\t%.2f\t", r.Policy, r.AttainmentPerAccelerator(), 100*r.AttainmentPerAccelerator()/bound)
 	for _, c := range r.Classes {
 		fmt.Fprintf(w, "%.2f\t", 100*c.Attainment())
 	}
-	fmt.Fprintf(w, "%d\t%d\t%.2f\t%.1f\t%.1f\t%.0f\t\n", r.Retries, r.Resends, 100*r.Wasted(),
-		100*r.HitRate(), r.MessagesPerInstance(), r.BytesPerInstance())
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.0f\t\n",
+		r.Crashes, r.CrashedUpstreams, r.InnocentRefused, r.Retries, r.Resends,
+		100*r.Wasted(), 100*r.HitRate(), r.MessagesPerInstance(), r.BytesPerInstance())
 }
 
 // Bound returns the best attainment per accelerator of the runs with perfect
--- a/internal/coordination/suspect/merge.go
+++ b/internal/coordination/suspect/merge.go
@@ -54,6 +54,12 @@
 }
 
 func (r *Registry) adopt(now time.Time, e *entry, record Record) {
+	if record.Expires.After(e.Expires) {
+		e.deaths++
+	}
+	if len(record.Upstreams) == 0 {
+		e.deaths = 0
+	}
 	e.Upstreams = slices.Clone(record.Upstreams)
 	e.Expires = record.Expires
 	e.ambiguous = false
--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -52,11 +52,14 @@
 	// request, shows that the fault is its own.
 	OwnFault time.Duration
 	Capacity int // records kept, the oldest go first
+	// MaxDeaths is the number of deaths after which a request is refused although
+	// other causes are possible.
+	MaxDeaths int
 }
 
 // DefaultSettings returns the settings to start from.
 func DefaultSettings() Settings {
-	return Settings{Lifetime: 24 * time.Hour, Spread: 3 * time.Second, OwnFault: time.Minute, Capacity: 4096}
+	return Settings{Lifetime: 24 * time.Hour, Spread: 3 * time.Second, OwnFault: time.Minute, Capacity: 4096, MaxDeaths: 4}
 }
 
 // Record is what instances share of a suspect. No upstreams means that the
@@ -94,6 +97,7 @@
 
 type entry struct {
 	Record
+	deaths    int
 	ambiguous bool // others were suspects of the same death, or the upstream was faulty
 }
 
@@ -102,6 +106,14 @@
 	flight []Fingerprint
 }
 
+// lastDeath returns the upstream that died last under the request, empty when it is cleared.
+func (e *entry) lastDeath() bundle.UpstreamID {
+	if len(e.Upstreams) == 0 {
+		return ""
+	}
+	return e.Upstreams[len(e.Upstreams)-1]
+}
+
 // New returns an empty registry.
 func New(settings Settings) *Registry {
 	return &Registry{
@@ -121,7 +133,7 @@
 	if len(e.Upstreams) < MaxUpstreams {
 		return Decision{Verdict: Isolate, Excluded: slices.Clone(e.Upstreams)}
 	}
-	if e.ambiguous {
+	if e.ambiguous && e.deaths < r.settings.MaxDeaths {
 		return Decision{Verdict: Isolate, Only: slices.Clone(e.Upstreams)}
 	}
 	e.Expires = now.Add(r.settings.Lifetime)
@@ -150,6 +162,7 @@
 		return Record{}, false
 	}
 	e.Upstreams = nil
+	e.deaths = 0
 	e.ambiguous = false
 	e.Expires = now.Add(r.settings.Lifetime)
 	return e.Record, true
@@ -185,16 +198,32 @@
 	if !slices.Contains(e.Upstreams, upstream) && len(e.Upstreams) < MaxUpstreams {
 		e.Upstreams = append(e.Upstreams, upstream)
 	}
+	e.deaths++
 	e.ambiguous = ambiguous
 	e.Expires = now.Add(r.settings.Lifetime)
 	return Record{Fingerprint: f, Upstreams: slices.Clone(e.Upstreams), Expires: e.Expires}
 }
 
-// isFaulty reports whether the upstream died lately without the request.
+// isFaulty reports whether the upstream died lately without the request, as this
+// instance saw it or as records of other requests tell.
 func (r *Registry) isFaulty(now time.Time, upstream bundle.UpstreamID, f Fingerprint) bool {
-	return slices.ContainsFunc(r.recentDeaths(now, upstream), func(d death) bool {
+	seen := slices.ContainsFunc(r.recentDeaths(now, upstream), func(d death) bool {
 		return !slices.Contains(d.flight, f)
 	})
+	return seen || r.isFaultyByRecords(now, upstream, f)
+}
+
+func (r *Registry) isFaultyByRecords(now time.Time, upstream bundle.UpstreamID, f Fingerprint) bool {
+	if e := r.lookup(now, f); e != nil && slices.Contains(e.Upstreams, upstream) {
+		return false
+	}
+	for other, e := range r.records {
+		age := now.Sub(e.Expires.Add(-r.settings.Lifetime))
+		if other != f && age > r.settings.Spread && age < r.settings.OwnFault && e.lastDeath() == upstream {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Registry) recentDeaths(now time.Time, upstream bundle.UpstreamID) []death {
--- a/internal/coordination/suspect/suspect_test.go
+++ b/internal/coordination/suspect/suspect_test.go
@@ -60,6 +60,18 @@
 	assert.Equal(t, r.Decide(start.Add(10*time.Second), f).Verdict, Isolate)
 }
 
+func TestFaultSeenByAnotherInstanceCondemnsNobody(t *testing.T) {
+	here, there := New(DefaultSettings()), New(DefaultSettings())
+	there.Started(print("other"), "b")
+	here.Merge(start, there.Died(start, "b")[0])
+	f := print("innocent")
+	here.Started(f, "a")
+	here.Died(start.Add(5*time.Second), "a")
+	here.Started(f, "b")
+	here.Died(start.Add(10*time.Second), "b")
+	assert.Equal(t, here.Decide(start.Add(10*time.Second), f).Verdict, Isolate)
+}
+
 func TestRecordsOfOtherInstancesAreJoined(t *testing.T) {
 	a, b := New(DefaultSettings()), New(DefaultSettings())
 	f := print("crash")
