--- /dev/null
+++ b/cmd/savoryweir-entry/main.go
@@ -0,0 +1,81 @@
+// Command savoryweir-entry is the data path between callers and upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/entry"
+	"savoryweir/internal/entry/controlview"
+	"savoryweir/internal/logging"
+	"savoryweir/internal/settings"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/transport/orderclient"
+	"savoryweir/internal/transport/peerconn"
+)
+
+const description = `Data path of savoryweir: takes requests of callers and passes them to upstreams.
+
+Examples:
+  savoryweir-entry --settings entry.ini
+  savoryweir-entry --settings entry.ini --check-settings
+  savoryweir-entry --instance-id=a1 --instance-zone=a --view-file=view.json`
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	var s entry.Settings
+	program := settings.Program{Name: "savoryweir-entry", Description: description}
+	if _, err := settings.Parse(program, &s, args); err != nil {
+		return err
+	}
+	if s.CheckSettings {
+		fmt.Println("settings are right")
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logging.New(os.Stderr, s.Log, "entry", s.Instance.ID)
+	dependencies, err := connect(ctx, s, log)
+	if err != nil {
+		return err
+	}
+	server, err := entry.New(s, dependencies)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	return server.Run(ctx, signals)
+}
+
+// connect joins the entry to its control process, or to a fixed view when a file is set.
+func connect(ctx context.Context, s entry.Settings, log zerolog.Logger) (entry.Dependencies, error) {
+	if s.View.File != "" {
+		view, err := entry.LoadViewFile(s.View.File)
+		return entry.Dependencies{Views: entry.StaticSource{Static: view}, Claims: entry.NoClaims{}, Log: log}, err
+	}
+	conn, err := peerconn.NewPool(nil, &peerconn.Counter{}).Get(s.View.Control)
+	if err != nil {
+		return entry.Dependencies{}, err
+	}
+	clock := hlc.New(time.Now)
+	source := controlview.New(pb.NewLocalClient(conn), clock, logging.For(log, "view"))
+	orders := orderclient.New(s.Claims, pb.NewOrdersClient(conn), clock)
+	go source.Run(ctx)
+	go func() { _ = orders.Run(ctx) }()
+	return entry.Dependencies{Views: source, Reporter: source, Claims: orders, Log: log, Clock: clock}, nil
+}
