--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -18,12 +18,12 @@
 // DefaultSettings are the defaults of the steady policy.
 func DefaultSettings() placement.Settings {
 	return placement.Settings{
-		MoveCost: 10, Horizon: 2 * time.Minute, Hold: 3 * time.Second, Decay: 10 * time.Minute,
-		Headroom: 0.1, Spares: true, Reserve: 0.1, ZoneWeight: 0.05,
+		MoveCost: 20, Horizon: 2 * time.Minute, Hold: 3 * time.Second, Decay: 10 * time.Minute,
+		Headroom: 0.05, Spares: true, Reserve: 0.1, ZoneWeight: 0.05,
 	}
 }
 
-// Policies returns the baselines and the policy in use.
+// Policies returns the baselines, the policy in use, and the same at twice the cost of a move.
 func Policies() []Policy {
 	return []Policy{
 		{"static", func() placement.Policy { return placement.NewStatic(DefaultSettings()) }},
@@ -33,6 +33,11 @@
 		{"greedy-lazy", func() placement.Policy {
 			return &placement.Greedy{Utilization: 0.7, Interval: 10 * time.Second}
 		}},
+		{"sparing", func() placement.Policy {
+			settings := DefaultSettings()
+			settings.MoveCost *= 2
+			return placement.NewSteady(settings)
+		}},
 		{"steady", func() placement.Policy { return placement.NewSteady(DefaultSettings()) }},
 	}
 }
--- a/internal/control/placing/cell.go
+++ b/internal/control/placing/cell.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"savoryweir/internal/coordination/placement"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/ledgerfile"
@@ -109,19 +111,44 @@
 	return !scope.OthersAlive(l.Holder)
 }
 
+// fetched is the outcome of asking one engine for its report.
+type fetched struct {
+	session Session
+	report  ledger.Report
+	err     error
+}
+
 // settle brings the ledger up to the bundle in force and to the engines' reports.
 func (c *Cell) settle(ctx context.Context, l *ledger.Ledger, scope Scope) {
-	for _, u := range scope.Upstreams {
+	results := make([]fetched, len(scope.Upstreams))
+	var group errgroup.Group
+	group.SetLimit(c.settings.ReportsAtOnce)
+	for i, u := range scope.Upstreams {
+		session := c.sessions[u.ID]
+		group.Go(func() error {
+			results[i] = c.fetch(ctx, u, session)
+			return nil
+		})
+	}
+	_ = group.Wait() // failures are in the results
+	for i, u := range scope.Upstreams {
 		l.SetEngine(u.ID, u.Memory, c.delivery(u))
-		report, err := c.report(ctx, u)
-		if err != nil {
-			l.SetUnreachable(u.ID)
-			continue
-		}
-		l.ApplyReport(u.ID, report)
+		c.settleEngine(l, u.ID, results[i])
 	}
 }
 
+func (c *Cell) settleEngine(l *ledger.Ledger, id bundle.UpstreamID, f fetched) {
+	if f.session != nil {
+		c.sessions[id] = f.session
+	}
+	if f.err != nil {
+		c.closeSession(id)
+		l.SetUnreachable(id)
+		return
+	}
+	l.ApplyReport(id, f.report)
+}
+
 func (c *Cell) delivery(u bundle.Upstream) ledger.Delivery {
 	switch {
 	case u.ChecksFence:
@@ -133,24 +160,19 @@
 	}
 }
 
-// report reads an engine's report, on a new connection if the present one is gone.
-func (c *Cell) report(ctx context.Context, u bundle.Upstream) (ledger.Report, error) {
+// fetch reads an engine's report, on a new connection if there is none.
+func (c *Cell) fetch(ctx context.Context, u bundle.Upstream, session Session) fetched {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.EngineTimeout)
 	defer cancel()
-	session, ok := c.sessions[u.ID]
-	if !ok {
+	if session == nil {
 		opened, err := c.engines.Open(ctx, u)
 		if err != nil {
-			return ledger.Report{}, err
+			return fetched{err: err}
 		}
 		session = opened
-		c.sessions[u.ID] = session
 	}
 	report, err := session.Report(ctx)
-	if err != nil {
-		c.closeSession(u.ID)
-	}
-	return report, err
+	return fetched{session: session, report: report, err: err}
 }
 
 // mustRenew reports whether the lease or the generation has to be written anew.
--- a/internal/control/placing/world_test.go
+++ b/internal/control/placing/world_test.go
@@ -169,6 +169,9 @@
 	if w.down[d.engine] || (!w.faults.crossBoot && d.boot != w.boots[d.engine]) {
 		return false
 	}
+	if slices.Contains(w.scope.Leaving, w.scope.Upstreams[d.engine].ID) {
+		w.fail("order %s to a leaving engine", d.order.ID())
+	}
 	action := residency.Load
 	if d.order.Action == ledger.Unload {
 		action = residency.Unload
--- a/internal/coordination/placement/demand.go
+++ b/internal/coordination/placement/demand.go
@@ -66,7 +66,7 @@
 }
 
 // roomBy chooses evictions among the replicas that may go: those of models that
-// stay ready elsewhere, the least remembered demand first.
+// stay ready elsewhere, the least remembered demand for each replica first.
 func (p *Steady) roomBy(v *view, m, e int, mayGo func(other int) bool) ([]ledger.Slot, bool) {
 	need := v.Models[m].Memory - v.free[e] - v.freeing[e]
 	if need <= 0 {
@@ -77,7 +77,7 @@
 		return nil, false
 	}
 	var evict []ledger.Slot
-	for _, i := range p.byRememberedDemand(engine.Items) {
+	for _, i := range p.byWorth(v, engine.Items) {
 		if need <= 0 {
 			break
 		}
@@ -102,11 +102,13 @@
 	return slices.IndexFunc(v.Models, func(m Model) bool { return m.ID == id })
 }
 
-func (p *Steady) byRememberedDemand(items []Item) []Item {
+// byWorth sorts items by the remembered demand for each replica of their model.
+func (p *Steady) byWorth(v *view, items []Item) []Item {
+	worth := func(i Item) float64 {
+		return p.memory[i.Slot.Model] / float64(1+v.readyReplicas(i.Slot.Model))
+	}
 	sorted := slices.Clone(items)
-	slices.SortStableFunc(sorted, func(a, b Item) int {
-		return cmp.Compare(p.memory[a.Slot.Model], p.memory[b.Slot.Model])
-	})
+	slices.SortStableFunc(sorted, func(a, b Item) int { return cmp.Compare(worth(a), worth(b)) })
 	return sorted
 }
 
--- a/internal/coordination/placement/steady.go
+++ b/internal/coordination/placement/steady.go
@@ -9,11 +9,11 @@
 
 // Settings configure the steady policy.
 type Settings struct {
-	MoveCost   float64       `help:"Work in engine-seconds that a load or unload has to bring." default:"10" min:"0" max:"10000"`
+	MoveCost   float64       `help:"Work in engine-seconds that a load or unload has to bring." default:"20" min:"0" max:"10000"`
 	Horizon    time.Duration `help:"Time for which present demand is expected to last." default:"2m" min:"1s" max:"1h"`
 	Hold       time.Duration `help:"Time for which demand must be unmet before a replica is added." default:"3s" min:"0s" max:"10m"`
 	Decay      time.Duration `help:"Time constant with which remembered demand falls." default:"10m" min:"1s" max:"24h"`
-	Headroom   float64       `help:"Share of present demand that is planned for beyond it." default:"0.1" min:"0" max:"2"`
+	Headroom   float64       `help:"Share of present demand that is planned for beyond it." default:"0.05" min:"0" max:"2"`
 	Spares     bool          `help:"Fill free memory with spare replicas." default:"true" negatable:""`
 	Reserve    float64       `help:"Share of an engine's memory that spare replicas leave free for adapters." default:"0.1" min:"0" max:"1"`
 	ZoneWeight float64       `help:"Score against a second replica in one availability zone, in engines." default:"0.05" min:"0" max:"10"`
