--- a/internal/coordination/placement/demand.go
+++ b/internal/coordination/placement/demand.go
@@ -33,6 +33,7 @@
 // addReplica starts the one move that serves the most demand. It reports whether a load was added.
 func (p *Steady) addReplica(v *view, a *Assignment) bool {
 	starved, unmet := a.Starved(), a.TotalUnmet()
+	dispensable := newDispensable(a)
 	var list []Candidate
 	for m := range v.Models {
 		for e := range v.Engines {
@@ -40,7 +41,7 @@
 			if gain <= smallestFlow {
 				continue
 			}
-			evict, ok := p.evictions(v, a, m, e)
+			evict, ok := p.roomBy(v, m, e, func(other int) bool { return dispensable.check(other, e) })
 			if ok {
 				list = append(list, Candidate{Model: m, Engine: e, Gain: gain, Evict: evict})
 			}
@@ -54,10 +55,24 @@
 	return true
 }
 
-// evictions returns the replicas that have to leave engine e for model m at no loss of
-// served demand. It reports false if there is no such set.
-func (p *Steady) evictions(v *view, a *Assignment, m, e int) ([]ledger.Slot, bool) {
-	return p.roomBy(v, m, e, func(other int) bool { return a.Loss(other, e) <= smallestFlow })
+// dispensable remembers which replicas can go at no loss of served demand.
+type dispensable struct {
+	assignment *Assignment
+	known      map[[2]int]bool // by model and engine
+}
+
+func newDispensable(a *Assignment) dispensable {
+	return dispensable{assignment: a, known: make(map[[2]int]bool)}
+}
+
+func (d dispensable) check(m, e int) bool {
+	key := [2]int{m, e}
+	free, ok := d.known[key]
+	if !ok {
+		free = d.assignment.Loss(m, e) <= smallestFlow
+		d.known[key] = free
+	}
+	return free
 }
 
 // makeRoom returns the replicas that have to leave engine e for model m, whatever they serve.
--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,159 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/ledger"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func model(id string, memory bundle.MiB, demand float64) Model {
+	return Model{Model: bundle.Model{ID: bundle.ModelID(id), Version: "1", Memory: memory, MinReplicas: 1}, Demand: demand}
+}
+
+func ready(id string, memory bundle.MiB) Item {
+	return Item{Slot: ledger.Slot{Model: bundle.ModelID(id), Version: "1"}, Memory: memory, State: Ready}
+}
+
+func engine(id, zone string, items ...Item) Engine {
+	e := Engine{ID: bundle.UpstreamID(id), Zone: bundle.Zone(zone), Memory: 100, Compute: 1, Usable: true, Frees: true, Items: items}
+	for _, i := range items {
+		e.Charged += i.Memory
+	}
+	return e
+}
+
+func settings() Settings {
+	return Settings{MoveCost: 10, Horizon: 100 * time.Second, Hold: 5 * time.Second, Decay: time.Minute, ZoneWeight: 0.05}
+}
+
+var manyRates = Rates{Loads: 4, Adapters: 4}
+
+func TestLostModelComesBeforeAllElse(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("m", 40)), engine("f", "b")},
+		Models:  []Model{model("m", 40, 3), model("lost", 40, 0)},
+		Rates:   Rates{Loads: 1},
+	}
+	actions := NewSteady(settings()).Decide(start, s)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Slot.Model, bundle.ModelID("lost"))
+	assert.Equal(t, actions[0].Reason, ReasonUnreachable)
+}
+
+func TestReplicaIsAddedAfterTheHoldTimeOnly(t *testing.T) {
+	s := Snapshot{Engines: []Engine{engine("e", "a", ready("m", 40)), engine("f", "b")}, Models: []Model{model("m", 40, 1.5)}, Rates: manyRates}
+	p := NewSteady(settings())
+	assert.Equal(t, len(p.Decide(start, s)), 0)
+	assert.Equal(t, len(p.Decide(start.Add(4*time.Second), s)), 0)
+	actions := p.Decide(start.Add(5*time.Second), s)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("f"))
+}
+
+func TestMoveThatBringsLessThanItsCostIsNotMade(t *testing.T) {
+	s := Snapshot{Engines: []Engine{engine("e", "a", ready("m", 40)), engine("f", "b")}, Models: []Model{model("m", 40, 1.05)}, Rates: manyRates}
+	p := NewSteady(settings()) // 0.05 engines for 100 s is less than 10 engine-seconds
+	p.Decide(start, s)
+	assert.Equal(t, len(p.Decide(start.Add(time.Minute), s)), 0)
+}
+
+func TestFallingDemandMovesNothing(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("m", 40)), engine("f", "b", ready("m", 40))},
+		Models:  []Model{model("m", 40, 1.5)}, Rates: manyRates,
+	}
+	p := NewSteady(settings())
+	p.Decide(start, s)
+	s.Models[0].Demand = 0.1
+	assert.Equal(t, len(p.Decide(start.Add(time.Hour), s)), 0)
+}
+
+func TestReplicaGoesToAnotherZone(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("m", 40)), engine("f", "a"), engine("g", "b")},
+		Models:  []Model{model("m", 40, 0)}, Rates: manyRates,
+	}
+	s.Models[0].MinReplicas = 2
+	actions := NewSteady(settings()).Decide(start, s)
+	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("g"))
+}
+
+func TestEvictionNeverTakesTheLastReplica(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("x", 60)), engine("f", "b", ready("y", 60))},
+		Models:  []Model{model("x", 60, 0), model("y", 60, 0), model("lost", 60, 0)}, Rates: manyRates,
+	}
+	assert.Equal(t, len(NewSteady(settings()).Decide(start, s)), 0)
+	s.Engines = append(s.Engines, engine("g", "c", ready("x", 60)))
+	actions := NewSteady(settings()).Decide(start, s)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Action, ledger.Unload)
+	assert.Equal(t, actions[0].Slot.Model, bundle.ModelID("x"))
+}
+
+func TestAdaptersKeepToTheTransitLimit(t *testing.T) {
+	s := Snapshot{Engines: []Engine{engine("e", "a", ready("m", 40))}, Models: []Model{model("m", 40, 0)}, Rates: Rates{Loads: 1, Adapters: 2}}
+	for _, id := range []bundle.AdapterID{"a", "b", "c"} {
+		s.Adapters = append(s.Adapters, Adapter{Adapter: bundle.Adapter{ID: id, Model: "m", Memory: 1}, Demand: 1})
+	}
+	assert.Equal(t, len(NewSteady(settings()).Decide(start, s)), 2)
+}
+
+// TestAssignmentServesTheMinimumCut compares the flow with all cuts of a small graph.
+func TestAssignmentServesTheMinimumCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models, engines := rapid.IntRange(1, 6).Draw(t, "models"), rapid.IntRange(1, 5).Draw(t, "engines")
+		unit := rapid.Float64Range(0, 3)
+		demand := rapid.SliceOfN(unit, models, models).Draw(t, "demand")
+		compute := rapid.SliceOfN(unit, engines, engines).Draw(t, "compute")
+		holds := make([][]bool, models)
+		for m := range holds {
+			holds[m] = rapid.SliceOfN(rapid.Bool(), engines, engines).Draw(t, "holds")
+		}
+		served := sumOf(demand) - Assign(demand, compute, holds).TotalUnmet()
+		if cut := minimumCut(demand, compute, holds); math.Abs(served-cut) > 1e-3 {
+			t.Fatalf("served %f, minimum cut %f", served, cut)
+		}
+	})
+}
+
+func sumOf(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// minimumCut tries every set of models that stay with the source.
+func minimumCut(demand, compute []float64, holds [][]bool) float64 {
+	least := math.Inf(1)
+	for set := range 1 << len(demand) {
+		cut := 0.0
+		reached := make([]bool, len(compute))
+		for m := range demand {
+			if set&(1<<m) == 0 {
+				cut += demand[m]
+				continue
+			}
+			for e, holds := range holds[m] {
+				reached[e] = reached[e] || holds
+			}
+		}
+		for e, r := range reached {
+			if r {
+				cut += compute[e]
+			}
+		}
+		least = math.Min(least, cut)
+	}
+	return least
+}
