--- a/internal/bench/cmd/moves/main.go
+++ b/internal/bench/cmd/moves/main.go
@@ -22,6 +22,7 @@
 			results = append(results, moves.Run(s, p, *seed))
 		}
 		moves.Print(os.Stdout, s, *seed, results)
+		moves.PrintCosts(os.Stdout, s, results[len(results)-1])
 		if err := moves.Plot(*out, s, results); err != nil {
 			log.Fatal(err)
 		}
--- a/internal/bench/moves/cell.go
+++ b/internal/bench/moves/cell.go
@@ -47,6 +47,7 @@
 	ModelMoves   int     // loads and unloads of models
 	AdapterMoves int     // loads and unloads of adapters
 	StoreWrites  int     // ledger writes for moves, leases excluded
+	LedgerBytes  int     // of all cells at the end
 	Engines      int
 	Series       []Point
 }
--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -66,6 +66,9 @@
 			total.addMinute(cells)
 		}
 	}
+	for _, c := range cells {
+		total.LedgerBytes += c.ledgerBytes()
+	}
 	return total
 }
 
--- a/internal/control/placing/world_test.go
+++ b/internal/control/placing/world_test.go
@@ -33,6 +33,23 @@
 	crossBoot                       bool    // orders may outlive a restart (breaks the connection rule)
 }
 
+// counts are the faults that were brought about.
+type counts struct {
+	orders, lost, late, twice, kills, freezes, restarts, rollouts, nestedWrites int
+}
+
+func (c *counts) add(d counts) {
+	c.orders += d.orders
+	c.lost += d.lost
+	c.late += d.late
+	c.twice += d.twice
+	c.kills += d.kills
+	c.freezes += d.freezes
+	c.restarts += d.restarts
+	c.rollouts += d.rollouts
+	c.nestedWrites += d.nestedWrites
+}
+
 // delivery is an order under way.
 type delivery struct {
 	at     time.Time
@@ -57,6 +74,7 @@
 	scope    Scope
 	holders  []*holder
 	failures []string
+	seen     counts
 }
 
 // holder is one instance with its own path to the store.
@@ -129,6 +147,7 @@
 }
 
 func (w *world) restart(e int, now time.Time) {
+	w.seen.restarts++
 	w.boots[e]++
 	w.reports[e] = nil
 	w.lastLoss = now
@@ -137,6 +156,7 @@
 
 // rollout puts a new version of some models in force.
 func (w *world) rollout() {
+	w.seen.rollouts++
 	w.scope.Generation++
 	w.scope.Models = slices.Clone(w.scope.Models)
 	for i := range w.scope.Models {
@@ -248,6 +268,7 @@
 		f.LateWrites, f.LateBy = 1, time.Duration(1+w.rand.IntN(5000))*time.Millisecond
 	}
 	if w.chance(w.faults.interleave) && !s.h.nested {
+		w.seen.nestedWrites++
 		s.h.nested = true
 		for _, other := range w.holders {
 			if other != s.h && !other.nested {
@@ -309,25 +330,31 @@
 	if s.h.killed {
 		return errLost
 	}
+	w.seen.orders++
 	late := time.Duration(1+w.rand.IntN(60)) * time.Second
 	switch {
 	case now.Before(s.h.frozen):
 		d.at = s.h.frozen
 	case w.chance(w.faults.kill):
+		w.seen.kills++
 		s.h.killed = true
 		if w.chance(0.5) {
 			w.deliver(d)
 		}
 		return errLost
 	case w.chance(w.faults.freeze):
+		w.seen.freezes++
 		s.h.frozen = now.Add(late)
 		d.at = s.h.frozen
 	case w.chance(w.faults.lose):
+		w.seen.lost++
 		return errLost
 	case w.chance(w.faults.late):
+		w.seen.late++
 		d.at = now.Add(late)
 	default:
 		if w.chance(w.faults.twice) {
+			w.seen.twice++
 			again := d
 			again.at = now.Add(late)
 			w.pending = append(w.pending, again)
