--- a/internal/control/placing/reach_test.go
+++ b/internal/control/placing/reach_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/protocol/enginehttp"
+	"savoryweir/internal/standin/residency"
 	"savoryweir/internal/standin/weights"
 	"savoryweir/internal/state/bundle"
 )
@@ -23,9 +24,9 @@
 	begun    int // loads in progress at the loss
 }
 
-func newReachWorld(engines, models int) *reachWorld {
-	s := testSettings(true)
-	w := newWorld(1, testScope(engines, models, func(int) bool { return true }), testLimits, s, chances{})
+func newReachWorld(engines, models int, fenced, copies bool) *reachWorld {
+	s := testSettings(copies)
+	w := newWorld(1, testScope(engines, models, func(int) bool { return fenced }), testLimits, s, chances{})
 	w.holders = w.holders[:1]
 	r := &reachWorld{world: w, settings: s, lostAt: make(map[bundle.ModelID]time.Time), longest: make(map[bundle.ModelID]time.Duration)}
 	r.run(3 * time.Minute) // the first loads
@@ -87,6 +88,16 @@
 	return r.countLost()
 }
 
+// rollOut puts a version of all models in force.
+func (r *reachWorld) rollOut(version string) int {
+	r.scope.Models = slices.Clone(r.scope.Models)
+	for i := range r.scope.Models {
+		r.scope.Models[i].Version = version
+	}
+	r.scope.Generation++
+	return 0
+}
+
 func (r *reachWorld) countLost() int {
 	lost := 0
 	for _, m := range r.scope.Models {
@@ -143,20 +154,8 @@
 		models int
 		event  func(r *reachWorld) int
 	}{
-		{"roll-out of all models", 6, 12, func(r *reachWorld) int {
-			for i := range r.scope.Models {
-				r.scope.Models[i].Version = "2"
-			}
-			r.scope.Generation++
-			return 0
-		}},
-		{"roll-out in full memory", 4, 11, func(r *reachWorld) int {
-			for i := range r.scope.Models {
-				r.scope.Models[i].Version = "2"
-			}
-			r.scope.Generation++
-			return 0
-		}},
+		{"roll-out of all models", 6, 12, func(r *reachWorld) int { return r.rollOut("2") }},
+		{"roll-out in full memory", 4, 11, func(r *reachWorld) int { return r.rollOut("2") }},
 		{"drain of an engine", 6, 12, func(r *reachWorld) int { return r.drain("e0") }},
 		{"tenfold burst", 6, 12, func(r *reachWorld) int {
 			for i, m := range r.scope.Models {
@@ -174,10 +173,7 @@
 			return r.kill(func(u bundle.Upstream) bool { return u.Zone == "z0" })
 		}},
 		{"loss of a zone in a roll-out", 9, 18, func(r *reachWorld) int {
-			for i := range r.scope.Models {
-				r.scope.Models[i].Version = "2"
-			}
-			r.scope.Generation++
+			r.rollOut("2")
 			r.run(7 * time.Second)
 			return r.kill(func(u bundle.Upstream) bool { return u.Zone == "z1" })
 		}},
@@ -185,7 +181,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				r := newReachWorld(c.engs, c.models)
+				r := newReachWorld(c.engs, c.models, true, true)
 				for _, m := range r.scope.Models {
 					assert.Assert(t, r.isReady(m.ID), "model %s before the event", m.ID)
 				}
@@ -196,3 +192,38 @@
 		})
 	}
 }
+
+func (r *reachWorld) countReady(version string) int {
+	count := 0
+	for _, m := range r.scope.Models {
+		slot := enginehttp.Slot{Model: string(m.ID), Version: version}
+		if slices.ContainsFunc(r.engines, func(e *residency.Engine) bool { return e.HasReady(slot) }) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestRollOutsWithoutFencing shows what the rule for engines without the fencing check costs:
+// where copies of orders are possible, memory comes free with a restart of the engine only.
+func TestRollOutsWithoutFencing(t *testing.T) {
+	for _, copies := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newReachWorld(6, 12, false, copies)
+			for _, version := range []string{"2", "3"} {
+				r.rollOut(version)
+				r.run(3 * time.Minute)
+				t.Logf("copies %t: version %s is ready of %d models in 12", copies, version, r.countReady(version))
+			}
+			finished := r.countReady("3") == len(r.scope.Models)
+			assert.Equal(t, finished, !copies)
+			for i := range r.engines {
+				r.restart(i, time.Now())
+				r.run(30 * time.Second)
+			}
+			r.run(time.Minute)
+			assert.Equal(t, r.countReady("3"), len(r.scope.Models))
+			assert.Equal(t, len(r.failures), 0, "%v", r.failures)
+		})
+	}
+}
