--- a/internal/bench/moves/size.go
+++ b/internal/bench/moves/size.go
@@ -13,7 +13,7 @@
 // Numbers of the size that they have in a store with some days of writes.
 const (
 	sampleFence    ledger.Fence = 30_000_000
-	sampleSequence              = 20_000
+	sampleSequence uint64       = 20_000
 )
 
 // ledgerBytes returns the size of the cell's ledger as it stands.
