Placement: a short silence of an engine replaces no replicas

Cause: one unanswered report made all models of the engine count as lost, and each was loaded elsewhere. Ruled out: asking twice in one step, which a pause of the engine of a second outlasts. Change: replicas of an engine count until it has been silent for lost-after; it gets no orders meanwhile, and for the ledger's guard they are not ready.

--- a/internal/control/placing/cell.go
+++ b/internal/control/placing/cell.go
@@ -40,7 +40,8 @@
 	sessions map[bundle.UpstreamID]Session
 	tracker  *tracker
 	last     *ledger.Ledger
-	known    *stored // as this instance wrote it last, nil if it has to be read
+	answered map[bundle.UpstreamID]time.Time // last report of each engine
+	known    *stored                         // as this instance wrote it last, nil if it has to be read
 }
 
 // NewCell returns a cell that has read nothing yet. nonce returns a new random number at each call.
@@ -48,6 +49,7 @@
 	return &Cell{
 		instance: instance, settings: s, store: store, engines: engines, policy: policy, nonce: nonce,
 		sessions: make(map[bundle.UpstreamID]Session), tracker: newTracker(),
+		answered: make(map[bundle.UpstreamID]time.Time),
 	}
 }
 
@@ -70,7 +72,7 @@
 		return nil
 	}
 	next := current.ledger.Clone()
-	c.settle(ctx, next, scope)
+	c.settle(ctx, now, next, scope)
 	c.tracker.observe(now, next)
 	c.last = next
 	orders := c.plan(now, next, scope, ledger.Fence(current.version))
@@ -132,7 +134,7 @@
 }
 
 // settle brings the ledger up to the bundle in force and to the engines' reports.
-func (c *Cell) settle(ctx context.Context, l *ledger.Ledger, scope Scope) {
+func (c *Cell) settle(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope) {
 	results := make([]fetched, len(scope.Upstreams))
 	var group errgroup.Group
 	group.SetLimit(c.settings.ReportsAtOnce)
@@ -146,11 +148,11 @@
 	_ = group.Wait() // failures are in the results
 	for i, u := range scope.Upstreams {
 		l.SetEngine(u.ID, u.Memory, c.delivery(u))
-		c.settleEngine(l, u.ID, results[i])
+		c.settleEngine(now, l, u.ID, results[i])
 	}
 }
 
-func (c *Cell) settleEngine(l *ledger.Ledger, id bundle.UpstreamID, f fetched) {
+func (c *Cell) settleEngine(now time.Time, l *ledger.Ledger, id bundle.UpstreamID, f fetched) {
 	if f.session != nil {
 		c.sessions[id] = f.session
 	}
@@ -159,6 +161,7 @@
 		l.SetUnreachable(id)
 		return
 	}
+	c.answered[id] = now
 	l.ApplyReport(id, f.report)
 }
 
--- a/internal/control/placing/plan.go
+++ b/internal/control/placing/plan.go
@@ -15,7 +15,7 @@
 		return nil // the first write only creates the cell
 	}
 	orders := c.resend(now, l, scope, fence)
-	for _, a := range c.policy.Decide(now, c.snapshot(l, scope)) {
+	for _, a := range c.policy.Decide(now, c.snapshot(now, l, scope)) {
 		order, err := planAction(l, a, fence)
 		if err == nil {
 			orders = append(orders, order)
@@ -77,13 +77,14 @@
 }
 
 // snapshot builds what the policy decides on.
-func (c *Cell) snapshot(l *ledger.Ledger, scope Scope) placement.Snapshot {
+func (c *Cell) snapshot(now time.Time, l *ledger.Ledger, scope Scope) placement.Snapshot {
 	s := placement.Snapshot{Rates: scope.Rates}
 	for _, u := range scope.Upstreams {
 		e := l.Engine(u.ID)
 		s.Engines = append(s.Engines, placement.Engine{
 			ID: u.ID, Zone: u.Zone, Memory: u.Memory, Charged: e.Charged(), Compute: 1,
 			Usable: scope.takesOrders(u.ID) && !e.Unreachable && e.Boot != "",
+			Silent: e.Unreachable && scope.takesOrders(u.ID) && now.Sub(c.answered[u.ID]) < c.settings.LostAfter,
 			Frees:  e.Delivery != ledger.DeliveryAny,
 			Items:  snapshotItems(e),
 		})
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -35,6 +35,9 @@
 	Compute float64 // share of a whole engine's work that it can do
 	// Usable is false for an engine that is leaving or unreachable: it gets no orders.
 	Usable bool
+	// Silent is true for an engine that has not answered for a short time. It gets no
+	// orders, but its replicas are not replaced yet.
+	Silent bool
 	// Frees is false if an unload would free no memory.
 	Frees bool
 	Items []Item
--- a/internal/coordination/placement/view.go
+++ b/internal/coordination/placement/view.go
@@ -77,6 +77,9 @@
 	return slices.ContainsFunc(e.Items, func(i Item) bool { return i.Slot == slot })
 }
 
+// counts reports whether the engine's replicas still count.
+func (e Engine) counts() bool { return e.Usable || e.Silent }
+
 // ready reports whether the slot is usable on the engine.
 func (e Engine) ready(slot ledger.Slot) bool {
 	return e.Usable && slices.ContainsFunc(e.Items, func(i Item) bool { return i.Slot == slot && i.State == Ready })
@@ -84,9 +87,9 @@
 
 func slotOf(m Model) ledger.Slot { return ledger.Slot{Model: m.ID, Version: m.Version} }
 
-// replicas counts the usable engines that have or get the version in force of a model.
+// replicas counts the engines that have or get the version in force of a model.
 func (v *view) replicas(m Model) int {
-	return v.count(func(e Engine) bool { return e.Usable && e.holds(slotOf(m)) })
+	return v.count(func(e Engine) bool { return e.counts() && e.holds(slotOf(m)) })
 }
 
 // readyReplicas counts the engines on which any version of the model is ready.
@@ -121,7 +124,7 @@
 func (v *view) assignment(demand []float64) *Assignment {
 	compute := make([]float64, len(v.Engines))
 	for e, engine := range v.Engines {
-		if engine.Usable {
+		if engine.counts() {
 			compute[e] = engine.Compute
 		}
 	}
@@ -129,7 +132,7 @@
 	for m, model := range v.Models {
 		holds[m] = make([]bool, len(v.Engines))
 		for e, engine := range v.Engines {
-			holds[m][e] = engine.Usable && engine.holds(slotOf(model))
+			holds[m][e] = engine.counts() && engine.holds(slotOf(model))
 		}
 	}
 	return Assign(demand, compute, holds)
