--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -29,6 +28,8 @@
 	startPatience        = time.Minute
 	pollInterval         = 50 * time.Millisecond
 	seedCount            = 3
+	zones                = 3
+	logLevel             = "error"
 )
 
 // Fleet is a running set of control processes.
@@ -38,15 +39,17 @@
 	Approver  *Approver
 	server    *httptest.Server
 	folder    string
+	binaries  string
 }
 
 // Process is one control process.
 type Process struct {
+	child
 	ID         string
+	Zone       string
 	peers      string
 	Local      string
 	operations string
-	command    *exec.Cmd
 }
 
 // Start starts count control processes from the folder of binaries. Extra are
@@ -66,11 +69,12 @@
 		Approver: approver,
 		server:   httptest.NewServer(objectapi.Handler(store)),
 		folder:   folder,
+		binaries: binaries,
 	}
 	if err := os.WriteFile(f.trustedKeys(), approver.trustedFile(), 0o600); err != nil {
 		return nil, err
 	}
-	if err := f.startProcesses(binaries, count, extra); err != nil {
+	if err := f.startProcesses(count, extra); err != nil {
 		f.Stop()
 		return nil, err
 	}
@@ -79,22 +83,22 @@
 
 func (f *Fleet) trustedKeys() string { return filepath.Join(f.folder, "trusted.ini") }
 
-func (f *Fleet) startProcesses(binaries string, count int, extra []string) error {
+func (f *Fleet) startProcesses(count int, extra []string) error {
 	for i := range count {
 		ports, err := freePorts(3)
 		if err != nil {
 			return err
 		}
 		f.Processes = append(f.Processes, &Process{
-			ID: fmt.Sprintf("i%03d", i), peers: ports[0], Local: ports[1], operations: ports[2],
+			ID: fmt.Sprintf("i%03d", i), Zone: fmt.Sprintf("zone-%d", i%zones), peers: ports[0], Local: ports[1], operations: ports[2],
 		})
 	}
 	var seeds []string
 	for _, p := range f.Processes[:min(seedCount, count)] {
 		seeds = append(seeds, p.peers)
 	}
-	for i, p := range f.Processes {
-		if err := p.start(f, binaries, fmt.Sprintf("zone-%d", i%3), seeds, extra); err != nil {
+	for _, p := range f.Processes {
+		if err := p.start(f, seeds, extra); err != nil {
 			return err
 		}
 	}
@@ -115,43 +119,30 @@
 	return addresses, nil
 }
 
-func (p *Process) start(f *Fleet, binaries, zone string, seeds, extra []string) error {
+func (p *Process) start(f *Fleet, seeds, extra []string) error {
 	_, port, err := net.SplitHostPort(p.peers)
 	if err != nil {
 		return err
 	}
 	arguments := append([]string{
-		"--instance-id=" + p.ID, "--instance-zone=" + zone, "--instance-address=127.0.0.1",
-		"--log-level=warn", "--peers-port=" + port, "--peers-seeds=" + strings.Join(seeds, ","),
+		"--instance-id=" + p.ID, "--instance-zone=" + p.Zone, "--instance-address=127.0.0.1",
+		"--log-level=" + logLevel, "--peers-port=" + port, "--peers-seeds=" + strings.Join(seeds, ","),
 		"--local-address=" + p.Local, "--operations-address=" + p.operations,
 		"--store-url=" + f.server.URL, "--bundles-trusted-keys=" + f.trustedKeys(),
 	}, extra...)
-	p.command = exec.Command(filepath.Join(binaries, "savoryweir-control"), arguments...)
-	p.command.Stderr = os.Stderr
-	return p.command.Start()
+	return p.child.start(filepath.Join(f.binaries, "savoryweir-control"), arguments)
 }
 
 // Stop ends all processes and the store.
 func (f *Fleet) Stop() {
 	for _, p := range f.Processes {
-		if p.command != nil && p.command.Process != nil {
-			_ = p.command.Process.Kill()
-			_ = p.command.Wait()
-		}
+		_ = p.Kill() // an error means that it has ended already
 	}
+	f.server.CloseClientConnections()
 	f.server.Close()
 	_ = os.RemoveAll(f.folder)
 }
 
-// Kill ends the process at once.
-func (p *Process) Kill() error {
-	if err := p.command.Process.Kill(); err != nil {
-		return err
-	}
-	_ = p.command.Wait() // reports the kill
-	return nil
-}
-
 // Status reads the process's own report.
 func (p *Process) Status() (status.Status, error) {
 	var s status.Status
--- a/internal/bench/fleet/sample.go
+++ b/internal/bench/fleet/sample.go
@@ -35,7 +35,7 @@
 
 // sample reads the present cost of a process.
 func (p *Process) sample() (Sample, error) {
-	pid := p.command.Process.Pid
+	pid := p.PID()
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return Sample{}, err
--- /dev/null
+++ b/internal/e2e/orders_test.go
@@ -0,0 +1,166 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/bench/fleet"
+	"savoryweir/internal/standin/objectapi"
+)
+
+const (
+	orderCallers    = 6
+	ordersPerCaller = 25
+	maxSends        = 40
+	chaosPause      = 700 * time.Millisecond
+)
+
+// verdict is what a caller was told last about an order.
+type verdict struct {
+	key     string
+	outcome string // of the last answer, empty if there never was one
+	gaveUp  bool   // the caller took "not run" for final and never sent again
+}
+
+// TestOrdersRunAtMostOnceWhileProcessesDie sends orders with resends to other
+// entries while entries and control processes are killed and frozen and the
+// store fails. No order may run twice, none that ended as "not run" may run,
+// and all that ended as "ran" did.
+func TestOrdersRunAtMostOnceWhileProcessesDie(t *testing.T) {
+	const seed = 11
+	t.Logf("seed %d", seed)
+	s := startSystem(t, 3)
+	var verdicts []verdict
+	var mu sync.Mutex // guards verdicts
+	var callers sync.WaitGroup
+	for c := range orderCallers {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			random := rand.New(rand.NewPCG(seed, uint64(c)))
+			for n := range ordersPerCaller {
+				v := s.placeOrder(random, fmt.Sprintf("order-%d-%d", c, n))
+				mu.Lock()
+				verdicts = append(verdicts, v)
+				mu.Unlock()
+			}
+		}()
+	}
+	finished := make(chan struct{})
+	go func() {
+		callers.Wait()
+		close(finished)
+	}()
+	s.shakeUntil(finished, rand.New(rand.NewPCG(seed, 99)))
+
+	runs := s.runs()
+	told := make(map[string]int)
+	for _, v := range verdicts {
+		told[v.outcome]++
+		assert.Check(t, runs[v.key] <= 1, "%s ran %d times", v.key, runs[v.key])
+		switch v.outcome {
+		case "ran":
+			assert.Check(t, runs[v.key] == 1, "%s was told to have run and did not", v.key)
+		case "not_run":
+			assert.Check(t, runs[v.key] == 0, "%s was told not to have run and ran", v.key)
+		}
+	}
+	t.Logf("callers were told: %v", told)
+	assert.Assert(t, told["ran"] > len(verdicts)/2, "too few orders ran for the test to mean anything: %v", told)
+}
+
+// placeOrder sends an order to one entry after another until its end is known.
+// One in five callers takes the first "not run" for final.
+func (s *system) placeOrder(random *rand.Rand, key string) verdict {
+	v := verdict{key: key, gaveUp: random.IntN(5) == 0}
+	for range maxSends {
+		a := s.order(s.entries[random.IntN(len(s.entries))], key)
+		if a.err == nil {
+			v.outcome = a.outcome
+		} else {
+			v.outcome = ""
+		}
+		if v.outcome == "ran" || (v.outcome == "not_run" && v.gaveUp) {
+			return v
+		}
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	}
+	return v
+}
+
+// shakeUntil brings about faults, one after another, until finished is closed.
+func (s *system) shakeUntil(finished <-chan struct{}, random *rand.Rand) {
+	for {
+		select {
+		case <-finished:
+			return
+		case <-time.After(chaosPause):
+		}
+		i := random.IntN(len(s.entries))
+		switch random.IntN(6) {
+		case 0:
+			s.killAndRestart(s.fleet.Processes[i])
+		case 1:
+			s.killAndRestart(s.entries[i])
+		case 2:
+			s.freeze(s.fleet.Processes[i], 2*time.Second)
+		case 3:
+			s.freeze(s.entries[i], time.Second)
+		case 4:
+			s.fleet.Store.SetFaults(objectapi.Faults{Outage: true})
+			time.Sleep(time.Second)
+			s.fleet.Store.SetFaults(objectapi.Faults{})
+		case 5:
+			s.fleet.Store.SetFaults(objectapi.Faults{LoseAnswers: 5})
+		}
+	}
+}
+
+// process is an entry or a control process.
+type process interface {
+	Kill() error
+	Restart() error
+	Freeze() error
+	Thaw() error
+}
+
+func (s *system) killAndRestart(p process) {
+	assert.Check(s.t, p.Kill())
+	assert.Check(s.t, p.Restart())
+}
+
+func (s *system) freeze(p process, d time.Duration) {
+	assert.Check(s.t, p.Freeze())
+	time.Sleep(d)
+	assert.Check(s.t, p.Thaw())
+}
+
+// TestResendsAtTheSameMomentRunOnce sends each order to all entries at once.
+func TestResendsAtTheSameMomentRunOnce(t *testing.T) {
+	s := startSystem(t, 3)
+	for n := range 20 {
+		key := fmt.Sprintf("twin-%d", n)
+		var senders sync.WaitGroup
+		answers := make([]answer, len(s.entries))
+		for i, e := range s.entries {
+			senders.Add(1)
+			go func(i int, e *fleet.Entry) {
+				defer senders.Done()
+				answers[i] = s.order(e, key)
+			}(i, e)
+		}
+		senders.Wait()
+		for i, a := range answers {
+			assert.NilError(t, a.err)
+			assert.Equal(t, a.status, http.StatusOK, "entry %d: %s", i, a.body)
+			assert.Equal(t, a.body, answers[0].body)
+		}
+		assert.Equal(t, s.runs()[key], 1)
+	}
+}
