--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -12,13 +12,15 @@
 
 	"savoryweir/internal/bench/fleet"
 	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/standin/service"
 )
 
 const (
-	orderCallers    = 6
-	ordersPerCaller = 25
+	orderCallers    = 12
+	ordersPerCaller = 20
 	maxSends        = 40
-	chaosPause      = 700 * time.Millisecond
+	slowOrderMillis = 250
+	chaosPause      = 300 * time.Millisecond
 )
 
 // verdict is what a caller was told last about an order.
@@ -36,6 +38,10 @@
 	const seed = 11
 	t.Logf("seed %d", seed)
 	s := startSystem(t, 3)
+	for _, plain := range s.services {
+		// Orders take long enough for kills to hit them under way, and run although their sender is gone.
+		plain.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: slowOrderMillis})
+	}
 	var verdicts []verdict
 	var mu sync.Mutex // guards verdicts
 	var callers sync.WaitGroup
@@ -95,33 +101,36 @@
 }
 
 // shakeUntil brings about faults, one after another, until finished is closed.
+// Each round shows every kind of fault in an order of its own.
 func (s *system) shakeUntil(finished <-chan struct{}, random *rand.Rand) {
+	faults := []func(victim int){
+		func(i int) { s.killAndRestart(s.fleet.Processes[i]) },
+		func(i int) { s.killAndRestart(s.entries[i]) },
+		func(i int) { s.freeze(s.fleet.Processes[i], 2*time.Second) },
+		func(i int) { s.freeze(s.entries[i], time.Second) },
+		func(int) { s.outage(time.Second) },
+		func(int) { s.fleet.Store.SetFaults(objectapi.Faults{LoseAnswers: 5}) },
+	}
 	for {
-		select {
-		case <-finished:
-			return
-		case <-time.After(chaosPause):
-		}
-		i := random.IntN(len(s.entries))
-		switch random.IntN(6) {
-		case 0:
-			s.killAndRestart(s.fleet.Processes[i])
-		case 1:
-			s.killAndRestart(s.entries[i])
-		case 2:
-			s.freeze(s.fleet.Processes[i], 2*time.Second)
-		case 3:
-			s.freeze(s.entries[i], time.Second)
-		case 4:
-			s.fleet.Store.SetFaults(objectapi.Faults{Outage: true})
-			time.Sleep(time.Second)
-			s.fleet.Store.SetFaults(objectapi.Faults{})
-		case 5:
-			s.fleet.Store.SetFaults(objectapi.Faults{LoseAnswers: 5})
+		random.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
+		for _, fault := range faults {
+			select {
+			case <-finished:
+				return
+			case <-time.After(chaosPause):
+			}
+			fault(random.IntN(len(s.entries)))
 		}
 	}
 }
 
+// outage takes the store away for a while.
+func (s *system) outage(d time.Duration) {
+	s.fleet.Store.SetFaults(objectapi.Faults{Outage: true})
+	time.Sleep(d)
+	s.fleet.Store.SetFaults(objectapi.Faults{})
+}
+
 // process is an entry or a control process.
 type process interface {
 	Kill() error
