--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,7 +33,6 @@
 	mu        sync.Mutex // guards the rest
 	random    *rand.Rand
 	nodes     map[string]*node
-	truth     []claims.Member
 	lostReply float64 // share of calls between instances whose answer is lost
 }
 
@@ -91,6 +91,7 @@
 	for i := range instances {
 		c.add(fmt.Sprintf("i%03d", i))
 	}
+	synctest.Wait() // a service refuses claims before its Run has started
 	return c
 }
 
@@ -116,6 +117,18 @@
 	return c.random.Float64()
 }
 
+func (c *cluster) losesReply() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64() < c.lostReply
+}
+
+func (c *cluster) setLostReplies(share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lostReply = share
+}
+
 func (c *cluster) intN(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,7 +190,7 @@
 		Store:    &frozenStore{node: n, incarnation: n.incarnation},
 		Recorder: timeline.NewRecorder(clock, "control", n.id, "", 16),
 		Logger:   zerolog.Nop(),
-		Random:   rand.New(rand.NewPCG(uint64(len(n.id))+n.incarnation, n.cluster.random.Uint64())),
+		Random:   rand.New(rand.NewPCG(uint64(len(n.id))+n.incarnation, uint64(n.cluster.intN(1<<30)))),
 	})
 	service := n.service
 	n.cluster.goRun(func() { _ = service.Run(ctx) })
@@ -253,6 +266,12 @@
 	return n.incarnation
 }
 
+func (n *node) clientNow() *orderclient.Client {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.client
+}
+
 func (n *node) serviceNow() *Service {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -318,7 +337,7 @@
 	if c.to == nil || c.to.isDead() {
 		return none, errUnreachable
 	}
-	lose := c.from != c.to && c.cluster.float() < c.cluster.lostReply
+	lose := c.from != c.to && c.cluster.losesReply()
 	done := make(chan result, 1)
 	handlerCtx := ctx
 	if c.cluster.intN(2) == 0 { // the end of the call does not reach the receiver
@@ -329,6 +348,9 @@
 		service := c.to.serviceNow()
 		response, err := handle(service, handlerCtx, request)
 		c.to.awaitThaw()
+		if service != c.to.serviceNow() {
+			err = errUnreachable
+		}
 		done <- result{response, err}
 	}()
 	select {
--- a/internal/control/peers/service.go
+++ b/internal/control/peers/service.go
@@ -43,6 +43,8 @@
 type HeadListener interface {
 	// OfferHead tells that source has head in force. It must not block.
 	OfferHead(head bundle.Head, source member.Member)
+	// PeersHeard tells that a peer has answered after the start.
+	PeersHeard()
 }
 
 // SectionStore holds the sections of bundles by their hashes.
@@ -137,6 +139,12 @@
 // Snapshot returns the present knowledge. The caller must not change it.
 func (s *Service) Snapshot() *Snapshot { return s.snapshot.Load() }
 
+// Known returns the usable members and all news.
+func (s *Service) Known() ([]member.Member, news.Batch) {
+	known := s.Snapshot()
+	return known.Usable(), known.News
+}
+
 // Changed receives a token after the snapshot has changed.
 func (s *Service) Changed() <-chan struct{} { return s.changed }
 
--- a/internal/coordination/routing/policies.go
+++ b/internal/coordination/routing/policies.go
@@ -34,7 +34,7 @@
 // wait in the entry until an upstream has room.
 func NewLateTwoChoices(r *rand.Rand, overbook int) Scheduler {
 	return Scheduler{
-		Filters: []Filter{UsableFilter{}, RoomFilter{Overbook: overbook}},
+		Filters: []Filter{UsableFilter{}, newRoomFilter(overbook)},
 		Scorers: []Scorer{EstimatedLoad{}},
 		Chooser: TwoChoices{Rand: r},
 	}
@@ -45,7 +45,7 @@
 // of a model, so that its estimate misses few of them.
 func NewLeastEstimated(overbook int) Scheduler {
 	return Scheduler{
-		Filters: []Filter{UsableFilter{}, RoomFilter{Overbook: overbook}},
+		Filters: []Filter{UsableFilter{}, newRoomFilter(overbook)},
 		Scorers: []Scorer{EstimatedLoad{}},
 		Chooser: LowestCost{},
 	}
@@ -55,16 +55,22 @@
 type KeyedSettings struct {
 	Settle      time.Duration // how long a lost upstream keeps its place in the pairs
 	Overbook    int           // requests above the batch size that may wait at an engine
-	PrefixBonus float64       // load that a cached prefix outweighs
+	PrefixBonus float64       // load that a cached prefix outweighs, zero for no affinity
 	Zone        bundle.Zone   // availability zone of this instance
 	ZonePenalty float64       // load that a local upstream may have more
 }
 
-// NewKeyed returns prefix affinity with bounded load: the cheaper of the two
-// upstreams that the request's hashes name, see PairFilter.
+// DefaultKeyedSettings returns the settings to start from.
+func DefaultKeyedSettings(zone bundle.Zone) KeyedSettings {
+	return KeyedSettings{Settle: 4 * time.Second, Overbook: 8, Zone: zone, ZonePenalty: 0.5}
+}
+
+// NewKeyed returns the cheaper of the two upstreams that the request's hashes
+// name, see PairFilter. With a PrefixBonus it is prefix affinity with bounded load.
 func NewKeyed(s KeyedSettings) Scheduler {
+	pair := PairFilter{Settle: s.Settle, ByPrefix: s.PrefixBonus > 0}
 	return Scheduler{
-		Filters: []Filter{PairFilter{Settle: s.Settle}, UsableFilter{}, RoomFilter{Overbook: s.Overbook}},
+		Filters: []Filter{pair, UsableFilter{}, newRoomFilter(s.Overbook)},
 		Scorers: []Scorer{
 			EstimatedLoad{},
 			FirstChoiceBonus{Requests: s.PrefixBonus},
@@ -73,3 +79,10 @@
 		Chooser: LowestCost{},
 	}
 }
+
+// overnightShare leaves the room that package admission reserves.
+const overnightShare = 0.7
+
+func newRoomFilter(overbook int) RoomFilter {
+	return RoomFilter{Overbook: overbook, OvernightShare: overnightShare}
+}
--- a/internal/protocol/bundlefile/parse.go
+++ b/internal/protocol/bundlefile/parse.go
@@ -53,7 +53,7 @@
 	}
 	parsed, err := ini.LoadSources(iniOptions, file.Data)
 	if err != nil {
-		p.fault(file.Name, "", "", "not an INI file: "+err.Error())
+		p.fault(file.Name, "", "", "not an INI file: "+strings.TrimSpace(err.Error()))
 		return
 	}
 	for _, section := range parsed.Sections() {
@@ -83,7 +83,7 @@
 		r.fault("", "the section is unknown, allowed are [deployment], [service NAME], [upstream NAME], [model NAME] and [adapter NAME]")
 		p.faults = append(p.faults, r.faults...)
 		return
-	case !validName.MatchString(id):
+	case !validName(id):
 		r.fault("", "the name after the kind must be 1 to 128 letters, digits or . _ / - and start with a letter or digit")
 	default:
 		p.entity(r, kind, id)
@@ -126,7 +126,6 @@
 		Name:       name,
 		Kind:       bundle.ServiceKind(r.text(keyKind)),
 		Deadline:   r.duration(keyDeadline),
-		Route:      r.optionalText(keyRoute),
 		OrderPaths: r.optionalList(keyOrderPaths),
 	}
 }
