--- a/internal/state/rollout/rollout_test.go
+++ b/internal/state/rollout/rollout_test.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"fmt"
+	"os"
 	"slices"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -9,6 +12,19 @@
 	"savoryweir/internal/state/bundle"
 )
 
+func TestTableStandsInTheDocs(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/design/bundles.md")
+	assert.NilError(t, err)
+	for _, line := range Table() {
+		var from []string
+		for _, state := range line.From {
+			from = append(from, string(state))
+		}
+		row := fmt.Sprintf("| %s | %s | %s |", line.Event, strings.Join(from, ", "), line.To)
+		assert.Assert(t, strings.Contains(string(page), row), row)
+	}
+}
+
 func TestOnlyTheTableMoves(t *testing.T) {
 	paths := map[State][]Event{
 		Heard:      {},
