Bundles: the herd test shows jitter and backoff each

Cause: with nine instances the bound let calls without jitter pass. Change: 32 instances, and at most a quarter of them may call in the same second. The old bound of one call an instance is replaced by this stricter one.

--- a/internal/control/bundles/manager_test.go
+++ b/internal/control/bundles/manager_test.go
@@ -258,8 +258,9 @@
 func TestNoHerdAfterALongOutage(t *testing.T) {
 	inBubble(t, func(t *testing.T, b *bench) {
 		var all []*instance
-		for i := range 9 {
-			all = append(all, b.start(i < 2, objectapi.LinkFaults{}))
+		const instances, watchers = 32, 3
+		for i := range instances {
+			all = append(all, b.start(i < watchers, objectapi.LinkFaults{}))
 		}
 		b.approve(testBundle("1"), "anna", "babis")
 		b.gossip(spread, all...)
@@ -275,8 +276,8 @@
 			time.Sleep(time.Second)
 			busiest = max(busiest, b.memory.Counts().Reads()-before)
 		}
-		t.Logf("9 instances: %d calls in %s of outage, at most %d in one second after it", during, outage, busiest)
-		assert.Assert(t, busiest <= uint64(len(all)), "each instance calls at most once in the busiest second")
+		t.Logf("%d instances: %d calls in %s of outage, at most %d in one second after it", instances, during, outage, busiest)
+		assert.Assert(t, busiest <= instances/4, "a quarter of the instances or more call in the same second")
 		b.approve(testBundle("2"), "anna", "babis")
 		b.gossip(spread, all...)
 		b.wantGeneration(2, all...)
