Badly signed approvals: the tool passes over them as the processes do

Cause: the tool took the pointer's content for the one in force, also when no process does, so it would have checked the roll-out against a bundle that is in force nowhere. Change: tool and control process walk back by the same function; the tool names what it passes over. Tests: go test -race ./internal/ctl ./internal/control/bundles ./internal/transport/bundlestore.

--- a/internal/control/bundles/watch.go
+++ b/internal/control/bundles/watch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"savoryweir/internal/coordination/signoff"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/protocol/bundlefile"
@@ -18,9 +17,6 @@
 // storeSource fetches sections from the store.
 type storeSource struct{ store PointerStore }
 
-// maxUnsigned is how many badly signed approvals in a row are passed over.
-const maxUnsigned = 64
-
 // storePeer names the store in errors.
 const storePeer errs.Peer = "store"
 
@@ -147,46 +143,17 @@
 	return next, nil
 }
 
-// offerPointer puts the pointer's approval forward. If it is not signed as the policy
-// requires, the latest one before it that is comes from the history, so that a writer
-// without keys cannot hide an approved generation.
+// offerPointer puts the latest approval forward that is signed as the policy requires.
 func (m *Manager) offerPointer(ctx context.Context, o object.Object) error {
-	pointer, signed := m.offerApproval(o)
-	if signed {
-		return nil
-	}
-	m.metrics.refused.Inc()
-	generation := pointer.Approval.Generation
-	for range maxUnsigned {
-		if generation <= m.Head().Generation+1 {
-			return nil
-		}
-		generation--
-		o, err := m.options.Store.Get(ctx, approvalfile.KindHistory, approvalfile.HistoryName(generation))
-		if errors.Is(err, object.ErrNotFound) {
-			continue
-		}
-		if err != nil {
-			return errs.Wrap(err, "read bundle history", storePeer)
-		}
-		if _, signed := m.offerApproval(o); signed {
-			return nil
-		}
-	}
-	return nil
-}
-
-// offerApproval offers a recorded approval and reports whether its signatures suffice.
-func (m *Manager) offerApproval(o object.Object) (bundlestore.Pointer, bool) {
-	pointer, err := bundlestore.DecodePointer(o)
-	if err == nil {
-		err = signoff.CheckApproval(m.options.Policy, pointer.Approval)
+	latest, err := bundlestore.LatestSigned(ctx, m.options.Store, m.options.Policy, o, m.Head().Generation)
+	for _, refused := range latest.Refused {
+		m.metrics.refused.Inc()
+		m.log.Error().Err(refused.Cause).Uint64("generation", uint64(refused.Head.Generation)).Msg("Approval refused.")
+		m.record(timeline.KindBundleRefused, refused.Head, refused.Cause.Error())
 	}
 	if err != nil {
-		m.log.Error().Err(err).Str("object", string(o.Name)).Msg("Approval refused.")
-		m.record(timeline.KindBundleRefused, pointer.Head(), err.Error())
-		return pointer, false
+		return err
 	}
-	m.Offer(pointer.Head(), pointerSource{storeSource: m.store, approval: bundlefile.NewSection(o.Data)})
-	return pointer, true
+	m.Offer(latest.Head(), pointerSource{storeSource: m.store, approval: bundlefile.NewSection(latest.Data())})
+	return nil
 }
--- a/internal/ctl/bundle.go
+++ b/internal/ctl/bundle.go
@@ -166,8 +166,8 @@
 		if current.bundle == nil {
 			return errNothingInForce
 		}
-		name = current.pointer.Approval.Manifest.String()
-		env.printf("; %s\n", approvalLine(current.pointer.Approval))
+		name = current.signed.Manifest.String()
+		env.printf("; %s\n", approvalLine(current.signed))
 	}
 	l, err := env.load(name, nil)
 	if err != nil {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -117,10 +117,12 @@
 	return code
 }
 
-func (env *Environment) store() *bundlestore.Store {
-	return bundlestore.New(storeclient.New(env.commandLine.Store, nil))
+func (env *Environment) client() *storeclient.Client {
+	return storeclient.New(env.commandLine.Store, nil)
 }
 
+func (env *Environment) store() *bundlestore.Store { return bundlestore.New(env.client()) }
+
 func (env *Environment) policy() (approval.Policy, error) {
 	const step errs.Step = "read trusted keys"
 	path := env.commandLine.TrustedKeys
--- a/internal/ctl/source.go
+++ b/internal/ctl/source.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,8 +10,11 @@
 
 	"savoryweir/internal/coordination/bundlecheck"
 	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/protocol/bundlefile"
+	"savoryweir/internal/state/approval"
 	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/object"
 	"savoryweir/internal/transport/bundlestore"
 )
 
@@ -21,9 +25,12 @@
 	files   bundlefile.Source
 }
 
-// inForce is the latest approved bundle. Bundle is nil when there is none.
+// inForce is the bundle that processes have in force. Bundle is nil when there is none.
 type inForce struct {
+	// pointer is the latest approval. The next one follows it, also if it is not
+	// signed as the policy requires.
 	pointer bundlestore.Pointer
+	signed  approval.Approval // the latest one that is
 	bundle  *bundle.Bundle
 }
 
@@ -111,12 +118,34 @@
 	return hash, nil
 }
 
-// inForce reads the latest approved bundle.
+// inForce reads the bundle that processes have in force. Approvals that the trusted
+// keys do not vouch for are passed over, as the processes do.
 func (env *Environment) inForce() (inForce, error) {
-	pointer, err := env.store().Pointer(env.Context)
-	if err != nil || pointer.Version == 0 {
+	policy, err := env.policy()
+	if err != nil {
+		return inForce{}, err
+	}
+	o, err := env.client().Get(env.Context, approvalfile.KindPointer, approvalfile.PointerName)
+	if errors.Is(err, object.ErrNotFound) {
+		return inForce{}, nil
+	}
+	if err != nil {
+		return inForce{}, errs.Wrap(err, "read bundle pointer", "store")
+	}
+	pointer, err := bundlestore.DecodePointer(o)
+	if err != nil {
+		return inForce{}, err
+	}
+	latest, err := bundlestore.LatestSigned(env.Context, env.client(), policy, o, 0)
+	if err != nil {
 		return inForce{}, err
 	}
-	b, err := env.store().Bundle(env.Context, pointer.Approval.Manifest)
-	return inForce{pointer: pointer, bundle: b}, err
+	for _, refused := range latest.Refused {
+		fmt.Fprintf(env.Stderr, "Generation %d is in force nowhere: %v\n", refused.Head.Generation, refused.Cause)
+	}
+	current := inForce{pointer: pointer, signed: latest.Approval}
+	if latest.Version != 0 {
+		current.bundle, err = env.store().Bundle(env.Context, latest.Approval.Manifest)
+	}
+	return current, err
 }
--- /dev/null
+++ b/internal/transport/bundlestore/signed.go
@@ -0,0 +1,62 @@
+package bundlestore
+
+import (
+	"context"
+	"errors"
+
+	"savoryweir/internal/coordination/signoff"
+	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/approvalfile"
+	"savoryweir/internal/state/approval"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/object"
+)
+
+// maxUnsigned is how many badly signed approvals in a row are passed over.
+const maxUnsigned = 64
+
+// Refusal is an approval that is not signed as the policy requires.
+type Refusal struct {
+	Head  bundle.Head
+	Cause error
+}
+
+// Signed is the latest approval that is signed as the policy requires.
+type Signed struct {
+	Pointer // zero if there is none
+	Refused []Refusal
+}
+
+// Data returns the approval as it is stored.
+func (p Pointer) Data() []byte { return p.data }
+
+// LatestSigned starts with the pointer's object and walks back through the history
+// to the latest approval above the floor that is signed as the policy requires, so that a
+// writer without keys cannot hide an approved generation.
+func LatestSigned(ctx context.Context, reader object.Reader, policy approval.Policy, pointer object.Object, floor bundle.Generation) (Signed, error) {
+	var found Signed
+	o := pointer
+	for range maxUnsigned {
+		candidate, err := DecodePointer(o)
+		if err == nil {
+			err = signoff.CheckApproval(policy, candidate.Approval)
+		}
+		if err == nil {
+			found.Pointer = candidate
+			return found, nil
+		}
+		found.Refused = append(found.Refused, Refusal{Head: candidate.Head(), Cause: err})
+		generation := candidate.Approval.Generation
+		if generation <= floor+1 {
+			return found, nil
+		}
+		o, err = reader.Get(ctx, approvalfile.KindHistory, approvalfile.HistoryName(generation-1))
+		if errors.Is(err, object.ErrNotFound) {
+			return found, nil
+		}
+		if err != nil {
+			return found, errs.Wrap(err, "read bundle history", peer)
+		}
+	}
+	return found, nil
+}
