Bundles: outcome unknown proved, one type for the files of sections

Tests: go test -race ./internal/ctl ./internal/transport/bundlestore ./internal/coordination/bundlecheck.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -11,11 +11,16 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"savoryweir/internal/coordination/bundlecheck"
+	"savoryweir/internal/coordination/signoff"
+	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/protocol/timelinefile"
 	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/object"
 	"savoryweir/internal/state/timeline"
+	"savoryweir/internal/transport/bundlestore"
 )
 
 func TestExamplesPassTheCheck(t *testing.T) {
@@ -62,6 +67,26 @@
 	assert.Assert(t, !strings.Contains(s.text.String(), seed), "the private key was printed")
 }
 
+func TestExitCodes(t *testing.T) {
+	tests := []struct {
+		err  error
+		want Code
+	}{
+		{bundle.Check([]bundle.Fault{{}}), CodeRefused},
+		{&signoff.RefusedError{}, CodeUnsigned},
+		{&bundlestore.RaceError{}, CodeRaceLost},
+		{&bundlestore.UnknownError{Cause: object.ErrUnavailable}, CodeUnknown},
+		{object.ErrUnavailable, CodeStoreDown},
+		{object.ErrThrottled, CodeStoreDown},
+		{object.ErrNotFound, CodeFailed},
+		{&notUniformError{}, CodeNotUniform},
+	}
+	for _, test := range tests {
+		code, _ := classify(errs.Wrap(test.err, "step", "peer"))
+		assert.Equal(t, code, test.want, "%v", test.err)
+	}
+}
+
 func TestStoreDown(t *testing.T) {
 	s := newSession(t)
 	s.operators("anna", "babis")
--- a/internal/ctl/source.go
+++ b/internal/ctl/source.go
@@ -22,7 +22,7 @@
 type loaded struct {
 	bundle  *bundle.Bundle
 	encoded bundlefile.Encoded
-	files   bundlefile.Source
+	files   bundle.Files
 }
 
 // inForce is the bundle that processes have in force. Bundle is nil when there is none.
--- a/internal/protocol/bundlefile/parse.go
+++ b/internal/protocol/bundlefile/parse.go
@@ -16,13 +16,10 @@
 	Data []byte
 }
 
-// Source maps the sections of a bundle to the files that hold them.
-type Source map[string]string
-
 // Parse reads a bundle from its files. The bundle holds all that could be read,
 // also when there are faults.
-func Parse(files []File) (*bundle.Bundle, Source, []bundle.Fault) {
-	p := parser{bundle: &bundle.Bundle{}, source: make(Source)}
+func Parse(files []File) (*bundle.Bundle, bundle.Files, []bundle.Fault) {
+	p := parser{bundle: &bundle.Bundle{}, source: make(bundle.Files)}
 	for _, file := range files {
 		p.file(file)
 	}
@@ -34,7 +31,7 @@
 
 type parser struct {
 	bundle *bundle.Bundle
-	source Source
+	source bundle.Files
 	faults []bundle.Fault
 }
 
--- a/internal/state/bundle/fault.go
+++ b/internal/state/bundle/fault.go
@@ -28,6 +28,9 @@
 	return place.String() + f.Reason
 }
 
+// Files maps the sections of a bundle to the files that hold them.
+type Files map[string]string
+
 // FaultsError lists all faults of a bundle.
 type FaultsError struct{ Faults []Fault }
 
--- a/internal/transport/bundlestore/bundlestore_test.go
+++ b/internal/transport/bundlestore/bundlestore_test.go
@@ -141,6 +141,22 @@
 	return version, err
 }
 
+func TestOutcomeStaysUnknownWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		assert.NilError(t, b.stores[0].Move(t.Context(), Pointer{}, attempt(1, "first")))
+		current := b.pointer(t)
+		b.links[0].SetFaults(objectapi.LinkFaults{LoseAnswers: 1})
+		silent := &afterWrite{skipHistory: skipHistory{b.links[0]}, then: func() {
+			b.links[0].SetFaults(objectapi.LinkFaults{Cut: true})
+		}}
+		err := New(silent).Move(t.Context(), current, attempt(2, "mine"))
+		var unknown *UnknownError
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		assert.Equal(t, b.pointer(t).Approval.Nonce, "mine")
+	})
+}
+
 func TestOneOfManyRacingApprovalsWins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
