Bundles: instances that do not watch read the pointer every 10 s

Cause: with all watchers cut from the store and the others not, a bundle waited for up to 90 s, against 10 s. Ruled out: more watchers, which a fault of one zone can still cut off together. Change: poll interval 10 s, with a backoff to a minute while reads fail. Shown failing: poll once a minute or never: TestWatchersCutFromTheStore has no bundle.

--- a/internal/control/bundles/bench_test.go
+++ b/internal/control/bundles/bench_test.go
@@ -25,7 +25,7 @@
 )
 
 var testSettings = Settings{
-	StartWait: 3 * time.Second, WatchWait: 5 * time.Second, PollInterval: time.Minute,
+	StartWait: 3 * time.Second, WatchWait: 5 * time.Second, PollInterval: 10 * time.Second,
 	FetchTimeout: time.Second, StoreTimeout: 5 * time.Second, RetryMin: 200 * time.Millisecond, RetryMax: 5 * time.Second,
 }
 
--- a/internal/control/bundles/doc.go
+++ b/internal/control/bundles/doc.go
@@ -31,7 +31,7 @@
 	TrustedKeys  string        `help:"INI file with the policy and the public keys of trusted operators." type:"path" placeholder:"FILE"`
 	StartWait    time.Duration `help:"Time after the start in which heads are only collected, so that a stale store cannot come first. It ends early when peers have answered." default:"3s" min:"0s" max:"1m"`
 	WatchWait    time.Duration `help:"Time that one watch call waits for a change. A silent connection is noticed after this and the store's timeout." default:"5s" min:"1s" max:"1m"`
-	PollInterval time.Duration `help:"Mean time between reads of the pointer by an instance that does not watch." default:"1m" min:"1s" max:"1h"`
+	PollInterval time.Duration `help:"Mean time between reads of the pointer by an instance that does not watch." default:"10s" min:"1s" max:"1h"`
 	FetchTimeout time.Duration `help:"Longest wait for sections from one peer." default:"1s" min:"100ms" max:"1m"`
 	StoreTimeout time.Duration `help:"Longest wait for sections from the store." default:"5s" min:"100ms" max:"1m"`
 	RetryMin     time.Duration `help:"First wait after a failed fetch or watch." default:"200ms" min:"10ms" max:"10s"`
--- a/internal/control/bundles/manager_test.go
+++ b/internal/control/bundles/manager_test.go
@@ -148,6 +148,20 @@
 	})
 }
 
+// All watchers have lost their path to the store and the others have not.
+func TestWatchersCutFromTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		all := []*instance{b.start(true, objectapi.LinkFaults{Cut: true}), b.start(true, objectapi.LinkFaults{Cut: true})}
+		for range 6 {
+			all = append(all, b.start(false, objectapi.LinkFaults{}))
+		}
+		b.gossip(spread, all...)
+		b.approve(testBundle("1"), "anna", "babis")
+		b.gossip(inForceWithin, all...)
+		b.wantGeneration(1, all...)
+	})
+}
+
 // A poller that hears no peer at all still finds the pointer within the poll interval.
 func TestPollFindsThePointerWithoutPeers(t *testing.T) {
 	inBubble(t, func(t *testing.T, b *bench) {
@@ -251,7 +265,7 @@
 			}
 		}
 		assert.Equal(t, int(changed), want)
-		t.Logf("whole bundle %d bytes, one change %d bytes", int(whole), want)
+		t.Logf("whole bundle %d bytes, one change %d bytes, of which the approval %d", int(whole), want, len(current.Approval.Data))
 	})
 }
 
--- a/internal/control/bundles/watch.go
+++ b/internal/control/bundles/watch.go
@@ -17,6 +17,10 @@
 // storeSource fetches sections from the store.
 type storeSource struct{ store PointerStore }
 
+// pollRetryFactor is the longest wait between failed reads by an instance that does
+// not watch, in poll intervals.
+const pollRetryFactor = 6
+
 // storePeer names the store in errors.
 const storePeer errs.Peer = "store"
 
@@ -97,7 +101,7 @@
 	if watching {
 		return m.settings.RetryMax
 	}
-	return m.settings.PollInterval
+	return pollRetryFactor * m.settings.PollInterval
 }
 
 // jitter returns a random part of wait, so that instances do not call in step.
