Bundles: one time limit for a source, however many sections it gives at once

Cause: a peer that gives one section a second held up a bundle of 130 sections for two minutes. Change: the time limit covers all calls to a source in one try; what it gave is kept. Shown failing: limit for each call: TestSlowPeersDelayABundleBySecondsOnly has no bundle after 10 s. Tests: go test -race ./internal/control/bundles.

--- a/internal/control/bundles/assemble.go
+++ b/internal/control/bundles/assemble.go
@@ -99,12 +99,14 @@
 	return nil
 }
 
-// fetchAllFrom asks one source until nothing is missing or it gives nothing more, and
-// returns what is still missing. Sources may give few sections at once. One that gives
-// nothing is not asked again until it offers the head again.
+// fetchAllFrom asks one source until nothing is missing, it gives nothing more or the
+// time is over, and returns what is still missing. Sources may give few sections at
+// once. One that gives nothing is not asked again until it offers the head again.
 func (a *adopter) fetchAllFrom(ctx context.Context, source SectionSource, timeout time.Duration, c *candidate, missing []bundle.Hash) []bundle.Hash {
-	for len(missing) > 0 {
-		if !a.fetchFrom(ctx, source, timeout, c, missing) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for len(missing) > 0 && ctx.Err() == nil {
+		if !a.fetchFrom(ctx, source, c, missing) {
 			c.dropSource(source)
 			break
 		}
@@ -125,9 +127,7 @@
 
 // fetchFrom asks one source and reports whether it gave anything. Data that was not
 // asked for or does not match its hash is dropped.
-func (a *adopter) fetchFrom(ctx context.Context, source SectionSource, timeout time.Duration, c *candidate, hashes []bundle.Hash) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (a *adopter) fetchFrom(ctx context.Context, source SectionSource, c *candidate, hashes []bundle.Hash) bool {
 	sections, err := source.FetchSections(ctx, hashes)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		a.log.Debug().Err(err).Str("peer", string(source.Peer())).Msg("Sections not fetched.")
--- a/internal/control/bundles/doc.go
+++ b/internal/control/bundles/doc.go
@@ -32,8 +32,8 @@
 	StartWait    time.Duration `help:"Time after the start in which heads are only collected, so that a stale store cannot come first. It ends early when peers have answered." default:"3s" min:"0s" max:"1m"`
 	WatchWait    time.Duration `help:"Time that one watch call waits for a change. A silent connection is noticed after this and the store's timeout." default:"5s" min:"1s" max:"1m"`
 	PollInterval time.Duration `help:"Mean time between reads of the pointer by an instance that does not watch." default:"10s" min:"1s" max:"1h"`
-	FetchTimeout time.Duration `help:"Longest wait for sections from one peer." default:"1s" min:"100ms" max:"1m"`
-	StoreTimeout time.Duration `help:"Longest wait for sections from the store." default:"5s" min:"100ms" max:"1m"`
+	FetchTimeout time.Duration `help:"Longest time given to one peer for missing sections." default:"1s" min:"100ms" max:"1m"`
+	StoreTimeout time.Duration `help:"Longest time given to the store for missing sections." default:"5s" min:"100ms" max:"1m"`
 	RetryMin     time.Duration `help:"First wait after a failed fetch or watch." default:"200ms" min:"10ms" max:"10s"`
 	RetryMax     time.Duration `help:"Longest wait after failed fetches or watches." default:"5s" min:"100ms" max:"5m"`
 }
--- a/internal/control/bundles/manager_test.go
+++ b/internal/control/bundles/manager_test.go
@@ -216,6 +216,27 @@
 	})
 }
 
+// slowSource gives one section in a little less than the time that a peer has.
+type slowSource struct{ *instance }
+
+func (s slowSource) FetchSections(ctx context.Context, hashes []bundle.Hash) ([]bundlefile.Section, error) {
+	time.Sleep(testSettings.FetchTimeout - time.Millisecond)
+	return s.instance.FetchSections(ctx, hashes[:1])
+}
+
+func TestSlowPeersDelayABundleBySecondsOnly(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		holder, waiting := b.start(true, objectapi.LinkFaults{}), b.start(false, objectapi.LinkFaults{})
+		time.Sleep(spread)
+		b.approve(targetBundle(), "anna", "babis")
+		time.Sleep(time.Second)
+		b.wantGeneration(1, holder)
+		waiting.Offer(holder.Head(), slowSource{holder})
+		time.Sleep(inForceWithin)
+		b.wantGeneration(1, waiting)
+	})
+}
+
 // forgingSource answers with other data than asked for.
 type forgingSource struct{}
 
