--- /dev/null
+++ b/internal/control/claims/bound_test.go
@@ -0,0 +1,165 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/journal"
+	"savoryweir/internal/state/order"
+)
+
+// traffic counts the calls and encoded bytes that leave and reach each instance.
+type traffic struct {
+	mu    sync.Mutex // guards calls and bytes
+	calls map[string]int
+	bytes map[string]int
+}
+
+func (t *traffic) count(from, to string, messages ...proto.Message) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range []string{from, to} {
+		t.calls[id]++
+		for _, m := range messages {
+			t.bytes[id] += proto.Size(m)
+		}
+	}
+}
+
+// perSecond returns the mean and the largest bytes a second of an instance,
+// with an overhead for each call.
+func (t *traffic) perSecond(instances int, d time.Duration, overhead int) (mean, most float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, n := range t.bytes {
+		rate := float64(n+t.calls[id]*overhead) / d.Seconds()
+		mean += rate / float64(instances)
+		most = max(most, rate)
+	}
+	return mean, most
+}
+
+const (
+	storeLatency     = 5 * time.Millisecond
+	upstreamLatency  = 100 * time.Millisecond
+	loadLength       = 8 * time.Second
+	callOverhead     = 200 // bytes of a call's headers on the wire, both ways
+	targetRequests   = 9800
+	storeWriteBudget = 200  // writes a second of the several hundred that the store takes
+	controlBudget    = 3000 // bytes a second and instance
+)
+
+// load is a steady stream of orders, each with its own key.
+type load struct {
+	instances int
+	perSecond int
+	settings  Settings
+	// withinControl tells that the control budget is to hold: one request in a hundred is an order.
+	withinControl bool
+}
+
+// loadReport is what a load cost.
+type loadReport struct {
+	writesPerSecond float64
+	writesPer1000   float64
+	p50, p99        time.Duration
+	headBytes       int
+	bytesPerOrder   float64 // written to the store
+	mean, most      float64 // bytes a second of an instance between controls
+}
+
+func productSettings() Settings {
+	s := defaultSettings()
+	s.Shards, s.WritesPerSecond = 32, 150
+	return s
+}
+
+func runLoad(t *testing.T, l load) loadReport {
+	t.Helper()
+	c := newCluster(t, l.instances, 1, l.settings, objectapi.Limits{})
+	c.traffic = &traffic{calls: make(map[string]int), bytes: make(map[string]int)}
+	c.store.SetFaults(objectapi.Faults{Delay: storeLatency})
+	var mu sync.Mutex
+	var latencies []time.Duration
+	var wait sync.WaitGroup
+	total := l.perSecond * int(loadLength/time.Second)
+	for i := range total {
+		wait.Add(1)
+		n := c.nodes[fmt.Sprintf("i%03d", i%l.instances)]
+		go func() {
+			defer wait.Done()
+			began := time.Now()
+			claim := testClaim(fmt.Sprint(i), "book")
+			answer, err := n.client.Claim(context.Background(), claim)
+			assert.Check(t, err)
+			mu.Lock()
+			latencies = append(latencies, time.Since(began))
+			mu.Unlock()
+			time.Sleep(upstreamLatency)
+			result := order.Result{Outcome: order.OutcomeRan, Status: 201, ContentType: "application/json", Body: make([]byte, 100)}
+			assert.Check(t, n.client.Finish(context.Background(), claim, answer.Token, result))
+		}()
+		time.Sleep(time.Second / time.Duration(l.perSecond))
+	}
+	wait.Wait()
+	return c.report(t, latencies)
+}
+
+func (c *cluster) report(t *testing.T, latencies []time.Duration) loadReport {
+	t.Helper()
+	slices.Sort(latencies)
+	orders := float64(len(latencies))
+	writes := float64(c.store.Counts().Writes())
+	r := loadReport{
+		writesPerSecond: writes / loadLength.Seconds(),
+		writesPer1000:   1000 * writes / orders,
+		p50:             latencies[len(latencies)/2],
+		p99:             latencies[len(latencies)*99/100],
+	}
+	heads, err := c.store.List(context.Background(), journal.KindHead, "")
+	assert.NilError(t, err)
+	for _, h := range heads {
+		r.headBytes = max(r.headBytes, len(h.Data))
+	}
+	r.bytesPerOrder = float64(c.written.Load()) / orders
+	r.mean, r.most = c.traffic.perSecond(len(c.nodes), loadLength, callOverhead)
+	return r
+}
+
+// TestBoundOrders holds the store's writes at loads up to the target's 9,800
+// requests a second with one in ten an order, and the mean control traffic with
+// one in a hundred.
+func TestBoundOrders(t *testing.T) {
+	for _, l := range []load{
+		{8, 10, productSettings(), false},
+		{8, 98, productSettings(), false},
+		{8, 490, productSettings(), false},
+		{8, 980, productSettings(), false},
+		{320, 98, productSettings(), true},
+		{320, 196, productSettings(), false},
+		{320, 490, productSettings(), false},
+		{320, 980, productSettings(), false},
+	} {
+		t.Run(fmt.Sprintf("%d instances, %d orders a second", l.instances, l.perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := runLoad(t, l)
+				stored := r.bytesPerOrder * float64(l.perSecond) / float64(l.instances)
+				t.Logf("share %.1f %%: %.0f writes/s, %.0f writes per 1,000 orders, claim p50 %v p99 %v, largest head %d B, stored %.0f B an order, calls between controls mean %.0f B/s, most %.0f B/s, with store mean %.0f B/s",
+					100*float64(l.perSecond)/targetRequests, r.writesPerSecond, r.writesPer1000, r.p50.Round(time.Millisecond), r.p99.Round(time.Millisecond), r.headBytes, r.bytesPerOrder, r.mean, r.most, r.mean+stored)
+				assert.Assert(t, r.writesPerSecond <= storeWriteBudget, "%.0f writes/s", r.writesPerSecond)
+				if l.withinControl {
+					assert.Assert(t, r.mean+stored <= controlBudget, "mean control traffic %.0f B/s", r.mean+stored)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
@@ -28,6 +31,8 @@
 	store    *objectapi.Memory
 	settings Settings
 	wait     sync.WaitGroup
+	traffic  *traffic     // nil when not counted
+	written  atomic.Int64 // bytes written to the store
 
 	mu        sync.Mutex // guards the rest
 	random    *rand.Rand
@@ -90,6 +95,7 @@
 	for i := range instances {
 		c.add(fmt.Sprintf("i%03d", i))
 	}
+	synctest.Wait() // all services run
 	return c
 }
 
@@ -305,10 +311,12 @@
 }
 
 func (s *frozenStore) Create(ctx context.Context, kind object.Kind, name object.Name, data []byte) (v object.Version, err error) {
+	s.node.cluster.written.Add(int64(len(data)))
 	return v, s.call(func(l *objectapi.Link) error { v, err = l.Create(ctx, kind, name, data); return err })
 }
 
 func (s *frozenStore) Update(ctx context.Context, kind object.Kind, name object.Name, data []byte, expected object.Version) (v object.Version, err error) {
+	s.node.cluster.written.Add(int64(len(data)))
 	return v, s.call(func(l *objectapi.Link) error { v, err = l.Update(ctx, kind, name, data, expected); return err })
 }
 
@@ -326,7 +334,7 @@
 
 // call runs a handler at the receiver. A frozen receiver handles it after its
 // thaw, also when the sender has given up.
-func call[Request, Response any](ctx context.Context, c *conn, request Request, handle func(*Service, context.Context, Request) (Response, error)) (Response, error) {
+func call[Request, Response proto.Message](ctx context.Context, c *conn, request Request, handle func(*Service, context.Context, Request) (Response, error)) (Response, error) {
 	type result struct {
 		response Response
 		err      error
@@ -356,6 +364,9 @@
 		if lose || c.to.isDead() {
 			return none, errUnreachable
 		}
+		if c.cluster.traffic != nil && c.from != c.to {
+			c.cluster.traffic.count(c.from.id, c.to.id, request, r.response)
+		}
 		return r.response, r.err
 	case <-ctx.Done():
 		return none, ctx.Err()
--- /dev/null
+++ b/internal/control/claims/faults_test.go
@@ -0,0 +1,186 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/journal"
+	"savoryweir/internal/state/order"
+)
+
+// grant claims a key at an instance and expects the right to run it.
+func grant(t *testing.T, n *node, key string) (order.Claim, order.Answer) {
+	t.Helper()
+	claim := testClaim(key, "book")
+	answer, err := n.client.Claim(context.Background(), claim)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.State, order.ClaimGranted)
+	return claim, answer
+}
+
+// ownerOf returns the instance that owns the shard of a key.
+func (c *cluster) ownerOf(key string) *node {
+	shard := journal.HashKey("desk", order.Key(key)).Shard(c.settings.Shards)
+	return c.nodes[claims.Owners(shard, c.nodes["i000"].Members())[0].ID]
+}
+
+// keyOwnedBy returns a key whose shard the instance owns.
+func (c *cluster) keyOwnedBy(n *node) string {
+	for i := 0; ; i++ {
+		if key := fmt.Sprintf("key %d", i); c.ownerOf(key) == n {
+			return key
+		}
+	}
+}
+
+func resendOutcome(t *testing.T, n *node, key string) (order.Answer, error) {
+	t.Helper()
+	return n.client.Claim(context.Background(), testClaim(key, "book"))
+}
+
+func TestLostAnswerIsReadBackByNonce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1, defaultSettings(), objectapi.Limits{})
+		c.store.SetFaults(objectapi.Faults{LoseAnswers: 1})
+		grant(t, c.nodes["i000"], "k")
+		assert.Equal(t, c.store.Counts().Writes(), uint64(1))
+	})
+}
+
+func TestLateWriteOfAClaimIsRefusedOrRecognised(t *testing.T) {
+	for _, late := range []time.Duration{time.Millisecond, 50 * time.Millisecond, time.Second, time.Minute} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+			key := c.keyOwnedBy(c.nodes["i000"])
+			c.nodes["i000"].link.SetFaults(objectapi.LinkFaults{LateWrites: 1, LateBy: late})
+			claim, answer := grant(t, c.nodes["i000"], key)
+			assert.NilError(t, c.nodes["i000"].client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan, Status: 201}))
+			time.Sleep(2 * time.Minute)
+			resend, err := resendOutcome(t, c.nodes["i001"], key)
+			assert.NilError(t, err)
+			assert.Equal(t, resend.State, order.ClaimFinished)
+			assert.Equal(t, resend.Result.Outcome, order.OutcomeRan)
+		})
+	}
+}
+
+func TestKilledClaimantLeavesUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		key := c.keyOwnedBy(c.nodes["i001"])
+		grant(t, c.nodes["i000"], key)
+		c.nodes["i000"].kill()
+		c.publish(0)
+		resend, err := resendOutcome(t, c.nodes["i002"], key)
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Outcome, order.OutcomeUnknown)
+	})
+}
+
+func TestKilledOwnerDelaysOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		key := c.keyOwnedBy(c.nodes["i001"])
+		claim, answer := grant(t, c.nodes["i000"], key)
+		c.nodes["i001"].kill() // still in every view
+		assert.NilError(t, c.nodes["i000"].client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan, Status: 201}))
+		resend, err := resendOutcome(t, c.nodes["i002"], key)
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Status, 201)
+	})
+}
+
+// TestOutdatedOwnerKeepsNoResult has an owner that was passed over while a claim
+// was granted elsewhere, and gets its result.
+func TestOutdatedOwnerKeepsNoResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		owner := c.nodes["i001"]
+		key := c.keyOwnedBy(owner)
+		grant(t, owner, key+" of the same owner")
+		other := c.nodes["i000"]
+		other.setView([]claims.Member{{ID: "i000", Address: "i000", Incarnation: 1}})
+		claim, answer := grant(t, other, key)
+		c.publish(0)
+		assert.NilError(t, other.client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan, Status: 201}))
+		resend, err := resendOutcome(t, c.nodes["i002"], key)
+		assert.NilError(t, err)
+		assert.Equal(t, resend.State, order.ClaimFinished)
+	})
+}
+
+func TestFrozenControlIsAnsweredForPromptly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		n := c.nodes["i000"]
+		n.freeze()
+		began := time.Now()
+		_, err := resendOutcome(t, n, "k")
+		assert.ErrorContains(t, err, "unavailable")
+		assert.Equal(t, time.Since(began), clientSettings().ClaimTimeout)
+		n.thaw()
+		time.Sleep(time.Minute)
+		grant(t, c.nodes["i001"], "k")
+	})
+}
+
+func TestEntryRestartLeavesItsOrdersUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1, defaultSettings(), objectapi.Limits{})
+		n := c.nodes["i000"]
+		grant(t, n, "k")
+		n.stopEntry()
+		n.startEntry()
+		grant(t, n, "other")
+		resend, err := resendOutcome(t, c.nodes["i001"], "k")
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Outcome, order.OutcomeUnknown)
+	})
+}
+
+func TestFinishedOrderIsAnsweredInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		claim, answer := grant(t, c.nodes["i000"], "k")
+		assert.NilError(t, c.nodes["i000"].client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan, Status: 201}))
+		c.store.SetFaults(objectapi.Faults{Outage: true})
+		resend, err := resendOutcome(t, c.nodes["i001"], "k")
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Status, 201)
+	})
+}
+
+func TestLongBodyIsKeptAsItsHash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1, defaultSettings(), objectapi.Limits{})
+		claim, answer := grant(t, c.nodes["i000"], "k")
+		result := order.Result{Outcome: order.OutcomeRan, Status: 200, Body: make([]byte, 257)}
+		assert.NilError(t, c.nodes["i000"].client.Finish(context.Background(), claim, answer.Token, result))
+		resend, err := resendOutcome(t, c.nodes["i001"], "k")
+		assert.NilError(t, err)
+		assert.Assert(t, resend.Result.BodyOmitted)
+		assert.Equal(t, len(resend.Result.Body), 0)
+		assert.Equal(t, len(resend.Result.BodyHash), 32)
+	})
+}
+
+func TestDrainWaitsForResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1, defaultSettings(), objectapi.Limits{})
+		n := c.nodes["i000"]
+		claim, answer := grant(t, n, "k")
+		drained := make(chan error, 1)
+		go func() { drained <- n.service.Drain(context.Background()) }()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(drained), 0)
+		assert.NilError(t, n.client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan}))
+		assert.NilError(t, <-drained)
+	})
+}
--- a/internal/control/claims/history_test.go
+++ b/internal/control/claims/history_test.go
@@ -71,8 +71,8 @@
 			if n.isDead() || h.aliveNodes() < 3 {
 				return func() {}
 			}
-			h.model.killed(n)
 			n.kill()
+			h.model.killed(n)
 			h.cluster.publish(maxViewLag)
 			return func() {
 				n.startControl()
--- a/internal/control/claims/model_test.go
+++ b/internal/control/claims/model_test.go
@@ -108,6 +108,17 @@
 	m.violations = append(m.violations, fmt.Sprintf(format, args...))
 }
 
+// history lists what the callers of a key were told.
+func (m *model) history(key string) []told {
+	var list []told
+	for _, a := range m.attempts {
+		if a.key == key {
+			list = append(list, a.told)
+		}
+	}
+	return list
+}
+
 // check compares what callers were told with what ran.
 func (m *model) check() {
 	for _, a := range m.attempts {
@@ -282,7 +293,7 @@
 		_ = n.clientNow().Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeNotRun})
 	case answer.State == order.ClaimFinished && answer.Result.Outcome == order.OutcomeUnknown:
 		if !u.model.cut[key] {
-			u.model.violate("key %s ends unknown without a killed claimant, ran: %v", key, runs)
+			u.model.violate("key %s ends unknown without a killed claimant, ran: %v, told: %v", key, runs, u.model.history(key))
 		}
 		return true
 	case answer.State == order.ClaimFinished:
--- a/internal/control/claims/operation.go
+++ b/internal/control/claims/operation.go
@@ -35,6 +35,7 @@
 	refusalTimeout  refusal = "no answer in time"
 	refusalDoubt    refusal = "outcome of store write unknown"
 	refusalGivenUp  refusal = "claim given up"
+	refusalStopped  refusal = "claims service not running"
 	refusalRequest  refusal = "malformed request"
 )
 
--- a/internal/control/claims/service.go
+++ b/internal/control/claims/service.go
@@ -138,9 +138,9 @@
 
 // submit gives an operation to the worker of its shard and waits for the reply.
 func (s *Service) submit(id journal.ShardID, op *operation) reply {
-	running, ok := s.enqueue(id, op)
-	if !ok {
-		return reply{refusal: refusalOverload}
+	running, why := s.enqueue(id, op)
+	if why != refusalNone {
+		return reply{refusal: why}
 	}
 	select {
 	case r := <-op.answer:
@@ -153,11 +153,11 @@
 
 // enqueue opens the shard when needed, and returns the context of the running
 // service. The lock keeps a worker from stopping with an operation in its ring.
-func (s *Service) enqueue(id journal.ShardID, op *operation) (context.Context, bool) {
+func (s *Service) enqueue(id journal.ShardID, op *operation) (context.Context, refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running.Err() != nil {
-		return nil, false
+		return nil, refusalStopped
 	}
 	w, ok := s.workers[id]
 	if !ok {
@@ -166,7 +166,10 @@
 		ctx := s.running
 		s.start(func() { w.run(ctx, func() bool { return s.close(ctx, w) }) })
 	}
-	return s.running, w.ring.Offer(op)
+	if !w.ring.Offer(op) {
+		return nil, refusalOverload
+	}
+	return s.running, refusalNone
 }
 
 func (s *Service) newWorker(id journal.ShardID) *worker {
--- a/internal/control/claims/settings.go
+++ b/internal/control/claims/settings.go
@@ -20,7 +20,7 @@
 	BatchSize       int           `help:"Most claims and results in one commit." default:"256" min:"1" max:"512"`
 	ActiveKiB       int           `help:"Size of the unsealed records of a shard, in KiB." default:"8" min:"1" max:"128"`
 	SegmentKiB      int           `help:"Size of the largest sealed segment, in KiB." default:"512" min:"16" max:"640"`
-	MaxRecords      int           `help:"Keys that a shard remembers before it refuses new ones." default:"200000" min:"100" max:"1000000"`
+	MaxRecords      int           `help:"Keys that a shard remembers before it refuses new ones." default:"64000" min:"100" max:"1000000"`
 	MaxBodyBytes    int           `help:"Longest response body that is recorded, in bytes." default:"256" min:"0" max:"1024"`
 	MaxHeld         int           `help:"Orders of the local entry that may be claimed and unfinished." default:"4096" min:"1" max:"65536"`
 	PeerTimeout     time.Duration `help:"Time for a peer to answer, beyond the interval between commits." default:"1s" min:"10ms" max:"30s"`
