--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -95,7 +95,7 @@
 	for i := range instances {
 		c.add(fmt.Sprintf("i%03d", i))
 	}
-	synctest.Wait() // all services run
+	synctest.Wait() // a service refuses claims before its Run has started
 	return c
 }
 
