Orders: second release after a claim's give-up time, fresh message for each attempt

Cause: with the race detector one history in 12 left an order unknown that no kill had in flight: an owner recorded a claim after its release, before the time at which its entry gave it up, and the claimant's control process restarted. The detector also found a message reused by a later attempt. Change: the entry releases a claim in doubt at once and again after the give-up time; messages are copied for each attempt; a restart of a control process is tested beside its running entry. Shown failing: without the conditional write for a result whose token is not found, TestOutdatedOwnerKeepsNoResult; with a restarted claimant taken for one that gave up, TestControlRestartKeepsTheResult.

--- a/internal/control/claims/claim.go
+++ b/internal/control/claims/claim.go
@@ -66,6 +66,7 @@
 		}
 		switch s.decideResend(ctx, answer, time.Until(answerBy)) {
 		case claims.ResendSupersede:
+			request = s.forwarded(local)
 			request.Supersedes = answer.GetHolderToken()
 		case claims.ResendUnknown:
 			return s.unknown(key, local), sure
--- a/internal/control/claims/faults_test.go
+++ b/internal/control/claims/faults_test.go
@@ -31,15 +31,27 @@
 	return c.nodes[claims.Owners(shard, c.nodes["i000"].Members())[0].ID]
 }
 
-// keyOwnedBy returns a key whose shard the instance owns.
-func (c *cluster) keyOwnedBy(n *node) string {
+// keysOwnedBy returns two keys of one shard that the instance owns.
+func (c *cluster) keysOwnedBy(n *node) (first, second string) {
+	shards := make(map[journal.ShardID]string)
 	for i := 0; ; i++ {
-		if key := fmt.Sprintf("key %d", i); c.ownerOf(key) == n {
-			return key
+		key := fmt.Sprintf("key %d", i)
+		if c.ownerOf(key) != n {
+			continue
+		}
+		shard := journal.HashKey("desk", order.Key(key)).Shard(c.settings.Shards)
+		if other, ok := shards[shard]; ok {
+			return other, key
 		}
+		shards[shard] = key
 	}
 }
 
+func (c *cluster) keyOwnedBy(n *node) string {
+	key, _ := c.keysOwnedBy(n)
+	return key
+}
+
 func resendOutcome(t *testing.T, n *node, key string) (order.Answer, error) {
 	t.Helper()
 	return n.client.Claim(context.Background(), testClaim(key, "book"))
@@ -103,8 +115,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
 		owner := c.nodes["i001"]
-		key := c.keyOwnedBy(owner)
-		grant(t, owner, key+" of the same owner")
+		key, loaded := c.keysOwnedBy(owner)
+		grant(t, owner, loaded)
 		other := c.nodes["i000"]
 		other.setView([]claims.Member{{ID: "i000", Address: "i000", Incarnation: 1}})
 		claim, answer := grant(t, other, key)
@@ -145,6 +157,27 @@
 	})
 }
 
+// TestControlRestartKeepsTheResult restarts the control process of a claimant
+// whose entry goes on.
+func TestControlRestartKeepsTheResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		n := c.nodes["i000"]
+		claim, answer := grant(t, n, "k")
+		n.killControl()
+		n.startControl()
+		synctest.Wait()
+		resend, err := resendOutcome(t, c.nodes["i001"], "k") // by a view that is behind
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Outcome, order.OutcomeUnknown)
+		c.publish(0)
+		assert.NilError(t, n.client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan, Status: 201}))
+		resend, err = resendOutcome(t, c.nodes["i001"], "k")
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Status, 201)
+	})
+}
+
 func TestFinishedOrderIsAnsweredInAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
--- a/internal/control/claims/finish.go
+++ b/internal/control/claims/finish.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
 	"savoryweir/internal/protocol/ordermsg"
@@ -111,8 +113,9 @@
 func (s *Service) finishTask(ctx context.Context, task *finishTask) {
 	defer close(task.done)
 	for attempt := 0; ctx.Err() == nil && time.Now().Before(task.expires); attempt++ {
-		task.request.Time = s.stamp()
-		if s.finishAtOwner(ctx, task.key, task.request) {
+		request := proto.CloneOf(task.request)
+		request.Time = s.stamp()
+		if s.finishAtOwner(ctx, task.key, request) {
 			task.saved = true
 			s.holds.end(task.token)
 			s.record(timeline.KindOrderFinished, task.key, "")
--- a/internal/control/claims/history_test.go
+++ b/internal/control/claims/history_test.go
@@ -203,8 +203,8 @@
 	c.setLostReplies(0)
 	unknown := h.upstream.verify(t, c.nodes["i000"])
 	m.check()
-	t.Logf("seed %d: %d requests, %d orders ran, %d unknown of %d in flight at a kill, %d refused by a full journal, slowest refusal %v, %v",
-		seed, len(m.attempts), len(m.runs), unknown, len(m.cut), m.full, m.slowest, h.counts)
+	t.Logf("seed %d: %d requests, %d orders ran, %d unknown of %d in flight at a kill, %d refused by a full journal, slowest refusal %v, %d refused after an earlier request had run, %v",
+		seed, len(m.attempts), len(m.runs), unknown, len(m.cut), m.full, m.slowest, m.lateRefusals(), h.counts)
 	for _, v := range m.violations {
 		t.Errorf("seed %d: %s", seed, v)
 	}
--- a/internal/control/claims/model_test.go
+++ b/internal/control/claims/model_test.go
@@ -31,6 +31,7 @@
 	key  string
 	body string
 	told told
+	late bool // told not_run although an earlier attempt of the order had run
 }
 
 // model checks a history: what the upstream ran against what callers were told.
@@ -205,7 +206,7 @@
 	}
 	var unavailable *order.UnavailableError
 	if errors.As(err, &unavailable) {
-		u.model.refusedAfter(time.Since(start))
+		u.model.refused(a, time.Since(start))
 		return finished(toldNotRun)
 	}
 	switch answer.State {
@@ -223,10 +224,22 @@
 	return u.forward(entry, n, a, claim, answer.Token)
 }
 
-func (m *model) refusedAfter(d time.Duration) {
+func (m *model) refused(a *attempt, after time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.slowest = max(m.slowest, d)
+	m.slowest = max(m.slowest, after)
+	a.late = len(m.runs[a.key]) > 0
+}
+
+// lateRefusals counts requests that were told not_run after an earlier request
+// of the same order had run.
+func (m *model) lateRefusals() (n int) {
+	for _, a := range m.attempts {
+		if a.late {
+			n++
+		}
+	}
+	return n
 }
 
 func (u *upstream) forward(entry context.Context, n *node, a *attempt, claim order.Claim, token string) told {
--- a/internal/transport/orderclient/orderclient.go
+++ b/internal/transport/orderclient/orderclient.go
@@ -6,10 +6,12 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/errs"
@@ -34,8 +36,17 @@
 	controlPeer errs.Peer = "control"
 	// backlogWorkers is how many results of the backlog are sent at the same time.
 	backlogWorkers = 4
+	// lateReleaseMargin covers the clocks of the instances.
+	lateReleaseMargin = time.Second
 )
 
+// lateRelease is the second release of a claim. Until the claim's give-up time a
+// slow owner may record it after the first release.
+type lateRelease struct {
+	request *pb.FinishRequest
+	after   time.Time
+}
+
 // Client claims orders for one entry process. Run must be running for results
 // to be repeated after a failure.
 type Client struct {
@@ -44,7 +55,8 @@
 	clock    *hlc.Clock
 	session  string
 	backlog  *ring.Ring[*pb.FinishRequest]
-	pending  atomic.Int64 // requests in the backlog and at its workers
+	late     *ring.Ring[lateRelease]
+	pending  atomic.Int64 // requests in both rings and at their workers
 }
 
 // New returns a client for one entry process.
@@ -55,6 +67,7 @@
 		clock:    clock,
 		session:  uuid.NewString(),
 		backlog:  ring.New[*pb.FinishRequest](s.Backlog),
+		late:     ring.New[lateRelease](s.Backlog),
 	}
 }
 
@@ -86,12 +99,12 @@
 		err = ctx.Err()
 	}
 	if err != nil {
-		c.giveUp(claim, token)
+		c.giveUp(ctx, claim, token)
 		return order.Answer{}, c.unavailable(errs.Wrap(err, "claim order", controlPeer), c.settings.RetryAfter)
 	}
 	c.clock.Observe(ordermsg.Time(response.GetTime()))
 	if response.GetInDoubt() {
-		c.giveUp(claim, token)
+		c.giveUp(ctx, claim, token)
 	}
 	return c.answer(response, token)
 }
@@ -131,9 +144,15 @@
 	return &order.UnavailableError{RetryAfter: max(retryAfter, c.settings.RetryAfter/2), Cause: cause}
 }
 
-// giveUp queues the release of a claim that may be recorded or granted.
-func (c *Client) giveUp(claim order.Claim, token journal.Token) {
-	c.queue(c.finishRequest(claim, token, order.Result{Outcome: order.OutcomeNotRun}))
+// giveUp queues the releases of a claim that may be recorded or granted.
+func (c *Client) giveUp(ctx context.Context, claim order.Claim, token journal.Token) {
+	request := c.finishRequest(claim, token, order.Result{Outcome: order.OutcomeNotRun})
+	c.queue(request)
+	giveUp, _ := ctx.Deadline()
+	c.pending.Add(1)
+	if !c.late.Offer(lateRelease{request, giveUp.Add(lateReleaseMargin)}) {
+		c.pending.Add(-1)
+	}
 }
 
 func (c *Client) queue(request *pb.FinishRequest) bool {
@@ -179,8 +198,9 @@
 func (c *Client) send(ctx context.Context, request *pb.FinishRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.FinishTimeout)
 	defer cancel()
-	request.Time = ordermsg.Stamp(c.clock.Now())
-	response, err := c.orders.Finish(ctx, request)
+	stamped := proto.CloneOf(request)
+	stamped.Time = ordermsg.Stamp(c.clock.Now())
+	response, err := c.orders.Finish(ctx, stamped)
 	if err != nil {
 		return err
 	}
@@ -193,19 +213,28 @@
 
 // Run repeats results and releases that were not recorded until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
-	done := make(chan struct{})
-	for range backlogWorkers {
-		go func() {
-			c.backlogDuty(ctx)
-			done <- struct{}{}
-		}()
-	}
+	var duties sync.WaitGroup
 	for range backlogWorkers {
-		<-done
+		duties.Go(func() { c.backlogDuty(ctx) })
 	}
+	duties.Go(func() { c.lateDuty(ctx) })
+	duties.Wait()
 	return nil
 }
 
+// lateDuty queues second releases when they are due. All claims have the same
+// timeout, so that the ring is nearly in the order of their times.
+func (c *Client) lateDuty(ctx context.Context) {
+	for {
+		release, err := c.late.Get(ctx)
+		if err != nil || !sleep(ctx, time.Until(release.after)) {
+			return
+		}
+		c.queue(release.request)
+		c.pending.Add(-1)
+	}
+}
+
 func (c *Client) backlogDuty(ctx context.Context) {
 	for {
 		request, err := c.backlog.Get(ctx)
