Entry: 'not run' is told only where no earlier send of the order can have run

A claim that can't be recorded says nothing of earlier sends. Ruled out: asking the shard owner's memory (a second owner may have recorded the claim meanwhile). Change: without X-Call-Attempt: 1, an order with a key that got no claim ends as unknown, also at a stopping or full instance; with it, as not_run. Tests of the entry say which attempt they send, and check both; an uncounted send is a new, stricter case.

--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -85,8 +85,9 @@
 // One in five callers takes the first "not run" for final.
 func (s *system) placeOrder(random *rand.Rand, key string) verdict {
 	v := verdict{key: key, gaveUp: random.IntN(5) == 0}
-	for range maxSends {
-		a := s.order(s.entries[random.IntN(len(s.entries))], key)
+	counts := random.IntN(2) // half of the callers count their sends
+	for attempt := range maxSends {
+		a := s.order(s.entries[random.IntN(len(s.entries))], key, counts*(attempt+1))
 		if a.err == nil {
 			v.outcome = a.outcome
 		} else {
@@ -161,7 +162,7 @@
 			senders.Add(1)
 			go func(i int, e *fleet.Entry) {
 				defer senders.Done()
-				answers[i] = s.order(e, key)
+				answers[i] = s.order(e, key, 0)
 			}(i, e)
 		}
 		senders.Wait()
--- a/internal/e2e/outage_test.go
+++ b/internal/e2e/outage_test.go
@@ -25,14 +25,14 @@
 		assert.Assert(t, whole, "entry %d: %d %s", i, a.status, a.body)
 		assert.Equal(t, got, engine.Text("banner\x00tag this", 8))
 		assert.Equal(t, s.call(e, http.MethodGet, statusPath, "", nil).status, http.StatusOK)
-		refused := s.order(e, "during-outage")
+		refused := s.order(e, "during-outage", 1)
 		assert.Equal(t, refused.outcome, "not_run", refused.body)
 		assert.Assert(t, refused.retry != "", "no Retry-After: %s", refused.body)
 	}
 	assert.Equal(t, s.runs()["during-outage"], 0)
 	s.fleet.Store.SetFaults(objectapi.Faults{})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if a := s.order(s.entries[0], "after-outage"); a.outcome != "ran" {
+		if a := s.order(s.entries[0], "after-outage", 1); a.outcome != "ran" {
 			return poll.Continue("order after the outage: %d %s", a.status, a.body)
 		}
 		return poll.Success()
@@ -52,7 +52,7 @@
 		_, whole := text(t, a.body)
 		assert.Assert(t, whole, "entry %d: %d %s", i, a.status, a.body)
 		assert.Equal(t, s.call(e, http.MethodGet, statusPath, "", nil).status, http.StatusOK)
-		refused := s.order(e, "without-control")
+		refused := s.order(e, "without-control", 1)
 		assert.Equal(t, refused.outcome, "not_run", refused.body)
 	}
 	assert.Equal(t, s.runs()["without-control"], 0)
--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -181,6 +182,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	request.GetBody = nil // the library must not send an order again unseen
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
@@ -214,9 +216,12 @@
 	Messages  []httpapi.Message `json:"messages"`
 }
 
-// order sends one order under a key.
-func (s *system) order(e *fleet.Entry, key string) answer {
+// order sends one order under a key. Attempt counts its sends, zero tells nothing.
+func (s *system) order(e *fleet.Entry, key string, attempt int) answer {
 	headers := map[string]string{httpapi.HeaderIdempotencyKey: key, httpapi.HeaderDeadline: "5000"}
+	if attempt > 0 {
+		headers[httpapi.HeaderAttempt] = strconv.Itoa(attempt)
+	}
 	return s.call(e, http.MethodPost, "/services/bookings/orders/new", `{"order":"`+key+`"}`, headers)
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -36,6 +36,7 @@
 	request     routing.Request
 	fingerprint [sha256.Size]byte // of the work
 	started     time.Time
+	mayBeResend bool // of an order that was sent before
 	caller      admission.Caller
 	queueID     admission.RequestID // of the send in progress
 	cleared     []suspect.Record    // suspicions that the call's answer refuted
@@ -60,7 +61,7 @@
 
 // newCall checks what all requests have in common.
 func (s *Server) newCall(r *http.Request) (*call, *Failure) {
-	c := &call{started: s.now()}
+	c := &call{started: s.now(), mayBeResend: mayBeResend(r)}
 	headers, err := httpapi.ParseHeaders(r.Header)
 	c.headers = headers
 	c.id = headers.RequestID
@@ -68,7 +69,7 @@
 		c.id = uuid.NewString()
 	}
 	if err != nil {
-		return c, badRequest(err)
+		return c, badHeaders(err)
 	}
 	c.view = s.views.View()
 	if c.view == nil {
@@ -150,6 +151,9 @@
 
 // reject writes the failure as the whole answer.
 func (s *Server) reject(w http.ResponseWriter, c *call, f *Failure) {
+	if c.mayBeResend {
+		f = f.forResend()
+	}
 	s.noteFailure(c, f)
 	httpapi.WriteError(w, f.Status, f.detail(c.id))
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -18,6 +18,8 @@
 	Outcome    order.Outcome
 	RetryAfter time.Duration // zero when a resend does not help
 	Cause      error
+	// Settled tells that the outcome holds for all sends of an order, not only for this one.
+	Settled bool
 }
 
 // Error implements the error interface.
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -146,12 +146,14 @@
 	claims := newMemoryClaims()
 	claims.down = &order.UnavailableError{RetryAfter: 3 * time.Second, Cause: errors.New("store outage")}
 	e := startEntry(t, &sharedView{data: viewOf(one)}, claims, nil)
-	got := e.order("o1", key("o1"))
+	got := e.order("o1", key("o1"), header{httpapi.HeaderAttempt, "1"})
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Equal(t, got.header.Get("Retry-After"), "3")
 	assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun)
 	resend := e.order("o1", key("o1"), header{httpapi.HeaderAttempt, "2"})
 	assert.Equal(t, resend.failure(t).Outcome, order.OutcomeUnknown, "an earlier send may have run")
+	uncounted := e.order("o1", key("o1"))
+	assert.Equal(t, uncounted.failure(t).Outcome, order.OutcomeUnknown, "this may be a resend")
 	assert.Equal(t, one.service.RunsOf("o1"), 0)
 }
 
@@ -160,7 +162,7 @@
 	claims := newMemoryClaims()
 	claims.lose = true
 	e := startEntry(t, &sharedView{data: viewOf(one)}, claims, nil)
-	got := e.order("o1", key("o1"))
+	got := e.order("o1", key("o1"), header{httpapi.HeaderAttempt, "1"})
 	assert.Equal(t, got.failure(t).Outcome, order.OutcomeNotRun)
 	assert.Equal(t, one.service.RunsOf("o1"), 0)
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -79,6 +79,14 @@
 	}
 }
 
+// settled marks an end that the order's record covers, so that it holds for all sends.
+func (e orderEnd) settled() orderEnd {
+	if e.failure != nil {
+		e.failure.Settled = true
+	}
+	return e
+}
+
 func (s *Server) answerOrder(w http.ResponseWriter, p *plainCall, end orderEnd) {
 	if end.failure != nil {
 		s.reject(w, p.call, end.failure)
@@ -90,20 +98,11 @@
 // abandon ends the caller's wait. The order did not run if it had not begun to be sent.
 func (o *orderRun) abandon() *Failure {
 	if o.phase.CompareAndSwap(phasePending, phaseGivenUp) {
-		return deadlineFailure(o.notRun(), o.server.settings.Queue.RetryAfter)
+		return deadlineFailure(order.OutcomeNotRun, o.server.settings.Queue.RetryAfter)
 	}
 	return deadlineFailure(order.OutcomeUnknown, o.server.settings.Queue.RetryAfter)
 }
 
-// notRun is the outcome of a call that was not sent. A resend must not call
-// its order not run, since an earlier send may have run.
-func (o *orderRun) notRun() order.Outcome {
-	if o.call.headers.Attempt > 1 && o.token == "" {
-		return order.OutcomeUnknown
-	}
-	return order.OutcomeNotRun
-}
-
 // run claims the order and sends it. Caller ends when the caller no longer waits.
 func (o *orderRun) run(ctx, caller context.Context) orderEnd {
 	if o.claim.Key == "" {
@@ -117,11 +116,11 @@
 	case order.ClaimGranted:
 		o.token = answer.Token
 		o.server.record(o.call.call, timeline.KindOrderClaimed, "", "")
-		return o.sendClaimed(ctx, caller)
+		return o.sendClaimed(ctx, caller).settled()
 	case order.ClaimFinished:
-		return o.replay(answer.Result)
+		return o.replay(answer.Result).settled()
 	case order.ClaimMismatch:
-		return orderEnd{failure: keyReused()}
+		return orderEnd{failure: keyReused()}.settled()
 	default:
 		return orderEnd{failure: o.stillRunning()}
 	}
@@ -158,14 +157,14 @@
 // claimFailure answers a call whose claim was not given, so nothing was sent.
 func (o *orderRun) claimFailure(caller context.Context, err error) *Failure {
 	if cause := causeOf(caller); errors.Is(cause, errDeadline) {
-		return deadlineFailure(o.notRun(), o.server.settings.Queue.RetryAfter)
+		return deadlineFailure(order.OutcomeNotRun, o.server.settings.Queue.RetryAfter)
 	}
 	retryAfter := o.server.settings.Queue.RetryAfter
 	var down *order.UnavailableError
 	if errors.As(err, &down) && down.RetryAfter > 0 {
 		retryAfter = down.RetryAfter
 	}
-	failure := unavailable(httpapi.CodeOrdersDown, "Orders can't be claimed now, so this call was not sent.", o.notRun(), retryAfter)
+	failure := unavailable(httpapi.CodeOrdersDown, "Orders can't be claimed now, so this call was not sent.", order.OutcomeNotRun, retryAfter)
 	failure.Cause = err
 	return failure
 }
--- /dev/null
+++ b/internal/entry/resend.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/state/order"
+)
+
+// firstAttempt is the attempt header of an order that was never sent before.
+const firstAttempt = "1"
+
+// mayBeResend reports whether an earlier send of the same order may exist. Only a
+// caller that counts its sends can rule that out.
+func mayBeResend(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, servicesPath) &&
+		r.Header.Get(httpapi.HeaderIdempotencyKey) != "" &&
+		r.Header.Get(httpapi.HeaderAttempt) != firstAttempt
+}
+
+// forResend returns the failure as a possible resend must be told of it: that
+// this send did not run says nothing of earlier ones, unless the record of the
+// order was read.
+func (f *Failure) forResend() *Failure {
+	if f.Outcome != order.OutcomeNotRun || f.Settled {
+		return f
+	}
+	told := *f
+	told.Outcome = order.OutcomeUnknown
+	return &told
+}
+
+// badHeaders refuses a call with a wrong header. No send under a key that is not
+// allowed can have run.
+func badHeaders(err error) *Failure {
+	failure := badRequest(err)
+	var wrong *httpapi.HeaderError
+	failure.Settled = errors.As(err, &wrong) && wrong.Header == httpapi.HeaderIdempotencyKey
+	return failure
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -140,6 +140,9 @@
 
 // refuse answers a request that is no call.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, f *Failure) {
+	if mayBeResend(r) {
+		f = f.forResend()
+	}
 	headers, err := httpapi.ParseHeaders(r.Header)
 	id := headers.RequestID
 	if err != nil || id == "" {
--- a/internal/protocol/httpapi/headers.go
+++ b/internal/protocol/httpapi/headers.go
@@ -22,7 +22,8 @@
 	HeaderClass = "X-Request-Class"
 	// HeaderIdempotencyKey identifies an order over all its resends.
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderAttempt counts the sends of one order by its caller, from 1.
+	// HeaderAttempt counts the sends of one order by its caller, from 1. Without it
+	// each send counts as a possible resend.
 	HeaderAttempt = "X-Call-Attempt"
 	// HeaderResumeOffset is the id of the last stream event that the receiver has.
 	HeaderResumeOffset = "Last-Event-ID"
