Placement: faults that the loss of a zone in a roll-out showed

The reasons, each found in the sequence of actions: - loads on lost engines kept slots of the weight store, so loads ran one at a time; - a confirmed unload stayed in the ledger of a fenced engine, was sent again every 3 s and counted as memory that would come free; - an unload that had become that of the last replica was neither repeated nor taken back; - the only replica in force was evicted for another model as long as an outdated one was ready, and loaded again, without end; - a lost model that waited for memory lost its slot to loads that matter less; - free memory in too small pieces held no lost model. Spare replicas prefer engines that share few models.

--- a/internal/control/placing/lifecycle.go
+++ b/internal/control/placing/lifecycle.go
@@ -79,6 +79,8 @@
 
 func lifeState(i ledger.Item) string {
 	switch {
+	case !i.Charged():
+		return stateAbsent
 	case len(i.Unloads) > 0:
 		return stateUnloading
 	case i.Ready:
--- a/internal/control/placing/plan.go
+++ b/internal/control/placing/plan.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -52,13 +53,18 @@
 	return orders
 }
 
-// planAgain repeats an order, or takes back a load that is not wanted any more.
+// planAgain repeats an order, or takes back what is not wanted any more: a load of a slot
+// that the bundle does not list, or the unload of what has become the last ready replica.
 func planAgain(l *ledger.Ledger, id bundle.UpstreamID, item ledger.Item, scope Scope, fence ledger.Fence) (ledger.Order, error) {
 	retired := !scope.lists(item.Slot.Model)
-	if len(item.Unloads) > 0 || retired || !scope.wants(item.Slot) {
-		return l.PlanUnload(id, item.Slot, retired, fence)
+	if len(item.Unloads) == 0 && !retired && scope.wants(item.Slot) {
+		return l.PlanLoad(id, item.Slot, item.Memory, fence)
 	}
-	return l.PlanLoad(id, item.Slot, item.Memory, fence)
+	order, err := l.PlanUnload(id, item.Slot, retired, fence)
+	if errors.Is(err, ledger.ErrLastReplica) {
+		return l.PlanLoad(id, item.Slot, item.Memory, fence)
+	}
+	return order, err
 }
 
 func (s Scope) lists(id bundle.ModelID) bool {
@@ -101,7 +107,11 @@
 func snapshotItems(e *ledger.Engine) []placement.Item {
 	var items []placement.Item
 	for _, i := range e.Items {
-		items = append(items, placement.Item{Slot: i.Slot, Memory: i.Memory, State: itemState(i)})
+		item := placement.Item{Slot: i.Slot, Memory: i.Memory, State: itemState(i)}
+		if !i.Charged() {
+			item.Memory = 0 // an unload may be under way, but it frees nothing
+		}
+		items = append(items, item)
 	}
 	return items
 }
--- a/internal/coordination/placement/demand.go
+++ b/internal/coordination/placement/demand.go
@@ -48,7 +48,7 @@
 		}
 	}
 	c, ok := p.chain.pick(v, list)
-	if !ok || !p.place(v, p.chain, []Candidate{c}, ReasonDemand) {
+	if !ok || p.place(v, p.chain, []Candidate{c}, ReasonDemand) != placed {
 		return false
 	}
 	a.Add(c.Model, c.Engine)
@@ -105,12 +105,18 @@
 }
 
 // isSpare reports whether a replica may go: its model has more ready ones than it must keep.
+// Replicas in the version in force don't go in favor of outdated ones.
 func (p *Steady) isSpare(v *view, i Item, m int) bool {
-	other := v.index(i.Slot.Model)
-	if i.State != Ready || i.Slot.Adapter != "" || other < 0 || i.Slot == slotOf(v.Models[m]) {
+	at := v.index(i.Slot.Model)
+	if i.State != Ready || i.Slot.Adapter != "" || at < 0 || i.Slot == slotOf(v.Models[m]) {
 		return false
 	}
-	return v.readyReplicas(i.Slot.Model) > max(1, v.Models[other].MinReplicas)
+	other := v.Models[at]
+	ready := v.readyReplicas(other.ID)
+	if i.Slot == slotOf(other) {
+		ready = v.count(func(e Engine) bool { return e.ready(i.Slot) })
+	}
+	return ready > max(1, other.MinReplicas)
 }
 
 func (v *view) index(id bundle.ModelID) int {
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -48,6 +48,21 @@
 	assert.Equal(t, actions[0].Reason, ReasonUnreachable)
 }
 
+func TestLostModelKeepsASlotWhileItWaitsForMemory(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("x", 60)), engine("f", "b", ready("x", 60)), engine("g", "b", ready("y", 60))},
+		Models:  []Model{model("x", 60, 0), model("y", 60, 0), model("z", 30, 0), model("lost", 60, 0)},
+		Rates:   Rates{Loads: 1},
+	}
+	s.Engines[2].Items[0].Slot.Version = "0" // the version in force is missing as well
+	s.Models[2].MinReplicas = 0
+	actions := NewSteady(settings()).Decide(start, s)
+	for _, a := range actions {
+		assert.Assert(t, a.Action == ledger.Unload || a.Slot.Model == "z" || a.Slot.Model == "lost", "%+v", a)
+	}
+	assert.Equal(t, actions[0].Reason, ReasonUnreachable)
+}
+
 func TestReplicaIsAddedAfterTheHoldTimeOnly(t *testing.T) {
 	s := Snapshot{Engines: []Engine{engine("e", "a", ready("m", 40)), engine("f", "b")}, Models: []Model{model("m", 40, 1.5)}, Rates: manyRates}
 	p := NewSteady(settings())
@@ -86,6 +101,16 @@
 	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("g"))
 }
 
+func TestSpareReplicasOfTwoModelsGoToDifferentEngines(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("x", 40), ready("y", 40)), engine("f", "b", ready("x", 40)), engine("g", "b", ready("z", 40))},
+		Models:  []Model{model("x", 40, 0), model("y", 40, 0), model("z", 40, 0)}, Rates: manyRates,
+	}
+	s.Models[1].MinReplicas = 2
+	actions := NewSteady(settings()).Decide(start, s)
+	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("g"))
+}
+
 func TestEvictionNeverTakesTheLastReplica(t *testing.T) {
 	s := Snapshot{
 		Engines: []Engine{engine("e", "a", ready("x", 60)), engine("f", "b", ready("y", 60))},
@@ -99,6 +124,29 @@
 	assert.Equal(t, actions[0].Slot.Model, bundle.ModelID("x"))
 }
 
+func TestLoadsOnALostEngineTakeNoSlot(t *testing.T) {
+	pending := ready("x", 60)
+	pending.State = Pending
+	gone := engine("gone", "a", pending)
+	gone.Usable = false
+	s := Snapshot{Engines: []Engine{gone, engine("e", "b")}, Models: []Model{model("x", 60, 0)}, Rates: Rates{Loads: 1}}
+	actions := NewSteady(settings()).Decide(start, s)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("e"))
+}
+
+func TestOnlyReplicaInForceStaysBesideAnOutdatedOne(t *testing.T) {
+	outdated := ready("x", 60)
+	outdated.Slot.Version = "0"
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("x", 60)), engine("f", "b", outdated)},
+		Models:  []Model{model("x", 60, 0), model("lost", 60, 0)}, Rates: manyRates,
+	}
+	for _, a := range NewSteady(settings()).Decide(start, s) {
+		assert.Equal(t, a.Engine, bundle.UpstreamID("f"), "%+v", a)
+	}
+}
+
 func TestAdaptersKeepToTheTransitLimit(t *testing.T) {
 	s := Snapshot{Engines: []Engine{engine("e", "a", ready("m", 40))}, Models: []Model{model("m", 40, 0)}, Rates: Rates{Loads: 1, Adapters: 2}}
 	for _, id := range []bundle.AdapterID{"a", "b", "c"} {
--- a/internal/coordination/placement/plugins.go
+++ b/internal/coordination/placement/plugins.go
@@ -134,3 +134,30 @@
 	}
 	return true
 }
+
+// ScoreOverlap prefers engines whose models share few other engines with the model, so
+// that a burst of any two models finds different engines.
+type ScoreOverlap struct{ Weight float64 }
+
+// Score implements Scorer.
+func (s ScoreOverlap) Score(v *view, c Candidate) float64 {
+	slot := slotOf(v.Models[c.Model])
+	shared := 0
+	for _, e := range v.Engines {
+		if e.holds(slot) {
+			shared += e.common(v.Engines[c.Engine])
+		}
+	}
+	return -s.Weight * float64(shared)
+}
+
+// common counts the slots that two engines both hold.
+func (e Engine) common(other Engine) int {
+	n := 0
+	for _, i := range e.Items {
+		if i.Slot.Adapter == "" && other.holds(i.Slot) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/coordination/placement/steady.go
+++ b/internal/coordination/placement/steady.go
@@ -30,6 +30,12 @@
 	unmetAt  time.Time // since when demand has been unmet, zero if it is met
 }
 
+// Weights of shared engines: in zones' worth for spare replicas, and in engines of demand otherwise.
+const (
+	overlapSpare  = 0.2
+	overlapDemand = 0.01
+)
+
 // NewSteady returns a policy that has seen no demand.
 func NewSteady(s Settings) *Steady {
 	room := ScoreRoom{Weight: 0.01}
@@ -39,12 +45,12 @@
 		memory:   make(map[bundle.ModelID]float64),
 		chain: chain{
 			filters: []Filter{FilterUsable{}, FilterWorth{Cost: s.MoveCost, Horizon: s.Horizon.Seconds()}},
-			scorers: []Scorer{ScoreGain{}, ScoreEvictions{Weight: s.MoveCost / s.Horizon.Seconds()}, zones, room},
+			scorers: []Scorer{ScoreGain{}, ScoreEvictions{Weight: s.MoveCost / s.Horizon.Seconds()}, ScoreOverlap{Weight: overlapDemand}, zones, room},
 			picker:  PickBest{},
 		},
 		spare: chain{
 			filters: []Filter{FilterUsable{}},
-			scorers: []Scorer{ScoreZones{Weight: 1}, ScoreEvictions{Weight: 1}, room},
+			scorers: []Scorer{ScoreZones{Weight: 1}, ScoreEvictions{Weight: 1}, ScoreOverlap{Weight: overlapSpare}, room},
 			picker:  PickBest{},
 		},
 	}
@@ -78,18 +84,35 @@
 
 // restore loads models that no engine has, then versions, then the configured minimum.
 func (p *Steady) restore(v *view) {
-	stages := []struct {
-		why     Reason
-		missing func(m Model) bool
-	}{
-		{ReasonUnreachable, func(m Model) bool { return v.replicas(m) == 0 && v.readyReplicas(m.ID) == 0 }},
-		{ReasonVersion, func(m Model) bool { return v.replicas(m) < max(1, v.outdated(m)) }},
-		{ReasonMinimum, func(m Model) bool { return v.replicas(m) < m.MinReplicas }},
-	}
-	for _, stage := range stages {
-		for m := range v.Models {
-			for v.loads > 0 && stage.missing(v.Models[m]) && p.place(v, p.spare, p.candidates(v, m), stage.why) {
-			}
+	for m, model := range v.Models {
+		if v.replicas(model) == 0 && v.readyReplicas(model.ID) == 0 {
+			p.reload(v, m)
+		}
+	}
+	p.loadMissing(v, ReasonVersion, func(m Model) bool { return v.replicas(m) < max(1, v.outdated(m)) })
+	p.loadMissing(v, ReasonMinimum, func(m Model) bool { return v.replicas(m) < m.MinReplicas })
+}
+
+// reload brings back a model that no engine has. While it waits for memory, it keeps a
+// slot of the weight store from the loads that matter less.
+func (p *Steady) reload(v *view, m int) {
+	outcome := p.place(v, p.spare, p.candidates(v, m), ReasonUnreachable)
+	if outcome == impossible {
+		outcome = p.relocate(v, m)
+	}
+	if outcome == waiting {
+		v.loads--
+	}
+}
+
+func (p *Steady) loadMissing(v *view, why Reason, missing func(m Model) bool) {
+	for m := range v.Models {
+		outcome := placed
+		for v.loads > 0 && missing(v.Models[m]) && outcome == placed {
+			outcome = p.place(v, p.spare, p.candidates(v, m), why)
+		}
+		if outcome == impossible && v.replicas(v.Models[m]) == 0 {
+			p.relocate(v, m)
 		}
 	}
 }
@@ -105,22 +128,33 @@
 	return list
 }
 
+// placing is what became of an attempt to place a replica.
+type placing uint8
+
+const (
+	impossible placing = iota // no engine can take it
+	waiting                   // for a slot of the weight store, or for memory to come free
+	placed
+)
+
 // place loads the best candidate, or unloads what stands in its way first.
-// It reports whether the load was added.
-func (p *Steady) place(v *view, k chain, candidates []Candidate, why Reason) bool {
+func (p *Steady) place(v *view, k chain, candidates []Candidate, why Reason) placing {
 	c, ok := k.pick(v, candidates)
 	if !ok {
-		return false
+		return impossible
 	}
 	model := v.Models[c.Model]
-	if v.free[c.Engine] >= model.Memory {
-		v.load(c.Engine, slotOf(model), model.Memory, why)
-		return true
+	if v.free[c.Engine] < model.Memory {
+		for _, slot := range c.Evict {
+			v.unload(c.Engine, slot, false, ReasonRoom)
+		}
+		return waiting
 	}
-	for _, slot := range c.Evict {
-		v.unload(c.Engine, slot, false, ReasonRoom)
+	if v.loads <= 0 {
+		return waiting
 	}
-	return false
+	v.load(c.Engine, slotOf(model), model.Memory, why)
+	return placed
 }
 
 // retire unloads what the bundle in force does not list, once its successor is ready.
@@ -167,7 +201,7 @@
 				list = append(list, Candidate{Model: m, Engine: e})
 			}
 		}
-		if !p.place(v, p.spare, list, ReasonSpare) {
+		if p.place(v, p.spare, list, ReasonSpare) != placed {
 			return
 		}
 	}
--- a/internal/coordination/placement/view.go
+++ b/internal/coordination/placement/view.go
@@ -33,6 +33,8 @@
 
 func (v *view) countItem(e int, i Item) {
 	switch {
+	case !v.Engines[e].counts():
+		// a load on a lost engine takes no slot of the weight store
 	case i.State == Leaving:
 		v.freeing[e] += i.Memory
 	case i.State == Pending && i.Slot.Adapter == "":
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -52,8 +52,8 @@
 	Unloads  []Fence // unloads that may still take effect
 }
 
-// charged reports whether the item takes memory or may come to do so.
-func (i Item) charged() bool { return i.Resident || len(i.Loads) > 0 }
+// Charged reports whether the item takes memory or may come to do so.
+func (i Item) Charged() bool { return i.Resident || len(i.Loads) > 0 }
 
 // Stable reports whether the item is ready and no unload can take it away.
 func (i Item) Stable() bool { return i.Ready && len(i.Unloads) == 0 }
@@ -74,7 +74,7 @@
 func (e *Engine) Charged() bundle.MiB {
 	var sum bundle.MiB
 	for _, i := range e.Items {
-		if i.charged() {
+		if i.Charged() {
 			sum += i.Memory
 		}
 	}
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -119,6 +119,18 @@
 	assert.ErrorIs(t, err, ErrKeepsCharge)
 }
 
+func TestUnloadIsForgottenWhenTheSlotIsGone(t *testing.T) {
+	a := slot("a", "1")
+	l := booted(DeliveryFenced, "e")
+	l.ApplyReport("e", Report{Boot: "1", Sequence: 2, Residents: []Resident{resident(a)}})
+	_, err := l.PlanUnload("e", a, true, 5)
+	assert.NilError(t, err)
+	l.ApplyReport("e", Report{Boot: "1", Sequence: 2, Residents: []Resident{resident(a)}})
+	assert.Equal(t, len(l.Engine("e").Items), 1)
+	l.ApplyReport("e", Report{Boot: "1", Sequence: 3, Fence: 5})
+	assert.Equal(t, len(l.Engine("e").Items), 0)
+}
+
 func TestChangedDeliveryRuleDoesNotSettleEarlierOrders(t *testing.T) {
 	l := booted(DeliveryFenced, "e")
 	order := mustLoad(t, l, "e", slot("a", "1"), 5)
--- a/internal/state/ledger/orders.go
+++ b/internal/state/ledger/orders.go
@@ -51,7 +51,7 @@
 	if item != nil && !e.mayReload(item) {
 		return Order{}, ErrUnsettled
 	}
-	if item == nil || !item.charged() {
+	if item == nil || !item.Charged() {
 		if e.Charged()+memory > e.Memory {
 			return Order{}, ErrNoMemory
 		}
--- a/internal/state/ledger/report.go
+++ b/internal/state/ledger/report.go
@@ -44,9 +44,13 @@
 	for _, resident := range r.Residents {
 		e.setResident(resident)
 	}
-	e.Items = slices.DeleteFunc(e.Items, func(i Item) bool {
-		return !i.charged() && len(i.Unloads) == 0
-	})
+	e.Items = slices.DeleteFunc(e.Items, e.isOver)
+}
+
+// isOver reports whether an item can be forgotten. Where fencing is checked, an unload of a
+// slot that is gone is harmless: every later load has a higher fencing number.
+func (e *Engine) isOver(i Item) bool {
+	return !i.Charged() && (len(i.Unloads) == 0 || e.Delivery == DeliveryFenced)
 }
 
 // SetUnreachable notes that an engine did not answer. Its memory stays charged.
