--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -124,6 +124,23 @@
 	assert.Equal(t, actions[0].Slot.Model, bundle.ModelID("x"))
 }
 
+func TestReplicaIsDoubledElsewhereToMakeRoomForALostModel(t *testing.T) {
+	s := Snapshot{
+		Engines: []Engine{engine("e", "a", ready("x", 30), ready("y", 40)), engine("f", "b", ready("z", 60))},
+		Models:  []Model{model("x", 30, 0), model("y", 40, 0), model("z", 60, 0), model("lost", 50, 0)}, Rates: manyRates,
+	}
+	p := NewSteady(settings())
+	actions := p.Decide(start, s)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("f"))
+	assert.Equal(t, actions[0].Slot.Model, bundle.ModelID("x"))
+
+	s.Engines[1] = engine("f", "b", ready("z", 60), ready("x", 30))
+	actions = p.Decide(start.Add(time.Second), s)
+	assert.Equal(t, actions[0].Action, ledger.Unload)
+	assert.Equal(t, actions[0].Engine, bundle.UpstreamID("e"))
+}
+
 func TestLoadsOnALostEngineTakeNoSlot(t *testing.T) {
 	pending := ready("x", 60)
 	pending.State = Pending
