Entry: places by service, live replicas for waiting requests, tests of the upstream client

Cause: a hung service could take all places of the entry; a request that waited for a model never saw it loaded, and its demand was counted only at its end. Change: bulkhead for each service; configuration stays pinned while replicas and leaving upstreams are the latest known; demand counted on arrival. A break of the probe (connection taken for a dead upstream) passed the test of silent connections: the test now has two upstreams and demands the same one.

--- a/internal/entry/answer_test.go
+++ b/internal/entry/answer_test.go
@@ -12,6 +12,7 @@
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/standin/engine"
 	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/timeline"
 )
 
 func TestStreamIsWholeAndItsOwnUnderFaults(t *testing.T) {
@@ -91,14 +92,35 @@
 }
 
 func TestSilentConnectionIsReplacedWhileItsUpstreamKeepsOtherWork(t *testing.T) {
-	one := startEngine(t, "e1")
-	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, nil)
-	one.engine.Inject(engine.Fault{Kind: engine.FaultSilent, Match: "victim", After: 5, Count: 1})
+	engines := startEngines(t, 2)
+	e := startEntry(t, &sharedView{data: viewOf(engines...)}, nil, nil)
+	e.earnRetries()
+	for _, n := range engines {
+		n.engine.Inject(engine.Fault{Kind: engine.FaultSilent, Match: "victim", After: 5, Count: 1})
+	}
 	var group sync.WaitGroup
-	group.Go(func() { assertWhole(t, e.stream(t, "other", "bystander", 500), "bystander", 500) })
+	for i := range 4 {
+		content := fmt.Sprintf("bystander %d", i)
+		group.Go(func() { assertWhole(t, e.stream(t, "b"+content[10:], content, 500), content, 500) })
+	}
 	assertWhole(t, e.stream(t, "r1", "victim", 20), "victim", 20)
 	group.Wait()
-	assert.Equal(t, one.engine.Started(), 3, "the bystander once and the victim twice")
+	sends := e.routed("r1")
+	assert.Equal(t, len(sends), 2)
+	assert.Equal(t, sends[0], sends[1], "the connection is replaced, not the upstream")
+	assert.Equal(t, len(e.table.down()), 0)
+	assert.Equal(t, engines[0].engine.Started()+engines[1].engine.Started(), 6, "each bystander once and the victim twice")
+}
+
+// routed returns the upstreams that a request was sent to.
+func (e *testEntry) routed(id string) []string {
+	var upstreams []string
+	for _, event := range e.recorder.Events() {
+		if event.Kind == timeline.KindRequestRouted && event.Request == id {
+			upstreams = append(upstreams, event.Upstream)
+		}
+	}
+	return upstreams
 }
 
 func TestReadIsWholeAndItsOwnUnderFaults(t *testing.T) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -37,6 +37,7 @@
 	fingerprint [sha256.Size]byte // of the work
 	started     time.Time
 	caller      admission.Caller
+	entered     bool                // the call holds a place of its service
 	queueID     admission.RequestID // of the send in progress
 	cleared     []suspect.Record    // suspicions that the call's answer refuted
 	// sameUpstream gets the next send on a new connection. Empty when there is none.
@@ -78,8 +79,8 @@
 	return c, nil
 }
 
-// setService completes the call once its service is known.
-func (s *Server) setService(r *http.Request, c *call, service bundle.Service) {
+// setService completes the call once its service is known, and takes a place of the service.
+func (s *Server) setService(r *http.Request, c *call, service bundle.Service) *Failure {
 	c.service = service
 	limit := c.headers.Deadline
 	if limit == 0 {
@@ -95,6 +96,11 @@
 	s.table.earn(c)
 	s.metrics.requests.WithLabelValues(string(service.Name), string(c.headers.Class)).Inc()
 	s.record(c, timeline.KindRequestReceived, "", "")
+	if !s.table.enter(c) {
+		return unavailable(httpapi.CodeNoCapacity, "Too many requests to this service are in progress.",
+			order.OutcomeNotRun, s.settings.Queue.RetryAfter)
+	}
+	return nil
 }
 
 // readBody reads the request's body within the size and time limits. After a
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -10,6 +11,8 @@
 
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/standin/engine"
+	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/bundle"
 )
 
 // crashed counts the engines whose server has ended.
@@ -145,3 +148,47 @@
 		assert.Equal(t, engines[0].engine.Started(), 0)
 	})
 }
+
+func TestWaitingRequestFindsAModelThatIsLoadedMeanwhile(t *testing.T) {
+	one := startEngine(t, "e1")
+	views := &sharedView{data: viewOf(one)}
+	replicas := views.data.Replicas
+	views.data.Replicas = nil
+	e := startEntry(t, views, nil, nil)
+	var group sync.WaitGroup
+	group.Go(func() { assertWhole(t, e.stream(t, "r1", "hello", 3), "hello", 3) })
+	eventually(t, "the request waits", func() bool { return e.queued("tagger") == 1 })
+	demand := e.demand.take()
+	views.mu.Lock()
+	views.data.Replicas = replicas
+	views.mu.Unlock()
+	group.Wait()
+	assert.Equal(t, len(demand), 1, "demand is counted while the request waits")
+}
+
+func TestHungServiceLeavesOthersTheirPlaces(t *testing.T) {
+	sick, well := startService(t, "s1"), startService(t, "s2")
+	data := viewOf(sick, well)
+	data.Bundle.Services = append(data.Bundle.Services, bundle.Service{Name: "flights", Kind: bundle.KindPlain})
+	data.Bundle.Upstreams[1].Service = "flights"
+	e := startEntry(t, &sharedView{data: data}, nil, func(s *Settings) {
+		s.Callers.Reserved, s.Callers.Shared, s.Callers.MaxStreams = 4, 4, 100
+		s.Upstreams.FirstByteTimeout = patience
+	})
+	sick.service.Inject(service.Fault{Kind: service.FaultHang})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() { call0(request(http.MethodGet, e.url+"/services/booking/status", "").WithContext(ctx)) })
+	}
+	eventually(t, "the hung service has its places", func() bool {
+		e.table.mu.Lock()
+		defer e.table.mu.Unlock()
+		return e.table.bulkhead.Used("booking") == 8
+	})
+	for range 50 {
+		assert.Equal(t, e.do(http.MethodGet, "/services/flights/status", "").status, http.StatusOK)
+	}
+	cancel()
+	group.Wait()
+}
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -33,6 +33,7 @@
 		s.reject(w, c, badRequest(err))
 		return
 	}
+	defer s.table.leave(c)
 	if failure := s.routeChat(r, c, chat); failure != nil {
 		s.reject(w, c, failure)
 		return
@@ -54,8 +55,8 @@
 	c.request.Adapter = adapter
 	c.request.PrefixHash = chat.PrefixHash
 	c.fingerprint = chat.Fingerprint
-	s.setService(r, c, service)
-	return nil
+	s.demand.arrived(c)
+	return s.setService(r, c, service)
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, c *call, chat httpapi.ChatRequest) {
@@ -77,7 +78,7 @@
 	ctx, stop := s.drain.handingOver(ctx)
 	defer stop()
 	failure := g.run(ctx)
-	s.demand.add(c, g.reader.offset-g.first, failure)
+	s.demand.ended(c, g.reader.offset-g.first, failure)
 	if failure == nil {
 		s.finished(c)
 		return
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -146,6 +146,7 @@
 	data := viewOf(&node{id: "s1", address: "127.0.0.1:1"})
 	var s Settings
 	s.Callers.MaxBodyBytes, s.Callers.MaxStreams, s.Callers.ReadTimeout = 1<<20, 10, time.Second
+	s.Callers.Reserved = 10
 	s.Callers.DefaultDeadline, s.Queue.MaxWait = 20*time.Millisecond, time.Millisecond
 	s.Queue.RetryAfter, s.Orders.MaxWait, s.Orders.ClaimTimeout = time.Second, time.Second, time.Second
 	s.Operations.TimelineEvents, s.Upstreams.MaxInFlight = 16, 1
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -69,7 +69,11 @@
 		p.path += "?" + r.URL.RawQuery
 	}
 	c.fingerprint = fingerprintPlain(p)
-	s.setService(r, c, service)
+	defer s.table.leave(c)
+	if failure := s.setService(r, c, service); failure != nil {
+		s.reject(w, c, failure)
+		return
+	}
 	ctx, cancel := c.context(r)
 	defer cancel()
 	if isOrderPath(service, rest) {
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -52,17 +52,28 @@
 
 func newDemandCounts() *demandCounts { return &demandCounts{counts: make(map[demandKey]ModelDemand)} }
 
-func (d *demandCounts) add(c *call, tokens int, failure *Failure) {
+// arrived counts a request at once, so that a model without replicas is missed before its callers give up.
+func (d *demandCounts) arrived(c *call) {
+	d.change(c, func(n *ModelDemand) { n.Requests++ })
+}
+
+// ended counts the tokens of a request, and whether it missed its deadline.
+func (d *demandCounts) ended(c *call, tokens int, failure *Failure) {
+	d.change(c, func(n *ModelDemand) {
+		n.Tokens += uint64(max(tokens, 0))
+		if failure != nil && c.request.Class == routing.ClassNow {
+			n.MissedDeadlines++
+		}
+	})
+}
+
+func (d *demandCounts) change(c *call, change func(*ModelDemand)) {
 	key := demandKey{c.request.Model, c.request.Adapter}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := d.counts[key]
 	n.Model, n.Adapter = key.model, key.adapter
-	n.Requests++
-	n.Tokens += uint64(max(tokens, 0))
-	if failure != nil && c.request.Class == routing.ClassNow {
-		n.MissedDeadlines++
-	}
+	change(&n)
 	d.counts[key] = n
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,7 +69,7 @@
 		views:    d.Views,
 		claims:   d.Claims,
 		reporter: d.Reporter,
-		table:    newUpstreamTable(s),
+		table:    newUpstreamTable(s, d.Views),
 		reports:  newReports(),
 		demand:   newDemandCounts(),
 		drain:    newDrainer(),
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -62,6 +62,23 @@
 	return ids
 }
 
+// enter takes one of the service's places for requests in progress and reports whether there was one.
+func (t *upstreamTable) enter(c *call) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.entered = t.bulkhead.Enter(c.service.Name)
+	return c.entered
+}
+
+// leave returns the call's place, if it has one.
+func (t *upstreamTable) leave(c *call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.entered {
+		t.bulkhead.Leave(c.service.Name)
+	}
+}
+
 // earn counts one request of a caller for the retry budget.
 func (t *upstreamTable) earn(c *call) {
 	t.mu.Lock()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -31,6 +31,8 @@
 	MaxBodyBytes    int64            `help:"Largest body of a request." default:"1048576" min:"1024" max:"67108864"`
 	MaxHeaderBytes  int              `help:"Largest header of a request." default:"16384" min:"4096" max:"1048576"`
 	MaxStreams      int              `help:"Requests in progress at once." default:"4096" min:"1" max:"1000000"`
+	Reserved        int              `help:"Requests in progress that each service has for itself." default:"1024" min:"1" max:"1000000"`
+	Shared          int              `help:"Requests in progress beyond the reserves, for all services together." default:"1024" min:"0" max:"1000000"`
 	ReadTimeout     time.Duration    `help:"Time to read a request." default:"10s" min:"100ms" max:"5m"`
 	WriteTimeout    time.Duration    `help:"Time to write one stream event to a caller." default:"10s" min:"100ms" max:"5m"`
 	IdleTimeout     time.Duration    `help:"Time after which an idle connection is closed." default:"60s" min:"1s" max:"1h"`
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/admission"
+	"savoryweir/internal/coordination/bulkhead"
 	"savoryweir/internal/coordination/limit"
 	"savoryweir/internal/coordination/routing"
 	"savoryweir/internal/coordination/suspect"
@@ -47,20 +48,24 @@
 type upstreamTable struct {
 	settings Settings
 	picker   routing.Picker
+	views    ViewSource
 	random   *rand.Rand
 
 	mu       sync.Mutex // guards all below
 	states   map[bundle.UpstreamID]*upstreamState
 	services map[bundle.ServiceName]*serviceState
 	suspects *suspect.Registry
+	bulkhead *bulkhead.Bulkhead
 	nextID   admission.RequestID
 }
 
-func newUpstreamTable(s Settings) *upstreamTable {
+func newUpstreamTable(s Settings, views ViewSource) *upstreamTable {
 	suspects := suspect.DefaultSettings()
 	suspects.Lifetime = s.Upstreams.SuspectFor
 	return &upstreamTable{
 		settings: s,
+		views:    views,
+		bulkhead: bulkhead.New(bulkhead.Settings{Reserved: s.Callers.Reserved, Shared: s.Callers.Shared}),
 		picker: routing.NewKeyed(routing.KeyedSettings{
 			Settle:      s.Upstreams.Settle,
 			Overbook:    s.Upstreams.Overbook,
@@ -88,21 +93,24 @@
 	return u
 }
 
-// candidates describes all upstreams of the call's service. The caller holds mu.
+// candidates describes all upstreams of the call's service. The configuration is
+// that of the call's own view; replicas and leaving upstreams are the latest
+// known, so that a waiting request finds a model that was loaded meanwhile. The caller holds mu.
 func (t *upstreamTable) candidates(now time.Time, c *call) []routing.Candidate {
 	upstreams := c.view.upstreams[c.service.Name]
 	found := make([]routing.Candidate, 0, len(upstreams))
+	live := t.views.View()
 	for _, u := range upstreams {
-		found = append(found, t.candidate(now, c, u))
+		found = append(found, t.candidate(now, c, live, u))
 	}
 	return found
 }
 
-func (t *upstreamTable) candidate(now time.Time, c *call, u bundle.Upstream) routing.Candidate {
+func (t *upstreamTable) candidate(now time.Time, c *call, live *View, u bundle.Upstream) routing.Candidate {
 	state := t.state(u.ID)
 	state.address = u.Address
 	status := t.service(c).detector.Status(now, u.ID)
-	leaving := c.view.leaving[u.ID] || now.Before(state.leavingUntil)
+	leaving := live.leaving[u.ID] || now.Before(state.leavingUntil)
 	state.setLeaving(now, leaving)
 	return routing.Candidate{
 		Upstream:        u.ID,
@@ -111,8 +119,8 @@
 		Limit:           state.limiter.Limit(),
 		Reported:        state.load,
 		SentSinceReport: state.sent,
-		HasModel:        c.request.Model == "" || c.view.Serves(u.ID, c.request.Model, ""),
-		HasAdapter:      c.request.Adapter == "" || c.view.Serves(u.ID, c.request.Model, c.request.Adapter),
+		HasModel:        c.request.Model == "" || live.Serves(u.ID, c.request.Model, ""),
+		HasAdapter:      c.request.Adapter == "" || live.Serves(u.ID, c.request.Model, c.request.Adapter),
 		Ejected:         status.Ejected || !state.downSince.IsZero(),
 		RecoveryShare:   status.RecoveryShare,
 		Leaving:         leaving,
