--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -172,7 +172,7 @@
 	data.Bundle.Services = append(data.Bundle.Services, bundle.Service{Name: "flights", Kind: bundle.KindPlain})
 	data.Bundle.Upstreams[1].Service = "flights"
 	e := startEntry(t, &sharedView{data: data}, nil, func(s *Settings) {
-		s.Callers.Reserved, s.Callers.Shared, s.Callers.MaxStreams = 4, 4, 100
+		s.Callers.Reserved, s.Callers.Shared, s.Callers.MaxStreams = 4, 4, 20
 		s.Upstreams.FirstByteTimeout = patience
 	})
 	sick.service.Inject(service.Fault{Kind: service.FaultHang})
@@ -181,10 +181,9 @@
 	for range 20 {
 		group.Go(func() { call0(request(http.MethodGet, e.url+"/services/booking/status", "").WithContext(ctx)) })
 	}
-	eventually(t, "the hung service has its places", func() bool {
-		e.table.mu.Lock()
-		defer e.table.mu.Unlock()
-		return e.table.bulkhead.Used("booking") == 8
+	eventually(t, "the hung service has its places and no more", func() bool {
+		calls, _ := e.drain.calls()
+		return len(calls) == 8 && counterOf(t, e, "failures_total") == 12
 	})
 	for range 50 {
 		assert.Equal(t, e.do(http.MethodGet, "/services/flights/status", "").status, http.StatusOK)
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -93,14 +93,17 @@
 	return u
 }
 
-// candidates describes all upstreams of the call's service. The configuration is
+// candidates describes the upstreams that can run the call. The configuration is
 // that of the call's own view; replicas and leaving upstreams are the latest
 // known, so that a waiting request finds a model that was loaded meanwhile. The caller holds mu.
 func (t *upstreamTable) candidates(now time.Time, c *call) []routing.Candidate {
 	upstreams := c.view.upstreams[c.service.Name]
-	found := make([]routing.Candidate, 0, len(upstreams))
+	var found []routing.Candidate
 	live := t.views.View()
 	for _, u := range upstreams {
+		if c.request.Model != "" && !live.Serves(u.ID, c.request.Model, "") {
+			continue
+		}
 		found = append(found, t.candidate(now, c, live, u))
 	}
 	return found
@@ -119,7 +122,7 @@
 		Limit:           state.limiter.Limit(),
 		Reported:        state.load,
 		SentSinceReport: state.sent,
-		HasModel:        c.request.Model == "" || live.Serves(u.ID, c.request.Model, ""),
+		HasModel:        true,
 		HasAdapter:      c.request.Adapter == "" || live.Serves(u.ID, c.request.Model, c.request.Adapter),
 		Ejected:         status.Ejected || !state.downSince.IsZero(),
 		RecoveryShare:   status.RecoveryShare,
--- a/internal/transport/tlsconf/tlsconf_test.go
+++ b/internal/transport/tlsconf/tlsconf_test.go
@@ -1,59 +1,30 @@
 package tlsconf
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/standin/certs"
 )
 
 // identity is a self-signed certificate in files.
-type identity struct{ settings Settings }
+type identity struct {
+	settings Settings
+	files    certs.Files
+}
 
-func writePEM(t *testing.T, path, kind string, data []byte) {
-	t.Helper()
-	assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
+func newIdentity(t *testing.T) identity {
+	f := certs.In(t.TempDir())
+	return identity{Settings{Certificate: f.Certificate, Key: f.Key, CA: f.Authority}, f}
 }
 
-// write replaces the files by a new certificate with the serial number given.
 func (i identity) write(t *testing.T, serial int64) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: "test"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
-	}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	assert.NilError(t, err)
-	private, err := x509.MarshalECPrivateKey(key)
-	assert.NilError(t, err)
-	writePEM(t, i.settings.Certificate, "CERTIFICATE", certificate)
-	writePEM(t, i.settings.Key, "EC PRIVATE KEY", private)
-	writePEM(t, i.settings.CA, "CERTIFICATE", certificate)
-	stamp := time.Unix(1_700_000_000+serial, 0)
-	for _, path := range []string{i.settings.Certificate, i.settings.Key, i.settings.CA} {
-		assert.NilError(t, os.Chtimes(path, stamp, stamp))
-	}
-}
-
-func newIdentity(t *testing.T) identity {
-	directory := t.TempDir()
-	return identity{Settings{
-		Certificate: filepath.Join(directory, "cert.pem"), Key: filepath.Join(directory, "key.pem"), CA: filepath.Join(directory, "ca.pem"),
-	}}
+	assert.NilError(t, i.files.Write(serial))
 }
 
 // handshake returns the serial number of the server's certificate.
