--- a/internal/control/claims/model_test.go
+++ b/internal/control/claims/model_test.go
@@ -31,6 +31,7 @@
 	key  string
 	body string
 	told told
+	late bool // told not_run although an earlier attempt of the order had run
 }
 
 // model checks a history: what the upstream ran against what callers were told.
@@ -108,6 +109,17 @@
 	m.violations = append(m.violations, fmt.Sprintf(format, args...))
 }
 
+// history lists what the callers of a key were told.
+func (m *model) history(key string) []told {
+	var list []told
+	for _, a := range m.attempts {
+		if a.key == key {
+			list = append(list, a.told)
+		}
+	}
+	return list
+}
+
 // check compares what callers were told with what ran.
 func (m *model) check() {
 	for _, a := range m.attempts {
@@ -194,7 +206,7 @@
 	}
 	var unavailable *order.UnavailableError
 	if errors.As(err, &unavailable) {
-		u.model.refusedAfter(time.Since(start))
+		u.model.refused(a, time.Since(start))
 		return finished(toldNotRun)
 	}
 	switch answer.State {
@@ -212,10 +224,22 @@
 	return u.forward(entry, n, a, claim, answer.Token)
 }
 
-func (m *model) refusedAfter(d time.Duration) {
+func (m *model) refused(a *attempt, after time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.slowest = max(m.slowest, d)
+	m.slowest = max(m.slowest, after)
+	a.late = len(m.runs[a.key]) > 0
+}
+
+// lateRefusals counts requests that were told not_run after an earlier request
+// of the same order had run.
+func (m *model) lateRefusals() (n int) {
+	for _, a := range m.attempts {
+		if a.late {
+			n++
+		}
+	}
+	return n
 }
 
 func (u *upstream) forward(entry context.Context, n *node, a *attempt, claim order.Claim, token string) told {
@@ -282,7 +306,7 @@
 		_ = n.clientNow().Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeNotRun})
 	case answer.State == order.ClaimFinished && answer.Result.Outcome == order.OutcomeUnknown:
 		if !u.model.cut[key] {
-			u.model.violate("key %s ends unknown without a killed claimant, ran: %v", key, runs)
+			u.model.violate("key %s ends unknown without a killed claimant, ran: %v, told: %v", key, runs, u.model.history(key))
 		}
 		return true
 	case answer.State == order.ClaimFinished:
