--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -58,7 +58,7 @@
 	}
 	made := float64(elapsed) / e.stepTime()
 	e.steps += made
-	e.sim.result.workDone += made * float64(len(e.batch))
+	e.sim.result.work(e.service, made*float64(len(e.batch)))
 }
 
 func (e *engine) stepTime() float64 {
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -66,6 +66,8 @@
 	duration     time.Duration
 	warmup       time.Duration
 	workDone     float64
+	firstDone    float64 // part of workDone of the first service
+	firstMax     float64 // what the first service's engines can do in the run
 	workWasted   float64
 	hits, misses int
 	open         []*job
@@ -76,6 +78,8 @@
 
 func newResult(s Scenario, p Policy) *Result {
 	r := &Result{Scenario: s.Name, Policy: p.Name, exact: p.Exact, instances: s.Instances, duration: s.Duration, warmup: s.Warmup}
+	first := s.Services[0]
+	r.firstMax = float64(first.Engines) * first.capacity() * s.Duration.Seconds()
 	r.Timeline = make([]Second, int(s.Duration/time.Second)+1)
 	for _, spec := range s.Services {
 		if spec.Models > 0 {
@@ -172,6 +176,16 @@
 	return r.workWasted / r.workDone
 }
 
+func (r *Result) work(service int, steps float64) {
+	r.workDone += steps
+	if service == 0 {
+		r.firstDone += steps
+	}
+}
+
+// Used returns the share of the first service's capacity that did work.
+func (r *Result) Used() float64 { return r.firstDone / r.firstMax }
+
 // HitRate returns the share of prefixes found in the caches.
 func (r *Result) HitRate() float64 { return ratio(r.hits, r.hits+r.misses) }
 
--- a/internal/coordination/suspect/merge.go
+++ b/internal/coordination/suspect/merge.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"savoryweir/internal/state/bundle"
 )
 
 // Merge takes in a record of another instance and reports whether it was news.
@@ -74,13 +76,15 @@
 	}
 }
 
-// sharesDeath reports whether two suspects were on the same upstream when it died last.
+// sharesDeath reports whether two suspects may have been on the same upstream when it died last.
 func (r *Registry) sharesDeath(a, b *entry) bool {
 	if a == b || len(b.Upstreams) < MaxUpstreams {
 		return false
 	}
 	gap := a.Expires.Sub(b.Expires).Abs()
-	return gap < r.settings.Spread && slices.Contains(b.Upstreams, a.Upstreams[MaxUpstreams-1])
+	return gap < r.settings.Spread && slices.ContainsFunc(a.Upstreams, func(u bundle.UpstreamID) bool {
+		return slices.Contains(b.Upstreams, u)
+	})
 }
 
 func maxTime(a, b time.Time) time.Time {
--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -2,8 +2,9 @@
 // than two of them.
 //
 // An entry keeps one Registry. Before each attempt it calls Decide: a refused
-// request gets its final answer, and an isolated one runs only where Busy is
-// false, with the Excluded upstreams passed on to routing. It calls Started and
+// request gets its final answer, a held one stays in the queue, and an isolated
+// one runs only where Busy is false, with the Excluded upstreams passed on to
+// routing. It calls Started and
 // Ended around each attempt, and Died when an upstream broke its connection and
 // a probe on a new connection failed as well. The records that Died and Ended
 // return go to the other instances, whose records come in by Merge.
@@ -11,9 +12,10 @@
 // Before records have spread, routing.PairFilter bounds where a request can run.
 // All requests in flight at a death become suspects, and almost all of them are
 // innocent. A suspect therefore runs its second attempt alone among suspects, and
-// a completed attempt clears it. It is condemned only when the second upstream
-// died under it as the only suspect, and was not dying of its own fault anyway.
-// Until then it may run again on the same two upstreams, never on a third.
+// a completed attempt clears it. It is condemned only when two upstreams have
+// died under it, MinDeaths times in all, and at last as the only suspect on an
+// upstream that was not dying of its own fault anyway. Until then it may run again
+// on the same two upstreams once they are back, never on a third.
 package suspect
 
 import (
@@ -52,6 +54,10 @@
 	// request, shows that the fault is its own.
 	OwnFault time.Duration
 	Capacity int // records kept, the oldest go first
+	// MinDeaths is the number of deaths before which no request is refused. The
+	// third one is needed because an unknown crashing request may have shared the
+	// second upstream.
+	MinDeaths int
 	// MaxDeaths is the number of deaths after which a request is refused although
 	// other causes are possible.
 	MaxDeaths int
@@ -59,7 +65,7 @@
 
 // DefaultSettings returns the settings to start from.
 func DefaultSettings() Settings {
-	return Settings{Lifetime: 24 * time.Hour, Spread: 3 * time.Second, OwnFault: time.Minute, Capacity: 4096, MaxDeaths: 4}
+	return Settings{Lifetime: 24 * time.Hour, Spread: 3 * time.Second, OwnFault: time.Minute, Capacity: 4096, MinDeaths: 3, MaxDeaths: 5}
 }
 
 // Record is what instances share of a suspect. No upstreams means that the
@@ -77,6 +83,7 @@
 const (
 	Run     Verdict = iota // anywhere
 	Isolate                // alone among suspects, within the decision's upstreams
+	Hold                   // keep it waiting until the records of its last death have spread
 	Refuse
 )
 
@@ -98,7 +105,8 @@
 type entry struct {
 	Record
 	deaths    int
-	ambiguous bool // others were suspects of the same death, or the upstream was faulty
+	refusedAt time.Time // latest refusal, which renews the record
+	ambiguous bool      // others were suspects of the same death, or the upstream was faulty
 }
 
 type death struct {
@@ -133,13 +141,26 @@
 	if len(e.Upstreams) < MaxUpstreams {
 		return Decision{Verdict: Isolate, Excluded: slices.Clone(e.Upstreams)}
 	}
-	if e.ambiguous && e.deaths < r.settings.MaxDeaths {
+	if r.isDoubtful(e) {
 		return Decision{Verdict: Isolate, Only: slices.Clone(e.Upstreams)}
 	}
-	e.Expires = now.Add(r.settings.Lifetime)
+	if now.Sub(r.diedAt(e)) < r.settings.Spread {
+		return Decision{Verdict: Hold}
+	}
+	e.refusedAt = now
 	return Decision{Verdict: Refuse}
 }
 
+// diedAt returns the time of the last death under the request.
+func (r *Registry) diedAt(e *entry) time.Time { return e.Expires.Add(-r.settings.Lifetime) }
+
+func (r *Registry) isDoubtful(e *entry) bool {
+	if e.ambiguous {
+		return e.deaths < r.settings.MaxDeaths
+	}
+	return e.deaths < r.settings.MinDeaths
+}
+
 // Busy reports whether a suspect of this entry runs on the upstream.
 func (r *Registry) Busy(now time.Time, upstream bundle.UpstreamID) bool {
 	return r.suspectsOn(now, upstream) > 0
@@ -218,7 +239,7 @@
 		return false
 	}
 	for other, e := range r.records {
-		age := now.Sub(e.Expires.Add(-r.settings.Lifetime))
+		age := now.Sub(r.diedAt(e))
 		if other != f && age > r.settings.Spread && age < r.settings.OwnFault && e.lastDeath() == upstream {
 			return true
 		}
@@ -265,12 +286,16 @@
 
 func (r *Registry) lookup(now time.Time, f Fingerprint) *entry {
 	e := r.records[f]
-	if e == nil || !now.Before(e.Expires) {
+	if e == nil || !now.Before(r.expiry(e)) {
 		return nil
 	}
 	return e
 }
 
+func (r *Registry) expiry(e *entry) time.Time {
+	return maxTime(e.Expires, e.refusedAt.Add(r.settings.Lifetime))
+}
+
 func (r *Registry) makeRoom() {
 	if len(r.records) < r.settings.Capacity {
 		return
