--- a/internal/bench/policy/demand.go
+++ b/internal/bench/policy/demand.go
@@ -29,6 +29,7 @@
 type job struct {
 	service   int
 	model     int
+	modelID   bundle.ModelID
 	class     routing.Class
 	caller    admission.Caller
 	prefix    uint64
@@ -123,8 +124,9 @@
 		caller: callerName(d.callers.sample(d.rand)),
 		tokens: d.length(c.Tokens),
 	}
+	j.modelID = modelName(d.index, j.model)
 	if d.spec.Prefixes > 0 {
-		j.prefix = routing.HashString(string(modelName(d.index, j.model))) + uint64(d.prefixes.sample(d.rand)) + 1
+		j.prefix = routing.HashString(string(j.modelID)) + uint64(d.prefixes.sample(d.rand)) + 1
 	}
 	j.print = fingerprint(d.index, d.serial)
 	j.estimated = j.tokens * (estimateLow + (estimateHigh-estimateLow)*d.rand.Float64())
--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -16,6 +16,7 @@
 	index   int
 	service int
 	zone    int
+	inZone  bundle.Zone
 	spec    *ServiceSpec
 	sim     *simulation
 
--- a/internal/bench/policy/faults.go
+++ b/internal/bench/policy/faults.go
@@ -91,6 +91,7 @@
 		template := newDemand(&s.scenario, i).next(0)
 		template.crash = true
 		template.model = 0 // the model with the most replicas
+		template.modelID = modelName(i, template.model)
 		template.print = suspect.Of(spec.Service, []byte("crash"))
 		template.counted = false
 		s.after(spec.Start, func() {
--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -89,7 +89,7 @@
 	var key string
 	switch in.sim.policy.Home {
 	case HomeModel:
-		key = string(modelName(j.service, j.model))
+		key = string(j.modelID)
 	case HomeService:
 		key = string(in.lanes[j.service].spec.Name)
 	default:
--- a/internal/bench/policy/lane.go
+++ b/internal/bench/policy/lane.go
@@ -159,7 +159,7 @@
 		return nil
 	}
 	request := routing.Request{
-		Service: l.spec.Name, Model: modelName(p.job.service, p.job.model), Class: p.job.class,
+		Service: l.spec.Name, Model: p.job.modelID, Class: p.job.class,
 		Deadline: epoch.Add(p.job.deadline), PrefixHash: p.job.prefix, Fingerprint: p.job.print.Key(),
 		Excluded: slices.Concat(p.excluded, decision.Excluded),
 	}
@@ -189,7 +189,7 @@
 
 func (l *lane) candidate(v *view) routing.Candidate {
 	c := routing.Candidate{
-		Upstream: v.engine.id, Zone: zoneName(v.engine.zone), HasModel: true,
+		Upstream: v.engine.id, Zone: v.engine.inZone, HasModel: true,
 		InFlight: v.inFlight, Limit: v.limit(), Reported: v.reported,
 		SentSinceReport: len(v.sent), Slots: l.spec.Slots,
 		DownSince: v.downSince, Ejected: !v.downSince.IsZero(),
--- a/internal/bench/policy/sim.go
+++ b/internal/bench/policy/sim.go
@@ -128,7 +128,7 @@
 	for i := range spec.Engines {
 		engines = append(engines, &engine{
 			id:    bundle.UpstreamID(fmt.Sprintf("%s-%d", spec.Name, i)),
-			index: i, service: service, zone: i % s.scenario.Zones,
+			index: i, service: service, zone: i % s.scenario.Zones, inZone: zoneName(i % s.scenario.Zones),
 			spec: spec, sim: s, slowdown: 1,
 		})
 	}
