--- /dev/null
+++ b/internal/entry/operations.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+
+	"savoryweir/internal/state/status"
+	"savoryweir/internal/transport/operations"
+)
+
+var (
+	errStopping        = errors.New("stopping")
+	errNoConfiguration = errors.New("no configuration")
+)
+
+// Operations returns the interface for operators and the balancer.
+func (s *Server) Operations() http.Handler {
+	return operations.Handler(operations.Options{
+		Metrics: s.metrics.registry,
+		Ready:   s.ready,
+		Status:  s.status,
+		Events:  s.recorder.Events,
+	})
+}
+
+// ready tells the balancer whether this instance takes new requests.
+func (s *Server) ready() error {
+	if s.drain.isStopping() {
+		return errStopping
+	}
+	if s.views.View() == nil {
+		return errNoConfiguration
+	}
+	return nil
+}
+
+// status tells operators the generation that new requests run under.
+func (s *Server) status() status.Status {
+	report := status.Status{Process: processName, Instance: s.settings.Instance.ID, Zone: s.settings.Instance.Zone}
+	if view := s.views.View(); view != nil {
+		report.Generation = view.Bundle.Generation
+		report.Manifest = view.Manifest.String()
+	}
+	return report
+}
--- a/internal/state/bundle/bundle.go
+++ b/internal/state/bundle/bundle.go
@@ -77,7 +77,9 @@
 
 // Bundle is the whole configuration of one generation.
 type Bundle struct {
-	Generation Generation
+	Generation Generation // assigned at approval, no part of the content
+	Deployment string     // name of the deployment that the bundle is for
+	Zones      []Zone     // availability zones in which upstreams may stand
 	Services   []Service
 	Upstreams  []Upstream
 	Models     []Model
