--- a/internal/coordination/suspect/suspect.go
+++ b/internal/coordination/suspect/suspect.go
@@ -12,10 +12,11 @@
 // Before records have spread, routing.PairFilter bounds where a request can run.
 // All requests in flight at a death become suspects, and almost all of them are
 // innocent. A suspect therefore runs its second attempt alone among suspects, and
-// a completed attempt clears it. It is condemned only when two upstreams have
-// died under it, MinDeaths times in all, and at last as the only suspect on an
-// upstream that was not dying of its own fault anyway. Until then it may run again
-// on the same two upstreams once they are back, never on a third.
+// a completed attempt clears it. It is condemned only when the second upstream
+// died under it as the only suspect, and was not dying of its own fault anyway.
+// Another instance may have run a suspect there at the same moment, so nothing is
+// condemned before the records of the death have spread. Until then the request is
+// held, and in doubt it may run again on the same two upstreams, never on a third.
 package suspect
 
 import (
@@ -54,10 +55,6 @@
 	// request, shows that the fault is its own.
 	OwnFault time.Duration
 	Capacity int // records kept, the oldest go first
-	// MinDeaths is the number of deaths before which no request is refused. The
-	// third one is needed because an unknown crashing request may have shared the
-	// second upstream.
-	MinDeaths int
 	// MaxDeaths is the number of deaths after which a request is refused although
 	// other causes are possible.
 	MaxDeaths int
@@ -65,7 +62,7 @@
 
 // DefaultSettings returns the settings to start from.
 func DefaultSettings() Settings {
-	return Settings{Lifetime: 24 * time.Hour, Spread: 3 * time.Second, OwnFault: time.Minute, Capacity: 4096, MinDeaths: 3, MaxDeaths: 5}
+	return Settings{Lifetime: 24 * time.Hour, Spread: 3 * time.Second, OwnFault: time.Minute, Capacity: 4096, MaxDeaths: 5}
 }
 
 // Record is what instances share of a suspect. No upstreams means that the
@@ -141,7 +138,7 @@
 	if len(e.Upstreams) < MaxUpstreams {
 		return Decision{Verdict: Isolate, Excluded: slices.Clone(e.Upstreams)}
 	}
-	if r.isDoubtful(e) {
+	if e.ambiguous && e.deaths < r.settings.MaxDeaths {
 		return Decision{Verdict: Isolate, Only: slices.Clone(e.Upstreams)}
 	}
 	if now.Sub(r.diedAt(e)) < r.settings.Spread {
@@ -154,13 +151,6 @@
 // diedAt returns the time of the last death under the request.
 func (r *Registry) diedAt(e *entry) time.Time { return e.Expires.Add(-r.settings.Lifetime) }
 
-func (r *Registry) isDoubtful(e *entry) bool {
-	if e.ambiguous {
-		return e.deaths < r.settings.MaxDeaths
-	}
-	return e.deaths < r.settings.MinDeaths
-}
-
 // Busy reports whether a suspect of this entry runs on the upstream.
 func (r *Registry) Busy(now time.Time, upstream bundle.UpstreamID) bool {
 	return r.suspectsOn(now, upstream) > 0
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -142,6 +142,9 @@
 	if decision.Verdict == suspect.Refuse {
 		return grant{err: errSuspect}
 	}
+	if decision.Verdict == suspect.Hold {
+		return grant{}
+	}
 	candidates := t.candidates(now, c)
 	if decision.Verdict != suspect.Run {
 		t.isolate(now, decision, candidates)
