--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -157,6 +157,7 @@
 			data.Replicas = append(data.Replicas, entry.Replica(r))
 		}
 	}
+	data.Instances = countInstances(message.GetMembers())
 	for _, id := range message.GetLeavingUpstreams() {
 		data.Leaving = append(data.Leaving, bundle.UpstreamID(id))
 	}
@@ -172,6 +173,18 @@
 	return data
 }
 
+// countInstances counts the members that may send requests to upstreams.
+func countInstances(members []*pb.Member) int {
+	n := 0
+	for _, m := range members {
+		switch m.GetState() {
+		case pb.MemberState_MEMBER_STATE_ALIVE, pb.MemberState_MEMBER_STATE_SUSPECT:
+			n++
+		}
+	}
+	return n
+}
+
 // Report implements entry.Reporter.
 func (s *Source) Report(ctx context.Context, report entry.Report) error {
 	now := time.Now()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -126,9 +126,11 @@
 			if !state.downSince.IsZero() {
 				continue
 			}
+			used := max(state.load.Running+state.load.Waiting+state.sent, len(state.flights))
 			p.Total += state.limiter.Limit()
-			p.Free += max(state.limiter.Limit()-len(state.flights), 0)
+			p.Free += max(state.limiter.Limit()-used, 0)
 		}
+		p.Instances = w.call.view.Instances
 		break
 	}
 	return p
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -25,6 +25,8 @@
 	Replicas []Replica
 	Leaving  []bundle.UpstreamID
 	Suspects []suspect.Record
+	// Instances is the number of instances that take part, zero when unknown.
+	Instances int
 }
 
 // View is an immutable snapshot that a request keeps from start to end.
