--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -16,6 +16,7 @@
 	index   int
 	service int
 	zone    int
+	inZone  bundle.Zone
 	spec    *ServiceSpec
 	sim     *simulation
 
@@ -58,7 +59,7 @@
 	}
 	made := float64(elapsed) / e.stepTime()
 	e.steps += made
-	e.sim.result.workDone += made * float64(len(e.batch))
+	e.sim.result.work(e.service, made*float64(len(e.batch)))
 }
 
 func (e *engine) stepTime() float64 {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -126,9 +126,11 @@
 			if !state.downSince.IsZero() {
 				continue
 			}
+			used := max(state.load.Running+state.load.Waiting+state.sent, len(state.flights))
 			p.Total += state.limiter.Limit()
-			p.Free += max(state.limiter.Limit()-len(state.flights), 0)
+			p.Free += max(state.limiter.Limit()-used, 0)
 		}
+		p.Instances = w.call.view.Instances
 		break
 	}
 	return p
@@ -142,6 +144,9 @@
 	if decision.Verdict == suspect.Refuse {
 		return grant{err: errSuspect}
 	}
+	if decision.Verdict == suspect.Hold {
+		return grant{}
+	}
 	candidates := t.candidates(now, c)
 	if decision.Verdict != suspect.Run {
 		t.isolate(now, decision, candidates)
