--- a/internal/bench/fleet/entry.go
+++ b/internal/bench/fleet/entry.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"path/filepath"
 	"time"
+
+	"savoryweir/internal/protocol/timelinefile"
+	"savoryweir/internal/state/timeline"
 )
 
 // Entry is one entry process, beside the control process of the same instance.
@@ -39,6 +42,21 @@
 // URL returns the address for callers.
 func (e *Entry) URL() string { return "http://" + e.callers }
 
+// Events returns the process's time line.
+func (e *Entry) Events() ([]timeline.Event, error) { return readEvents(e.operations) }
+
+// Events returns the process's time line.
+func (p *Process) Events() ([]timeline.Event, error) { return readEvents(p.operations) }
+
+func readEvents(operations string) ([]timeline.Event, error) {
+	response, err := http.Get("http://" + operations + "/timeline")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return timelinefile.Read(response.Body)
+}
+
 // WaitReady waits until the process takes requests.
 func (e *Entry) WaitReady() error {
 	for start := time.Now(); time.Since(start) < startPatience; time.Sleep(pollInterval) {
--- a/internal/e2e/orders_test.go
+++ b/internal/e2e/orders_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"savoryweir/internal/bench/fleet"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/timeline"
 )
 
 const (
@@ -167,6 +169,9 @@
 		}
 		senders.Wait()
 		for i, a := range answers {
+			if a.status != http.StatusOK {
+				s.explain(key)
+			}
 			assert.NilError(t, a.err)
 			assert.Equal(t, a.status, http.StatusOK, "entry %d: %s", i, a.body)
 			assert.Equal(t, a.body, answers[0].body)
@@ -174,3 +179,23 @@
 		assert.Equal(t, s.runs()[key], 1)
 	}
 }
+
+// explain logs what all processes recorded of an order.
+func (s *system) explain(key string) {
+	var all []timeline.Event
+	for _, e := range s.entries {
+		events, err := e.Events()
+		assert.Check(s.t, err)
+		all = append(all, events...)
+	}
+	for _, p := range s.fleet.Processes {
+		events, err := p.Events()
+		assert.Check(s.t, err)
+		all = append(all, events...)
+	}
+	for _, e := range all {
+		if e.Order == key || strings.HasPrefix(string(e.Kind), "member.") {
+			s.t.Logf("%+v", e)
+		}
+	}
+}
