--- a/internal/bench/cmd/capacity/main.go
+++ b/internal/bench/cmd/capacity/main.go
@@ -30,6 +30,9 @@
 
 const bundleChanges = 10
 
+// settleTime is waited before the steady state: news of the start is repeated for so long.
+const settleTime = 25 * time.Second
+
 // run is one row of the table.
 type run struct {
 	instances, engines, models int
@@ -47,6 +50,9 @@
 	if err := report(context.Background(), *binaries, *interval); err != nil {
 		log.Fatal(err)
 	}
+	if err := reportOrders(context.Background(), *binaries, *interval); err != nil {
+		log.Fatal(err)
+	}
 }
 
 func report(ctx context.Context, binaries string, interval time.Duration) error {
@@ -109,6 +115,7 @@
 	if _, err := f.Approve(ctx, fleet.Bundle(r.engines, r.models, 0)); err != nil {
 		return r, err
 	}
+	time.Sleep(settleTime)
 	before := f.Store.Counts()
 	if r.steady, err = f.Measure(interval, func() {}); err != nil {
 		return r, err
