--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -88,6 +88,20 @@
 	assertWhole(t, got, "hello", 2000)
 }
 
+func TestWholeAnswerIsNotHandedOverAtShutdown(t *testing.T) {
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, func(s *Settings) { s.Shutdown.HandoverTime = time.Millisecond })
+	var group sync.WaitGroup
+	group.Go(func() {
+		got := e.do(http.MethodPost, chatPath, chatBody("hello", 300, false))
+		assert.Check(t, got.status == http.StatusOK, got.body)
+	})
+	eventually(t, "it is in progress", func() bool { return one.engine.Started() == 1 })
+	e.signals <- syscall.SIGTERM
+	group.Wait()
+	assert.NilError(t, <-e.ended)
+}
+
 func TestSecondSignalEndsAtOnce(t *testing.T) {
 	one := startEngine(t, "e1")
 	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, nil)
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -75,8 +75,11 @@
 	g.first = g.reader.offset
 	ctx, cancel := c.context(r)
 	defer cancel()
-	ctx, stop := s.drain.handingOver(ctx)
-	defer stop()
+	if chat.Stream {
+		var stop func()
+		ctx, stop = s.drain.handingOver(ctx)
+		defer stop()
+	}
 	failure := g.run(ctx)
 	s.demand.ended(c, g.reader.offset-g.first, failure)
 	if failure == nil {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"path"
 	"strings"
@@ -30,6 +31,7 @@
 type plainAnswer struct {
 	status      int
 	contentType string
+	header      http.Header // what else is passed on; a recorded answer has none
 	body        []byte
 	outcome     order.Outcome
 	replayed    bool
@@ -64,7 +66,7 @@
 		s.reject(w, c, badRequest(err))
 		return
 	}
-	p := &plainCall{call: c, method: r.Method, path: rest, header: plainHeaders(r.Header), body: body}
+	p := &plainCall{call: c, method: r.Method, path: rest, header: selectHeaders(r.Header, passedHeaders), body: body}
 	if r.URL.RawQuery != "" {
 		p.path += "?" + r.URL.RawQuery
 	}
@@ -113,9 +115,15 @@
 	"Accept", "Accept-Language", "Authorization", "Content-Type", "If-Match", "If-None-Match", httpapi.HeaderIdempotencyKey,
 }
 
-func plainHeaders(h http.Header) http.Header {
+// returnedHeaders are the headers of a plain service that a caller gets.
+var returnedHeaders = []string{
+	"Cache-Control", "Content-Disposition", "Content-Language", "Etag", "Expires", "Last-Modified", "Location",
+	"Retry-After", "Www-Authenticate",
+}
+
+func selectHeaders(h http.Header, names []string) http.Header {
 	passed := make(http.Header)
-	for _, name := range passedHeaders {
+	for _, name := range names {
 		if values := h.Values(name); len(values) > 0 {
 			passed[http.CanonicalHeaderKey(name)] = values
 		}
@@ -254,6 +262,7 @@
 	return &plainAnswer{
 		status:      response.StatusCode,
 		contentType: response.Header.Get("Content-Type"),
+		header:      selectHeaders(response.Header, returnedHeaders),
 		body:        body,
 		outcome:     answerOutcome(response),
 	}, nil
@@ -277,6 +286,7 @@
 
 func (s *Server) writePlain(w http.ResponseWriter, c *call, a *plainAnswer) {
 	h := w.Header()
+	maps.Copy(h, a.header)
 	setAnswerHeaders(h, c)
 	h.Set(httpapi.HeaderOutcome, string(a.outcome))
 	if a.contentType != "" {
