Entry: candidates by the replicas of a model; attainment of a service beside a sick one

Cause: each pick looked at all upstreams of a service, and each pick of a full queue counted all their places.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -97,18 +97,21 @@
 
 // dispatch gives upstreams to waiting requests while there is room. The caller holds mu.
 func (t *upstreamTable) dispatch(now time.Time, s *serviceState) {
+	places := t.places(s)
 	for s.queue.Len() > 0 {
 		var g grant
 		place := func(r admission.Request) bool {
 			g = t.place(now, s.waiters[r.ID])
 			return g != grant{}
 		}
-		request, ok := s.queue.Take(now, t.places(s), place)
+		request, ok := s.queue.Take(now, places, place)
 		if !ok {
 			return
 		}
 		if g.err != nil {
 			s.queue.Done(request.ID)
+		} else {
+			places.Free--
 		}
 		w := s.waiters[request.ID]
 		w.call.queueID = request.ID
@@ -150,10 +153,8 @@
 	if !ok {
 		return grant{}
 	}
-	upstreams := c.view.upstreams[c.service.Name]
-	i := slices.IndexFunc(upstreams, func(u bundle.Upstream) bool { return u.ID == id })
 	state := t.state(id)
-	f := &flight{upstream: upstreams[i], call: c, started: now, fresh: id == c.sameUpstream, beside: len(state.flights)}
+	f := &flight{upstream: c.view.byID[id], call: c, started: now, fresh: id == c.sameUpstream, beside: len(state.flights)}
 	c.sameUpstream = ""
 	state.flights[f] = struct{}{}
 	state.sent++
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -97,14 +97,18 @@
 // that of the call's own view; replicas and leaving upstreams are the latest
 // known, so that a waiting request finds a model that was loaded meanwhile. The caller holds mu.
 func (t *upstreamTable) candidates(now time.Time, c *call) []routing.Candidate {
-	upstreams := c.view.upstreams[c.service.Name]
-	var found []routing.Candidate
 	live := t.views.View()
-	for _, u := range upstreams {
-		if c.request.Model != "" && !live.Serves(u.ID, c.request.Model, "") {
-			continue
+	var found []routing.Candidate
+	if c.request.Model == "" {
+		for _, u := range c.view.upstreams[c.service.Name] {
+			found = append(found, t.candidate(now, c, live, u))
+		}
+		return found
+	}
+	for _, id := range live.hosts[c.request.Model] {
+		if u, ok := c.view.byID[id]; ok {
+			found = append(found, t.candidate(now, c, live, u))
 		}
-		found = append(found, t.candidate(now, c, live, u))
 	}
 	return found
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -31,6 +31,8 @@
 type View struct {
 	ViewData
 	upstreams map[bundle.ServiceName][]bundle.Upstream
+	byID      map[bundle.UpstreamID]bundle.Upstream
+	hosts     map[bundle.ModelID][]bundle.UpstreamID // with the model ready
 	replicas  map[Replica]bool
 	leaving   map[bundle.UpstreamID]bool
 }
@@ -40,15 +42,22 @@
 	v := &View{
 		ViewData:  data,
 		upstreams: make(map[bundle.ServiceName][]bundle.Upstream),
+		byID:      make(map[bundle.UpstreamID]bundle.Upstream),
+		hosts:     make(map[bundle.ModelID][]bundle.UpstreamID),
 		replicas:  make(map[Replica]bool),
 		leaving:   make(map[bundle.UpstreamID]bool),
 	}
 	for _, u := range data.Bundle.Upstreams {
 		v.upstreams[u.Service] = append(v.upstreams[u.Service], u)
+		v.byID[u.ID] = u
 	}
 	for _, r := range data.Replicas {
-		if r.Ready {
-			v.replicas[r] = true
+		if !r.Ready || v.replicas[r] {
+			continue
+		}
+		v.replicas[r] = true
+		if r.Adapter == "" {
+			v.hosts[r.Model] = append(v.hosts[r.Model], r.Upstream)
 		}
 	}
 	for _, id := range data.Leaving {
