--- a/internal/control/claims/bound_test.go
+++ b/internal/control/claims/bound_test.go
@@ -51,8 +51,9 @@
 const (
 	storeLatency     = 5 * time.Millisecond
 	upstreamLatency  = 100 * time.Millisecond
-	loadLength       = 8 * time.Second
-	callOverhead     = 200 // bytes of a call's headers on the wire, both ways
+	shortestLoad     = 8 * time.Second
+	fewestOrders     = 4000 // so that every shard has sealed segments
+	callOverhead     = 200  // bytes of a call's headers on the wire, both ways
 	targetRequests   = 9800
 	storeWriteBudget = 200  // writes a second of the several hundred that the store takes
 	controlBudget    = 3000 // bytes a second and instance
@@ -67,6 +68,11 @@
 	withinControl bool
 }
 
+// length returns how long the load lasts.
+func (l load) length() time.Duration {
+	return max(shortestLoad, time.Duration(fewestOrders/l.perSecond)*time.Second)
+}
+
 // loadReport is what a load cost.
 type loadReport struct {
 	writesPerSecond float64
@@ -91,7 +97,7 @@
 	var mu sync.Mutex
 	var latencies []time.Duration
 	var wait sync.WaitGroup
-	total := l.perSecond * int(loadLength/time.Second)
+	total := l.perSecond * int(l.length()/time.Second)
 	for i := range total {
 		wait.Add(1)
 		n := c.nodes[fmt.Sprintf("i%03d", i%l.instances)]
@@ -111,16 +117,16 @@
 		time.Sleep(time.Second / time.Duration(l.perSecond))
 	}
 	wait.Wait()
-	return c.report(t, latencies)
+	return c.report(t, l, latencies)
 }
 
-func (c *cluster) report(t *testing.T, latencies []time.Duration) loadReport {
+func (c *cluster) report(t *testing.T, l load, latencies []time.Duration) loadReport {
 	t.Helper()
 	slices.Sort(latencies)
 	orders := float64(len(latencies))
 	writes := float64(c.store.Counts().Writes())
 	r := loadReport{
-		writesPerSecond: writes / loadLength.Seconds(),
+		writesPerSecond: writes / l.length().Seconds(),
 		writesPer1000:   1000 * writes / orders,
 		p50:             latencies[len(latencies)/2],
 		p99:             latencies[len(latencies)*99/100],
@@ -131,7 +137,7 @@
 		r.headBytes = max(r.headBytes, len(h.Data))
 	}
 	r.bytesPerOrder = float64(c.written.Load()) / orders
-	r.mean, r.most = c.traffic.perSecond(len(c.nodes), loadLength, callOverhead)
+	r.mean, r.most = c.traffic.perSecond(len(c.nodes), l.length(), callOverhead)
 	return r
 }
 
--- a/internal/control/claims/operation.go
+++ b/internal/control/claims/operation.go
@@ -42,6 +42,10 @@
 // sure reports whether a refused claim is recorded nowhere.
 func (r refusal) sure() bool { return r != refusalTimeout && r != refusalDoubt }
 
+// elsewhere reports whether another member may grant what this one refused. A
+// member that is overloaded does not count: others would only contend with it.
+func (r refusal) elsewhere() bool { return r == refusalStore || r == refusalStopped }
+
 func newOperation(ctx context.Context, now time.Time) *operation {
 	return &operation{ctx: ctx, arrived: now, answer: make(chan reply, 1)}
 }
--- a/internal/control/claims/route.go
+++ b/internal/control/claims/route.go
@@ -12,27 +12,30 @@
 // remoteOwners is how many members are asked before this instance commits itself.
 const remoteOwners = 2
 
+// maxStoreRefusals is how many members may refuse for the store before a claim is
+// refused: one member may be cut off from the store, two tell that it is down.
+const maxStoreRefusals = 1
+
 // claimAtOwner claims at the owner of the key's shard, else at the next member
 // in rendezvous order, else at the store itself. Since the token makes claims
 // idempotent, an owner that did not answer may still have recorded the claim.
 // Sure is false when a claim may be recorded beside an answer that grants nothing.
 func (s *Service) claimAtOwner(ctx context.Context, key journal.KeyHash, request *pb.ClaimRequest) (response *pb.ClaimResponse, sure bool) {
 	sure = true
+	refused := 0
 	for _, m := range s.route(key) {
 		answer, err := s.claimAt(ctx, m, request)
 		if err != nil {
 			sure = false
 			continue
 		}
-		response = answer
-		if answer.GetStatus() != pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE {
-			return answer, sure
-		}
 		why := refusal(answer.GetReason())
 		sure = sure && why.sure()
-		if why == refusalFull {
+		response = answer
+		if !why.elsewhere() || refused == maxStoreRefusals {
 			return answer, sure
 		}
+		refused++
 	}
 	if response == nil {
 		response = s.unavailable(refusalTimeout)
--- a/internal/control/claims/worker.go
+++ b/internal/control/claims/worker.go
@@ -23,8 +23,9 @@
 	lastCommit time.Time
 }
 
-// ringFactor is the room in a worker's ring, in batches.
-const ringFactor = 4
+// ringFactor is the room in a worker's ring, in batches. Operations beyond it are
+// refused at once: their callers would time out, and turn to other members.
+const ringFactor = 2
 
 // run serves operations until ctx ends or the shard is idle. The callback close
 // reports whether the worker may stop.
