--- a/internal/bench/policy/bench.go
+++ b/internal/bench/policy/bench.go
@@ -56,6 +56,17 @@
 	return s
 }
 
+// WithZoneDown takes down the first service's engines of the first zone for 30 s.
+func WithZoneDown(s Scenario) Scenario {
+	s.Name += "-zone-down"
+	s.Duration = faultRun
+	s.Faults = []Fault{{
+		Service: s.Services[0].Name, Kind: FaultDown, Share: 1, Zone: 1,
+		Start: faultStart, Duration: faultDuration,
+	}}
+	return s
+}
+
 // WithSickService strikes all engines of the first service for the rest of the run.
 func WithSickService(s Scenario, kind FaultKind) Scenario {
 	s.Name = fmt.Sprintf("%s-sick-%s", s.Name, kind)
@@ -109,6 +120,7 @@
 			}
 			benches = append(benches, Bench{WithSickService(s, kind), policies})
 		}
+		benches = append(benches, Bench{WithZoneDown(s), []Policy{Keyed(), LateTwoChoices(), Zonal(), ZonalSpill()}})
 		benches = append(benches, Bench{WithCrash(s), []Policy{Keyed(), LateTwoChoices(), HomeByModel(), Unsuspecting()}})
 	}
 	return append(benches, Bench{Scenario: Target(seed), Policies: []Policy{
--- a/internal/bench/policy/demand.go
+++ b/internal/bench/policy/demand.go
@@ -39,6 +39,7 @@
 	arrived   time.Duration
 	deadline  time.Duration
 	resends   int
+	zone      int // of the instance that the caller reached
 	crash     bool
 	counted   bool
 	finished  bool
--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -76,6 +76,7 @@
 
 // receive takes a request from its caller.
 func (in *instance) receive(j *job) {
+	j.zone = in.zone
 	home := in.home(j)
 	if home == in {
 		in.accept(j, in)
--- a/internal/bench/policy/policies.go
+++ b/internal/bench/policy/policies.go
@@ -40,6 +40,7 @@
 
 const (
 	overbook    = 2
+	spillBelow  = 0.7
 	prefixBonus = 4 // requests of load
 )
 
@@ -126,6 +127,22 @@
 	return p
 }
 
+// Zonal is LateTwoChoices within the entry's zone alone.
+func Zonal() Policy { return zonal("zonal", 0) }
+
+// ZonalSpill is Zonal that may use the spare places of other zones.
+func ZonalSpill() Policy { return zonal("zonal-spill", spillBelow) }
+
+func zonal(name string, below float64) Policy {
+	p := base(name)
+	p.Picker = func(r *rand.Rand, zone bundle.Zone) routing.Picker {
+		s := routing.NewLateTwoChoices(r, overbook)
+		s.Filters = append(s.Filters, routing.ZoneFilter{Local: zone, SpillBelow: below})
+		return s
+	}
+	return p
+}
+
 // Unsuspecting is Keyed without the registry of crash suspects.
 func Unsuspecting() Policy {
 	p := Keyed()
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -50,6 +50,9 @@
 	Classes  []ClassResult
 	// Timeline is the attainment of the class now of the first service by arrival second.
 	Timeline []Second
+	// Zones is the attainment of the class now of the first service by the zone of
+	// the instance, for requests that arrive during a fault.
+	Zones []Second
 
 	Attempts         int
 	Retries          int
@@ -78,6 +81,7 @@
 
 func newResult(s Scenario, p Policy) *Result {
 	r := &Result{Scenario: s.Name, Policy: p.Name, exact: p.Exact, instances: s.Instances, duration: s.Duration, warmup: s.Warmup}
+	r.Zones = make([]Second, s.Zones)
 	first := s.Services[0]
 	r.firstMax = float64(first.Engines) * first.capacity() * s.Duration.Seconds()
 	r.Timeline = make([]Second, int(s.Duration/time.Second)+1)
@@ -108,10 +112,16 @@
 	if j.service != 0 || j.class != routing.ClassNow {
 		return
 	}
-	second := &r.Timeline[int(j.arrived/time.Second)]
-	second.Total++
+	r.Timeline[int(j.arrived/time.Second)].add(o)
+	if j.arrived >= faultStart && j.arrived < faultStart+faultDuration {
+		r.Zones[j.zone].add(o)
+	}
+}
+
+func (s *Second) add(o outcome) {
+	s.Total++
 	if o == outcomeDone {
-		second.Met++
+		s.Met++
 	}
 }
 
--- a/internal/bench/policy/table.go
+++ b/internal/bench/policy/table.go
@@ -29,15 +29,23 @@
 }
 
 // WriteWindows prints the attainment of the first service's class now before,
-// during and from 10 s after a fault.
+// during and from 10 s after a fault, and that during the fault by the zone of the entry.
 func WriteWindows(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(t, "policy\tbefore %\tduring %\tafter 10 s %\t\n")
+	fmt.Fprint(t, "policy\tbefore %\tduring %\tafter 10 s %\t")
+	for zone := range results[0].Zones {
+		fmt.Fprintf(t, "%s %%\t", zoneName(zone))
+	}
+	fmt.Fprintln(t)
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.2f\t\n", r.Policy,
+		fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.2f\t", r.Policy,
 			100*r.Window(r.warmup, faultStart-afterFault),
 			100*r.Window(faultStart, faultStart+faultDuration),
 			100*r.Window(faultStart+faultDuration+afterFault, r.duration-afterFault))
+		for _, zone := range r.Zones {
+			fmt.Fprintf(t, "%.2f\t", 100*ratio(zone.Met, zone.Total))
+		}
+		fmt.Fprintln(t)
 	}
 	return t.Flush()
 }
