--- /dev/null
+++ b/internal/entry/controlview/controlview_test.go
@@ -0,0 +1,81 @@
+package controlview
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/protocol/bundlefile"
+	"savoryweir/internal/protocol/peercodec"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/news"
+	"savoryweir/internal/state/replica"
+)
+
+func message(t *testing.T, generation bundle.Generation, version string, cells ...replica.Cell) *pb.View {
+	t.Helper()
+	encoded, err := bundlefile.Encode(&bundle.Bundle{
+		Deployment: "test",
+		Zones:      []bundle.Zone{"z1"},
+		Services:   []bundle.Service{{Name: "tagger", Kind: bundle.KindGeneration, Deadline: time.Second}},
+		Upstreams:  []bundle.Upstream{{ID: "e1", Service: "tagger", Address: "127.0.0.1:1", Zone: "z1", Memory: 10, Accelerators: 1}},
+		Models:     []bundle.Model{{ID: "m1", Service: "tagger", Version: version, Memory: 1, MinReplicas: 1}},
+	})
+	assert.NilError(t, err)
+	v := &pb.View{
+		Generation:   uint64(generation),
+		ManifestHash: encoded.Manifest.Hash[:],
+		Sections:     bundlefile.SectionsToWire(append(encoded.Sections, encoded.Manifest)),
+	}
+	for _, c := range cells {
+		v.Cells = append(v.Cells, peercodec.EncodeCell(c))
+	}
+	return v
+}
+
+func cell(version uint64, upstream bundle.UpstreamID) replica.Cell {
+	return replica.Cell{
+		Head:     news.CellHead{Cell: "tagger-0", Version: version},
+		Replicas: []replica.Replica{{Upstream: upstream, Model: "m1", Ready: true}},
+	}
+}
+
+func newSource() *Source { return New(nil, hlc.New(time.Now), zerolog.Nop()) }
+
+func TestViewNeverGoesBack(t *testing.T) {
+	s := newSource()
+	assert.Assert(t, s.View() == nil)
+	assert.NilError(t, s.take(message(t, 5, "new", cell(7, "e1"))))
+	for name, late := range map[string]*pb.View{
+		"older generation and cell": message(t, 4, "old", cell(6, "e2")),
+		"restarted control process": {},
+	} {
+		assert.NilError(t, s.take(late), name)
+		view := s.View()
+		assert.Equal(t, view.Bundle.Generation, bundle.Generation(5), name)
+		assert.Equal(t, view.Bundle.Models[0].Version, "new", name)
+		assert.Assert(t, view.Serves("e1", "m1", ""), name)
+		assert.Assert(t, !view.Serves("e2", "m1", ""), name)
+	}
+}
+
+func TestViewTakesNewerCells(t *testing.T) {
+	s := newSource()
+	assert.NilError(t, s.take(message(t, 5, "1", cell(7, "e1"))))
+	assert.NilError(t, s.take(message(t, 5, "1", cell(8, "e2"))))
+	assert.Assert(t, s.View().Serves("e2", "m1", ""))
+	assert.Assert(t, !s.View().Serves("e1", "m1", ""))
+}
+
+func TestDamagedBundleIsRefusedAndTheLastViewStays(t *testing.T) {
+	s := newSource()
+	assert.NilError(t, s.take(message(t, 5, "1")))
+	damaged := message(t, 6, "2")
+	damaged.Sections = damaged.Sections[:len(damaged.Sections)-1]
+	assert.Assert(t, s.take(damaged) != nil)
+	assert.Equal(t, s.View().Bundle.Generation, bundle.Generation(5))
+}
