Members: a refutation no longer makes a claimant count as restarted

Cause: the end-to-end resend test once got an unknown outcome from a healthy system under load. A refutation raises an instance's incarnation, and claims took any higher incarnation for a restart, so a claimant that had been suspected for a moment lost all its claims. Ruled out: a slow owner (that answers unavailable, not unknown). Change: an incarnation holds the process's start and, below it, the count of refutations; claims compare the start. Conclusion: kept; the end-to-end test will show whether it was the only cause.

--- a/internal/bench/membership/net.go
+++ b/internal/bench/membership/net.go
@@ -116,7 +116,7 @@
 			ID:          member.ID(fmt.Sprintf("i-%04d", i)),
 			Address:     fmt.Sprintf("10.0.%d.%d:7700", i/250, i%250),
 			Zone:        bundle.Zone(fmt.Sprintf("zone-%d", i%s.Zones)),
-			Incarnation: uint64(n.start.UnixNano()),
+			Incarnation: member.NewIncarnation(n.start),
 			State:       member.Alive,
 		})
 	}
--- a/internal/control/adapters.go
+++ b/internal/control/adapters.go
@@ -46,8 +46,10 @@
 	return members
 }
 
+// claimMember identifies the process, not the incarnation: a claimant that refuted
+// a suspicion still holds its claims.
 func claimMember(m member.Member) claims.Member {
-	return claims.Member{ID: string(m.ID), Address: m.Address, Incarnation: m.Incarnation}
+	return claims.Member{ID: string(m.ID), Address: m.Address, Incarnation: m.Incarnation.Boot()}
 }
 
 // ordersDialer returns clients of the claims part of other control processes.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -160,7 +160,7 @@
 		ID:          member.ID(s.Instance.ID),
 		Address:     p.peerListener.Addr().String(),
 		Zone:        bundle.Zone(s.Instance.Zone),
-		Incarnation: uint64(time.Now().UnixNano()),
+		Incarnation: member.NewIncarnation(time.Now()),
 	}
 	p.flow = demandflow.New(s.Demand, self.ID, logging.For(root, partPlacing))
 	p.cells = cells.New(logging.For(root, partCells))
--- a/internal/control/peers/peers_test.go
+++ b/internal/control/peers/peers_test.go
@@ -65,7 +65,7 @@
 		Spread:     settings.Defaults[spread.Settings](),
 		Seeds:      seeds,
 		Self: member.Member{
-			ID: member.ID(id), Address: listener.Addr().String(), Zone: "z1", Incarnation: uint64(time.Now().UnixNano()),
+			ID: member.ID(id), Address: listener.Addr().String(), Zone: "z1", Incarnation: member.NewIncarnation(time.Now()),
 		},
 		Pool:     peerconn.NewPool(nil, counter),
 		Clock:    clock,
--- a/internal/protocol/peercodec/peercodec.go
+++ b/internal/protocol/peercodec/peercodec.go
@@ -36,7 +36,7 @@
 		Id:          string(m.ID),
 		Address:     m.Address,
 		Zone:        string(m.Zone),
-		Incarnation: m.Incarnation,
+		Incarnation: uint64(m.Incarnation),
 		State:       pb.MemberState(m.State),
 	}
 }
@@ -51,7 +51,7 @@
 		ID:          member.ID(m.GetId()),
 		Address:     m.GetAddress(),
 		Zone:        bundle.Zone(m.GetZone()),
-		Incarnation: m.GetIncarnation(),
+		Incarnation: member.Incarnation(m.GetIncarnation()),
 		State:       state,
 	}, nil
 }
--- a/internal/state/member/member.go
+++ b/internal/state/member/member.go
@@ -41,12 +41,26 @@
 	}
 }
 
+// Incarnation is a rising number of an instance. Its upper part is the start of
+// the process and its lower part counts the refutations since.
+type Incarnation uint64
+
+// refutationBits is the size of the lower part of an incarnation.
+const refutationBits = 20
+
+// NewIncarnation returns the first incarnation of a process that starts now.
+func NewIncarnation(now time.Time) Incarnation { return Incarnation(now.UnixMilli()) << refutationBits }
+
+// Boot tells processes of one instance apart. It stays the same when the process
+// refutes a suspicion.
+func (i Incarnation) Boot() uint64 { return uint64(i >> refutationBits) }
+
 // Member is one instance at one incarnation.
 type Member struct {
 	ID          ID
 	Address     string // IP address and port of its control process
 	Zone        bundle.Zone
-	Incarnation uint64
+	Incarnation Incarnation
 	State       State
 }
 
