--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -76,6 +76,7 @@
 
 // receive takes a request from its caller.
 func (in *instance) receive(j *job) {
+	j.zone = in.zone
 	home := in.home(j)
 	if home == in {
 		in.accept(j, in)
@@ -89,7 +90,7 @@
 	var key string
 	switch in.sim.policy.Home {
 	case HomeModel:
-		key = string(modelName(j.service, j.model))
+		key = string(j.modelID)
 	case HomeService:
 		key = string(in.lanes[j.service].spec.Name)
 	default:
