--- a/internal/control/claims/faults_test.go
+++ b/internal/control/claims/faults_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/journal"
@@ -217,3 +218,57 @@
 		assert.NilError(t, <-drained)
 	})
 }
+
+// TestOwnerRecordsNoClaimThatWasGivenUp hands an owner a claim whose entry has
+// given it up, as a slow network may.
+func TestOwnerRecordsNoClaimThatWasGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1, defaultSettings(), objectapi.Limits{})
+		late, err := c.nodes["i001"].service.Claim(context.Background(), &pb.ClaimRequest{
+			Service: "desk", Key: "k", Fingerprint: make([]byte, len(order.Fingerprint{})), Token: make([]byte, journal.HashBytes),
+			Claimant:         &pb.Claimant{Instance: "i000", Incarnation: 1},
+			GiveUpUnixMillis: time.Now().Add(-time.Second).UnixMilli(),
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, late.GetStatus(), pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE)
+		assert.Equal(t, c.store.Counts().Writes(), uint64(0))
+	})
+}
+
+func TestHolds(t *testing.T) {
+	token, now := journal.Token{1}, time.Unix(100, 0)
+	open := func(h *holds) { h.open(token, "first", now) }
+	granted := func(h *holds) { open(h); h.grant(token) }
+	for name, tc := range map[string]struct {
+		prepare  func(h *holds)
+		want     claims.Hold
+		mayGrant bool
+	}{
+		"never opened":                    {func(*holds) {}, claims.HoldEnded, false},
+		"pending":                         {open, claims.HoldHeld, true},
+		"granted once only":               {granted, claims.HoldHeld, false},
+		"abandoned":                       {func(h *holds) { open(h); h.abandon(token) }, claims.HoldEnded, false},
+		"granted claims aren't abandoned": {func(h *holds) { granted(h); h.abandon(token) }, claims.HoldHeld, false},
+		"durable":                         {func(h *holds) { granted(h); h.end(token) }, claims.HoldEnded, false},
+		"released while pending":          {func(h *holds) { open(h); h.end(token) }, claims.HoldEnded, false},
+		"entry replaced, granted":         {func(h *holds) { granted(h); h.open(journal.Token{2}, "second", now) }, claims.HoldLost, false},
+		"entry replaced, pending":         {func(h *holds) { open(h); h.open(journal.Token{2}, "second", now) }, claims.HoldLost, false},
+		"key's lifetime over":             {func(h *holds) { granted(h); h.expire(now.Add(1)) }, claims.HoldEnded, false},
+		"another key's lifetime over":     {func(h *holds) { granted(h); h.expire(now) }, claims.HoldHeld, false},
+		"same token is not opened again":  {func(h *holds) { granted(h); open(h) }, claims.HoldHeld, false},
+		"full table refuses another token": {func(h *holds) {
+			open(h)
+			h.open(journal.Token{2}, "first", now)
+			h.open(journal.Token{3}, "first", now)
+		}, claims.HoldHeld, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHolds(2)
+			tc.prepare(h)
+			got, _ := h.lookup(token)
+			assert.Equal(t, got, tc.want)
+			assert.Equal(t, h.grant(token), tc.mayGrant)
+			assert.Assert(t, h.len() <= 2)
+		})
+	}
+}
