Reference pages of settings and metrics, generated from the code and checked

Cause: settings and metrics were told by hand on single pages, in part. Ruled out: Gather, which leaves out vectors without children; the pages take descriptors. Change: internal/reference writes docs/operators/SETTINGS.md and METRICS.md; its test compares them with the code, -update refreshes them. A metric without advice fails. Shown failing: a setting added to orderclient.Settings: TestSettingsPageMatchesTheCode, '+| [claims] | backlog-probe | integer'. A metric renamed: 'metric savoryweir_entry_resends_total of savoryweir-entry has no advice'. Passing with both undone.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"savoryweir/internal/coordination/membership"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/member"
@@ -110,6 +112,9 @@
 	})
 }
 
+// Describe sends the descriptors of all metrics, for the reference pages.
+func (p *Process) Describe(descs chan<- *prometheus.Desc) { p.registry.Describe(descs) }
+
 func (p *Process) ready() error {
 	if p.bundles.Current() == nil {
 		return errNoBundle
--- a/internal/entry/operations.go
+++ b/internal/entry/operations.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net/http"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"savoryweir/internal/state/status"
 	"savoryweir/internal/transport/operations"
 )
@@ -23,6 +25,9 @@
 	})
 }
 
+// Describe sends the descriptors of all metrics, for the reference pages.
+func (s *Server) Describe(descs chan<- *prometheus.Desc) { s.metrics.registry.Describe(descs) }
+
 // ready tells the balancer whether this instance takes new requests.
 func (s *Server) ready() error {
 	if s.drain.isStopping() {
--- /dev/null
+++ b/internal/reference/advice.go
@@ -0,0 +1,41 @@
+package reference
+
+// Advice tells operators what to look at when a metric moves.
+type Advice struct {
+	Metric string
+	Text   string
+}
+
+// Advices returns the advice for each metric of the system.
+func Advices() []Advice {
+	return []Advice{
+		{"savoryweir_entry_requests_total", "Compare instances: the balancer should send each a like share."},
+		{"savoryweir_entry_failures_total", "The label `code` tells the cause; look at the time line of one request with it."},
+		{"savoryweir_entry_retries_total", "Look at `upstream_faults_total` for the upstream that causes them; at the budget, `[upstreams] retry-share`, failures rise instead."},
+		{"savoryweir_entry_upstream_faults_total", "One upstream: look at it. All upstreams of one entry: look at the network."},
+		{"savoryweir_entry_upstream_deaths_total", "Two deaths under one request refuse that request; look for its caller in the time line."},
+		{"savoryweir_entry_request_seconds", "Compare services; one slow service must not slow the others."},
+		{"savoryweir_entry_orders_unrecorded_total", "Resends of these orders are told `unknown`; look at the control process and the store."},
+		{"savoryweir_entry_connections_refused_total", "More load than `[callers] max-streams`, or calls of a hung service that do not end."},
+		{"savoryweir_entry_requests_in_progress", "Near `[callers] max-streams` requests are refused; while draining it must fall to zero."},
+		{"savoryweir_control_peer_sent_bytes_total", "More than 3,000 a second over minutes is above the budget: look for members that flap in the time line."},
+		{"savoryweir_control_peer_received_bytes_total", "As for the sent bytes; one instance alone: look at who asks it for sections."},
+		{"savoryweir_bundle_generation", "Must be the same at all instances within seconds; `savoryweirctl status` shows who is behind."},
+		{"savoryweir_bundle_heads_total", "`older` means stale reads or an instance that was cut off; `conflicting` must stay 0, else the store gave one generation two contents."},
+		{"savoryweir_bundle_refused_total", "Look at the log line with the prefix `bundles`, then at the trusted keys and at who wrote the pointer."},
+		{"savoryweir_bundle_fetch_errors_total", "Look at peers that are dead or slow and at the store."},
+		{"savoryweir_bundle_watch_errors_total", "The store is down or slow for this instance; the bundle in force stays."},
+		{"savoryweir_bundle_fetched_bytes_total", "Rises with each generation by the changed sections; without a new generation look for restarts."},
+		{"savoryweir_bundle_heads_dropped_total", "The process is too slow for its messages; look at its processor time. Heads are told again."},
+		{"savoryweir_orders_claims_total", "Refusing answers: look at `commit_failures_total` and the store."},
+		{"savoryweir_orders_finishes_total", "As for the claims; results that are not recorded become `unknown`."},
+		{"savoryweir_orders_unknown_total", "Each is an order whose claimant was lost; look for killed instances and for upstreams that do not answer."},
+		{"savoryweir_orders_commits_total", "The sum over all instances must stay below `[orders] writes-per-second`."},
+		{"savoryweir_orders_committed_operations_total", "Divided by the commits it is the batch size; it grows with load."},
+		{"savoryweir_orders_commit_failures_total", "`throttled` and `unavailable`: the store. `conflict`: two owners of a shard, while members change."},
+		{"savoryweir_orders_read_backs_total", "Answers of the store get lost; the writes took effect."},
+		{"savoryweir_orders_head_bytes", "Follows `[orders] active-kib` and the number of sealed segments; a shard that remembers `max-records` keys refuses new ones."},
+		{"savoryweir_orders_written_bytes_total", "Grows with orders and with `[orders] max-body-bytes`."},
+		{"savoryweir_orders_held", "At `[orders] max-held` new orders are refused; look at upstreams that do not answer."},
+	}
+}
--- /dev/null
+++ b/internal/reference/page.go
@@ -0,0 +1,112 @@
+package reference
+
+import (
+	"fmt"
+	"strings"
+)
+
+const generatedNote = "Generated from the code by `go test ./internal/reference -update`; the test fails when page and code differ.\n\n"
+
+const settingsHead = "# Settings\n\n" + generatedNote +
+	"A key `K` of section `[S]` is `--S-K` on the command line and `SAVORYWEIR_S_K` in the environment (upper case,\n" +
+	"`_` for `-`). The command line goes before the environment, which goes before the file that `--settings` names.\n" +
+	"A key without a section stands before the first one. Durations are written like `500ms`, `10s`, `5m`, `1h`.\n" +
+	"`--check-settings` prints all faults of a file at once and exits.\n"
+
+const metricsHead = "# Metrics\n\n" + generatedNote +
+	"Each process serves them at `/metrics` on its operations port, beside the `go_` and `process_` metrics of the\n" +
+	"client library.\n"
+
+// SettingsPage returns the page of all settings of the programs.
+func SettingsPage(programs []Program) string {
+	var page strings.Builder
+	page.WriteString(settingsHead)
+	for _, program := range programs {
+		fmt.Fprintf(&page, "\n## %s\n\n", program.Name)
+		writeTable(&page, []string{"section", "key", "type", "range", "default", "meaning"}, settingRows(program.Settings))
+		for _, command := range program.Commands {
+			fmt.Fprintf(&page, "\n### `%s`\n\n%s\n\n", command.Path, command.Description)
+			writeTable(&page, []string{"argument", "type", "range", "default", "meaning"}, argumentRows(command.Arguments))
+		}
+	}
+	return page.String()
+}
+
+func settingRows(settings []Setting) [][]string {
+	var rows [][]string
+	for _, s := range settings {
+		rows = append(rows, []string{section(s.Section), code(s.Key), s.Type, s.Range, code(s.Default), s.Description})
+	}
+	return rows
+}
+
+func argumentRows(arguments []Setting) [][]string {
+	var rows [][]string
+	for _, a := range arguments {
+		rows = append(rows, []string{code(a.Key), a.Type, a.Range, code(a.Default), a.Description})
+	}
+	return rows
+}
+
+// Part is a process with its metrics.
+type Part struct {
+	Process string
+	Metrics []Metric
+}
+
+// MetricsPage returns the page of all metrics of the parts. It fails when a
+// metric has no advice, or an advice no metric.
+func MetricsPage(parts []Part, advice []Advice) (string, error) {
+	unused := make(map[string]string, len(advice))
+	for _, a := range advice {
+		unused[a.Metric] = a.Text
+	}
+	var page strings.Builder
+	page.WriteString(metricsHead)
+	for _, part := range parts {
+		var rows [][]string
+		for _, m := range part.Metrics {
+			text, ok := unused[m.Name]
+			if !ok {
+				return "", fmt.Errorf("metric %s of %s has no advice", m.Name, part.Process)
+			}
+			delete(unused, m.Name)
+			rows = append(rows, []string{code(m.Name), strings.Join(m.Labels, ", "), m.Meaning, text})
+		}
+		fmt.Fprintf(&page, "\n## %s\n\n", part.Process)
+		writeTable(&page, []string{"metric", "labels", "meaning", "when it moves"}, rows)
+	}
+	for name := range unused {
+		return "", fmt.Errorf("advice for %s, which no process has", name)
+	}
+	return page.String(), nil
+}
+
+func writeTable(page *strings.Builder, head []string, rows [][]string) {
+	writeRow(page, head)
+	page.WriteString("|" + strings.Repeat("---|", len(head)) + "\n")
+	for _, row := range rows {
+		writeRow(page, row)
+	}
+}
+
+func writeRow(page *strings.Builder, cells []string) {
+	for _, cell := range cells {
+		page.WriteString("| " + strings.ReplaceAll(cell, "|", `\|`) + " ")
+	}
+	page.WriteString("|\n")
+}
+
+func section(name string) string {
+	if name == "" {
+		return ""
+	}
+	return code("[" + name + "]")
+}
+
+func code(text string) string {
+	if text == "" || strings.HasPrefix(text, "(") {
+		return text
+	}
+	return "`" + text + "`"
+}
