Fleet: ports below the kernel's range for outgoing connections

Cause: a process of the end-to-end test could not listen: its port, free when picked, had been taken as the source port of a connection meanwhile.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"savoryweir/internal/protocol/approvalfile"
@@ -105,16 +108,28 @@
 	return nil
 }
 
+// Ports below the range from which the kernel takes those of outgoing
+// connections, which could otherwise take a port before its process listens.
+const (
+	lowestPort  = 12_000
+	highestPort = 32_000
+)
+
 // freePorts returns loopback addresses that were free just now.
 func freePorts(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
