--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -54,7 +54,7 @@
 	case <-ctx.Done():
 		err = context.Cause(ctx)
 	}
-	if t.cancel(now(), w) {
+	if t.cancel(w) {
 		return nil, err
 	}
 	g := <-w.result
@@ -87,7 +87,7 @@
 }
 
 // cancel removes a waiting request and reports whether it still waited.
-func (t *upstreamTable) cancel(_ time.Time, w *waiter) bool {
+func (t *upstreamTable) cancel(w *waiter) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(w.call)
@@ -197,10 +197,15 @@
 	return slices.ContainsFunc(routing.Usable(c.request, candidates), func(u routing.Candidate) bool { return u.Upstream == id })
 }
 
+// lateFactor is how many times the usual time of a plain call may pass before a
+// missed deadline counts against the upstream.
+const lateFactor = 5
+
 // attemptResult is the end of one send.
 type attemptResult struct {
 	abandoned bool // nothing was sent, or the caller left
 	failed    bool
+	late      bool // the caller's deadline passed
 	refused   bool // by the upstream, for load
 	tokens    int  // of a stream
 }
@@ -214,7 +219,7 @@
 	delete(state.flights, f)
 	s.queue.Done(f.call.queueID)
 	if !state.diedAt.After(f.started) {
-		completed := !r.failed && !r.refused && !r.abandoned
+		completed := !r.failed && !r.refused && !r.late && !r.abandoned
 		if record, news := t.suspects.Ended(now, f.call.suspectID(), f.upstream.ID, completed); news {
 			f.call.cleared = append(f.call.cleared, record)
 		}
@@ -226,10 +231,14 @@
 // learn adapts limits and the judgement of the upstream. Only streams have a
 // time that answers can be compared by. The caller holds mu.
 func (t *upstreamTable) learn(now time.Time, s *serviceState, state *upstreamState, f *flight, r attemptResult) {
+	took := now.Sub(f.started)
+	if r.late && !t.isSlow(s, took) {
+		r.abandoned = true
+	}
 	if r.abandoned {
 		return
 	}
-	took := now.Sub(f.started)
+	r.failed = r.failed || r.late
 	sample := limit.Sample{Took: took, Expected: took, InFlight: f.beside + 1, Refused: r.refused}
 	result := outlier.Result{Failed: r.failed}
 	if expected := s.perToken.times(r.tokens); expected > 0 {
@@ -238,11 +247,21 @@
 	}
 	state.limiter.Observe(now, sample)
 	s.detector.Observe(now, f.upstream.ID, result)
-	if r.tokens > 0 && !r.failed && !r.refused {
+	switch {
+	case r.failed || r.refused:
+	case r.tokens > 0:
 		s.perToken = s.perToken.with(took / time.Duration(r.tokens))
+	case f.call.request.Model == "":
+		s.perCall = s.perCall.with(took)
 	}
 }
 
+// isSlow tells an upstream that does not answer from a deadline that was too short for it. The caller holds mu.
+func (t *upstreamTable) isSlow(s *serviceState, took time.Duration) bool {
+	usual := s.perCall.times(lateFactor)
+	return took >= t.settings.Upstreams.IdleTimeout || usual > 0 && took > usual
+}
+
 // died notes the end of an upstream's process once and returns the records to share.
 func (t *upstreamTable) died(now time.Time, f *flight) []suspect.Record {
 	t.mu.Lock()
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -150,7 +150,7 @@
 	}
 	cause := causeOf(ctx)
 	if errors.Is(cause, errDeadline) {
-		return attemptResult{failed: true, tokens: tokens}
+		return attemptResult{late: true, tokens: tokens}
 	}
 	if cause != nil || errors.Is(err, errCallerGone) {
 		return attemptResult{abandoned: true}
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -99,6 +99,8 @@
 	sink   answerSink
 	first  int  // offset at which the caller's answer starts
 	sent   bool // a byte may have left towards an upstream
+	// fruitless counts the failed sends in a row that brought nothing.
+	fruitless int
 }
 
 func (g *generation) outcome() order.Outcome {
@@ -108,7 +110,6 @@
 // run sends the request until its answer is whole or it is given up.
 func (g *generation) run(ctx context.Context) *Failure {
 	s := g.server
-	fruitless := 0
 	for {
 		f, err := s.waitForUpstream(ctx, g.call)
 		if err != nil {
@@ -117,7 +118,7 @@
 		s.record(g.call, timeline.KindRequestRouted, f.upstream.ID, "")
 		before := g.reader.offset
 		err = g.send(ctx, f)
-		failure := g.after(ctx, f, err, before, &fruitless)
+		failure := g.after(ctx, f, err, before)
 		s.releaseFlight(f, resultOf(ctx, err, g.reader.offset-before))
 		if err == nil || failure != nil {
 			return failure
@@ -126,16 +127,16 @@
 	}
 }
 
-// after judges a failed send, and counts those in a row that brought nothing.
-func (g *generation) after(ctx context.Context, f *flight, err error, before int, fruitless *int) *Failure {
+// after judges a failed send.
+func (g *generation) after(ctx context.Context, f *flight, err error, before int) *Failure {
 	if err == nil {
 		return nil
 	}
-	*fruitless++
+	g.fruitless++
 	if g.reader.offset > before {
-		*fruitless = 0
+		g.fruitless = 0
 	}
-	return g.giveUp(ctx, f, err, *fruitless)
+	return g.giveUp(ctx, f, err)
 }
 
 func (g *generation) noUpstream(ctx context.Context, err error) *Failure {
@@ -170,7 +171,7 @@
 }
 
 // giveUp decides after a failed send whether the request is finally refused.
-func (g *generation) giveUp(ctx context.Context, f *flight, err error, fruitless int) *Failure {
+func (g *generation) giveUp(ctx context.Context, f *flight, err error) *Failure {
 	s := g.server
 	var fault *upstreamFault
 	if errors.As(err, &fault) && s.judgeFault(g.call, f, fault, g.sent) {
@@ -184,21 +185,21 @@
 	}
 	var refused *refusal
 	if errors.As(err, &refused) {
-		return g.afterRefusal(f, refused, fruitless)
+		return g.afterRefusal(f, refused)
 	}
-	if fruitless > 0 && !s.mayRetry(g.call, fruitless) {
+	if g.fruitless > 0 && !s.mayRetry(g.call, g.fruitless) {
 		return upstreamFailure(err, g.outcome(), s.settings.Queue.RetryAfter)
 	}
 	return nil
 }
 
-func (g *generation) afterRefusal(f *flight, refused *refusal, fruitless int) *Failure {
+func (g *generation) afterRefusal(f *flight, refused *refusal) *Failure {
 	s := g.server
 	if refused.status < http.StatusInternalServerError && refused.status != http.StatusTooManyRequests {
 		return refused.failure(0)
 	}
 	g.call.exclude(f.upstream.ID)
-	if !s.mayRetry(g.call, fruitless) {
+	if !s.mayRetry(g.call, g.fruitless) {
 		return refused.failure(s.settings.Queue.RetryAfter)
 	}
 	return nil
--- a/internal/entry/isolation_test.go
+++ b/internal/entry/isolation_test.go
@@ -45,6 +45,26 @@
 	group.Wait()
 }
 
+func TestImpatientCallersDoNotEjectUpstreams(t *testing.T) {
+	one, two := startService(t, "s1"), startService(t, "s2")
+	data := viewOf(one, two)
+	e := startEntry(t, &sharedView{data: data}, nil, func(s *Settings) {
+		s.Upstreams.IdleTimeout, s.Upstreams.EjectAfter, s.Upstreams.EjectFor = patience, 3, patience
+	})
+	for _, n := range []*node{one, two} {
+		n.service.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 30, Count: 20})
+	}
+	for range 20 {
+		e.do(http.MethodGet, "/services/booking/status", "", header{httpapi.HeaderDeadline, "5"})
+	}
+	v := e.views.View()
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	for _, c := range e.table.candidates(e.now(), &call{view: v, service: v.Bundle.Services[1]}) {
+		assert.Assert(t, !c.Ejected, c.Upstream)
+	}
+}
+
 // Attainment of one service while the other is sick, against its share without the fault, which is 1.
 func TestSickServiceLeavesTheAttainmentOfOthers(t *testing.T) {
 	const requests, allowedMisses = 300, 300 * 2 / 100
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -158,7 +158,7 @@
 			outcome = order.OutcomeUnknown
 		}
 		s.judgePlain(p, f, answer, err, left)
-		s.releaseFlight(f, resultOf(ctx, errFailedCall, 0))
+		s.releaseFlight(f, plainResult(ctx, answer))
 		if cause := causeOf(ctx); cause != nil {
 			return nil, s.plainEnded(ctx, cause, outcome)
 		}
@@ -205,6 +205,14 @@
 	}
 }
 
+// plainResult tells what a failed call says of its upstream. Answer is nil when there was none.
+func plainResult(ctx context.Context, answer *plainAnswer) attemptResult {
+	if answer == nil {
+		return resultOf(ctx, errFailedCall, 0)
+	}
+	return resultOf(ctx, &refusal{status: answer.status, outcome: answer.outcome}, 0)
+}
+
 func (s *Server) judgePlain(p *plainCall, f *flight, answer *plainAnswer, err error, left bool) {
 	var fault *upstreamFault
 	switch {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -17,6 +17,7 @@
 	budget     *retry.Budget
 	queue      *admission.Queue
 	waiters    map[admission.RequestID]*waiter
+	perCall    movingMean // of plain calls
 	perToken   movingMean // of streams
 }
 
