--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -54,9 +54,9 @@
 	RetryShare       float64               `help:"Retries as a share of the requests to a service." default:"0.1" min:"0" max:"1"`
 	RetryBurst       float64               `help:"Retries that a service may have beyond its share." default:"10" min:"0" max:"1000"`
 	Settle           time.Duration         `help:"Time for which an upstream that is down keeps its place in the choice, until all instances know which requests ran on it." default:"3s" min:"0s" max:"10m"`
-	Overbook         int                   `help:"Requests above an engine's batch size that may wait at it." default:"2" min:"0" max:"1000"`
-	PrefixBonus      float64               `help:"Load in requests that a cached prompt prefix outweighs." default:"4" min:"0" max:"1000"`
-	ZonePenalty      float64               `help:"Load in requests that an upstream in this availability zone may have more." default:"2" min:"0" max:"1000"`
+	Overbook         int                   `help:"Requests above an engine's batch size that may wait at it." default:"0" min:"0" max:"1000"`
+	PrefixBonus      float64               `help:"Load in requests that a cached prompt prefix outweighs." default:"0" min:"0" max:"1000"`
+	ZonePenalty      float64               `help:"Load in requests that an upstream in this availability zone may have more." default:"0.5" min:"0" max:"1000"`
 	ProbeEvery       time.Duration         `help:"Time between probes of an upstream that is down." default:"500ms" min:"50ms" max:"1m"`
 	EjectAfter       int                   `help:"Failures in a row after which an upstream is ejected." default:"3" min:"1" max:"1000"`
 	EjectFor         time.Duration         `help:"Time of an ejection." default:"5s" min:"100ms" max:"10m"`
