--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -36,7 +36,9 @@
 	request     routing.Request
 	fingerprint [sha256.Size]byte // of the work
 	started     time.Time
+	mayBeResend bool // of an order that was sent before
 	caller      admission.Caller
+	entered     bool                // the call holds a place of its service
 	queueID     admission.RequestID // of the send in progress
 	cleared     []suspect.Record    // suspicions that the call's answer refuted
 	// sameUpstream gets the next send on a new connection. Empty when there is none.
@@ -60,7 +62,7 @@
 
 // newCall checks what all requests have in common.
 func (s *Server) newCall(r *http.Request) (*call, *Failure) {
-	c := &call{started: s.now()}
+	c := &call{started: s.now(), mayBeResend: mayBeResend(r)}
 	headers, err := httpapi.ParseHeaders(r.Header)
 	c.headers = headers
 	c.id = headers.RequestID
@@ -68,7 +70,7 @@
 		c.id = uuid.NewString()
 	}
 	if err != nil {
-		return c, badRequest(err)
+		return c, badHeaders(err)
 	}
 	c.view = s.views.View()
 	if c.view == nil {
@@ -78,8 +80,8 @@
 	return c, nil
 }
 
-// setService completes the call once its service is known.
-func (s *Server) setService(r *http.Request, c *call, service bundle.Service) {
+// setService completes the call once its service is known, and takes a place of the service.
+func (s *Server) setService(r *http.Request, c *call, service bundle.Service) *Failure {
 	c.service = service
 	limit := c.headers.Deadline
 	if limit == 0 {
@@ -95,6 +97,11 @@
 	s.table.earn(c)
 	s.metrics.requests.WithLabelValues(string(service.Name), string(c.headers.Class)).Inc()
 	s.record(c, timeline.KindRequestReceived, "", "")
+	if !s.table.enter(c) {
+		return unavailable(httpapi.CodeNoCapacity, "Too many requests to this service are in progress.",
+			order.OutcomeNotRun, s.settings.Queue.RetryAfter)
+	}
+	return nil
 }
 
 // readBody reads the request's body within the size and time limits. After a
@@ -150,6 +157,9 @@
 
 // reject writes the failure as the whole answer.
 func (s *Server) reject(w http.ResponseWriter, c *call, f *Failure) {
+	if c.mayBeResend {
+		f = f.forResend()
+	}
 	s.noteFailure(c, f)
 	httpapi.WriteError(w, f.Status, f.detail(c.id))
 }
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -145,3 +145,20 @@
 		assert.Equal(t, engines[0].engine.Started(), 0)
 	})
 }
+
+func TestWaitingRequestFindsAModelThatIsLoadedMeanwhile(t *testing.T) {
+	one := startEngine(t, "e1")
+	views := &sharedView{data: viewOf(one)}
+	replicas := views.data.Replicas
+	views.data.Replicas = nil
+	e := startEntry(t, views, nil, nil)
+	var group sync.WaitGroup
+	group.Go(func() { assertWhole(t, e.stream(t, "r1", "hello", 3), "hello", 3) })
+	eventually(t, "the request waits", func() bool { return e.queued("tagger") == 1 })
+	demand := e.demand.take()
+	views.mu.Lock()
+	views.data.Replicas = replicas
+	views.mu.Unlock()
+	group.Wait()
+	assert.Equal(t, len(demand), 1, "demand is counted while the request waits")
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,7 +69,7 @@
 		views:    d.Views,
 		claims:   d.Claims,
 		reporter: d.Reporter,
-		table:    newUpstreamTable(s),
+		table:    newUpstreamTable(s, d.Views),
 		reports:  newReports(),
 		demand:   newDemandCounts(),
 		drain:    newDrainer(),
@@ -140,6 +140,9 @@
 
 // refuse answers a request that is no call.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, f *Failure) {
+	if mayBeResend(r) {
+		f = f.forResend()
+	}
 	headers, err := httpapi.ParseHeaders(r.Header)
 	id := headers.RequestID
 	if err != nil || id == "" {
