--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -99,3 +99,14 @@
 	File    string `help:"JSON file with a fixed view, for tests without a control process." type:"path"`
 	Control string `help:"IP address and port of this instance's control process." default:"127.0.0.1:9081"`
 }
+
+// CheckTogether implements settings.Checker.
+func (s *Settings) CheckTogether() []settings.Fault {
+	if s.Queue.MaxWait > s.Upstreams.Settle {
+		return nil
+	}
+	return []settings.Fault{{
+		Section: "queue", Key: "max-wait", Value: s.Queue.MaxWait.String(),
+		Allowed: "more than upstreams-settle, which is " + s.Upstreams.Settle.String(),
+	}}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,12 @@
 	return target
 }
 
+// Checker is implemented by settings of which some depend on others.
+type Checker interface {
+	// CheckTogether returns the settings that do not fit one another.
+	CheckTogether() []Fault
+}
+
 // Program describes a binary to its users.
 type Program struct {
 	Name        string
@@ -124,7 +130,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if faults := checkValues(ctx.Flags()); len(faults) > 0 {
+	faults := checkValues(ctx.Flags())
+	if checker, ok := target.(Checker); ok {
+		faults = append(faults, checker.CheckTogether()...)
+	}
+	if len(faults) > 0 {
 		return nil, &FaultsError{Faults: faults}
 	}
 	return ctx, nil
