--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -16,6 +16,7 @@
 	index   int
 	service int
 	zone    int
+	inZone  bundle.Zone
 	spec    *ServiceSpec
 	sim     *simulation
 
@@ -58,7 +59,7 @@
 	}
 	made := float64(elapsed) / e.stepTime()
 	e.steps += made
-	e.sim.result.workDone += made * float64(len(e.batch))
+	e.sim.result.work(e.service, made*float64(len(e.batch)))
 }
 
 func (e *engine) stepTime() float64 {
@@ -245,11 +246,6 @@
 	return false
 }
 
-func (c *prefixCache) has(prefix uint64) bool {
-	_, ok := c.entries[prefix]
-	return ok
-}
-
 func (e *engine) arriveUnlessLeft(a *attempt) {
 	if !a.left {
 		e.arrive(a)
--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -8,7 +8,6 @@
 
 	"savoryweir/internal/coordination/admission"
 	"savoryweir/internal/coordination/bulkhead"
-	"savoryweir/internal/coordination/retry"
 	"savoryweir/internal/coordination/routing"
 	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/state/bundle"
@@ -76,6 +75,7 @@
 
 // receive takes a request from its caller.
 func (in *instance) receive(j *job) {
+	j.zone = in.zone
 	home := in.home(j)
 	if home == in {
 		in.accept(j, in)
@@ -89,7 +89,7 @@
 	var key string
 	switch in.sim.policy.Home {
 	case HomeModel:
-		key = string(modelName(j.service, j.model))
+		key = string(j.modelID)
 	case HomeService:
 		key = string(in.lanes[j.service].spec.Name)
 	default:
@@ -221,7 +221,7 @@
 	l.endAttempt(a, false)
 	if in.sim.policy.CancelLate {
 		in.sim.after(in.sim.delay(in.zone, a.engine.zone), func() { a.engine.cancel(a) })
-		in.end(a.pending, outcomeLate, retry.Backoff(in.sim.policy.Retry, 2, in.rand))
+		in.end(a.pending, outcomeLate, l.queue.RetryAfter(in.sim.time()))
 		l.pump()
 		return
 	}
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -50,6 +50,9 @@
 	Classes  []ClassResult
 	// Timeline is the attainment of the class now of the first service by arrival second.
 	Timeline []Second
+	// Zones is the attainment of the class now of the first service by the zone of
+	// the instance, for requests that arrive during a fault.
+	Zones []Second
 
 	Attempts         int
 	Retries          int
@@ -66,6 +69,8 @@
 	duration     time.Duration
 	warmup       time.Duration
 	workDone     float64
+	firstDone    float64 // part of workDone of the first service
+	firstMax     float64 // what the first service's engines can do in the run
 	workWasted   float64
 	hits, misses int
 	open         []*job
@@ -76,6 +81,9 @@
 
 func newResult(s Scenario, p Policy) *Result {
 	r := &Result{Scenario: s.Name, Policy: p.Name, exact: p.Exact, instances: s.Instances, duration: s.Duration, warmup: s.Warmup}
+	r.Zones = make([]Second, s.Zones)
+	first := s.Services[0]
+	r.firstMax = float64(first.Engines) * first.capacity() * s.Duration.Seconds()
 	r.Timeline = make([]Second, int(s.Duration/time.Second)+1)
 	for _, spec := range s.Services {
 		if spec.Models > 0 {
@@ -104,10 +112,16 @@
 	if j.service != 0 || j.class != routing.ClassNow {
 		return
 	}
-	second := &r.Timeline[int(j.arrived/time.Second)]
-	second.Total++
+	r.Timeline[int(j.arrived/time.Second)].add(o)
+	if j.arrived >= faultStart && j.arrived < faultStart+faultDuration {
+		r.Zones[j.zone].add(o)
+	}
+}
+
+func (s *Second) add(o outcome) {
+	s.Total++
 	if o == outcomeDone {
-		second.Met++
+		s.Met++
 	}
 }
 
@@ -172,6 +186,16 @@
 	return r.workWasted / r.workDone
 }
 
+func (r *Result) work(service int, steps float64) {
+	r.workDone += steps
+	if service == 0 {
+		r.firstDone += steps
+	}
+}
+
+// Used returns the share of the first service's capacity that did work.
+func (r *Result) Used() float64 { return r.firstDone / r.firstMax }
+
 // HitRate returns the share of prefixes found in the caches.
 func (r *Result) HitRate() float64 { return ratio(r.hits, r.hits+r.misses) }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -31,6 +31,8 @@
 	MaxBodyBytes    int64            `help:"Largest body of a request." default:"1048576" min:"1024" max:"67108864"`
 	MaxHeaderBytes  int              `help:"Largest header of a request." default:"16384" min:"4096" max:"1048576"`
 	MaxStreams      int              `help:"Requests in progress at once." default:"4096" min:"1" max:"1000000"`
+	Reserved        int              `help:"Requests in progress that each service has for itself." default:"1024" min:"1" max:"1000000"`
+	Shared          int              `help:"Requests in progress beyond the reserves, for all services together." default:"1024" min:"0" max:"1000000"`
 	ReadTimeout     time.Duration    `help:"Time to read a request." default:"10s" min:"100ms" max:"5m"`
 	WriteTimeout    time.Duration    `help:"Time to write one stream event to a caller." default:"10s" min:"100ms" max:"5m"`
 	IdleTimeout     time.Duration    `help:"Time after which an idle connection is closed." default:"60s" min:"1s" max:"1h"`
@@ -54,9 +56,9 @@
 	RetryShare       float64               `help:"Retries as a share of the requests to a service." default:"0.1" min:"0" max:"1"`
 	RetryBurst       float64               `help:"Retries that a service may have beyond its share." default:"10" min:"0" max:"1000"`
 	Settle           time.Duration         `help:"Time for which an upstream that is down keeps its place in the choice, until all instances know which requests ran on it." default:"3s" min:"0s" max:"10m"`
-	Overbook         int                   `help:"Requests above an engine's batch size that may wait at it." default:"2" min:"0" max:"1000"`
-	PrefixBonus      float64               `help:"Load in requests that a cached prompt prefix outweighs." default:"4" min:"0" max:"1000"`
-	ZonePenalty      float64               `help:"Load in requests that an upstream in this availability zone may have more." default:"2" min:"0" max:"1000"`
+	Overbook         int                   `help:"Requests above an engine's batch size that may wait at it." default:"0" min:"0" max:"1000"`
+	PrefixBonus      float64               `help:"Load in requests that a cached prompt prefix outweighs." default:"0" min:"0" max:"1000"`
+	ZonePenalty      float64               `help:"Load in requests that an upstream in this availability zone may have more." default:"0.5" min:"0" max:"1000"`
 	ProbeEvery       time.Duration         `help:"Time between probes of an upstream that is down." default:"500ms" min:"50ms" max:"1m"`
 	EjectAfter       int                   `help:"Failures in a row after which an upstream is ejected." default:"3" min:"1" max:"1000"`
 	EjectFor         time.Duration         `help:"Time of an ejection." default:"5s" min:"100ms" max:"10m"`
@@ -97,3 +99,14 @@
 	File    string `help:"JSON file with a fixed view, for tests without a control process." type:"path"`
 	Control string `help:"IP address and port of this instance's control process." default:"127.0.0.1:9081"`
 }
+
+// CheckTogether implements settings.Checker.
+func (s *Settings) CheckTogether() []settings.Fault {
+	if s.Queue.MaxWait > s.Upstreams.Settle {
+		return nil
+	}
+	return []settings.Fault{{
+		Section: "queue", Key: "max-wait", Value: s.Queue.MaxWait.String(),
+		Allowed: "more than upstreams-settle, which is " + s.Upstreams.Settle.String(),
+	}}
+}
