--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -246,11 +246,7 @@
 	return false
 }
 
-func (c *prefixCache) has(prefix uint64) bool {
-	_, ok := c.entries[prefix]
-	return ok
-}
-
+// arriveUnlessLeft drops an attempt that its entry gave up on the way.
 func (e *engine) arriveUnlessLeft(a *attempt) {
 	if !a.left {
 		e.arrive(a)
--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -130,7 +130,7 @@
 	if o == outcomeDone && s.now > j.deadline {
 		o = outcomeLate
 	}
-	s.result.finish(j, o, s.now)
+	s.result.finish(j, o)
 	if o == outcomeDone || j.resends >= maxResends || j.crash {
 		return
 	}
@@ -173,7 +173,6 @@
 		if in.sim.now > a.job.deadline {
 			in.sim.result.workWasted += a.job.tokens
 		}
-		l.hedger.Observe(in.sim.now - a.sentAt)
 		in.end(a.pending, outcomeDone, 0)
 	} else {
 		l.retry(a)
--- a/internal/bench/policy/lane.go
+++ b/internal/bench/policy/lane.go
@@ -29,7 +29,6 @@
 	views    []*view
 	queue    *admission.Queue
 	budget   *retry.Budget
-	hedger   *retry.Hedger
 	pace     *admission.Estimator
 	detector *outlier.Detector
 	pending  map[admission.RequestID]*pending
@@ -43,7 +42,6 @@
 		in: in, sim: s, spec: &s.scenario.Services[service], hosts: s.hosts[service],
 		queue:    admission.New(admission.DefaultSettings(), rand.New(rand.NewPCG(s.scenario.Seed, uint64(1<<20+in.index)))),
 		budget:   retry.NewBudget(s.policy.Retry),
-		hedger:   retry.NewHedger(s.policy.Retry),
 		pace:     admission.NewEstimator(s.scenario.Services[service].step(0)),
 		pending:  make(map[admission.RequestID]*pending),
 		placesAt: -placesPeriod,
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -102,7 +102,7 @@
 	}
 }
 
-func (r *Result) finish(j *job, o outcome, _ time.Duration) {
+func (r *Result) finish(j *job, o outcome) {
 	j.finished = true
 	if !j.counted {
 		return
--- a/internal/bench/policy/sim.go
+++ b/internal/bench/policy/sim.go
@@ -292,7 +292,7 @@
 func (s *simulation) finishOpen() {
 	for _, open := range s.result.open {
 		if !open.finished && open.deadline <= s.scenario.Duration {
-			s.result.finish(open, outcomeLate, s.now)
+			s.result.finish(open, outcomeLate)
 		}
 	}
 }
