Bundle: batch size of an engine, by which entries keep waiting requests in their own queue

Cause: routing's check for room on an engine had no effect, since no engine reports its batch size. Conclusion: without the key entries rely on the adaptive limit as before.

--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -123,7 +123,7 @@
 		go e.Run(ctx)
 		s.engines, s.memory = append(s.engines, e), append(s.memory, memory)
 		s.addUpstream(bundle.Upstream{
-			ID: bundle.UpstreamID(name), Service: "tagger", Memory: engineMemory, Accelerators: 1, ChecksFence: i == 0,
+			ID: bundle.UpstreamID(name), Service: "tagger", Memory: engineMemory, Accelerators: 1, Batch: 32, ChecksFence: i == 0,
 		}, e.Handler())
 	}
 	for i := range serviceCount {
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -125,6 +125,7 @@
 		Zone:            u.Zone,
 		InFlight:        len(state.flights),
 		Limit:           state.limiter.Limit(),
+		Slots:           u.Batch,
 		Reported:        state.load,
 		SentSinceReport: state.sent,
 		HasModel:        true,
--- a/internal/protocol/bundlefile/doc.go
+++ b/internal/protocol/bundlefile/doc.go
@@ -38,6 +38,7 @@
 	keyZone         = "zone"
 	keyMemory       = "memory-mib"
 	keyAccelerators = "accelerators"
+	keyBatch        = "batch"
 	keyChecksFence  = "checks-fence"
 	keyVersion      = "version"
 	keyMinReplicas  = "min-replicas"
--- a/internal/protocol/bundlefile/parse.go
+++ b/internal/protocol/bundlefile/parse.go
@@ -135,6 +135,7 @@
 		Zone:         bundle.Zone(r.text(keyZone)),
 		Memory:       bundle.MiB(r.optionalNumber(keyMemory, maxMemoryMiB)),
 		Accelerators: int(r.optionalNumber(keyAccelerators, maxAccelerators)),
+		Batch:        int(r.optionalNumber(keyBatch, maxBatch)),
 		ChecksFence:  r.optionalBool(keyChecksFence),
 	}
 }
--- a/internal/protocol/bundlefile/reader.go
+++ b/internal/protocol/bundlefile/reader.go
@@ -16,6 +16,7 @@
 const (
 	maxMemoryMiB    = 1 << 30
 	maxAccelerators = 1 << 16
+	maxBatch        = 1 << 16
 	maxReplicas     = 1 << 16
 )
 
--- a/internal/protocol/bundlefile/text.go
+++ b/internal/protocol/bundlefile/text.go
@@ -59,6 +59,7 @@
 	w.put(keyZone, u.Zone)
 	w.putUnlessZero(keyMemory, int64(u.Memory))
 	w.putUnlessZero(keyAccelerators, int64(u.Accelerators))
+	w.putUnlessZero(keyBatch, int64(u.Batch))
 	if u.ChecksFence {
 		w.put(keyChecksFence, true)
 	}
--- a/internal/state/bundle/bundle.go
+++ b/internal/state/bundle/bundle.go
@@ -55,6 +55,7 @@
 	Zone         Zone
 	Memory       MiB // accelerator memory for models and adapters, zero for plain services
 	Accelerators int
+	Batch        int // requests that a model engine runs at once, zero if unknown
 	// ChecksFence tells that the engine refuses orders with an old fencing number.
 	ChecksFence bool
 }
