Control stops after its orders in progress; a joining instance does not pass the whole table on

Change: the control process drains for up to shutdown-drain-time, a second signal ends it at once; the table of a peer is merged without being queued.

--- a/cmd/savoryweir-control/main.go
+++ b/cmd/savoryweir-control/main.go
@@ -43,5 +43,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	return process.Run(ctx)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -259,6 +259,7 @@
 	case <-ctx.Done():
 	case <-working.Done():
 	}
+	p.drain(working)
 	p.leave(working)
 	stop()
 	p.peerServer.Stop()
@@ -269,9 +270,18 @@
 	return err
 }
 
+// drain waits until the results of all orders of the entry are durable.
+func (p *Process) drain(working context.Context) {
+	p.recorder.Record(timeline.Event{Kind: timeline.KindProcessStopping})
+	draining, cancel := context.WithTimeout(working, p.settings.Shutdown.DrainTime)
+	defer cancel()
+	if err := p.claims.Drain(draining); err != nil {
+		p.log.Warn().Int("orders", p.claims.Held()).Msg("Stopped with orders in progress.")
+	}
+}
+
 // leave tells the peers that this instance stops.
 func (p *Process) leave(working context.Context) {
-	p.recorder.Record(timeline.Event{Kind: timeline.KindProcessStopping})
 	leaving, cancel := context.WithTimeout(working, leaveTimeout)
 	defer cancel()
 	if err := p.peers.Leave(leaving); err != nil {
--- a/internal/control/peers/messages.go
+++ b/internal/control/peers/messages.go
@@ -255,7 +255,7 @@
 	s.Clock.Observe(peercodec.DecodeTime(response.GetTime()))
 	members := peercodec.DecodeMembers(response.GetMembers())
 	return s.do(ctx, func(now time.Time) {
-		s.detector.OnUpdates(now, members)
+		s.detector.OnTable(now, members)
 		s.receive(now, sender(members, address), response.GetUpdates())
 		s.Heads.PeersHeard()
 	})
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -33,6 +33,7 @@
 	Orders     claims.Settings      `embed:"" prefix:"orders-"`
 	Placement  placing.Settings     `embed:"" prefix:"placement-"`
 	Demand     demandflow.Settings  `embed:"" prefix:"demand-"`
+	Shutdown   ShutdownSettings     `embed:"" prefix:"shutdown-"`
 }
 
 // PeerSettings describe the port for the other instances' control processes.
@@ -49,6 +50,11 @@
 	Address string `help:"Loopback address and port for the entry process of this instance." default:"127.0.0.1:9081"`
 }
 
+// ShutdownSettings describe the end of the process.
+type ShutdownSettings struct {
+	DrainTime time.Duration `help:"Time after which the process ends although orders are in progress." default:"90s" min:"0s" max:"24h"`
+}
+
 // OperationsSettings describe the port for operators.
 type OperationsSettings struct {
 	Address        string `help:"IP address and port for metrics, health, status and time line." default:"127.0.0.1:9083"`
--- a/internal/coordination/membership/detector.go
+++ b/internal/coordination/membership/detector.go
@@ -324,6 +324,18 @@
 	return news
 }
 
+// OnTable takes in the whole table of a peer. It is not passed on, since the peer
+// and its neighbours have it already.
+func (d *Detector) OnTable(now time.Time, table []member.Member) {
+	for _, m := range table {
+		if m.ID == d.self.ID {
+			d.refute(now, m)
+			continue
+		}
+		d.learn(now, m)
+	}
+}
+
 // refute raises this instance's incarnation above a wrong claim about it.
 func (d *Detector) refute(now time.Time, claim member.Member) {
 	if d.self.State == member.Left || !claim.Overrides(d.self) {
@@ -352,12 +364,21 @@
 	d.merge(now, member.Member{ID: id, Address: address, Zone: zone, State: member.Alive})
 }
 
+// merge takes in m if it is news, and passes it on.
 func (d *Detector) merge(now time.Time, m member.Member) bool {
+	if !d.learn(now, m) {
+		return false
+	}
+	d.queue.add(m)
+	return true
+}
+
+// learn takes in m if it is news.
+func (d *Detector) learn(now time.Time, m member.Member) bool {
 	old, _ := d.table.Get(m.ID)
 	if !d.table.Merge(now, m) {
 		return false
 	}
-	d.queue.add(m)
 	if old.State != m.State {
 		d.changes = append(d.changes, Change{Member: m, Previous: old.State})
 	}
--- a/internal/e2e/generation_test.go
+++ b/internal/e2e/generation_test.go
@@ -14,6 +14,7 @@
 
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/standin/engine"
+	"savoryweir/internal/standin/service"
 )
 
 const (
@@ -141,6 +142,26 @@
 	}
 }
 
+// TestControlStopsAfterTheOrdersInProgress stops the control process of an
+// instance whose entry runs slow orders. Their results are recorded, so that a
+// resend elsewhere is answered from the record.
+func TestControlStopsAfterTheOrdersInProgress(t *testing.T) {
+	s := startSystem(t, 3)
+	for _, plain := range s.services {
+		plain.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 1500})
+	}
+	answered := make(chan answer, 1)
+	go func() { answered <- s.order(s.entries[0], "slow", 1) }()
+	time.Sleep(700 * time.Millisecond) // the order is under way
+	assert.NilError(t, s.fleet.Processes[0].Terminate())
+	first := <-answered
+	assert.Equal(t, first.outcome, "ran", first.body)
+	resend := s.order(s.entries[1], "slow", 2)
+	assert.Equal(t, resend.outcome, "ran", resend.body)
+	assert.Equal(t, resend.body, first.body)
+	assert.Equal(t, s.runs()["slow"], 1)
+}
+
 // TestShutdownCutsNoStream asks entries to stop while they stream.
 func TestShutdownCutsNoStream(t *testing.T) {
 	s := startSystem(t, 3)
