--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -270,9 +270,11 @@
 	return err
 }
 
-// drain waits until the results of all orders of the entry are durable.
+// drain goes on for the entry until it has stopped or had time to, and then
+// waits until the results of all its orders are durable.
 func (p *Process) drain(working context.Context) {
 	p.recorder.Record(timeline.Event{Kind: timeline.KindProcessStopping})
+	p.view.WaitUnwatched(working, p.settings.Shutdown.EntryWait)
 	draining, cancel := context.WithTimeout(working, p.settings.Shutdown.DrainTime)
 	defer cancel()
 	if err := p.claims.Drain(draining); err != nil {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -52,6 +52,7 @@
 
 // ShutdownSettings describe the end of the process.
 type ShutdownSettings struct {
+	EntryWait time.Duration `help:"Time for which a stopping control process goes on for an entry process that still watches it. It covers the balancer's lag." default:"10s" min:"0s" max:"1h"`
 	DrainTime time.Duration `help:"Time after which the process ends although orders are in progress." default:"90s" min:"0s" max:"24h"`
 }
 
--- a/internal/control/view/service.go
+++ b/internal/control/view/service.go
@@ -62,8 +62,9 @@
 	pb.UnimplementedLocalServer
 	Options
 
-	mu      sync.Mutex    // guards changed
-	changed chan struct{} // closed and replaced at each change
+	mu       sync.Mutex    // guards all below
+	changed  chan struct{} // closed and replaced at each change
+	watchers int
 }
 
 // New returns a service.
@@ -85,9 +86,38 @@
 	return s.changed
 }
 
+// watch counts entries that watch, by 1 or -1, and wakes those that wait for a change.
+func (s *Service) watch(by int) {
+	s.mu.Lock()
+	s.watchers += by
+	s.mu.Unlock()
+	s.Notify()
+}
+
+// WaitUnwatched waits until no entry watches, or until the wait or ctx ends.
+func (s *Service) WaitUnwatched(ctx context.Context, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		watchers, changed := s.watchers, s.changed
+		s.mu.Unlock()
+		if watchers == 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // WatchView implements pb.LocalServer.
 func (s *Service) WatchView(request *pb.WatchViewRequest, stream pb.Local_WatchViewServer) error {
 	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
+	s.watch(1)
+	defer s.watch(-1)
 	sent := newSentParts()
 	for {
 		changed := s.nextChange()
