--- a/internal/bench/cmd/capacity/main.go
+++ b/internal/bench/cmd/capacity/main.go
@@ -20,6 +20,7 @@
 	targetInstances = 320
 	targetEngines   = 710
 	targetModels    = 770
+	targetCells     = 40
 )
 
 // Sizes of today's larger deployment.
@@ -31,15 +32,17 @@
 const bundleChanges = 10
 
 // settleTime is waited before the steady state: news of the start is repeated for so long.
-const settleTime = 25 * time.Second
+const settleTime = 40 * time.Second
 
 // run is one row of the table.
 type run struct {
 	instances, engines, models int
+	cells                      int // of the one service
 	steady                     fleet.Cost
-	changing                   fleet.Cost // while bundles change
-	slowest                    time.Duration
-	storeReads, storeWrites    float64 // a second, over the fleet, in the steady state
+	changing                   fleet.Cost    // while bundles change
+	slowest                    time.Duration // until a changed bundle was in force everywhere
+	storeReads, storeWrites    float64       // a second, over the fleet, in the steady state
+	engineBytes                float64       // a second, all engines with all instances, in the steady state
 }
 
 func main() {
@@ -56,14 +59,13 @@
 
 func report(ctx context.Context, binaries string, interval time.Duration) error {
 	plans := []run{
-		{instances: 3, engines: todayEngines, models: todayModels},
-		{instances: 9, engines: todayEngines, models: todayModels},
-		{instances: 40, engines: todayEngines, models: todayModels},
-		{instances: 9, engines: targetEngines, models: targetModels},
-		{instances: 40, engines: targetEngines, models: targetModels},
+		{instances: 3, engines: todayEngines, models: todayModels, cells: 1},
+		{instances: 9, engines: todayEngines, models: todayModels, cells: 1},
+		{instances: 40, engines: todayEngines, models: todayModels, cells: 1},
+		{instances: 40, engines: targetEngines, models: targetModels, cells: targetCells},
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "instances\tengines\tmodels\tcore %\tMiB\tsent B/s\tcore % changing\tB per change\tin force after\tstore reads/s\twrites/s\t")
+	fmt.Fprintln(table, "instances\tengines\tmodels\tcore %\tMiB\tsent B/s\tcore % changing\tB per change\tin force after\tstore reads/s\twrites/s\tengines B/s\t")
 	var done []run
 	for _, plan := range plans {
 		r, err := measure(ctx, binaries, interval, plan)
@@ -72,15 +74,15 @@
 		}
 		done = append(done, r)
 		perChange := (r.changing.BytesPerSecond - r.steady.BytesPerSecond) * interval.Seconds() / bundleChanges
-		fmt.Fprintf(table, "%d\t%d\t%d\t%.2f\t%.1f\t%.0f\t%.2f\t%.0f\t%s\t%.2f\t%.2f\t\n",
+		fmt.Fprintf(table, "%d\t%d\t%d\t%.2f\t%.1f\t%.0f\t%.2f\t%.0f\t%s\t%.2f\t%.2f\t%.0f\t\n",
 			r.instances, r.engines, r.models, 100*r.steady.CoreShare, r.steady.ResidentBytes/(1<<20),
 			r.steady.BytesPerSecond, 100*r.changing.CoreShare, perChange, r.slowest.Round(time.Millisecond),
-			r.storeReads, r.storeWrites)
+			r.storeReads, r.storeWrites, r.engineBytes)
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	extrapolate(done[1], done[2], done[4])
+	extrapolate(done[1], done[2], done[3])
 	return nil
 }
 
@@ -99,11 +101,19 @@
 	print("processor", "% of a core", func(r run) float64 { return 100 * r.steady.CoreShare }, 3)
 	print("memory", "MiB", func(r run) float64 { return r.steady.ResidentBytes / (1 << 20) }, 64e6/(1<<20))
 	print("sent", "B/s", func(r run) float64 { return r.steady.BytesPerSecond }, 3000)
+	fmt.Printf("engine reports: %.0f B/s an engine among %d, %.0f among %d; at the target %.0f B/s an instance\n",
+		large.engineBytes/float64(large.engines), large.engines, wide.engineBytes/float64(wide.engines), wide.engines,
+		wide.engineBytes/targetInstances)
 	print("store reads", "a second", func(r run) float64 { return r.storeReads }, 2000)
 }
 
 func measure(ctx context.Context, binaries string, interval time.Duration, r run) (run, error) {
-	f, err := fleet.Start(binaries, r.instances)
+	engines, err := fleet.StartEngines(fleet.Bundle(r.engines, r.models, 0))
+	if err != nil {
+		return r, err
+	}
+	defer engines.Stop()
+	f, err := fleet.Start(binaries, r.instances, fmt.Sprintf("--placement-cells-per-service=%d", r.cells))
 	if err != nil {
 		return r, err
 	}
@@ -116,10 +126,12 @@
 	}
 	time.Sleep(settleTime)
 	before := f.Store.Counts()
+	engineBefore := engines.Traffic.Sent() + engines.Traffic.Received()
 	if r.steady, err = f.Measure(interval, func() {}); err != nil {
 		return r, err
 	}
 	after := f.Store.Counts()
+	r.engineBytes = float64(engines.Traffic.Sent()+engines.Traffic.Received()-engineBefore) / interval.Seconds()
 	r.storeReads = float64(after.Reads()-before.Reads()) / interval.Seconds()
 	r.storeWrites = float64(after.Writes()-before.Writes()) / interval.Seconds()
 	var failed error
