--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,15 +8,12 @@
 package settings
 
 import (
-	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"reflect"
 	"slices"
-	"strconv"
 	"strings"
-	"time"
 
 	"github.com/alecthomas/kong"
 	"gopkg.in/ini.v1"
@@ -262,91 +259,3 @@
 	}
 	return faults
 }
-
-var durationType = reflect.TypeFor[time.Duration]()
-
-func parseInto(value reflect.Value, text string) error {
-	if value.Type() == durationType {
-		d, err := time.ParseDuration(text)
-		value.SetInt(int64(d))
-		return err
-	}
-	switch value.Kind() {
-	case reflect.Int, reflect.Int32, reflect.Int64:
-		n, err := strconv.ParseInt(text, 10, 64)
-		value.SetInt(n)
-		return err
-	case reflect.Uint, reflect.Uint32, reflect.Uint64:
-		n, err := strconv.ParseUint(text, 10, 64)
-		value.SetUint(n)
-		return err
-	case reflect.Float64:
-		n, err := strconv.ParseFloat(text, 64)
-		value.SetFloat(n)
-		return err
-	case reflect.Bool:
-		_, err := strconv.ParseBool(text)
-		return err
-	default:
-		return nil
-	}
-}
-
-func inRange(flag *kong.Flag, value reflect.Value) bool {
-	return boundHolds(value, flag.Tag.Get("min"), 1) && boundHolds(value, flag.Tag.Get("max"), -1)
-}
-
-// boundHolds compares value with the bound in text. Sign is 1 for a lower and -1 for an upper bound.
-func boundHolds(value reflect.Value, text string, sign int) bool {
-	if text == "" {
-		return true
-	}
-	bound := reflect.New(value.Type()).Elem()
-	if err := parseInto(bound, text); err != nil {
-		return false
-	}
-	return sign*compareNumbers(value, bound) >= 0
-}
-
-func compareNumbers(a, b reflect.Value) int {
-	switch {
-	case a.CanInt():
-		return cmp.Compare(a.Int(), b.Int())
-	case a.CanUint():
-		return cmp.Compare(a.Uint(), b.Uint())
-	case a.CanFloat():
-		return cmp.Compare(a.Float(), b.Float())
-	default:
-		return 0
-	}
-}
-
-func typeName(t reflect.Type) string {
-	if t == durationType {
-		return "duration"
-	}
-	switch t.Kind() {
-	case reflect.Float64:
-		return "number"
-	case reflect.Bool:
-		return "truth value"
-	case reflect.String:
-		return "text"
-	default:
-		return "whole number"
-	}
-}
-
-func rangeText(flag *kong.Flag) string {
-	low, high := flag.Tag.Get("min"), flag.Tag.Get("max")
-	switch {
-	case low != "" && high != "":
-		return fmt.Sprintf(" from %s to %s", low, high)
-	case low != "":
-		return fmt.Sprintf(" of %s or more", low)
-	case high != "":
-		return fmt.Sprintf(" of %s or less", high)
-	default:
-		return ""
-	}
-}
--- /dev/null
+++ b/internal/state/member/member_test.go
@@ -0,0 +1,44 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestOverrides(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		old, new Member
+		want     bool
+	}{
+		{"suspicion of the same incarnation", Member{Incarnation: 1, State: Alive}, Member{Incarnation: 1, State: Suspect}, true},
+		{"late word that it is alive", Member{Incarnation: 1, State: Suspect}, Member{Incarnation: 1, State: Alive}, false},
+		{"refutation", Member{Incarnation: 1, State: Dead}, Member{Incarnation: 2, State: Alive}, true},
+		{"death of an earlier incarnation", Member{Incarnation: 2, State: Alive}, Member{Incarnation: 1, State: Dead}, false},
+		{"departure after death", Member{Incarnation: 1, State: Dead}, Member{Incarnation: 1, State: Left}, true},
+		{"the same again", Member{Incarnation: 1, State: Dead}, Member{Incarnation: 1, State: Dead}, false},
+	} {
+		assert.Equal(t, test.new.Overrides(test.old), test.want, test.name)
+	}
+}
+
+func TestTableForgetsTheDeadOnly(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	table := NewTable()
+	table.Merge(start, Member{ID: "a", State: Alive})
+	table.Merge(start, Member{ID: "b", State: Dead})
+	table.Merge(start.Add(time.Hour), Member{ID: "c", State: Left})
+	table.Forget(start.Add(time.Hour+time.Minute), time.Hour)
+	assert.Equal(t, table.Len(), 2)
+	assert.Equal(t, len(table.InState(Dead)), 0)
+	assert.Equal(t, len(table.Usable()), 1)
+}
+
+func TestIncarnationKeepsTheProcessApart(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	first := NewIncarnation(start)
+	assert.Equal(t, (first + 1).Boot(), first.Boot())
+	assert.Assert(t, NewIncarnation(start.Add(time.Millisecond)).Boot() > first.Boot())
+}
