--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -60,15 +60,23 @@
 	}
 }
 
+// requestID returns the caller's id of a request, or a new one when there is none
+// that may be used.
+func requestID(headers httpapi.RequestHeaders, err error) string {
+	var wrong *httpapi.HeaderError
+	isWrong := errors.As(err, &wrong) && wrong.Header == httpapi.HeaderRequestID
+	if headers.RequestID == "" || isWrong {
+		return uuid.NewString()
+	}
+	return headers.RequestID
+}
+
 // newCall checks what all requests have in common.
 func (s *Server) newCall(r *http.Request) (*call, *Failure) {
 	c := &call{started: s.now(), mayBeResend: mayBeResend(r)}
 	headers, err := httpapi.ParseHeaders(r.Header)
 	c.headers = headers
-	c.id = headers.RequestID
-	if c.id == "" || err != nil {
-		c.id = uuid.NewString()
-	}
+	c.id = requestID(headers, err)
 	if err != nil {
 		return c, badHeaders(err)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
 	"savoryweir/internal/logging"
@@ -144,11 +143,7 @@
 		f = f.forResend()
 	}
 	headers, err := httpapi.ParseHeaders(r.Header)
-	id := headers.RequestID
-	if err != nil || id == "" {
-		id = uuid.NewString()
-	}
-	httpapi.WriteError(w, f.Status, f.detail(id))
+	httpapi.WriteError(w, f.Status, f.detail(requestID(headers, err)))
 }
 
 // counted bounds the requests in progress and lets a shutdown wait for them.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,3 +59,22 @@
 	_, err := parse(t, "", "--queue-length=0")
 	assert.ErrorContains(t, err, `--queue-length = "0": allowed is a whole number from 1 to 1000`)
 }
+
+// FuzzFile reads arbitrary files. Bad ones are refused, none stops the process.
+func FuzzFile(f *testing.F) {
+	for _, seed := range []string{
+		"", "[queue]\nmax-wait = 3s\n", "[queue\n", "= 1", "[queue]\nlength = 99999999999999999999\n",
+		"[queue]\nshare = NaN\n", "[]\n\x00 = \x00", "[queue]\nmax-wait = -1h\n", "[queue]\nlength = %(length)s\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, file string) {
+		s, err := parse(t, file)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, s.Queue.Length >= 1 && s.Queue.Length <= 1000)
+		assert.Assert(t, s.Queue.MaxWait >= 10*time.Millisecond && s.Queue.MaxWait <= time.Minute)
+		assert.Assert(t, s.Queue.Share >= 0 && s.Queue.Share <= 1, "share is %v", s.Queue.Share)
+	})
+}
