Members: a digest with each message repairs what news has missed

News of a member is repeated a number of times that grows with the logarithm of the members known then, which is small while all are starting; and a joining instance no longer passes the whole table on. Ruled out: more repetitions (the hole is rare and stays for good when it happens). Change: each message carries a digest of the usable members; an instance whose digest differs from its peers' for 10 s asks one of them for the whole table, as it did for cells.

--- a/internal/control/peers/messages.go
+++ b/internal/control/peers/messages.go
@@ -108,7 +108,9 @@
 
 // updates runs in the detector's goroutine.
 func (s *Service) updates(now time.Time, to member.ID) *pb.Updates {
-	return peercodec.EncodeUpdates(s.detector.Piggyback(to), s.board.Next(now))
+	updates := peercodec.EncodeUpdates(s.detector.Piggyback(to), s.board.Next(now))
+	updates.MembersDigest = s.detector.Table().Digest()
+	return updates
 }
 
 // receive runs in the detector's goroutine.
@@ -128,14 +130,15 @@
 	if batch.Head.Generation > s.board.Head().Generation {
 		s.Heads.OfferHead(batch.Head, source.Member)
 	}
-	s.compareDigest(now, batch.CellsDigest, source.Member)
+	isSame := batch.CellsDigest == s.board.CellsDigest() && updates.GetMembersDigest() == s.detector.Table().Digest()
+	s.compareKnowledge(now, isSame, source.Member)
 }
 
-// compareDigest asks a peer for all that it knows when the digests of the cells
-// have differed for longer than news takes to spread.
-func (s *Service) compareDigest(now time.Time, digest uint64, source member.Member) {
+// compareKnowledge asks a peer for all that it knows when its digests of cells
+// and members have differed from those here for longer than news takes to spread.
+func (s *Service) compareKnowledge(now time.Time, isSame bool, source member.Member) {
 	switch {
-	case digest == s.board.CellsDigest():
+	case isSame:
 		s.differs = time.Time{}
 	case s.differs.IsZero():
 		s.differs = now
@@ -197,6 +200,7 @@
 			response.Members = append(response.Members, peercodec.EncodeMember(r.Member))
 		}
 		response.Updates = peercodec.EncodeUpdates(nil, s.board.Known(now))
+		response.Updates.MembersDigest = s.detector.Table().Digest()
 	})
 	if err != nil {
 		return nil, err
--- a/internal/control/peers/service.go
+++ b/internal/control/peers/service.go
@@ -98,7 +98,7 @@
 	detector  *membership.Detector
 	board     *spread.Board
 	published time.Time
-	differs   time.Time // since when the digest of cells differs from the peers', zero when it does not
+	differs   time.Time // since when the digests differ from the peers', zero when it does not
 
 	syncs *ring.Ring[member.Member] // peers to ask for all that they know
 }
--- a/internal/state/member/member.go
+++ b/internal/state/member/member.go
@@ -5,8 +5,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"savoryweir/internal/state/bundle"
 )
 
@@ -86,6 +89,7 @@
 	records map[ID]Record
 	counts  [Left + 1]int
 	version uint64 // counts changes to the set of usable members
+	digest  uint64 // exclusive or of the hashes of all usable members
 }
 
 // NewTable returns an empty table.
@@ -100,14 +104,28 @@
 	t.records[m.ID] = Record{Member: m, Since: now}
 	if known {
 		t.counts[old.State]--
+		t.digest ^= hash(old.Member)
 	}
 	t.counts[m.State]++
+	t.digest ^= hash(m)
 	if !known || old.IsUsable() != m.IsUsable() || old.Address != m.Address {
 		t.version++
 	}
 	return true
 }
 
+// hash identifies a process that is usable. Others count nothing, since they are
+// forgotten at different times.
+func hash(m Member) uint64 {
+	if !m.IsUsable() {
+		return 0
+	}
+	return xxhash.Sum64String(string(m.ID) + "\x00" + strconv.FormatUint(m.Incarnation.Boot(), 10))
+}
+
+// Digest is equal at two instances that know the same usable members.
+func (t *Table) Digest() uint64 { return t.digest }
+
 // Get returns what is known of an instance.
 func (t *Table) Get(id ID) (Record, bool) {
 	r, ok := t.records[id]
--- a/internal/state/member/member_test.go
+++ b/internal/state/member/member_test.go
@@ -36,6 +36,28 @@
 	assert.Equal(t, len(table.Usable()), 1)
 }
 
+func TestDigestTellsDifferentKnowledge(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	a, b := NewTable(), NewTable()
+	one := Member{ID: "one", Incarnation: NewIncarnation(start), State: Alive}
+	two := Member{ID: "two", Incarnation: NewIncarnation(start), State: Alive}
+	a.Merge(start, one)
+	a.Merge(start, two)
+	b.Merge(start, two)
+	assert.Assert(t, a.Digest() != b.Digest())
+	b.Merge(start, one)
+	assert.Equal(t, a.Digest(), b.Digest())
+	two.State = Suspect
+	a.Merge(start, two)
+	assert.Equal(t, a.Digest(), b.Digest(), "a suspect is usable")
+	two.State = Dead
+	a.Merge(start, two)
+	assert.Assert(t, a.Digest() != b.Digest())
+	a.Forget(start.Add(time.Hour), time.Minute)
+	b.Merge(start, two)
+	assert.Equal(t, a.Digest(), b.Digest(), "the dead do not count")
+}
+
 func TestIncarnationKeepsTheProcessApart(t *testing.T) {
 	start := time.Unix(1_800_000_000, 0)
 	first := NewIncarnation(start)
