--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -115,11 +116,18 @@
 	highestPort = 32_000
 )
 
-// freePorts returns loopback addresses that were free just now.
+// takenPorts are the ports that were given to processes of this run.
+var takenPorts sync.Map
+
+// freePorts returns loopback addresses that were free just now and were not
+// given out before.
 func freePorts(count int) ([]string, error) {
 	var addresses []string
 	for len(addresses) < count {
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		if _, isTaken := takenPorts.LoadOrStore(port, true); isTaken {
+			continue
+		}
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		l, err := net.Listen("tcp", address)
 		if errors.Is(err, syscall.EADDRINUSE) {
