--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -20,15 +20,15 @@
 
 // instance is one entry with its own view.
 type instance struct {
-	sim      *simulation
-	index    int
-	zone     int
-	rand     *rand.Rand
-	picker   routing.Picker
-	bulkhead *bulkhead.Bulkhead
-	suspects *suspect.Registry
-	lanes    []*lane
-	nextID   admission.RequestID
+	sim        *simulation
+	index      int
+	zone       int
+	rand       *rand.Rand
+	picker     routing.Picker
+	bulkhead   *bulkhead.Bulkhead
+	suspects   *suspect.Registry
+	perService []*serviceState
+	nextID     admission.RequestID
 }
 
 // pending is a request within an instance.
@@ -66,7 +66,7 @@
 	}
 	in.picker = s.policy.Picker(in.rand, zoneName(in.zone))
 	for i := range s.scenario.Services {
-		in.lanes = append(in.lanes, newLane(in, i))
+		in.perService = append(in.perService, newServiceState(in, i))
 	}
 	return in
 }
@@ -91,7 +91,7 @@
 	case HomeModel:
 		key = string(j.modelID)
 	case HomeService:
-		key = string(in.lanes[j.service].spec.Name)
+		key = string(in.perService[j.service].spec.Name)
 	default:
 		return in
 	}
@@ -100,7 +100,7 @@
 }
 
 func (in *instance) accept(j *job, origin *instance) {
-	l := in.lanes[j.service]
+	l := in.perService[j.service]
 	if !in.bulkhead.Enter(l.spec.Name) {
 		in.sim.finish(j, outcomeFull, 0)
 		return
@@ -116,7 +116,7 @@
 		return
 	}
 	p.ended = true
-	in.bulkhead.Leave(in.lanes[p.job.service].spec.Name)
+	in.bulkhead.Leave(in.perService[p.job.service].spec.Name)
 	if p.origin == in {
 		in.sim.finish(p.job, o, retryAfter)
 		return
@@ -146,7 +146,7 @@
 }
 
 func (in *instance) tick() {
-	for _, l := range in.lanes {
+	for _, l := range in.perService {
 		l.tick()
 	}
 }
@@ -154,13 +154,13 @@
 // learn takes in a load report.
 func (in *instance) learn(e *engine, load routing.Load) { in.view(e).learn(load) }
 
-func (in *instance) view(e *engine) *view { return in.lanes[e.service].views[e.index] }
+func (in *instance) view(e *engine) *view { return in.perService[e.service].views[e.index] }
 
 // answered takes in the outcome of an attempt.
 func (in *instance) answered(a *attempt, completed bool, load routing.Load) {
 	in.learn(a.engine, load)
 	in.sim.result.Bytes += answerBytes
-	l := in.lanes[a.job.service]
+	l := in.perService[a.job.service]
 	if a.ended {
 		in.sim.result.workWasted += a.job.tokens
 		return
@@ -187,7 +187,7 @@
 	if in.sim.policy.Suspects {
 		in.sim.spread(in, in.suspects.Died(now, e.id))
 	}
-	l := in.lanes[e.service]
+	l := in.perService[e.service]
 	for _, a := range lost {
 		if a.ended {
 			continue
@@ -202,7 +202,7 @@
 	v := in.view(e)
 	v.downSince = time.Time{}
 	v.learn(routing.Load{SeenAt: in.sim.time()})
-	in.lanes[e.service].pump()
+	in.perService[e.service].pump()
 }
 
 func (in *instance) merge(records []suspect.Record) {
@@ -216,7 +216,7 @@
 	if a.ended {
 		return
 	}
-	l := in.lanes[a.job.service]
+	l := in.perService[a.job.service]
 	l.endAttempt(a, false)
 	if in.sim.policy.CancelLate {
 		in.sim.after(in.sim.delay(in.zone, a.engine.zone), func() { a.engine.cancel(a) })
--- a/internal/bench/policy/lane.go
+++ b/internal/bench/policy/service.go
@@ -20,8 +20,8 @@
 	unlimited      = 1 << 30
 )
 
-// lane holds what an instance keeps for one service.
-type lane struct {
+// serviceState holds what an instance keeps for one service.
+type serviceState struct {
 	in       *instance
 	sim      *simulation
 	spec     *ServiceSpec
@@ -36,9 +36,9 @@
 	placesAt time.Duration
 }
 
-func newLane(in *instance, service int) *lane {
+func newServiceState(in *instance, service int) *serviceState {
 	s := in.sim
-	l := &lane{
+	l := &serviceState{
 		in: in, sim: s, spec: &s.scenario.Services[service], hosts: s.hosts[service],
 		queue:    admission.New(admission.DefaultSettings(), rand.New(rand.NewPCG(s.scenario.Seed, uint64(1<<20+in.index)))),
 		budget:   retry.NewBudget(s.policy.Retry),
@@ -56,7 +56,7 @@
 }
 
 // offer queues the request, or sends it at once when the policy has no admission.
-func (l *lane) offer(p *pending) {
+func (l *serviceState) offer(p *pending) {
 	if l.decide(p.job).Verdict == suspect.Refuse {
 		l.sim.result.refusedSuspect(p.job)
 		l.in.end(p, outcomeRefused, time.Minute)
@@ -79,7 +79,7 @@
 }
 
 // expect returns the time that the answer likely takes.
-func (l *lane) expect(j *job) time.Duration {
+func (l *serviceState) expect(j *job) time.Duration {
 	switch {
 	case l.sim.policy.Optimist:
 		return time.Duration(j.tokens * float64(l.spec.step(1)))
@@ -90,7 +90,7 @@
 	}
 }
 
-func (l *lane) sendNow(p *pending) {
+func (l *serviceState) sendNow(p *pending) {
 	e := l.pick(p)
 	if e == nil {
 		l.in.end(p, outcomeFailed, 0)
@@ -100,12 +100,12 @@
 }
 
 // pump sends waiting requests as long as there is room.
-func (l *lane) pump() {
+func (l *serviceState) pump() {
 	for l.queue.Len() > 0 && l.sendNext() {
 	}
 }
 
-func (l *lane) sendNext() bool {
+func (l *serviceState) sendNext() bool {
 	var target *engine
 	misses := 0
 	request, ok := l.queue.Take(l.sim.time(), l.countPlaces(), func(r admission.Request) bool {
@@ -127,7 +127,7 @@
 	return true
 }
 
-func (l *lane) countPlaces() admission.Places {
+func (l *serviceState) countPlaces() admission.Places {
 	if l.sim.now-l.placesAt < placesPeriod {
 		return l.places
 	}
@@ -143,7 +143,7 @@
 	return l.places
 }
 
-func (l *lane) decide(j *job) suspect.Decision {
+func (l *serviceState) decide(j *job) suspect.Decision {
 	if !l.sim.policy.Suspects {
 		return suspect.Decision{}
 	}
@@ -151,7 +151,7 @@
 }
 
 // pick returns the engine for the request, nil when none has room.
-func (l *lane) pick(p *pending) *engine {
+func (l *serviceState) pick(p *pending) *engine {
 	decision := l.decide(p.job)
 	if decision.Verdict >= suspect.Hold {
 		return nil
@@ -172,7 +172,7 @@
 	return l.views[i].engine
 }
 
-func (l *lane) candidates(j *job, only []bundle.UpstreamID) []routing.Candidate {
+func (l *serviceState) candidates(j *job, only []bundle.UpstreamID) []routing.Candidate {
 	hosts := l.hosts[j.model]
 	candidates := make([]routing.Candidate, 0, len(hosts))
 	for _, i := range hosts {
@@ -185,7 +185,7 @@
 	return candidates
 }
 
-func (l *lane) candidate(v *view) routing.Candidate {
+func (l *serviceState) candidate(v *view) routing.Candidate {
 	c := routing.Candidate{
 		Upstream: v.engine.id, Zone: v.engine.inZone, HasModel: true,
 		InFlight: v.inFlight, Limit: v.limit(), Reported: v.reported,
@@ -205,7 +205,7 @@
 	return c
 }
 
-func (l *lane) send(p *pending, e *engine) {
+func (l *serviceState) send(p *pending, e *engine) {
 	v := l.views[e.index]
 	p.attempts++
 	v.send(l.sim.now)
@@ -227,7 +227,7 @@
 }
 
 // watch fails the attempt when its engine makes no progress.
-func (l *lane) watch(a *attempt) {
+func (l *serviceState) watch(a *attempt) {
 	l.sim.after(progressTimeout, func() {
 		if a.ended {
 			return
@@ -243,7 +243,7 @@
 	})
 }
 
-func (l *lane) endAttempt(a *attempt, completed bool) {
+func (l *serviceState) endAttempt(a *attempt, completed bool) {
 	now := l.sim.time()
 	a.ended = true
 	l.views[a.engine.index].end(now, a, completed, l.sim.now)
@@ -261,7 +261,7 @@
 }
 
 // retry repeats a failed attempt within the budget.
-func (l *lane) retry(a *attempt) {
+func (l *serviceState) retry(a *attempt) {
 	p := a.pending
 	settings := l.sim.policy.Retry
 	if p.attempts >= settings.MaxAttempts || (l.sim.policy.RetryBudget && !l.budget.Spend(p.attempts+1)) {
@@ -273,7 +273,7 @@
 	l.sim.after(retry.Backoff(settings, p.attempts+1, l.in.rand), func() { l.offer(p) })
 }
 
-func (l *lane) tick() {
+func (l *serviceState) tick() {
 	for _, refusal := range l.queue.Expire(l.sim.time()) {
 		p := l.pending[refusal.Request.ID]
 		delete(l.pending, refusal.Request.ID)
