Orders to engines: TLS by settings

Cause: placement spoke plain TCP to engines, so an engine could not tell who gives it orders. Change: engines-tls settings; the session's one connection is a TLS connection. After: a stranger's certificate and plain text are refused, the own identity is taken (new test). Left: the connection to the object API and the operators' tool have no TLS settings.

--- a/internal/control/adapters.go
+++ b/internal/control/adapters.go
@@ -20,6 +20,7 @@
 	"savoryweir/internal/state/replica"
 	"savoryweir/internal/transport/engineclient"
 	"savoryweir/internal/transport/peerconn"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 // bundleView implements view.Bundles.
@@ -130,10 +131,10 @@
 	return p.cells.Publish(ctx, c, p.peers)
 }
 
-// engines implements placing.Engines.
-type engines struct{}
+// engines implements placing.Engines. Identity is nil when TLS is off.
+type engines struct{ identity *tlsconf.Source }
 
 // Open implements placing.Engines.
-func (engines) Open(ctx context.Context, upstream bundle.Upstream) (placing.Session, error) {
-	return engineclient.Dial(ctx, upstream)
+func (e engines) Open(ctx context.Context, upstream bundle.Upstream) (placing.Session, error) {
+	return engineclient.Dial(ctx, upstream, e.identity)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -34,6 +34,7 @@
 	"savoryweir/internal/transport/operations"
 	"savoryweir/internal/transport/peerconn"
 	"savoryweir/internal/transport/storeclient"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 // Parts are the prefixes of the log lines.
@@ -73,6 +74,8 @@
 	flow    *demandflow.Flow
 	holder  *placing.Holder
 
+	engineIdentity *tlsconf.Source // nil when TLS towards engines is off
+
 	// listedLeaving are the upstreams that the platform's list has shown as
 	// leaving. Owned by the goroutine of runInstanceList.
 	listedLeaving map[bundle.UpstreamID]bool
@@ -104,6 +107,11 @@
 
 		listedLeaving: make(map[bundle.UpstreamID]bool),
 	}
+	if s.Engines.TLS.Enabled() {
+		if p.engineIdentity, err = tlsconf.NewSource(s.Engines.TLS); err != nil {
+			return nil, errs.Wrap(err, stepTLS, errs.Self)
+		}
+	}
 	if err := p.listen(counter); err != nil {
 		return nil, err
 	}
@@ -218,7 +226,7 @@
 		Settings:  s.Placement,
 		Self:      self.ID,
 		Store:     p.store,
-		Engines:   engines{},
+		Engines:   engines{identity: p.engineIdentity},
 		Inputs:    p.placingInputs(),
 		Publisher: cellPublisher{cells: p.cells, peers: p.peers},
 		Log:       logging.For(root, partPlacing),
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -33,6 +33,7 @@
 	Orders     claims.Settings      `embed:"" prefix:"orders-"`
 	Placement  placing.Settings     `embed:"" prefix:"placement-"`
 	Demand     demandflow.Settings  `embed:"" prefix:"demand-"`
+	Engines    EngineSettings       `embed:"" prefix:"engines-"`
 	Shutdown   ShutdownSettings     `embed:"" prefix:"shutdown-"`
 }
 
@@ -50,6 +51,11 @@
 	Address string `help:"Loopback address and port for the entry process of this instance." default:"127.0.0.1:9081"`
 }
 
+// EngineSettings describe the connections to model engines for orders and reports.
+type EngineSettings struct {
+	TLS tlsconf.Settings `embed:"" prefix:"tls-"`
+}
+
 // ShutdownSettings describe the end of the process.
 type ShutdownSettings struct {
 	EntryWait time.Duration `help:"Time for which a stopping control process goes on for an entry process that still watches it. It covers the balancer's lag." default:"10s" min:"0s" max:"1h"`
--- a/internal/transport/engineclient/engineclient.go
+++ b/internal/transport/engineclient/engineclient.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -15,6 +16,7 @@
 	"savoryweir/internal/protocol/enginehttp"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/ledger"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 // maxReportBytes bounds an engine's report.
@@ -31,29 +33,50 @@
 type Session struct {
 	upstream bundle.Upstream
 	client   *http.Client
+	scheme   string
 	conn     net.Conn
 	boot     string // of the last report
 }
 
 // Dial connects to an engine. The connection is the only one that the session ever uses:
 // when the engine restarts it breaks, and with it every order that was sent on it.
-func Dial(ctx context.Context, upstream bundle.Upstream) (*Session, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", upstream.Address)
+// Identity is nil for plain TCP.
+func Dial(ctx context.Context, upstream bundle.Upstream, identity *tlsconf.Source) (*Session, error) {
+	conn, err := connect(ctx, upstream.Address, identity)
 	if err != nil {
 		return nil, errs.Wrap(err, "connect to engine", errs.Peer(upstream.ID))
 	}
 	var used atomic.Bool
-	transport := &http.Transport{
-		MaxConnsPerHost: 1,
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			if used.Swap(true) {
-				return nil, ErrClosed
-			}
-			return conn, nil
-		},
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, ErrClosed
+		}
+		return conn, nil
+	}
+	session := &Session{upstream: upstream, scheme: "http", conn: conn}
+	if identity != nil {
+		session.scheme = "https"
+	}
+	session.client = &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, DialContext: dial, DialTLSContext: dial}}
+	return session, nil
+}
+
+// connect opens the connection of a session.
+func connect(ctx context.Context, address string, identity *tlsconf.Source) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil || identity == nil {
+		return conn, err
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	secure := tls.Client(conn, identity.Client(host))
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, conn.Close())
 	}
-	return &Session{upstream: upstream, client: &http.Client{Transport: transport}, conn: conn}, nil
+	return secure, nil
 }
 
 // Close closes the connection.
@@ -93,7 +116,7 @@
 }
 
 func (s *Session) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.upstream.Address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, s.scheme+"://"+s.upstream.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/engineclient/engineclient_test.go
+++ b/internal/transport/engineclient/engineclient_test.go
@@ -10,11 +10,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/standin/certs"
 	"savoryweir/internal/standin/residency"
 	"savoryweir/internal/standin/weights"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/ledger"
 	"savoryweir/internal/transport/engineclient"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 func start(t *testing.T) (*residency.Engine, *httptest.Server, *engineclient.Session) {
@@ -23,7 +25,7 @@
 	engine := residency.New(residency.Config{Name: "e", CapacityMiB: 100}, store, time.Now())
 	server := httptest.NewServer(residency.Handler(engine))
 	t.Cleanup(server.Close)
-	session, err := engineclient.Dial(context.Background(), bundle.Upstream{ID: "e", Address: server.Listener.Addr().String()})
+	session, err := engineclient.Dial(context.Background(), bundle.Upstream{ID: "e", Address: server.Listener.Addr().String()}, nil)
 	assert.NilError(t, err)
 	t.Cleanup(session.Close)
 	return engine, server, session
@@ -79,9 +81,42 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
-	session, err := engineclient.Dial(context.Background(), bundle.Upstream{ID: "e", Address: server.Listener.Addr().String()})
+	session, err := engineclient.Dial(context.Background(), bundle.Upstream{ID: "e", Address: server.Listener.Addr().String()}, nil)
 	assert.NilError(t, err)
 	defer session.Close()
 	assert.Assert(t, session.Send(context.Background(), load("", 1)) != nil)
 	assert.Equal(t, requests.Load(), int32(1))
 }
+
+// An engine that asks for an identity takes orders from control processes that
+// show one, and from nobody else.
+func TestEngineWithTLSRefusesStrangers(t *testing.T) {
+	files, stranger := certs.In(t.TempDir()), certs.In(t.TempDir())
+	assert.NilError(t, files.Write(1))
+	assert.NilError(t, stranger.Write(2))
+	source := func(f certs.Files, authority string) *tlsconf.Source {
+		s, err := tlsconf.NewSource(tlsconf.Settings{Certificate: f.Certificate, Key: f.Key, CA: authority})
+		assert.NilError(t, err)
+		return s
+	}
+	own := source(files, files.Authority)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"boot":"b1"}`))
+	}))
+	server.TLS = own.Server()
+	server.StartTLS()
+	defer server.Close()
+	upstream := bundle.Upstream{ID: "e", Address: server.Listener.Addr().String()}
+	ask := func(identity *tlsconf.Source) error {
+		session, err := engineclient.Dial(t.Context(), upstream, identity)
+		if err != nil {
+			return err
+		}
+		defer session.Close()
+		_, err = session.Report(t.Context())
+		return err
+	}
+	assert.NilError(t, ask(own))
+	assert.Assert(t, ask(source(stranger, files.Authority)) != nil, "a stranger's certificate")
+	assert.Assert(t, ask(nil) != nil, "plain text")
+}
