--- a/internal/bench/cmd/capacity/main.go
+++ b/internal/bench/cmd/capacity/main.go
@@ -32,7 +32,7 @@
 const bundleChanges = 10
 
 // settleTime is waited before the steady state: news of the start is repeated for so long.
-const settleTime = 40 * time.Second
+var settleTime = 40 * time.Second
 
 // run is one row of the table.
 type run struct {
@@ -47,8 +47,10 @@
 
 func main() {
 	binaries := flag.String("bin", "bin", "folder with the binaries")
+	settle := flag.Duration("settle", settleTime, "wait before each measurement of the steady state")
 	interval := flag.Duration("interval", 20*time.Second, "length of each measurement")
 	flag.Parse()
+	settleTime = *settle
 	if err := report(context.Background(), *binaries, *interval); err != nil {
 		log.Fatal(err)
 	}
@@ -113,7 +115,8 @@
 		return r, err
 	}
 	defer engines.Stop()
-	f, err := fleet.Start(binaries, r.instances, fmt.Sprintf("--placement-cells-per-service=%d", r.cells))
+	// Without spare replicas the loads of the start end soon.
+	f, err := fleet.Start(binaries, r.instances, fmt.Sprintf("--placement-cells-per-service=%d", r.cells), "--no-placement-spares")
 	if err != nil {
 		return r, err
 	}
