--- a/internal/bench/cmd/capacity/main.go
+++ b/internal/bench/cmd/capacity/main.go
@@ -49,10 +49,13 @@
 	binaries := flag.String("bin", "bin", "folder with the binaries")
 	settle := flag.Duration("settle", settleTime, "wait before each measurement of the steady state")
 	interval := flag.Duration("interval", 20*time.Second, "length of each measurement")
+	ordersOnly := flag.Bool("orders-only", false, "measure orders only")
 	flag.Parse()
 	settleTime = *settle
-	if err := report(context.Background(), *binaries, *interval); err != nil {
-		log.Fatal(err)
+	if !*ordersOnly {
+		if err := report(context.Background(), *binaries, *interval); err != nil {
+			log.Fatal(err)
+		}
 	}
 	if err := reportOrders(context.Background(), *binaries, *interval); err != nil {
 		log.Fatal(err)
--- a/internal/bench/fleet/orders.go
+++ b/internal/bench/fleet/orders.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -29,6 +30,7 @@
 // Orders claims and finishes orders at all processes, ratePerSecond over the
 // fleet, until ctx ends. Sending does not wait for answers.
 func (f *Fleet) Orders(ctx context.Context, ratePerSecond float64) (OrderLoad, error) {
+	run := uuid.NewString() // keys of an earlier call are finished orders
 	var granted, failed atomic.Uint64
 	var group sync.WaitGroup
 	interval := time.Duration(float64(time.Second) * float64(len(f.Processes)) / ratePerSecond)
@@ -53,7 +55,7 @@
 				group.Add(1)
 				go func() {
 					defer group.Done()
-					if runOrder(client, order.Key(fmt.Sprintf("%s-%d", p.ID, n))) {
+					if runOrder(client, order.Key(fmt.Sprintf("%s-%s-%d", run, p.ID, n))) {
 						granted.Add(1)
 					} else {
 						failed.Add(1)
