One wait for a time or the end of a context; constants that nothing uses removed

Cause: five parts had the same timer-and-context select under two names; placement kept the names of a store object that was never built. Ruled out: one wait for the bundles' watch too, which also ends on a wake. Change: package pause; behaviour as before.

--- a/internal/control/claims/finish.go
+++ b/internal/control/claims/finish.go
@@ -8,6 +8,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/ordermsg"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/journal"
@@ -121,7 +122,7 @@
 			s.record(timeline.KindOrderFinished, task.key, "")
 			return
 		}
-		sleep(ctx, s.random.backoff(finishBackoff, attempt))
+		pause.For(ctx, s.random.backoff(finishBackoff, attempt))
 	}
 }
 
--- a/internal/control/claims/service.go
+++ b/internal/control/claims/service.go
@@ -11,6 +11,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/ordermsg"
 	"savoryweir/internal/ring"
 	"savoryweir/internal/state/hlc"
@@ -121,7 +122,7 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
-		sleep(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 	}
 	return nil
 }
@@ -213,27 +214,18 @@
 		if err != nil {
 			s.options.Logger.Debug().Err(err).Str("segment", string(ref.Name)).Msg("Segment not deleted.")
 		}
-		sleep(ctx, janitorInterval)
+		pause.For(ctx, janitorInterval)
 	}
 }
 
 // expiryDuty forgets claims of the local entry whose keys have expired.
 func (s *Service) expiryDuty(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, s.settings.ClockTolerance)
+		pause.For(ctx, s.settings.ClockTolerance)
 		s.holds.expire(time.Now().Add(-s.settings.KeyLifetime - s.settings.ClockTolerance))
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Service) clock() *hlc.Clock { return s.options.Recorder.Clock() }
 
 func (s *Service) stamp() *pb.Timestamp { return ordermsg.Stamp(s.clock().Now()) }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,12 +49,11 @@
 
 // Times of the end of the process.
 const (
-	leaveTimeout      = time.Second
-	stopTimeout       = 2 * time.Second
-	stepListen        = errs.Step("listen")
-	stepReadPolicy    = errs.Step("read trusted keys")
-	stepTLS           = errs.Step("read TLS files")
-	readinessNoBundle = "no bundle is in force"
+	leaveTimeout   = time.Second
+	stopTimeout    = 2 * time.Second
+	stepListen     = errs.Step("listen")
+	stepReadPolicy = errs.Step("read trusted keys")
+	stepTLS        = errs.Step("read TLS files")
 )
 
 // Process is one control process.
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -24,7 +24,7 @@
 // listCallTimeout bounds one read of the platform's list.
 const listCallTimeout = 2 * time.Second
 
-var errNoBundle = errors.New(readinessNoBundle)
+var errNoBundle = errors.New("no bundle is in force")
 
 // runNotifier tells the entry when any part of its view has changed.
 func (p *Process) runNotifier(ctx context.Context) error {
--- a/internal/control/placing/placing.go
+++ b/internal/control/placing/placing.go
@@ -65,7 +65,5 @@
 
 // The kinds and names of the store objects of placement.
 const (
-	CellKind   object.Kind = "placement-cells"
-	RosterKind object.Kind = "placement-rosters"
-	RosterName object.Name = "roster"
+	CellKind object.Kind = "placement-cells"
 )
--- a/internal/entry/sentinels.go
+++ b/internal/entry/sentinels.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/transport/upstreamhttp"
 )
@@ -62,7 +63,7 @@
 			return
 		}
 		if s.now().Sub(opened) < sentinelWindow {
-			pause(s.sentinels.ctx, sentinelReopen)
+			pause.For(s.sentinels.ctx, sentinelReopen)
 		}
 	}
 }
@@ -88,19 +89,10 @@
 	sentinel.Close()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // processEnded reports whether the upstream's process ended when a connection
 // to it broke. Without a sentinel connection of that time, it is taken for ended.
 func (s *Server) processEnded(f *flight, brokenAt time.Time) bool {
-	pause(s.sentinels.ctx, sentinelGrace)
+	pause.For(s.sentinels.ctx, sentinelGrace)
 	since, ended := s.table.watchOf(f.upstream.ID)
 	if ended.After(brokenAt.Add(-sentinelWindow)) {
 		return true
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"savoryweir/internal/pause"
 )
 
 // Settings describes a stand-in engine.
@@ -96,7 +98,7 @@
 	for {
 		wait := e.step()
 		if wait > 0 {
-			if !sleep(ctx, wait) {
+			if !pause.For(ctx, wait) {
 				return
 			}
 			continue
@@ -120,17 +122,6 @@
 	e.waiting, e.running = nil, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // step gives each running request a token and returns the time until the next
 // step, or zero when there is no work.
 func (e *Engine) step() time.Duration {
--- a/internal/transport/bundlestore/bundlestore.go
+++ b/internal/transport/bundlestore/bundlestore.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savoryweir/internal/errs"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/state/approval"
@@ -135,14 +136,10 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return context.Cause(ctx)
 	}
+	return nil
 }
 
 // PutSignature writes an operator's signature of a manifest. Signatures of ed25519 are
--- a/internal/transport/orderclient/orderclient.go
+++ b/internal/transport/orderclient/orderclient.go
@@ -15,6 +15,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/errs"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/ordermsg"
 	"savoryweir/internal/ring"
 	"savoryweir/internal/state/hlc"
@@ -82,7 +83,7 @@
 		if err != nil || answer.State != order.ClaimRunning {
 			return answer, err
 		}
-		if !sleep(ctx, c.settings.RunningPoll) {
+		if !pause.For(ctx, c.settings.RunningPoll) {
 			return answer, nil
 		}
 	}
@@ -227,7 +228,7 @@
 func (c *Client) lateDuty(ctx context.Context) {
 	for {
 		release, err := c.late.Get(ctx)
-		if err != nil || !sleep(ctx, time.Until(release.after)) {
+		if err != nil || !pause.For(ctx, time.Until(release.after)) {
 			return
 		}
 		c.queue(release.request)
@@ -241,7 +242,7 @@
 		if err != nil {
 			return
 		}
-		for c.send(ctx, request) != nil && sleep(ctx, c.settings.RetryInterval) {
+		for c.send(ctx, request) != nil && pause.For(ctx, c.settings.RetryInterval) {
 			continue
 		}
 		c.pending.Add(-1)
@@ -264,15 +265,3 @@
 	}
 	return journal.Token(raw), nil
 }
-
-// sleep waits for d. It is false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
