Orders: a claim that is decided after its give-up time holds nothing

Cause: an owner left out claims that nobody waits for before it opened their shard, not after. Frozen while it reads, it decided a claim after the last release of it. Ruled out: late writes of the store (the version's condition refuses them), releases lost with a control process (queued until durable), a context that ends late (now the deadline itself is compared). Change: operations are left out again once the shard is read. A claim decided in time then rests on a version from before its last release, so one of the two writes fails. Before: TestClaimDecidedLateHoldsNothing ended finished (unknown) in place of granted. Conclusion: the known source of stray unknown orders is closed; that it was the only one is not known.

--- a/internal/control/claims/commit.go
+++ b/internal/control/claims/commit.go
@@ -23,7 +23,7 @@
 func (w *worker) commit(ctx context.Context, pending []*operation) {
 	why := refusalStore
 	for attempt := range maxCommitAttempts {
-		pending = live(pending)
+		pending = live(pending, time.Now())
 		if len(pending) == 0 {
 			return
 		}
@@ -62,11 +62,18 @@
 }
 
 // attempt decides and writes once. It replies only when the decisions hold.
+//
+// Operations that nobody waits for any more are left out after the shard was read.
+// A claim that is decided in time is based on a version from before its last
+// release, so that the write of one of the two fails. A claim decided after its
+// release would hold the order for nobody.
 func (w *worker) attempt(ctx context.Context, pending []*operation) error {
 	if err := w.open(ctx); err != nil {
 		return err
 	}
-	draft := w.shard.Begin(time.Now())
+	now := time.Now()
+	pending = live(pending, now)
+	draft := w.shard.Begin(now)
 	decisions := make([]journal.Decision, len(pending))
 	for i, op := range pending {
 		decisions[i] = op.decide(draft)
--- a/internal/control/claims/faults_test.go
+++ b/internal/control/claims/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -272,3 +274,40 @@
 		})
 	}
 }
+
+// TestClaimDecidedLateHoldsNothing freezes an owner while it opens a shard for a
+// claim. The claim is given up and released, and so is a later claim of the same
+// order. The journal keeps the last release only, since a key has one record.
+func TestClaimDecidedLateHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		owner, claimant, other := c.nodes["i001"], c.nodes["i000"], c.nodes["i002"]
+		key := c.keyOwnedBy(owner)
+		first := testClaim(key, "book")
+		token := journal.Token{1}
+		c.store.SetFaults(objectapi.Faults{Delay: 100 * time.Millisecond})
+		c.goRun(func() {
+			_, _ = owner.service.Claim(context.Background(), &pb.ClaimRequest{
+				Service: string(first.Service), Key: key, Fingerprint: first.Fingerprint[:], Token: token[:],
+				Claimant:         &pb.Claimant{Instance: claimant.id, Incarnation: 1},
+				GiveUpUnixMillis: time.Now().Add(2 * time.Second).UnixMilli(),
+			})
+		})
+		time.Sleep(50 * time.Millisecond)
+		owner.freeze()
+		c.store.SetFaults(objectapi.Faults{})
+		withoutOwner := slices.DeleteFunc(slices.Clone(other.Members()), func(m claims.Member) bool { return m.ID == owner.id })
+		claimant.setView(withoutOwner)
+		other.setView(withoutOwner)
+		time.Sleep(3 * time.Second)
+		released := order.Result{Outcome: order.OutcomeNotRun}
+		assert.NilError(t, claimant.client.Finish(context.Background(), first, hex.EncodeToString(token[:]), released))
+		second, answer := grant(t, other, key)
+		assert.NilError(t, other.client.Finish(context.Background(), second, answer.Token, released))
+		owner.thaw()
+		time.Sleep(10 * time.Second)
+		claimant.kill()
+		c.publish(0)
+		grant(t, other, key)
+	})
+}
--- a/internal/control/claims/operation.go
+++ b/internal/control/claims/operation.go
@@ -58,7 +58,12 @@
 	return d.Finish(*o.finish)
 }
 
-func (o *operation) abandoned() bool { return o.ctx.Err() != nil }
+// abandoned reports whether nobody waits for the answer any more. It compares the
+// deadline itself, since the context of a process that was paused ends with a delay.
+func (o *operation) abandoned(now time.Time) bool {
+	deadline, ok := o.ctx.Deadline()
+	return o.ctx.Err() != nil || ok && !now.Before(deadline)
+}
 
 // queueOf describes the waiting operations to the pace.
 func queueOf(pending []*operation) claims.Queue {
@@ -76,10 +81,10 @@
 	return q
 }
 
-func live(pending []*operation) []*operation {
+func live(pending []*operation, now time.Time) []*operation {
 	var kept []*operation
 	for _, op := range pending {
-		if !op.abandoned() {
+		if !op.abandoned(now) {
 			kept = append(kept, op)
 		}
 	}
--- a/internal/control/claims/worker.go
+++ b/internal/control/claims/worker.go
@@ -91,7 +91,7 @@
 
 // add appends an operation, unless the committed shard already answers it.
 func (w *worker) add(pending []*operation, op *operation) []*operation {
-	if op == nil || op.abandoned() {
+	if op == nil || op.abandoned(time.Now()) {
 		return pending
 	}
 	if w.answerFromMemory(op) {
