Entry: follows the view of another instance while its own control process is gone

Cause: an entry took its view from its own control process alone. While that was killed, frozen or could not start, the entry stayed on its last bundle, and an entry that started then had no view, against the promise that an accepted bundle is in force everywhere within seconds. Ruled out: reading the store from entries (down in an outage, 320 readers more), a file (no disks), gRPC's own pings (10 s at least between two). Change: control processes serve a bounded number of guests on their port for peers; view streams carry heartbeats; after silence and a wait the entry follows an instance of its availability zone, then others, then those of the settings, and goes back when its own answers. Generations and cells only go up. A gauge shows it. Orders are still refused without the own control process.

--- a/cmd/savoryweir-entry/main.go
+++ b/cmd/savoryweir-entry/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"syscall"
@@ -72,10 +73,22 @@
 	if err != nil {
 		return entry.Dependencies{}, err
 	}
+	peers, err := controlview.NewPeers(s.View.TLS)
+	if err != nil {
+		return entry.Dependencies{}, err
+	}
 	clock := hlc.New(time.Now)
-	source := controlview.New(pb.NewLocalClient(conn), clock, logging.For(log, "view"))
+	source := controlview.New(controlview.Options{
+		Settings: s.View,
+		Instance: s.Instance,
+		Own:      pb.NewLocalClient(conn),
+		Peers:    peers,
+		Clock:    clock,
+		Log:      logging.For(log, "view"),
+		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
 	orders := orderclient.New(s.Claims, pb.NewOrdersClient(conn), clock)
 	go source.Run(ctx)
 	go func() { _ = orders.Run(ctx) }()
-	return entry.Dependencies{Views: source, Reporter: source, Claims: orders, Log: log, Clock: clock}, nil
+	return entry.Dependencies{Views: source, Reporter: source, Claims: orders, Log: log, Clock: clock, FollowsOther: source.FollowsOther}, nil
 }
--- a/internal/bench/fleet/entry.go
+++ b/internal/bench/fleet/entry.go
@@ -22,23 +22,29 @@
 func (f *Fleet) StartEntries(extra ...string) ([]*Entry, error) {
 	var entries []*Entry
 	for _, p := range f.Processes {
-		ports, err := freePorts(2)
+		e, err := f.StartEntry(p, extra...)
 		if err != nil {
 			return entries, err
 		}
-		e := &Entry{callers: ports[0], operations: ports[1]}
-		arguments := append([]string{
-			"--instance-id=" + p.ID, "--instance-zone=" + p.Zone, "--log-level=" + logLevel,
-			"--callers-address=" + e.callers, "--operations-address=" + e.operations, "--view-control=" + p.Local,
-		}, extra...)
-		if err := e.start(filepath.Join(f.binaries, "savoryweir-entry"), arguments); err != nil {
-			return entries, err
-		}
 		entries = append(entries, e)
 	}
 	return entries, nil
 }
 
+// StartEntry starts an entry process for the instance of a control process.
+func (f *Fleet) StartEntry(p *Process, extra ...string) (*Entry, error) {
+	ports, err := freePorts(2)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{callers: ports[0], operations: ports[1]}
+	arguments := append([]string{
+		"--instance-id=" + p.ID, "--instance-zone=" + p.Zone, "--log-level=" + logLevel,
+		"--callers-address=" + e.callers, "--operations-address=" + e.operations, "--view-control=" + p.Local,
+	}, extra...)
+	return e, e.start(filepath.Join(f.binaries, "savoryweir-entry"), arguments)
+}
+
 // URL returns the address for callers.
 func (e *Entry) URL() string { return "http://" + e.callers }
 
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -156,6 +156,9 @@
 	return p.child.start(filepath.Join(f.binaries, "savoryweir-control"), arguments)
 }
 
+// PeerAddress returns the address for other instances.
+func (p *Process) PeerAddress() string { return p.peers }
+
 // Stop ends all processes and the store.
 func (f *Fleet) Stop() {
 	for _, p := range f.Processes {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -118,6 +118,7 @@
 	p.peerServer = grpc.NewServer(peerconn.ServerOptions(credentials)...)
 	pb.RegisterPeerServer(p.peerServer, p.peers)
 	pb.RegisterOrdersServer(p.peerServer, p.claims)
+	pb.RegisterLocalServer(p.peerServer, p.view.ForGuests(s.Peers.GuestViews))
 	p.localServer = grpc.NewServer(peerconn.ServerOptions(nil)...)
 	pb.RegisterLocalServer(p.localServer, p.view)
 	pb.RegisterOrdersServer(p.localServer, p.claims)
@@ -220,6 +221,8 @@
 		Peers:    p.peers,
 		Cells:    p.cells,
 		Demand:   localDemand{flow: p.flow},
+
+		Heartbeat: s.Local.Heartbeat,
 	})
 	p.holder = placing.NewHolder(placing.Options{
 		Settings:  s.Placement,
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -43,12 +43,14 @@
 	Seeds        []string         `help:"IP addresses and ports of control processes to ask at the start, when the platform's list can't be read."`
 	ListInterval time.Duration    `help:"Time between two reads of the platform's list of instances." default:"2s" min:"100ms" max:"10m"`
 	ListReaders  int              `help:"Number of instances that read the platform's list and watch the bundle pointer." default:"3" min:"1" max:"64"`
+	GuestViews   int              `help:"Entry processes of other instances, whose own control process does not answer, that may watch the view here." default:"4" min:"0" max:"1024"`
 	TLS          tlsconf.Settings `embed:"" prefix:"tls-"`
 }
 
 // LocalSettings describe the port for the entry process of the same instance.
 type LocalSettings struct {
-	Address string `help:"Loopback address and port for the entry process of this instance." default:"127.0.0.1:9081"`
+	Address   string        `help:"Loopback address and port for the entry process of this instance." default:"127.0.0.1:9081"`
+	Heartbeat time.Duration `help:"Longest time between two messages to an entry that watches the view." default:"500ms" min:"50ms" max:"1m"`
 }
 
 // EngineSettings describe the connections to model engines for orders and reports.
--- /dev/null
+++ b/internal/control/view/guests_test.go
@@ -0,0 +1,119 @@
+package view
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/protocol/bundlefile"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/member"
+	"savoryweir/internal/state/news"
+	"savoryweir/internal/state/replica"
+)
+
+const heartbeat = time.Second
+
+type noBundles struct{}
+
+func (noBundles) InForce() (bundle.Head, []bundlefile.Section) {
+	return bundle.Head{Generation: 1}, nil
+}
+
+type noPeers struct{ Peers }
+
+func (noPeers) Known() ([]member.Member, news.Batch) { return nil, news.Batch{} }
+
+type noCells struct{}
+
+func (noCells) All() []replica.Cell { return nil }
+
+func newService() *Service {
+	return New(Options{Clock: hlc.New(time.Now), Bundles: noBundles{}, Peers: noPeers{}, Cells: noCells{}, Heartbeat: heartbeat})
+}
+
+// stream counts what it is sent.
+type stream struct {
+	grpc.ServerStream
+	ctx context.Context
+
+	mu           sync.Mutex // guards the rest
+	views, beats int
+}
+
+func (s *stream) Context() context.Context { return s.ctx }
+
+func (s *stream) Send(v *pb.View) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v.GetHeartbeat() {
+		s.beats++
+		return nil
+	}
+	s.views++
+	return nil
+}
+
+func (s *stream) counts() (views, beats int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.views, s.beats
+}
+
+// watch starts a stream in the bubble and returns it with its end.
+func watch(t *testing.T, server pb.LocalServer) (*stream, context.CancelFunc) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &stream{ctx: ctx}
+	go func() { _ = server.WatchView(&pb.WatchViewRequest{}, s) }()
+	synctest.Wait()
+	return s, cancel
+}
+
+func TestHeartbeatsFillTheSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService()
+		s, cancel := watch(t, service)
+		defer cancel()
+		time.Sleep(10 * heartbeat)
+		synctest.Wait()
+		views, beats := s.counts()
+		assert.Equal(t, views, 1)
+		assert.Equal(t, beats, 10)
+		service.Notify()
+		time.Sleep(minInterval)
+		synctest.Wait()
+		views, _ = s.counts()
+		assert.Equal(t, views, 2)
+	})
+}
+
+func TestGuestsAreLimitedAndNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newService()
+		guests := service.ForGuests(1)
+		first, leave := watch(t, guests)
+		views, _ := first.counts()
+		assert.Equal(t, views, 1)
+		refused := guests.WatchView(&pb.WatchViewRequest{}, &stream{ctx: t.Context()})
+		assert.Equal(t, status.Code(refused), codes.ResourceExhausted)
+		began := time.Now()
+		service.WaitUnwatched(t.Context(), time.Minute)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		leave()
+		synctest.Wait()
+		second, leave := watch(t, guests)
+		defer leave()
+		views, _ = second.counts()
+		assert.Equal(t, views, 1)
+	})
+}
--- a/internal/control/view/service.go
+++ b/internal/control/view/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/protocol/peercodec"
 	"savoryweir/internal/state/bundle"
@@ -55,6 +56,8 @@
 	Peers    Peers
 	Cells    Cells
 	Demand   DemandSink
+	// Heartbeat is the longest time between two messages of a stream.
+	Heartbeat time.Duration
 }
 
 // Service implements pb.LocalServer.
@@ -113,26 +116,46 @@
 	}
 }
 
-// WatchView implements pb.LocalServer.
+// WatchView implements pb.LocalServer for the entry process of this instance.
 func (s *Service) WatchView(request *pb.WatchViewRequest, stream pb.Local_WatchViewServer) error {
-	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
 	s.watch(1)
 	defer s.watch(-1)
+	return s.send(request, stream)
+}
+
+// send streams views until the stream ends.
+func (s *Service) send(request *pb.WatchViewRequest, stream pb.Local_WatchViewServer) error {
+	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
 	sent := newSentParts()
 	for {
 		changed := s.nextChange()
 		if err := stream.Send(s.view(sent)); err != nil {
 			return err
 		}
-		select {
-		case <-changed:
-		case <-stream.Context().Done():
+		if err := s.beatUntil(changed, stream); err != nil {
+			return err
+		}
+		if !pause.For(stream.Context(), minInterval) {
 			return nil
 		}
+	}
+}
+
+// beatUntil sends heartbeats until the view has changed or the stream ends.
+func (s *Service) beatUntil(changed <-chan struct{}, stream pb.Local_WatchViewServer) error {
+	ticker := time.NewTicker(s.Heartbeat)
+	defer ticker.Stop()
+	for {
 		select {
-		case <-time.After(minInterval):
+		case <-changed:
+			return nil
 		case <-stream.Context().Done():
 			return nil
+		case <-ticker.C:
+		}
+		beat := &pb.View{Time: peercodec.EncodeTime(s.Clock.Now()), Heartbeat: true}
+		if err := stream.Send(beat); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -172,6 +172,8 @@
 	outcome string
 	retry   string
 	body    string
+
+	generation string // of the bundle that the request ran under
 }
 
 // call sends one request. Headers may be nil.
@@ -195,6 +197,7 @@
 	return answer{
 		err: err, status: response.StatusCode, body: string(data),
 		outcome: response.Header.Get(httpapi.HeaderOutcome), retry: response.Header.Get("Retry-After"),
+		generation: response.Header.Get(httpapi.HeaderGeneration),
 	}
 }
 
--- /dev/null
+++ b/internal/entry/controlview/candidates.go
@@ -0,0 +1,42 @@
+package controlview
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	pb "savoryweir/api/savoryweir/v1"
+)
+
+// candidates returns the addresses of the control processes to ask for a view:
+// those of the same availability zone, then the others, then the configured ones.
+// The order within each group is random, so that entries spread over the instances.
+func (s *Source) candidates() []string {
+	var near, far []string
+	for _, m := range s.members {
+		switch {
+		case m.GetId() == s.Instance.ID || !isUsable(m):
+		case m.GetZone() == s.Instance.Zone:
+			near = append(near, m.GetAddress())
+		default:
+			far = append(far, m.GetAddress())
+		}
+	}
+	var all []string
+	for _, group := range [][]string{near, far, slices.Clone(s.Settings.Peers)} {
+		shuffle(s.Random, group)
+		for _, address := range group {
+			if !slices.Contains(all, address) {
+				all = append(all, address)
+			}
+		}
+	}
+	return all
+}
+
+func shuffle(random *rand.Rand, list []string) {
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+func isUsable(m *pb.Member) bool {
+	return m.GetState() == pb.MemberState_MEMBER_STATE_ALIVE || m.GetState() == pb.MemberState_MEMBER_STATE_SUSPECT
+}
--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -1,10 +1,12 @@
 // Package controlview takes the view of the control process of the same
-// instance over gRPC and passes on what the entry saw. While the control
-// process is gone, the last good view stays.
+// instance over gRPC and passes on what the entry saw. While that control
+// process does not answer, it follows the view of another instance. The last good
+// view stays in any case.
 package controlview
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +18,7 @@
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/protocol/peercodec"
+	"savoryweir/internal/settings"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
 	"savoryweir/internal/state/news"
@@ -26,72 +29,62 @@
 	controlPeer   errs.Peer = "control"
 	stepWatchView errs.Step = "watch view"
 	stepReport    errs.Step = "report to control"
-
-	reconnectDelay = 500 * time.Millisecond
 )
 
-// Source follows the view of the control process. It implements
+// Dialer reaches the control processes of other instances.
+type Dialer interface {
+	// Views returns a client of the control process at the address.
+	Views(address string) (pb.LocalClient, error)
+	// Drop closes the connection to the address.
+	Drop(address string)
+}
+
+// Options are the parts that a Source uses.
+type Options struct {
+	Settings entry.ViewSettings
+	Instance settings.Instance
+	Own      pb.LocalClient // of this instance's control process
+	Peers    Dialer
+	Clock    *hlc.Clock
+	Log      zerolog.Logger
+	Random   *rand.Rand // used by the goroutine of Run alone
+}
+
+// Source follows the view of this instance's control process, and that of
+// another instance while its own does not answer. It implements
 // entry.ViewSource and entry.Reporter.
 type Source struct {
-	client  pb.LocalClient
-	clock   *hlc.Clock
-	log     zerolog.Logger
-	current atomic.Pointer[entry.View]
+	Options
+	current  atomic.Pointer[entry.View]
+	followed atomic.Pointer[pb.LocalClient] // takes the reports
+	other    atomic.Bool                    // the client is that of another instance
 
-	// Owned by the goroutine of Run.
+	// Owned by the goroutine that follows a stream; there is one at a time.
 	sections bundlefile.Sections
 	manifest bundle.Hash
 	bundle   *bundle.Bundle
 	cells    map[news.CellID]replica.Cell
-	reported time.Time
+	members  []*pb.Member
+
+	reported time.Time // owned by the goroutine that calls Report
 }
 
 // New returns a source that has no view before Run.
-func New(client pb.LocalClient, clock *hlc.Clock, log zerolog.Logger) *Source {
-	return &Source{
-		client:   client,
-		clock:    clock,
-		log:      log,
+func New(o Options) *Source {
+	s := &Source{
+		Options:  o,
 		sections: make(bundlefile.Sections),
 		cells:    make(map[news.CellID]replica.Cell),
 	}
+	s.followed.Store(&s.Own)
+	return s
 }
 
 // View implements entry.ViewSource.
 func (s *Source) View() *entry.View { return s.current.Load() }
 
-// Run follows the view until ctx ends.
-func (s *Source) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := s.follow(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		s.log.Warn().Err(errs.Wrap(err, stepWatchView, controlPeer)).Msg("View stream ended; the last view stays.")
-		select {
-		case <-time.After(reconnectDelay):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// follow reads one stream of views to its end.
-func (s *Source) follow(ctx context.Context) error {
-	stream, err := s.client.WatchView(ctx, &pb.WatchViewRequest{Time: peercodec.EncodeTime(s.clock.Now())})
-	if err != nil {
-		return err
-	}
-	for {
-		message, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		s.clock.Observe(peercodec.DecodeTime(message.GetTime()))
-		if err := s.take(message); err != nil {
-			return err // a new stream starts with the whole view
-		}
-	}
-}
+// FollowsOther reports whether the view followed last is that of another instance.
+func (s *Source) FollowsOther() bool { return s.other.Load() }
 
 // take makes message the present view. A control process that has restarted
 // knows less for a while: a lower generation, and older replicas, are ignored.
@@ -177,8 +170,7 @@
 func countInstances(members []*pb.Member) int {
 	n := 0
 	for _, m := range members {
-		switch m.GetState() {
-		case pb.MemberState_MEMBER_STATE_ALIVE, pb.MemberState_MEMBER_STATE_SUSPECT:
+		if isUsable(m) {
 			n++
 		}
 	}
@@ -189,7 +181,7 @@
 func (s *Source) Report(ctx context.Context, report entry.Report) error {
 	now := time.Now()
 	request := &pb.ReportRequest{
-		Time:           peercodec.EncodeTime(s.clock.Now()),
+		Time:           peercodec.EncodeTime(s.Clock.Now()),
 		IntervalMillis: s.sinceLastReport(now).Milliseconds(),
 	}
 	for _, record := range report.Suspects {
@@ -213,11 +205,11 @@
 			Upstream: string(l.Upstream), Running: uint32(l.Running), Waiting: uint32(l.Waiting), SeenUnixMillis: l.SeenAt.UnixMilli(),
 		})
 	}
-	response, err := s.client.Report(ctx, request)
+	response, err := (*s.followed.Load()).Report(ctx, request)
 	if err != nil {
 		return errs.Wrap(err, stepReport, controlPeer)
 	}
-	s.clock.Observe(peercodec.DecodeTime(response.GetTime()))
+	s.Clock.Observe(peercodec.DecodeTime(response.GetTime()))
 	return nil
 }
 
--- a/internal/entry/controlview/controlview_test.go
+++ b/internal/entry/controlview/controlview_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func newSource() *Source { return New(nil, hlc.New(time.Now), zerolog.Nop()) }
+func newSource() *Source { return New(Options{Clock: hlc.New(time.Now), Log: zerolog.Nop()}) }
 
 func TestViewNeverGoesBack(t *testing.T) {
 	s := newSource()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -52,3 +52,16 @@
 		inProgress, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
+
+// watchFollowing shows whether the view is that of another instance.
+func (m *metrics) watchFollowing(followsOther func() bool) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricsNamespace, Name: "view_of_other_instance",
+		Help: "1 while the view of another instance is followed, since this instance's control process does not answer.",
+	}, func() float64 {
+		if followsOther != nil && followsOther() {
+			return 1
+		}
+		return 0
+	}))
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,6 +31,9 @@
 	Log      zerolog.Logger
 	Now      func() time.Time // nil takes the system's clock
 	Clock    *hlc.Clock       // nil makes one from Now
+
+	// FollowsOther reports whether the view is that of another instance. Nil is never.
+	FollowsOther func() bool
 }
 
 // Server is the entry process.
@@ -80,6 +83,7 @@
 		calls, _ := server.drain.calls()
 		return float64(len(calls))
 	})
+	server.metrics.watchFollowing(d.FollowsOther)
 	return server, server.connect()
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -98,6 +98,11 @@
 type ViewSettings struct {
 	File    string `help:"JSON file with a fixed view, for tests without a control process." type:"path"`
 	Control string `help:"IP address and port of this instance's control process." default:"127.0.0.1:9081"`
+
+	Silence   time.Duration    `help:"Silence after which a control process counts as gone. Above the heartbeat of control processes, [local] heartbeat." default:"2s" min:"100ms" max:"5m"`
+	PeerAfter time.Duration    `help:"Time without this instance's control process after which the view of another instance is followed." default:"2s" min:"0s" max:"1h"`
+	Peers     []string         `help:"IP addresses and ports of other instances' control processes, for an entry that knows no instance yet."`
+	TLS       tlsconf.Settings `embed:"" prefix:"tls-"`
 }
 
 // CheckTogether implements settings.Checker.
--- a/internal/reference/advice.go
+++ b/internal/reference/advice.go
@@ -17,6 +17,7 @@
 		{"savoryweir_entry_request_seconds", "Compare services; one slow service must not slow the others."},
 		{"savoryweir_entry_orders_unrecorded_total", "Resends of these orders are told `unknown`; look at the control process and the store."},
 		{"savoryweir_entry_connections_refused_total", "More load than `[callers] max-streams`, or calls of a hung service that do not end."},
+		{"savoryweir_entry_view_of_other_instance", "1 for minutes: look at this instance's control process; its orders are refused meanwhile."},
 		{"savoryweir_entry_requests_in_progress", "Near `[callers] max-streams` requests are refused; while draining it must fall to zero."},
 		{"savoryweir_control_peer_sent_bytes_total", "More than 3,000 a second over minutes is above the budget: look for members that flap in the time line."},
 		{"savoryweir_control_peer_received_bytes_total", "As for the sent bytes; one instance alone: look at who asks it for sections."},
