TLS towards the object API, trusted keys replaced without a restart

Cause: the store's client and the operators' tool spoke plain HTTP only, and a control process read the trusted keys once, so that replacing an operator's key meant restarting every instance. Ruled out: a signal per process, a file-system watcher, the policy in the store (reasons in docs/design/bundles.md). Change: [store] tls-* for control and savoryweirctl, with the files read again for each connection; one dial function with TLS for engines, upstreams and the store in place of three. transport/trustedkeys reads the file again when it changes; a watcher reads the pointer once more under another policy, since a refused approval may count then. Before: TestKeysAreReplacedWithoutARestart without the second read of the pointer stays at generation 1. TestStoreWithTLSRefusesStrangers passes (stranger and no certificate refused). TLS on the operations ports (metrics, status, time line) is not there.

--- a/internal/control/bundles/assemble.go
+++ b/internal/control/bundles/assemble.go
@@ -62,14 +62,14 @@
 	if approval.Generation != head.Generation || approval.Manifest != head.Manifest {
 		return errs.New(step, errs.Self, fmt.Sprintf("the approval is for generation %d, not %d, or another content", approval.Generation, head.Generation))
 	}
-	return errs.Wrap(signoff.CheckApproval(a.options.Policy, approval), step, errs.Self)
+	return errs.Wrap(signoff.CheckApproval(*a.options.Keys.Policy(), approval), step, errs.Self)
 }
 
 // verifyContent checks the bundle by itself. The roll-out from the generation before
 // was checked when it was approved; instances that skipped a generation must not
 // come to another verdict.
 func (a *adopter) verifyContent(next *InForce) error {
-	if next.Bundle.Deployment != a.options.Policy.Deployment {
+	if next.Bundle.Deployment != a.options.Keys.Policy().Deployment {
 		return errs.New("check bundle", errs.Self, fmt.Sprintf("the bundle is for deployment %q", next.Bundle.Deployment))
 	}
 	faults := bundlecheck.Check(bundlecheck.Input{New: next.Bundle})
--- a/internal/control/bundles/bench_test.go
+++ b/internal/control/bundles/bench_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,9 +34,10 @@
 	return approval.Key{Operator: name, Private: ed25519.NewKeyFromSeed(bytes.Repeat([]byte{name[0]}, ed25519.SeedSize))}
 }
 
-func testPolicy() approval.Policy {
-	p := approval.Policy{Deployment: "d", Required: 2, Keys: make(map[approval.Operator]ed25519.PublicKey)}
-	for _, name := range []approval.Operator{"anna", "babis"} {
+// policyOf returns a policy that trusts the operators and requires two signatures.
+func policyOf(operators ...approval.Operator) *approval.Policy {
+	p := &approval.Policy{Deployment: "d", Required: 2, Keys: make(map[approval.Operator]ed25519.PublicKey)}
+	for _, name := range operators {
 		p.Keys[name] = operatorKey(name).Private.Public().(ed25519.PublicKey)
 	}
 	return p
@@ -51,9 +53,17 @@
 	}
 }
 
+// trusted is a policy that can be replaced.
+type trusted struct {
+	present atomic.Pointer[approval.Policy]
+}
+
+func (k *trusted) Policy() *approval.Policy { return k.present.Load() }
+
 // bench is a store, an operator and some instances.
 type bench struct {
 	t         *testing.T
+	keys      trusted
 	memory    *objectapi.Memory
 	store     *bundlestore.Store
 	instances []*instance
@@ -87,6 +97,7 @@
 func newTestBench(t *testing.T) *bench {
 	memory := objectapi.New(time.Now, objectapi.Limits{})
 	b := &bench{t: t, memory: memory, store: bundlestore.New(memory)}
+	b.keys.present.Store(policyOf("anna", "babis"))
 	t.Cleanup(b.stop)
 	return b
 }
@@ -102,7 +113,7 @@
 	number := len(b.instances)
 	i := &instance{name: fmt.Sprintf("i%d", number), link: link, done: make(chan struct{})}
 	i.Manager = New(Options{
-		Settings: testSettings, Policy: testPolicy(), Store: link,
+		Settings: testSettings, Keys: &b.keys, Store: link,
 		Logger: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(number))),
 	})
 	i.SetWatching(watching)
--- a/internal/control/bundles/doc.go
+++ b/internal/control/bundles/doc.go
@@ -52,10 +52,16 @@
 	object.Watcher
 }
 
+// TrustedKeys supplies the policy of sign-off.
+type TrustedKeys interface {
+	// Policy returns the present policy. The pointer changes with the policy only.
+	Policy() *approval.Policy
+}
+
 // Options are what a Manager works with.
 type Options struct {
 	Settings Settings
-	Policy   approval.Policy
+	Keys     TrustedKeys
 	Store    PointerStore
 	Recorder *timeline.Recorder
 	Logger   zerolog.Logger
--- a/internal/control/bundles/manager.go
+++ b/internal/control/bundles/manager.go
@@ -9,6 +9,7 @@
 
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/ring"
+	"savoryweir/internal/state/approval"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/force"
 	"savoryweir/internal/state/timeline"
@@ -32,6 +33,8 @@
 	store    storeSource
 	offers   *ring.Ring[offer]
 
+	readUnder *approval.Policy // of the last read of the pointer, owned by followPointer
+
 	mu          sync.Mutex // guards all below
 	state       force.State
 	current     *InForce
--- a/internal/control/bundles/manager_test.go
+++ b/internal/control/bundles/manager_test.go
@@ -119,6 +119,26 @@
 	})
 }
 
+// TestKeysAreReplacedWithoutARestart replaces an operator's key. An approval that
+// was refused under the former keys comes into force, one under the removed key
+// does not, and what is in force stays.
+func TestKeysAreReplacedWithoutARestart(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		watchers := []*instance{b.start(true, objectapi.LinkFaults{}), b.start(true, objectapi.LinkFaults{})}
+		b.approve(testBundle("1"), "anna", "babis")
+		b.gossip(spread, watchers...)
+		b.approve(testBundle("2"), "anna", "clio")
+		b.gossip(spread, watchers...)
+		b.wantGeneration(1, watchers...)
+		b.keys.present.Store(policyOf("anna", "clio"))
+		b.gossip(testSettings.WatchWait+spread, watchers...) // the watches under way go on
+		b.wantGeneration(2, watchers...)
+		b.approve(testBundle("3"), "anna", "babis")
+		b.gossip(spread, watchers...)
+		b.wantGeneration(2, watchers...)
+	})
+}
+
 func TestBadContentIsInForceNowhere(t *testing.T) {
 	inBubble(t, func(t *testing.T, b *bench) {
 		watcher := b.start(true, objectapi.LinkFaults{})
--- a/internal/control/bundles/watch.go
+++ b/internal/control/bundles/watch.go
@@ -82,8 +82,10 @@
 			wait = min(2*wait, m.longestRetry(watching))
 			after, err = m.readPointer(ctx)
 			continue
-		case watching:
+		case watching && m.options.Keys.Policy() == m.readUnder:
 			after, err = m.watchPointer(ctx, after)
+		case watching: // an approval that was refused may be signed as the new policy requires
+			after, err = m.readPointer(ctx)
 		default:
 			pause(ctx, m.settings.PollInterval/2+m.jitter(m.settings.PollInterval), rewatch)
 			after, err = m.readPointer(ctx)
@@ -121,6 +123,7 @@
 }
 
 func (m *Manager) readPointer(ctx context.Context) (object.Version, error) {
+	m.readUnder = m.options.Keys.Policy()
 	o, err := m.options.Store.Get(ctx, approvalfile.KindPointer, approvalfile.PointerName)
 	if errors.Is(err, object.ErrNotFound) {
 		return 0, nil
@@ -149,7 +152,7 @@
 
 // offerPointer puts the latest approval forward that is signed as the policy requires.
 func (m *Manager) offerPointer(ctx context.Context, o object.Object) error {
-	latest, err := bundlestore.LatestSigned(ctx, m.options.Store, m.options.Policy, o, m.Head().Generation)
+	latest, err := bundlestore.LatestSigned(ctx, m.options.Store, *m.options.Keys.Policy(), o, m.Head().Generation)
 	for _, refused := range latest.Refused {
 		m.metrics.refused.Inc()
 		m.log.Error().Err(refused.Cause).Uint64("generation", uint64(refused.Head.Generation)).Msg("Approval refused.")
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
@@ -25,8 +24,6 @@
 	"savoryweir/internal/control/view"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/logging"
-	"savoryweir/internal/protocol/approvalfile"
-	"savoryweir/internal/state/approval"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
 	"savoryweir/internal/state/member"
@@ -35,6 +32,7 @@
 	"savoryweir/internal/transport/peerconn"
 	"savoryweir/internal/transport/storeclient"
 	"savoryweir/internal/transport/tlsconf"
+	"savoryweir/internal/transport/trustedkeys"
 )
 
 // Parts are the prefixes of the log lines.
@@ -49,11 +47,10 @@
 
 // Times of the end of the process.
 const (
-	leaveTimeout   = time.Second
-	stopTimeout    = 2 * time.Second
-	stepListen     = errs.Step("listen")
-	stepReadPolicy = errs.Step("read trusted keys")
-	stepTLS        = errs.Step("read TLS files")
+	leaveTimeout = time.Second
+	stopTimeout  = 2 * time.Second
+	stepListen   = errs.Step("listen")
+	stepTLS      = errs.Step("read TLS files")
 )
 
 // Process is one control process.
@@ -86,7 +83,11 @@
 
 // New builds a control process and opens its ports. Run starts it.
 func New(s Settings, root zerolog.Logger) (*Process, error) {
-	policy, err := readPolicy(s.Bundles.TrustedKeys)
+	keys, err := trustedkeys.Open(s.Bundles.TrustedKeys, logging.For(root, partBundles))
+	if err != nil {
+		return nil, err
+	}
+	store, err := storeclient.New(s.Store)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +102,7 @@
 		log:      logging.For(root, partControl),
 		registry: newRegistry(counter),
 		recorder: timeline.NewRecorder(clock, "control", s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents),
-		store:    storeclient.New(s.Store, nil),
+		store:    store,
 		pool:     peerconn.NewPool(credentials, counter),
 
 		listedLeaving: make(map[bundle.UpstreamID]bool),
@@ -114,7 +115,7 @@
 	if err := p.listen(counter); err != nil {
 		return nil, err
 	}
-	p.build(root, clock, policy)
+	p.build(root, clock, keys)
 	p.peerServer = grpc.NewServer(peerconn.ServerOptions(credentials)...)
 	pb.RegisterPeerServer(p.peerServer, p.peers)
 	pb.RegisterOrdersServer(p.peerServer, p.claims)
@@ -125,18 +126,6 @@
 	return p, nil
 }
 
-func readPolicy(path string) (approval.Policy, error) {
-	if path == "" {
-		return approval.Policy{}, errs.New(stepReadPolicy, errs.Self, "bundles-trusted-keys is not set")
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return approval.Policy{}, errs.Wrap(err, stepReadPolicy, errs.Self)
-	}
-	policy, err := approvalfile.DecodePolicy(path, data)
-	return policy, errs.Wrap(err, stepReadPolicy, errs.Self)
-}
-
 func newRegistry(counter *peerconn.Counter) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
@@ -168,7 +157,7 @@
 	return nil
 }
 
-func (p *Process) build(root zerolog.Logger, clock *hlc.Clock, policy approval.Policy) {
+func (p *Process) build(root zerolog.Logger, clock *hlc.Clock, keys *trustedkeys.Source) {
 	s := p.settings
 	self := member.Member{
 		ID:          member.ID(s.Instance.ID),
@@ -180,7 +169,7 @@
 	p.cells = cells.New(logging.For(root, partCells))
 	p.bundles = bundles.New(bundles.Options{
 		Settings: s.Bundles,
-		Policy:   policy,
+		Keys:     keys,
 		Store:    p.store,
 		Recorder: p.recorder,
 		Logger:   logging.For(root, partBundles),
--- a/internal/ctl/bench_test.go
+++ b/internal/ctl/bench_test.go
@@ -19,7 +19,6 @@
 
 	"savoryweir/internal/control/bundles"
 	"savoryweir/internal/errs"
-	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/protocol/bundlefile"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/bundle"
@@ -27,6 +26,7 @@
 	"savoryweir/internal/state/status"
 	"savoryweir/internal/state/timeline"
 	"savoryweir/internal/transport/operations"
+	"savoryweir/internal/transport/trustedkeys"
 )
 
 const sessionBundle = `[deployment]
@@ -155,9 +155,7 @@
 // startInstances starts two control processes. The first watches the pointer.
 func (s *session) startInstances() {
 	s.t.Helper()
-	data, err := os.ReadFile(s.path("trusted.ini"))
-	assert.NilError(s.t, err)
-	policy, err := approvalfile.DecodePolicy("trusted.ini", data)
+	keys, err := trustedkeys.Open(s.path("trusted.ini"), zerolog.Nop())
 	assert.NilError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
@@ -165,7 +163,7 @@
 		recorder := timeline.NewRecorder(hlc.New(time.Now), "control", name, "attica-1", 100)
 		i := &instance{name: name, recorder: recorder, Manager: bundles.New(bundles.Options{
 			Settings: bundles.Settings{WatchWait: time.Second, PollInterval: time.Hour, FetchTimeout: time.Minute, StoreTimeout: time.Minute, RetryMin: time.Millisecond, RetryMax: time.Second},
-			Policy:   policy, Store: s.memory, Recorder: recorder, Logger: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, 1)),
+			Keys:     keys, Store: s.memory, Recorder: recorder, Logger: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, 1)),
 		})}
 		server := httptest.NewServer(operations.Handler(operations.Options{
 			Metrics: prometheus.NewRegistry(), Ready: i.ready, Status: i.status, Events: recorder.Events,
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -64,6 +64,7 @@
 	HTTP    *http.Client
 
 	commandLine *CommandLine
+	client      *storeclient.Client
 }
 
 // NewEnvironment returns the environment of a process.
@@ -105,7 +106,10 @@
 	defer cancel()
 	bound := *env
 	bound.Context, bound.commandLine = ctx, commandLine
-	err := parsed.Run(&bound)
+	var err error
+	if bound.client, err = storeclient.New(commandLine.Store); err == nil {
+		err = parsed.Run(&bound)
+	}
 	if err == nil {
 		return CodeOK
 	}
@@ -117,11 +121,7 @@
 	return code
 }
 
-func (env *Environment) client() *storeclient.Client {
-	return storeclient.New(env.commandLine.Store, nil)
-}
-
-func (env *Environment) store() *bundlestore.Store { return bundlestore.New(env.client()) }
+func (env *Environment) store() *bundlestore.Store { return bundlestore.New(env.client) }
 
 func (env *Environment) policy() (approval.Policy, error) {
 	const step errs.Step = "read trusted keys"
--- a/internal/ctl/source.go
+++ b/internal/ctl/source.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return inForce{}, err
 	}
-	o, err := env.client().Get(env.Context, approvalfile.KindPointer, approvalfile.PointerName)
+	o, err := env.client.Get(env.Context, approvalfile.KindPointer, approvalfile.PointerName)
 	if errors.Is(err, object.ErrNotFound) {
 		return inForce{}, nil
 	}
@@ -136,7 +136,7 @@
 	if err != nil {
 		return inForce{}, err
 	}
-	latest, err := bundlestore.LatestSigned(env.Context, env.client(), policy, o, 0)
+	latest, err := bundlestore.LatestSigned(env.Context, env.client, policy, o, 0)
 	if err != nil {
 		return inForce{}, err
 	}
--- a/internal/transport/engineclient/engineclient.go
+++ b/internal/transport/engineclient/engineclient.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -63,20 +62,11 @@
 
 // connect opens the connection of a session.
 func connect(ctx context.Context, address string, identity *tlsconf.Source) (net.Conn, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil || identity == nil {
-		return conn, err
+	dial := (&net.Dialer{}).DialContext
+	if identity == nil {
+		return dial(ctx, "tcp", address)
 	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, errors.Join(err, conn.Close())
-	}
-	secure := tls.Client(conn, identity.Client(host))
-	if err := secure.HandshakeContext(ctx); err != nil {
-		return nil, errors.Join(err, conn.Close())
-	}
-	return secure, nil
+	return identity.Dial(dial)(ctx, "tcp", address)
 }
 
 // Close closes the connection.
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -11,17 +11,21 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/objecthttp"
 	"savoryweir/internal/state/object"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 // Settings configure the client.
 type Settings struct {
 	URL     string        `help:"Base URL of the platform's object API." default:"http://127.0.0.1:7900"`
 	Timeout time.Duration `help:"Longest wait for one call, a watch's own wait excluded." default:"2s" min:"10ms" max:"1m"`
+
+	TLS tlsconf.Settings `embed:"" prefix:"tls-"`
 }
 
 // maxListBytes bounds the answer to a list or a watch.
@@ -36,9 +40,26 @@
 	http    *http.Client
 }
 
-// New returns a client. transport is nil for the default one.
-func New(s Settings, transport http.RoundTripper) *Client {
-	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: transport}}
+const (
+	stepTLS   errs.Step = "read TLS files"
+	schemeTLS string    = "https://"
+)
+
+// New returns a client. It fails when the TLS files can't be used, or are set for
+// a URL without TLS.
+func New(s Settings) (*Client, error) {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if s.TLS.Enabled() {
+		if !strings.HasPrefix(s.URL, schemeTLS) {
+			return nil, errs.New(stepTLS, peer, "TLS files are set, but the URL does not begin with "+schemeTLS)
+		}
+		identity, err := tlsconf.NewSource(s.TLS)
+		if err != nil {
+			return nil, errs.Wrap(err, stepTLS, peer)
+		}
+		transport.DialTLSContext = identity.Dial((&net.Dialer{}).DialContext)
+	}
+	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: transport}}, nil
 }
 
 // call is one HTTP call to the store.
--- a/internal/transport/storeclient/storeclient_test.go
+++ b/internal/transport/storeclient/storeclient_test.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"log"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/standin/certs"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/object"
 	"savoryweir/internal/transport/storeclient"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 const kind object.Kind = "things"
@@ -21,7 +25,14 @@
 	store := objectapi.New(time.Now, limits)
 	server := httptest.NewServer(objectapi.Handler(store))
 	t.Cleanup(server.Close)
-	return store, storeclient.New(storeclient.Settings{URL: server.URL, Timeout: 5 * time.Second}, server.Client().Transport)
+	return store, newClient(t, storeclient.Settings{URL: server.URL, Timeout: 5 * time.Second})
+}
+
+func newClient(t *testing.T, s storeclient.Settings) *storeclient.Client {
+	t.Helper()
+	client, err := storeclient.New(s)
+	assert.NilError(t, err)
+	return client
 }
 
 func TestConditionalWrites(t *testing.T) {
@@ -77,7 +88,7 @@
 func TestUnreachableStoreIsUnavailable(t *testing.T) {
 	server := httptest.NewServer(nil)
 	server.Close()
-	client := storeclient.New(storeclient.Settings{URL: server.URL, Timeout: time.Second}, nil)
+	client := newClient(t, storeclient.Settings{URL: server.URL, Timeout: time.Second})
 	_, err := client.Create(context.Background(), kind, "a", nil)
 	assert.ErrorIs(t, err, object.ErrUnavailable)
 }
@@ -97,3 +108,46 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(events), 0)
 }
+
+// startTLS serves the API to callers with the identity in the files.
+func startTLS(t *testing.T, own tlsconf.Settings) string {
+	t.Helper()
+	identity, err := tlsconf.NewSource(own)
+	assert.NilError(t, err)
+	server := httptest.NewUnstartedServer(objectapi.Handler(objectapi.New(time.Now, objectapi.Limits{})))
+	server.TLS = identity.Server()
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// newIdentity writes an identity's files and returns their settings.
+func newIdentity(t *testing.T, serial int64) (tlsconf.Settings, certs.Files) {
+	t.Helper()
+	files := certs.In(t.TempDir())
+	assert.NilError(t, files.Write(serial))
+	return tlsconf.Settings{Certificate: files.Certificate, Key: files.Key, CA: files.Authority}, files
+}
+
+func TestStoreWithTLSRefusesStrangers(t *testing.T) {
+	own, files := newIdentity(t, 1)
+	stranger, _ := newIdentity(t, 2)
+	url := startTLS(t, own)
+	get := func(s tlsconf.Settings) error {
+		client := newClient(t, storeclient.Settings{URL: url, Timeout: 5 * time.Second, TLS: s})
+		_, err := client.Get(t.Context(), kind, "a")
+		return err
+	}
+	assert.ErrorIs(t, get(own), object.ErrNotFound)
+	assert.ErrorIs(t, get(stranger), object.ErrUnavailable)
+	assert.ErrorIs(t, get(tlsconf.Settings{CA: own.CA}), object.ErrUnavailable)
+	assert.NilError(t, files.Write(3)) // both sides take the new certificate
+	assert.ErrorIs(t, get(own), object.ErrNotFound)
+}
+
+func TestTLSFilesNeedATLSAddress(t *testing.T) {
+	own, _ := newIdentity(t, 1)
+	_, err := storeclient.New(storeclient.Settings{URL: "http://127.0.0.1:1", TLS: own})
+	assert.ErrorContains(t, err, "https://")
+}
--- a/internal/transport/tlsconf/tlsconf.go
+++ b/internal/transport/tlsconf/tlsconf.go
@@ -3,9 +3,11 @@
 package tlsconf
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -84,6 +86,31 @@
 	return config
 }
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial adds a handshake with the present files to dial. Protocols are offered to
+// the server, in order of preference; none offers nothing.
+func (s *Source) Dial(dial DialFunc, protocols ...string) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, errors.Join(err, raw.Close())
+		}
+		config := s.Client(host)
+		config.NextProtos = protocols
+		conn := tls.Client(raw, config)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			return nil, errors.Join(err, raw.Close())
+		}
+		return conn, nil
+	}
+}
+
 // LastError returns why the last reload failed, or nil. The former files stay in use.
 func (s *Source) LastError() error {
 	s.mu.Lock()
--- a/internal/transport/upstreamhttp/client.go
+++ b/internal/transport/upstreamhttp/client.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -59,8 +58,8 @@
 	scheme   string
 	exact    bool
 	transfer *http.Transport
-	probe    *http.Transport // opens a connection for each request
-	dial     dialFunc        // opens a connection, with TLS when that is on
+	probe    *http.Transport  // opens a connection for each request
+	dial     tlsconf.DialFunc // opens a connection, with TLS when that is on
 }
 
 // NewClient returns a client. Close it to close its idle connections.
@@ -106,33 +105,17 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	if s.TLS != nil {
-		transport.DialTLSContext = dialTLS(dial, s)
+		transport.DialTLSContext = s.TLS.Dial(dial, offered(s.Protocol)...)
 	}
 	return transport
 }
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-func dialTLS(dial dialFunc, s Settings) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		host, _, err := net.SplitHostPort(address)
-		if err != nil {
-			return nil, errors.Join(err, raw.Close())
-		}
-		config := s.TLS.Client(host)
-		if s.Protocol == ProtocolH2C {
-			config.NextProtos = []string{"h2"}
-		}
-		conn := tls.Client(raw, config)
-		if err := conn.HandshakeContext(ctx); err != nil {
-			return nil, errors.Join(err, raw.Close())
-		}
-		return conn, nil
+// offered returns the protocols that a TLS handshake offers to the upstream.
+func offered(p Protocol) []string {
+	if p == ProtocolH2C {
+		return []string{"h2"}
 	}
+	return nil
 }
 
 // Request is one request to an upstream.
