Orders: the histories' model reads under its lock

Cause: the model wrote what a caller was told, and read it and the runs at the end, without its lock; only virtual time lay between. The race detector saw it in one of 32 runs of the package with one processor. Ruled out: the product's code, no line of which is in the report. Change: these reads and writes take the lock. No check is changed. After: three and four histories under the race detector pass; the race was too rare to be shown gone by a count.

--- a/internal/control/claims/model_test.go
+++ b/internal/control/claims/model_test.go
@@ -106,11 +106,39 @@
 func (m *model) violate(format string, args ...any) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.add(format, args...)
+}
+
+// add notes a violation. The caller holds the lock.
+func (m *model) add(format string, args ...any) {
 	m.violations = append(m.violations, fmt.Sprintf(format, args...))
 }
 
+// tell records what a caller was told.
+func (m *model) tell(a *attempt, t told) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a.told = t
+}
+
+// sent returns all attempts so far.
+func (m *model) sent() []*attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.attempts
+}
+
+// runsOf returns the attempts of a key that ran.
+func (m *model) runsOf(key string) []int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.runs[key]
+}
+
 // history lists what the callers of a key were told.
 func (m *model) history(key string) []told {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var list []told
 	for _, a := range m.attempts {
 		if a.key == key {
@@ -122,14 +150,16 @@
 
 // check compares what callers were told with what ran.
 func (m *model) check() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, a := range m.attempts {
 		switch {
 		case a.told == toldNotRun && m.ran(a):
-			m.violate("attempt %d of key %s was told not_run and ran", a.id, a.key)
+			m.add("attempt %d of key %s was told not_run and ran", a.id, a.key)
 		case a.told == toldRan && len(m.runs[a.key]) == 0:
-			m.violate("attempt %d of key %s was told ran and did not run", a.id, a.key)
+			m.add("attempt %d of key %s was told ran and did not run", a.id, a.key)
 		case a.told == toldRefused && m.ran(a):
-			m.violate("attempt %d of key %s was refused and ran", a.id, a.key)
+			m.add("attempt %d of key %s was refused and ran", a.id, a.key)
 		}
 	}
 }
@@ -183,11 +213,12 @@
 	u.cluster.goRun(func() { answer <- u.serve(entry, n, a) })
 	select {
 	case t := <-answer:
-		a.told = t
+		u.model.tell(a, t)
+		return t
 	case <-time.After(callerPatience):
 	case <-entry.Done():
 	}
-	return a.told
+	return toldNothing
 }
 
 // serve is what an entry does with an order. It ends unfinished when the entry is killed.
@@ -273,7 +304,7 @@
 func (u *upstream) verify(t *testing.T, n *node) (unknown int) {
 	t.Helper()
 	seen := make(map[string]bool)
-	for _, a := range u.model.attempts {
+	for _, a := range u.model.sent() {
 		if seen[a.key] {
 			continue
 		}
@@ -289,7 +320,7 @@
 func (u *upstream) verifyKey(n *node, key, body string) (unknown bool) {
 	claim := testClaim(key, body)
 	answer, err := n.clientNow().Claim(context.Background(), claim)
-	runs := u.model.runs[key]
+	runs := u.model.runsOf(key)
 	switch {
 	case answer.State == order.ClaimMismatch && body == "book":
 		return u.verifyKey(n, key, "cancel")
