Bundles: content that no kept generation needs is deleted from the store

What may go is decided from versions alone, which rise over all objects; savoryweirctl writes sections anew that the latest generation lacks, and does so for a fallback, too; deletions are conditional on the version. The list of approvals ends at the earliest kept one. A store without versions that rise over all objects would break it.

--- a/internal/control/bundles/doc.go
+++ b/internal/control/bundles/doc.go
@@ -36,6 +36,9 @@
 	StoreTimeout time.Duration `help:"Longest time given to the store for missing sections." default:"5s" min:"100ms" max:"1m"`
 	RetryMin     time.Duration `help:"First wait after a failed fetch or watch." default:"200ms" min:"10ms" max:"10s"`
 	RetryMax     time.Duration `help:"Longest wait after failed fetches or watches." default:"5s" min:"100ms" max:"5m"`
+
+	KeepGenerations int           `help:"Latest generations whose content and approvals stay in the store, to fall back to." default:"1000" min:"10" max:"100000"`
+	SweepWait       time.Duration `help:"Mean time between two parts of a sweep of the store for content that no kept generation needs. A sweep has 256 parts." default:"30s" min:"1s" max:"24h"`
 }
 
 // SectionSource gives sections by their hash: a peer or the store. It may return
--- /dev/null
+++ b/internal/control/bundles/sweep.go
@@ -0,0 +1,88 @@
+package bundles
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"savoryweir/internal/coordination/retention"
+	waiting "savoryweir/internal/pause"
+	"savoryweir/internal/transport/bundlestore"
+)
+
+// SweepStore is the part of the store of bundles that is used.
+type SweepStore interface {
+	Floor(ctx context.Context, keep int) (retention.Floor, bool, error)
+	SweepPage(ctx context.Context, floor retention.Floor, page int) (int, error)
+	SweepHistory(ctx context.Context, floor retention.Floor) (int, error)
+}
+
+// SweepOptions are what a Sweeper works with.
+type SweepOptions struct {
+	Settings Settings
+	Store    SweepStore
+	// Carries reports whether this instance sweeps. Two that do at once do no harm.
+	Carries func() bool
+	Logger  zerolog.Logger
+	Metrics prometheus.Registerer
+	Rand    *rand.Rand
+}
+
+// Sweeper deletes content from the store that no kept generation needs, a part at a
+// time, so that its calls and bytes stay few.
+type Sweeper struct {
+	SweepOptions
+	deleted prometheus.Counter
+}
+
+// NewSweeper returns a sweeper. Run starts it.
+func NewSweeper(o SweepOptions) *Sweeper {
+	s := &Sweeper{SweepOptions: o, deleted: prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "savoryweir_bundle_deleted_objects_total",
+		Help: "Sections, signatures and approvals of former generations deleted from the store.",
+	})}
+	if o.Metrics != nil {
+		o.Metrics.MustRegister(s.deleted)
+	}
+	return s
+}
+
+// Run sweeps until ctx ends. It begins anywhere, since instances are replaced
+// more often than a sweep ends.
+func (s *Sweeper) Run(ctx context.Context) error {
+	for page := s.Rand.IntN(bundlestore.Pages); waiting.For(ctx, s.wait()); {
+		if !s.Carries() {
+			continue
+		}
+		if err := s.sweep(ctx, page); err != nil {
+			s.Logger.Debug().Err(err).Msg("Store not swept.")
+			continue
+		}
+		page = (page + 1) % bundlestore.Pages
+	}
+	return nil
+}
+
+// wait returns the time to the next part.
+func (s *Sweeper) wait() time.Duration {
+	return s.Settings.SweepWait/2 + time.Duration(s.Rand.Int64N(int64(s.Settings.SweepWait)))
+}
+
+// sweep deletes what is not needed of one part.
+func (s *Sweeper) sweep(ctx context.Context, page int) error {
+	floor, ok, err := s.Store.Floor(ctx, s.Settings.KeepGenerations)
+	if err != nil || !ok {
+		return err
+	}
+	deleted, err := s.Store.SweepPage(ctx, floor, page)
+	s.deleted.Add(float64(deleted))
+	if err != nil || page != 0 {
+		return err
+	}
+	deleted, err = s.Store.SweepHistory(ctx, floor)
+	s.deleted.Add(float64(deleted))
+	return err
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -28,6 +28,7 @@
 	"savoryweir/internal/state/hlc"
 	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/timeline"
+	"savoryweir/internal/transport/bundlestore"
 	"savoryweir/internal/transport/operations"
 	"savoryweir/internal/transport/peerconn"
 	"savoryweir/internal/transport/storeclient"
@@ -65,6 +66,7 @@
 	peers   *peers.Service
 	cells   *cells.Store
 	bundles *bundles.Manager
+	sweeper *bundles.Sweeper
 	claims  *claims.Service
 	view    *view.Service
 	flow    *demandflow.Flow
@@ -176,6 +178,14 @@
 		Metrics:  p.registry,
 		Rand:     newRandom(),
 	})
+	p.sweeper = bundles.NewSweeper(bundles.SweepOptions{
+		Settings: s.Bundles,
+		Store:    bundlestore.New(p.store),
+		Carries:  p.sweepsStore,
+		Logger:   logging.For(root, partBundles),
+		Metrics:  p.registry,
+		Rand:     newRandom(),
+	})
 	p.peers = peers.New(peers.Options{
 		Membership: s.Membership,
 		Spread:     s.Spread,
@@ -243,6 +253,7 @@
 	group.Go(func() error { return p.peers.Run(working) })
 	group.Go(func() error { return p.cells.Run(working, p.peers, p.peers) })
 	group.Go(func() error { return p.bundles.Run(working) })
+	group.Go(func() error { return p.sweeper.Run(working) })
 	group.Go(func() error { return p.claims.Run(working) })
 	group.Go(func() error { return p.holder.Run(working) })
 	group.Go(func() error { return p.flow.Run(working, p.placingInputs(), p.peers) })
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -21,6 +21,9 @@
 // bundle pointer, which a few instances carry for all.
 const storeReading = "store-reading"
 
+// storeSweep names the task of deleting former bundles, which one instance carries.
+const storeSweep = "store-sweep"
+
 // listCallTimeout bounds one read of the platform's list.
 const listCallTimeout = 2 * time.Second
 
@@ -48,6 +51,11 @@
 	return membership.Carries(p.peers.Self.ID, storeReading, p.settings.Peers.ListReaders, p.peers.Snapshot().Usable())
 }
 
+// sweepsStore reports whether this instance deletes former bundles from the store.
+func (p *Process) sweepsStore() bool {
+	return membership.Carries(p.peers.Self.ID, storeSweep, 1, p.peers.Snapshot().Usable())
+}
+
 // runHeads tells the peers of each bundle that comes into force here.
 func (p *Process) runHeads(ctx context.Context) error {
 	for {
--- a/internal/ctl/approve.go
+++ b/internal/ctl/approve.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	current, _, err := env.loadForApproval(earlier.Manifest.String(), policy)
+	current, l, err := env.loadForApproval(earlier.Manifest.String(), policy)
 	if err != nil {
 		return err
 	}
@@ -126,6 +126,9 @@
 	if err != nil {
 		return err
 	}
+	if err := env.putSections(l, current); err != nil {
+		return err
+	}
 	next := approval.Approval{
 		Action: approval.ActionFallback, FallbackTo: c.Generation, Manifest: earlier.Manifest, Signatures: signatures,
 	}
@@ -168,10 +171,12 @@
 	return current, l, nil
 }
 
-// putSections writes the sections that the bundle in force does not have.
+// putSections writes the sections that the latest generation does not have, also those
+// that are in the store: package retention relies on it. When the latest generation is
+// in force nowhere, all sections are written.
 func (env *Environment) putSections(l loaded, current inForce) error {
 	present := make(map[bundle.Hash]bool)
-	if current.bundle != nil {
+	if current.bundle != nil && current.signed.Manifest == current.pointer.Approval.Manifest {
 		encoded, err := bundlefile.Encode(current.bundle)
 		if err != nil {
 			return errs.Wrap(err, "encode bundle in force", errs.Self)
--- a/internal/protocol/approvalfile/objects.go
+++ b/internal/protocol/approvalfile/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"savoryweir/internal/state/approval"
 	"savoryweir/internal/state/bundle"
@@ -34,7 +35,25 @@
 	return object.Name(SignaturePrefix(manifest) + string(operator))
 }
 
+// SignedManifest returns the manifest that a signature's name tells.
+func SignedManifest(name object.Name) (bundle.Hash, bool) {
+	manifest, _, ok := strings.Cut(string(name), ".")
+	if !ok {
+		return bundle.Hash{}, false
+	}
+	hash, err := bundle.ParseHash(manifest)
+	return hash, err == nil
+}
+
 // HistoryName returns the name of a generation's approval. Names sort by generation.
 func HistoryName(generation bundle.Generation) object.Name {
 	return object.Name(fmt.Sprintf("%020d", generation))
 }
+
+// HistoryPage is the number of generations whose names share a prefix.
+const HistoryPage = 100
+
+// HistoryPrefix returns the start of the names of the generations in the page of one.
+func HistoryPrefix(generation bundle.Generation) string {
+	return strings.TrimSuffix(string(HistoryName(generation/HistoryPage*HistoryPage)), "00")
+}
--- a/internal/reference/advice.go
+++ b/internal/reference/advice.go
@@ -27,6 +27,7 @@
 		{"savoryweir_bundle_fetch_errors_total", "Look at peers that are dead or slow and at the store."},
 		{"savoryweir_bundle_watch_errors_total", "The store is down or slow for this instance; the bundle in force stays."},
 		{"savoryweir_bundle_fetched_bytes_total", "Rises with each generation by the changed sections; without a new generation look for restarts."},
+		{"savoryweir_bundle_deleted_objects_total", "The sum over all instances rises with each generation, once there are more than `[bundles] keep-generations`; else look for sweeps that fail in the log at level debug."},
 		{"savoryweir_bundle_heads_dropped_total", "The process is too slow for its messages; look at its processor time. Heads are told again."},
 		{"savoryweir_orders_claims_total", "Refusing answers: look at `commit_failures_total` and the store."},
 		{"savoryweir_orders_finishes_total", "As for the claims; results that are not recorded become `unknown`."},
--- a/internal/transport/bundlestore/bundlestore.go
+++ b/internal/transport/bundlestore/bundlestore.go
@@ -101,12 +101,13 @@
 	}
 }
 
-// PutSections writes the sections that the store lacks. Sections are immutable, so
-// one that exists already, also after a lost answer, is as good as written.
+// PutSections writes sections. One that exists already is written again, which
+// raises its version: so an approval under way keeps it from being deleted, see
+// package retention. The content never changes.
 func (s *Store) PutSections(ctx context.Context, sections []bundlefile.Section) error {
 	for _, section := range sections {
 		name := approvalfile.SectionName(section.Hash)
-		if err := s.createImmutable(ctx, approvalfile.KindSection, name, section.Data); err != nil {
+		if err := s.putImmutable(ctx, approvalfile.KindSection, name, section.Data); err != nil {
 			return errs.Wrap(err, "write bundle section", peer)
 		}
 	}
@@ -131,6 +132,43 @@
 	}
 }
 
+// putImmutable creates an object whose name determines its data, or raises the
+// version of one that exists.
+func (s *Store) putImmutable(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
+	wait := firstBackoff
+	for attempt := 1; ; attempt++ {
+		err := s.createOrRewrite(ctx, kind, name, data)
+		if err == nil {
+			return nil
+		}
+		if attempt == maxAttempts || !isTransient(err) && !isOvertaken(err) {
+			return err
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+		wait = min(2*wait, maxBackoff)
+	}
+}
+
+func (s *Store) createOrRewrite(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
+	_, err := s.objects.Create(ctx, kind, name, data)
+	if !errors.Is(err, object.ErrConflict) {
+		return err
+	}
+	found, err := s.objects.Get(ctx, kind, name)
+	if err != nil {
+		return err
+	}
+	_, err = s.objects.Update(ctx, kind, name, data, found.Version)
+	return err
+}
+
+// isOvertaken reports whether another writer came between a read and a write.
+func isOvertaken(err error) bool {
+	return errors.Is(err, object.ErrConflict) || errors.Is(err, object.ErrNotFound)
+}
+
 func isTransient(err error) bool {
 	return errors.Is(err, object.ErrOutcomeUnknown) || errors.Is(err, object.ErrThrottled)
 }
@@ -150,7 +188,7 @@
 		return errs.Wrap(err, "encode signature", errs.Self)
 	}
 	name := approvalfile.SignatureName(manifest, signature.Operator)
-	return errs.Wrap(s.createImmutable(ctx, approvalfile.KindSignature, name, data), "write signature", peer)
+	return errs.Wrap(s.putImmutable(ctx, approvalfile.KindSignature, name, data), "write signature", peer)
 }
 
 // Signatures returns the recorded signatures of a manifest, unverified.
--- a/internal/transport/bundlestore/move.go
+++ b/internal/transport/bundlestore/move.go
@@ -151,6 +151,9 @@
 	approvals := []approval.Approval{current.Approval}
 	for g := current.Approval.Generation - 1; g > 0 && len(approvals) < limit; g-- {
 		earlier, err := s.history(ctx, g)
+		if errors.Is(err, object.ErrNotFound) {
+			return approvals, nil // earlier ones are no longer kept
+		}
 		if err != nil {
 			return nil, err
 		}
