Bundles: one name for the wait that a wake-up ends

Cause: the package's own pause hid the shared one, which the sweeper had to import under another name. Change: sleepOrWake. No behaviour changes; the package's tests pass.

--- a/internal/control/bundles/adopt.go
+++ b/internal/control/bundles/adopt.go
@@ -57,7 +57,7 @@
 // collectAtStart waits until peers have told their heads, at most the start wait.
 // The store alone may answer with a generation that peers know to be stale.
 func (a *adopter) collectAtStart(ctx context.Context) {
-	pause(ctx, a.settings.StartWait, a.peersHeard)
+	sleepOrWake(ctx, a.settings.StartWait, a.peersHeard)
 }
 
 // nextOffer waits for a head until the next candidate is due.
--- a/internal/control/bundles/sweep.go
+++ b/internal/control/bundles/sweep.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"savoryweir/internal/coordination/retention"
-	waiting "savoryweir/internal/pause"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/transport/bundlestore"
 )
 
@@ -53,7 +53,7 @@
 // Run sweeps until ctx ends. It begins anywhere, since instances are replaced
 // more often than a sweep ends.
 func (s *Sweeper) Run(ctx context.Context) error {
-	for page := s.Rand.IntN(bundlestore.Pages); waiting.For(ctx, s.wait()); {
+	for page := s.Rand.IntN(bundlestore.Pages); pause.For(ctx, s.wait()); {
 		if !s.Carries() {
 			continue
 		}
--- a/internal/control/bundles/watch.go
+++ b/internal/control/bundles/watch.go
@@ -78,7 +78,7 @@
 		case err != nil:
 			m.metrics.watchErrors.Inc()
 			m.log.Warn().Err(err).Msg("Pointer not read.")
-			pause(ctx, m.jitter(wait), nil)
+			sleepOrWake(ctx, m.jitter(wait), nil)
 			wait = min(2*wait, m.longestRetry(watching))
 			after, err = m.readPointer(ctx)
 			continue
@@ -87,7 +87,7 @@
 		case watching: // an approval that was refused may be signed as the new policy requires
 			after, err = m.readPointer(ctx)
 		default:
-			pause(ctx, m.settings.PollInterval/2+m.jitter(m.settings.PollInterval), rewatch)
+			sleepOrWake(ctx, m.settings.PollInterval/2+m.jitter(m.settings.PollInterval), rewatch)
 			after, err = m.readPointer(ctx)
 		}
 		if err == nil {
@@ -111,8 +111,8 @@
 	return time.Duration(m.options.Rand.Int64N(int64(wait) + 1))
 }
 
-// pause waits until the time is over, wake is closed or ctx ends.
-func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// sleepOrWake waits until the time is over, wake is closed or ctx ends.
+func sleepOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
