TLS on operations ports, and in savoryweirctl towards them

Cause: status, time line and metrics were the last paths without TLS. Change: [operations] tls-* for entry, control and savoryweirctl; one function wraps a listener for callers and for operators. Ruled out: TLS decided by each address's scheme, since one fleet has one rule. After: TestStatusOverTLS: the own identity is served; a stranger, no certificate and plain HTTP are not. The packages ctl, entry and transport/tlsconf pass. Conclusion: all paths between processes can use TLS now, but for the entry's own control process over loopback.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -153,10 +153,12 @@
 	if p.localListener, err = net.Listen("tcp", p.settings.Local.Address); err != nil {
 		return errs.Wrap(err, stepListen, errs.Peer(p.settings.Local.Address))
 	}
-	if p.operationsListener, err = net.Listen("tcp", p.settings.Operations.Address); err != nil {
+	plain, err := net.Listen("tcp", p.settings.Operations.Address)
+	if err != nil {
 		return errs.Wrap(err, stepListen, errs.Peer(p.settings.Operations.Address))
 	}
-	return nil
+	p.operationsListener, err = tlsconf.Listen(plain, p.settings.Operations.TLS)
+	return errs.Wrap(err, stepTLS, errs.Self)
 }
 
 func (p *Process) build(root zerolog.Logger, clock *hlc.Clock, keys *trustedkeys.Source) {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -68,4 +68,6 @@
 type OperationsSettings struct {
 	Address        string `help:"IP address and port for metrics, health, status and time line." default:"127.0.0.1:9083"`
 	TimelineEvents int    `help:"Events kept for the time line." default:"1024" min:"16" max:"1000000"`
+
+	TLS tlsconf.Settings `embed:"" prefix:"tls-"`
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -20,6 +21,7 @@
 	"savoryweir/internal/state/approval"
 	"savoryweir/internal/transport/bundlestore"
 	"savoryweir/internal/transport/storeclient"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 const description = `Tool of the operators of savoryweir.
@@ -46,6 +48,7 @@
 type CommandLine struct {
 	settings.Common
 	Store       storeclient.Settings `embed:"" prefix:"store-"`
+	Processes   OperationsSettings   `embed:"" prefix:"operations-"`
 	TrustedKeys string               `help:"INI file with the policy and the public keys of trusted operators." type:"path" default:"trusted.ini" placeholder:"FILE"`
 
 	Keygen   KeygenCommand   `cmd:"" help:"Make a key pair of an operator."`
@@ -54,6 +57,11 @@
 	Timeline TimelineCommand `cmd:"" help:"Merge the time lines of processes and files."`
 }
 
+// OperationsSettings describe the connections to operations ports.
+type OperationsSettings struct {
+	TLS tlsconf.Settings `embed:"" prefix:"tls-"`
+}
+
 // Environment is what a command works with.
 type Environment struct {
 	Context context.Context
@@ -65,13 +73,14 @@
 
 	commandLine *CommandLine
 	client      *storeclient.Client
+	scheme      string // of operations ports
 }
 
 // NewEnvironment returns the environment of a process.
 func NewEnvironment(ctx context.Context) *Environment {
 	return &Environment{
 		Context: ctx, Stdout: os.Stdout, Stderr: os.Stderr,
-		Now: time.Now, Nonce: uuid.NewString, HTTP: http.DefaultClient,
+		Now: time.Now, Nonce: uuid.NewString, HTTP: http.DefaultClient, scheme: "http://",
 	}
 }
 
@@ -107,7 +116,7 @@
 	bound := *env
 	bound.Context, bound.commandLine = ctx, commandLine
 	var err error
-	if bound.client, err = storeclient.New(commandLine.Store); err == nil {
+	if err = bound.connect(); err == nil {
 		err = parsed.Run(&bound)
 	}
 	if err == nil {
@@ -121,6 +130,24 @@
 	return code
 }
 
+// connect prepares the clients of the store and of operations ports.
+func (env *Environment) connect() (err error) {
+	if env.client, err = storeclient.New(env.commandLine.Store); err != nil {
+		return err
+	}
+	identity := env.commandLine.Processes.TLS
+	if !identity.Enabled() {
+		return nil
+	}
+	source, err := tlsconf.NewSource(identity)
+	if err != nil {
+		return err
+	}
+	env.scheme = "https://"
+	env.HTTP = &http.Client{Transport: &http.Transport{DialTLSContext: source.Dial((&net.Dialer{}).DialContext)}}
+	return nil
+}
+
 func (env *Environment) store() *bundlestore.Store { return bundlestore.New(env.client) }
 
 func (env *Environment) policy() (approval.Policy, error) {
--- a/internal/ctl/operations.go
+++ b/internal/ctl/operations.go
@@ -50,7 +50,7 @@
 	peer := errs.Peer(address)
 	ctx, cancel := context.WithTimeout(env.Context, operationsTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, env.scheme+address+path, nil)
 	if err != nil {
 		return value, errs.Wrap(err, step, peer)
 	}
--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -3,18 +3,26 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"log"
+	"net"
 	"net/http"
 	"os"
 	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 	"gotest.tools/v3/golden"
 
 	"savoryweir/internal/protocol/approvalfile"
+	"savoryweir/internal/standin/certs"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/status"
+	"savoryweir/internal/transport/operations"
+	"savoryweir/internal/transport/tlsconf"
 )
 
 // rollOut approves the bundle in the session's directory.
@@ -158,3 +166,29 @@
 	}
 	t.Fatal(winner)
 }
+
+// TestStatusOverTLS asks an operations port that wants certificates.
+func TestStatusOverTLS(t *testing.T) {
+	s := newSession(t)
+	for serial, folder := range []string{"own", "stranger"} {
+		assert.NilError(t, os.MkdirAll(s.path(folder), 0o700))
+		assert.NilError(t, certs.In(s.path(folder)).Write(int64(serial+1)))
+	}
+	own := certs.In(s.path("own"))
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener, err := tlsconf.Listen(plain, tlsconf.Settings{Certificate: own.Certificate, Key: own.Key, CA: own.Authority})
+	assert.NilError(t, err)
+	server := &http.Server{
+		ErrorLog: log.New(io.Discard, "", 0),
+		Handler:  operations.Handler(operations.Options{Metrics: prometheus.NewRegistry(), Status: func() status.Status { return status.Status{} }}),
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { assert.Check(t, server.Close()) })
+	command := "status --operations " + listener.Addr().String()
+	const identity = " --operations-tls-certificate @%[1]s/cert.pem --operations-tls-key @%[1]s/key.pem --operations-tls-ca @%[1]s/ca.pem"
+	s.run(CodeOK, command+fmt.Sprintf(identity, "own"))
+	s.run(CodeNotUniform, command+fmt.Sprintf(identity, "stranger"))
+	s.run(CodeNotUniform, command+" --operations-tls-ca @own/ca.pem")
+	s.run(CodeNotUniform, command)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -39,6 +38,10 @@
 	if err != nil {
 		return errors.Join(errs.Wrap(err, stepListenOperations, errs.Self), callers.Close())
 	}
+	operations, err = tlsconf.Listen(operations, s.settings.Operations.TLS)
+	if err != nil {
+		return errors.Join(errs.Wrap(err, stepListenOperations, errs.Self), callers.Close())
+	}
 	return s.Serve(ctx, callers, operations, signals)
 }
 
@@ -81,14 +84,11 @@
 		IdleTimeout:       c.IdleTimeout,
 		MaxHeaderBytes:    c.MaxHeaderBytes,
 	}
-	if !c.TLS.Enabled() {
-		return server, listener, nil
-	}
-	source, err := tlsconf.NewSource(c.TLS)
+	secure, err := tlsconf.Listen(listener, c.TLS)
 	if err != nil {
 		return nil, nil, errors.Join(err, listener.Close())
 	}
-	return server, tls.NewListener(listener, source.Server()), nil
+	return server, secure, nil
 }
 
 // shutDown takes readiness away, waits for the balancer, and lets requests finish.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -85,6 +85,8 @@
 type OperationsSettings struct {
 	Address        string `help:"IP address and port for metrics, health and the time line." default:"127.0.0.1:9080"`
 	TimelineEvents int    `help:"Events kept for the time line." default:"4096" min:"16" max:"1000000"`
+
+	TLS tlsconf.Settings `embed:"" prefix:"tls-"`
 }
 
 // ShutdownSettings describe the end of the process.
--- a/internal/transport/tlsconf/tlsconf.go
+++ b/internal/transport/tlsconf/tlsconf.go
@@ -86,6 +86,19 @@
 	return config
 }
 
+// Listen returns a listener whose connections take the present files for each
+// handshake. It returns l itself when TLS is off.
+func Listen(l net.Listener, s Settings) (net.Listener, error) {
+	if !s.Enabled() {
+		return l, nil
+	}
+	source, err := NewSource(s)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(l, source.Server()), nil
+}
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
