Replicas: changes since a version in place of whole cells

Cause: a holder published its whole cell at each change of a replica, loading ones included; each change went to all neighbours in a full probe, was repeated in 24 messages, and every instance fetched the whole cell. While replicas changed, the digests of cells nearly never agreed, so that all members were asked for every 10 s.

Ruled out: chains of the holder's changes (an instance that skipped versions needs the chain), an epoch of the holder (does not show two contents under one version), changes inside the messages to neighbours.

Change: replica.History gives what changed since any version that it remembers; a change carries its base and a digest of the cell that it leads to, and whatever does not fit is fetched whole at once. Digests are compared for each peer: two instances that missed the same news reset each other's timer before. Replicas that are not ready are not published, since no request goes to them. The stream to the entry carries changes too, and its note of what was sent no longer grows with each version.

--- a/internal/bench/cmd/capacity/main.go
+++ b/internal/bench/cmd/capacity/main.go
@@ -34,6 +34,9 @@
 // settleTime is waited before the steady state: news of the start is repeated for so long.
 var settleTime = 40 * time.Second
 
+// withSpares leaves the loading of spare replicas on.
+var withSpares bool
+
 // run is one row of the table.
 type run struct {
 	instances, engines, models int
@@ -50,8 +53,17 @@
 	settle := flag.Duration("settle", settleTime, "wait before each measurement of the steady state")
 	interval := flag.Duration("interval", 20*time.Second, "length of each measurement")
 	ordersOnly := flag.Bool("orders-only", false, "measure orders only")
+	targetOnly := flag.Bool("target-only", false, "measure the target's engines and models only")
+	spares := flag.Bool("spares", false, "keep spare replicas, which load for minutes after the start")
 	flag.Parse()
 	settleTime = *settle
+	withSpares = *spares
+	if *targetOnly {
+		if err := reportTarget(context.Background(), *binaries, *interval); err != nil {
+			log.Fatal(err)
+		}
+		return
+	}
 	if !*ordersOnly {
 		if err := report(context.Background(), *binaries, *interval); err != nil {
 			log.Fatal(err)
@@ -69,13 +81,31 @@
 		{instances: 40, engines: todayEngines, models: todayModels, cells: 1},
 		{instances: 40, engines: targetEngines, models: targetModels, cells: targetCells},
 	}
+	done, err := measureAll(ctx, binaries, interval, plans)
+	if err != nil {
+		return err
+	}
+	extrapolate(done[1], done[2], done[3])
+	return nil
+}
+
+// reportTarget measures the target's engines and models alone.
+func reportTarget(ctx context.Context, binaries string, interval time.Duration) error {
+	_, err := measureAll(ctx, binaries, interval, []run{
+		{instances: 40, engines: targetEngines, models: targetModels, cells: targetCells},
+	})
+	return err
+}
+
+// measureAll takes the measurements one after another and prints them as a table.
+func measureAll(ctx context.Context, binaries string, interval time.Duration, plans []run) ([]run, error) {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "instances\tengines\tmodels\tcore %\tMiB\tsent B/s\tcore % changing\tB per change\tin force after\tstore reads/s\twrites/s\tengines B/s\t")
 	var done []run
 	for _, plan := range plans {
 		r, err := measure(ctx, binaries, interval, plan)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		done = append(done, r)
 		perChange := (r.changing.BytesPerSecond - r.steady.BytesPerSecond) * interval.Seconds() / bundleChanges
@@ -84,11 +114,7 @@
 			r.steady.BytesPerSecond, 100*r.changing.CoreShare, perChange, r.slowest.Round(time.Millisecond),
 			r.storeReads, r.storeWrites, r.engineBytes)
 	}
-	if err := table.Flush(); err != nil {
-		return err
-	}
-	extrapolate(done[1], done[2], done[3])
-	return nil
+	return done, table.Flush()
 }
 
 // extrapolate prints the slopes per instance, and per engine and model, and
@@ -119,7 +145,11 @@
 	}
 	defer engines.Stop()
 	// Without spare replicas the loads of the start end soon.
-	f, err := fleet.Start(binaries, r.instances, fmt.Sprintf("--placement-cells-per-service=%d", r.cells), "--no-placement-spares")
+	flags := []string{fmt.Sprintf("--placement-cells-per-service=%d", r.cells)}
+	if !withSpares {
+		flags = append(flags, "--no-placement-spares")
+	}
+	f, err := fleet.Start(binaries, r.instances, flags...)
 	if err != nil {
 		return r, err
 	}
--- a/internal/control/cells/cells.go
+++ b/internal/control/cells/cells.go
@@ -1,53 +1,38 @@
 // Package cells keeps the replicas of all placement cells at an instance. The
-// holder of a cell publishes them; all others fetch them from the peer that
-// tells of a newer version.
+// holder of a cell publishes them; all others fetch what changed from a peer
+// that tells of a newer version, and the whole cell where that does not fit.
 package cells
 
 import (
-	"cmp"
 	"context"
+	"errors"
+	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
-	"savoryweir/internal/errs"
 	"savoryweir/internal/ring"
 	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/news"
 	"savoryweir/internal/state/replica"
 )
 
-const (
-	offerRingLength = 256
-	fetchTimeout    = 2 * time.Second
-	stepFetch       = errs.Step("fetch cell replicas")
-)
-
-// Fetcher asks a peer for the replicas of cells.
-type Fetcher interface {
-	FetchCellsFrom(ctx context.Context, from member.Member, ids []news.CellID) ([]replica.Cell, error)
-}
+// offerRingLength bounds the offers that wait for their fetch.
+const offerRingLength = 256
 
 // Spreader tells the peers of a newer version that is here.
 type Spreader interface {
 	Offer(ctx context.Context, batch news.Batch) error
 }
 
-// offer is a cell head that a peer told of.
-type offer struct {
-	head   news.CellHead
-	source member.Member
-}
-
 // Store holds the latest known replicas of each cell.
 type Store struct {
 	log    zerolog.Logger
 	offers *ring.Ring[offer]
 
 	mu    sync.Mutex // guards cells
-	cells map[news.CellID]replica.Cell
+	cells map[news.CellID]*replica.History
 
 	changed chan struct{} // holds one token when a cell changed
 }
@@ -57,7 +42,7 @@
 	return &Store{
 		log:     log,
 		offers:  ring.New[offer](offerRingLength),
-		cells:   make(map[news.CellID]replica.Cell),
+		cells:   make(map[news.CellID]*replica.History),
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -69,103 +54,94 @@
 func (s *Store) Cell(id news.CellID) (replica.Cell, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, ok := s.cells[id]
-	return c, ok
+	h, ok := s.cells[id]
+	if !ok {
+		return replica.Cell{}, false
+	}
+	return h.Cell(), true
 }
 
-// All returns all cells in the order of their ids.
-func (s *Store) All() []replica.Cell {
+// Heads returns the heads of all cells in the order of their ids.
+func (s *Store) Heads() []news.CellHead {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := make([]replica.Cell, 0, len(s.cells))
-	for _, c := range s.cells {
-		all = append(all, c)
+	heads := make([]news.CellHead, 0, len(s.cells))
+	for _, id := range slices.Sorted(maps.Keys(s.cells)) {
+		heads = append(heads, s.cells[id].Cell().Head)
 	}
-	slices.SortFunc(all, func(a, b replica.Cell) int { return cmp.Compare(a.Head.Cell, b.Head.Cell) })
-	return all
+	return heads
 }
 
-// put takes in a cell if it is newer than the known one.
-func (s *Store) put(c replica.Cell) bool {
+// Since returns what the named cells hold that is newer than the given versions,
+// with others also the cells that are not named. Cells that are not here, or not
+// newer here, are left out.
+func (s *Store) Since(known []news.CellHead, others bool) []replica.Delta {
 	s.mu.Lock()
-	known, ok := s.cells[c.Head.Cell]
-	isNewer := !ok || c.Head.Version > known.Head.Version
-	if isNewer {
-		s.cells[c.Head.Cell] = c
+	defer s.mu.Unlock()
+	versions := make(map[news.CellID]uint64, len(known))
+	for _, head := range known {
+		versions[head.Cell] = head.Version
 	}
-	s.mu.Unlock()
-	if isNewer {
-		select {
-		case s.changed <- struct{}{}:
-		default:
+	var newer []replica.Delta
+	for _, id := range slices.Sorted(maps.Keys(s.cells)) {
+		version, isNamed := versions[id]
+		if (isNamed || others) && version < s.cells[id].Cell().Head.Version {
+			newer = append(newer, s.cells[id].Since(version))
 		}
 	}
-	return isNewer
+	return newer
+}
+
+// take takes in a newer cell, whole or as a delta.
+func (s *Store) take(d replica.Delta) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := d.Cell.Head.Cell
+	h, ok := s.cells[id]
+	if !ok {
+		h = &replica.History{}
+	}
+	if err := h.Take(d); err != nil {
+		return err
+	}
+	s.cells[id] = h
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+	return nil
 }
 
-// Publish takes in a cell that this instance holds and tells the peers.
+// Publish takes in a cell that this instance holds and tells the peers. A cell
+// that is not newer than the known one is ignored.
 func (s *Store) Publish(ctx context.Context, c replica.Cell, spreader Spreader) error {
-	if !s.put(c) {
+	c.Replicas = slices.Clone(c.Replicas)
+	replica.Sort(c.Replicas)
+	err := s.take(replica.Delta{Cell: c, Digest: c.Digest()})
+	if errors.Is(err, replica.ErrStale) {
 		return nil
 	}
+	if err != nil {
+		return err
+	}
 	return spreader.Offer(ctx, news.Batch{Cells: []news.CellHead{c.Head}})
 }
 
 // OfferCell notes that source has a version of a cell. It does not block; what
 // does not fit is offered again by a later message.
 func (s *Store) OfferCell(head news.CellHead, source member.Member) {
-	if known, ok := s.Cell(head.Cell); ok && known.Head.Version >= head.Version {
-		return
-	}
-	s.offers.Offer(offer{head: head, source: source})
-}
-
-// Run fetches the offered cells until ctx ends.
-func (s *Store) Run(ctx context.Context, fetcher Fetcher, spreader Spreader) error {
-	for {
-		first, err := s.offers.Get(ctx)
-		if err != nil {
-			return nil
-		}
-		batch := append([]offer{first}, s.offers.Drain(offerRingLength)...)
-		for source, ids := range s.missing(batch) {
-			if err := s.fetch(ctx, fetcher, spreader, source, ids); err != nil {
-				s.log.Debug().Err(errs.Wrap(err, stepFetch, errs.Peer(source.ID))).Msg("Cells were not fetched.")
-			}
-		}
+	if s.isNews(head) {
+		s.offers.Offer(offer{head: head, source: source})
 	}
 }
 
-// missing groups the offers that are still newer than what is here by source.
-func (s *Store) missing(batch []offer) map[member.Member][]news.CellID {
-	bySource := make(map[member.Member][]news.CellID)
-	asked := make(map[news.CellHead]bool)
-	for _, o := range batch {
-		known, ok := s.Cell(o.head.Cell)
-		if asked[o.head] || (ok && known.Head.Version >= o.head.Version) {
-			continue
-		}
-		asked[o.head] = true
-		bySource[o.source] = append(bySource[o.source], o.head.Cell)
-	}
-	return bySource
+// OfferAll notes that source has other cells, or other versions, than this
+// instance. It does not block.
+func (s *Store) OfferAll(source member.Member) {
+	s.offers.Offer(offer{source: source, all: true})
 }
 
-func (s *Store) fetch(ctx context.Context, fetcher Fetcher, spreader Spreader, source member.Member, ids []news.CellID) error {
-	fetching, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	found, err := fetcher.FetchCellsFrom(fetching, source, ids)
-	if err != nil {
-		return err
-	}
-	var fresh news.Batch
-	for _, c := range found {
-		if s.put(c) {
-			fresh.Cells = append(fresh.Cells, c.Head)
-		}
-	}
-	if fresh.IsEmpty() {
-		return nil
-	}
-	return spreader.Offer(ctx, fresh)
+func (s *Store) isNews(head news.CellHead) bool {
+	known, ok := s.Cell(head.Cell)
+	return !ok || known.Head.Version < head.Version
 }
--- a/internal/control/peers/fetch.go
+++ b/internal/control/peers/fetch.go
@@ -55,37 +55,37 @@
 	return sections, errs.Wrap(err, stepSections, peer)
 }
 
-// FetchCells implements pb.PeerServer. Cells that are not known here are left out.
+// FetchCells implements pb.PeerServer. Cells that are not known here, or not newer, are left out.
 func (s *Service) FetchCells(_ context.Context, request *pb.FetchCellsRequest) (*pb.FetchCellsResponse, error) {
 	s.Clock.Observe(peercodec.DecodeTime(request.GetTime()))
 	response := &pb.FetchCellsResponse{Time: peercodec.EncodeTime(s.Clock.Now())}
-	ids := request.GetCells()
-	for _, id := range ids[:min(len(ids), maxCellsPerFetch)] {
-		if c, ok := s.Cells.Cell(news.CellID(id)); ok {
-			response.Cells = append(response.Cells, peercodec.EncodeCell(c))
-		}
+	known := request.GetKnown()
+	known = known[:min(len(known), maxCellsPerFetch)]
+	for _, d := range s.Cells.Since(peercodec.DecodeCellHeads(known), request.GetOthers()) {
+		response.Cells = append(response.Cells, peercodec.EncodeDelta(d))
 	}
 	return response, nil
 }
 
-// FetchCellsFrom asks a peer for the replicas of cells.
-func (s *Service) FetchCellsFrom(ctx context.Context, from member.Member, ids []news.CellID) ([]replica.Cell, error) {
+// FetchCellsFrom asks a peer for what changed in cells since the known versions, with
+// others also for the cells that are not named.
+func (s *Service) FetchCellsFrom(ctx context.Context, from member.Member, known []news.CellHead, others bool) ([]replica.Delta, error) {
 	client, err := s.client(from.Address)
 	if err != nil {
 		return nil, errs.Wrap(err, stepCells, errs.Peer(from.ID))
 	}
-	request := &pb.FetchCellsRequest{Time: peercodec.EncodeTime(s.Clock.Now())}
-	for _, id := range ids[:min(len(ids), maxCellsPerFetch)] {
-		request.Cells = append(request.Cells, string(id))
-	}
-	response, err := client.FetchCells(ctx, request)
+	response, err := client.FetchCells(ctx, &pb.FetchCellsRequest{
+		Time:   peercodec.EncodeTime(s.Clock.Now()),
+		Known:  peercodec.EncodeCellHeads(known[:min(len(known), maxCellsPerFetch)]),
+		Others: others,
+	})
 	if err != nil {
 		return nil, errs.Wrap(err, stepCells, errs.Peer(from.ID))
 	}
 	s.Clock.Observe(peercodec.DecodeTime(response.GetTime()))
-	var found []replica.Cell
+	var found []replica.Delta
 	for _, c := range response.GetCells() {
-		found = append(found, peercodec.DecodeCell(c))
+		found = append(found, peercodec.DecodeDelta(c))
 	}
 	return found, nil
 }
--- a/internal/control/peers/messages.go
+++ b/internal/control/peers/messages.go
@@ -27,7 +27,6 @@
 	maxProbeViaWait     = 5 * time.Second
 	maxSectionsPerFetch = 256
 	maxCellsPerFetch    = 1024
-	syncDelay           = 10 * time.Second
 )
 
 // runSender works off the actions.
@@ -124,27 +123,17 @@
 	if !ok {
 		return
 	}
-	for _, c := range cells {
-		s.Cells.OfferCell(c, source.Member)
-	}
+	s.hearCells(cells, source.Member)
 	if batch.Head.Generation > s.board.Head().Generation {
 		s.Heads.OfferHead(batch.Head, source.Member)
 	}
-	isSame := batch.CellsDigest == s.board.CellsDigest() && updates.GetMembersDigest() == s.detector.Table().Digest()
-	s.compareKnowledge(now, isSame, source.Member)
-}
-
-// compareKnowledge asks a peer for all that it knows when its digests of cells
-// and members have differed from those here for longer than news takes to spread.
-func (s *Service) compareKnowledge(now time.Time, isSame bool, source member.Member) {
-	switch {
-	case isSame:
-		s.differs = time.Time{}
-	case s.differs.IsZero():
-		s.differs = now
-	case now.Sub(s.differs) > syncDelay:
-		s.differs = now
-		s.syncs.Offer(source)
+	// While replicas change all the time the digests of cells seldom agree, so that only
+	// what is newer is asked for.
+	if s.cellsCompared.OnDigest(now, from, batch.CellsDigest == s.board.CellsDigest()) {
+		s.Cells.OfferAll(source.Member)
+	}
+	if s.membersCompared.OnDigest(now, from, updates.GetMembersDigest() == s.detector.Table().Digest()) {
+		s.syncs.Offer(source.Member)
 	}
 }
 
--- a/internal/control/peers/news.go
+++ b/internal/control/peers/news.go
@@ -25,9 +25,11 @@
 	return s.do(ctx, func(now time.Time) { s.offer(now, batch, "") })
 }
 
-// offer runs in the detector's goroutine.
+// offer runs in the detector's goroutine. The neighbours are told of cells by the teller.
 func (s *Service) offer(now time.Time, batch news.Batch, from member.ID) {
 	fresh := s.board.Offer(now, batch)
+	s.teller.OnNews(fresh.Cells)
+	fresh.Cells = nil
 	if fresh.IsEmpty() {
 		return
 	}
--- a/internal/control/peers/service.go
+++ b/internal/control/peers/service.go
@@ -56,9 +56,12 @@
 
 // CellStore holds the replicas of placement cells.
 type CellStore interface {
-	Cell(id news.CellID) (replica.Cell, bool)
+	// Since returns what the named cells, with others all cells, hold that is newer than the given versions.
+	Since(known []news.CellHead, others bool) []replica.Delta
 	// OfferCell tells that source has a version of a cell. It must not block.
 	OfferCell(head news.CellHead, source member.Member)
+	// OfferAll tells that source has other cells or versions than this instance. It must not block.
+	OfferAll(source member.Member)
 }
 
 // DemandSink takes what the entries of other instances saw.
@@ -98,9 +101,12 @@
 	detector  *membership.Detector
 	board     *spread.Board
 	published time.Time
-	differs   time.Time // since when the digests differ from the peers', zero when it does not
+	teller    *spread.Teller
+
+	cellsCompared, membersCompared spread.Comparer
 
 	syncs *ring.Ring[member.Member] // peers to ask for all that they know
+	tells *ring.Ring[spread.Tell]   // messages about cells to neighbours
 }
 
 // Snapshot is what the instance knows at one time.
@@ -131,8 +137,10 @@
 		actions:  ring.New[membership.Action](actionRingLength),
 		changed:  make(chan struct{}, 1),
 		syncs:    ring.New[member.Member](1),
+		tells:    ring.New[spread.Tell](actionRingLength),
 		detector: membership.New(o.Membership, o.Self, o.Random),
 		board:    spread.NewBoard(o.Spread),
+		teller:   spread.NewTeller(o.Spread),
 	}
 	s.snapshot.Store(&Snapshot{Members: []member.Record{{Member: o.Self}}})
 	return s
@@ -156,6 +164,7 @@
 	group.Go(func() error { return s.runDetector(ctx) })
 	for range senders {
 		group.Go(func() error { return s.runSender(ctx) })
+		group.Go(func() error { return s.runTeller(ctx) })
 	}
 	group.Go(func() error { return s.join(ctx) })
 	group.Go(func() error { return s.runSync(ctx) })
@@ -191,6 +200,9 @@
 	if s.detector.TakeUrgent() {
 		s.push("")
 	}
+	for _, t := range s.teller.Next(now, s.detector.Neighbours()) {
+		s.tells.Offer(t)
+	}
 	if len(changes) > 0 {
 		s.publish(now)
 	}
--- a/internal/control/placing/holder.go
+++ b/internal/control/placing/holder.go
@@ -125,21 +125,19 @@
 	return h.Publisher.Publish(ctx, next)
 }
 
-// toEntries returns the replicas as entries see them: a slot is ready if any version of it is.
+// toEntries returns the replicas as entries see them, sorted: a slot is ready if any version
+// of it is. Those that are not ready are left out, since no request goes to them.
 func toEntries(replicas []Replica) []replica.Replica {
 	var entries []replica.Replica
 	for _, r := range replicas {
-		e := replica.Replica{Upstream: r.Upstream, Model: r.Slot.Model, Adapter: r.Slot.Adapter, Ready: r.Ready}
-		same := func(other replica.Replica) bool {
-			return other.Upstream == e.Upstream && other.Model == e.Model && other.Adapter == e.Adapter
-		}
-		if i := slices.IndexFunc(entries, same); i >= 0 {
-			entries[i].Ready = entries[i].Ready || e.Ready
+		if !r.Ready {
 			continue
 		}
+		e := replica.Replica{Upstream: r.Upstream, Model: r.Slot.Model, Adapter: r.Slot.Adapter, Ready: true}
 		entries = append(entries, e)
 	}
-	return entries
+	replica.Sort(entries)
+	return slices.Compact(entries)
 }
 
 func (h *Holder) cell(name object.Name) *Cell {
--- a/internal/control/view/service.go
+++ b/internal/control/view/service.go
@@ -38,8 +38,8 @@
 
 // Cells supplies the replicas of all placement cells.
 type Cells interface {
-	// All returns the cells in the order of their ids.
-	All() []replica.Cell
+	// Since returns what the named cells, with others all cells, hold that is newer than the given versions.
+	Since(known []news.CellHead, others bool) []replica.Delta
 }
 
 // DemandSink takes what entries saw of models.
@@ -140,11 +140,11 @@
 // sentParts are the parts of views that a stream has carried.
 type sentParts struct {
 	sections map[bundle.Hash]bool
-	cells    map[news.CellHead]bool
+	cells    map[news.CellID]uint64 // version that was sent last
 }
 
 func newSentParts() *sentParts {
-	return &sentParts{sections: make(map[bundle.Hash]bool), cells: make(map[news.CellHead]bool)}
+	return &sentParts{sections: make(map[bundle.Hash]bool), cells: make(map[news.CellID]uint64)}
 }
 
 // newSections returns the sections that the entry does not hold. The entry
@@ -162,14 +162,16 @@
 	return unsent
 }
 
-// newCells returns the cells that were not sent yet and notes them as sent.
-func (p *sentParts) newCells(cells []replica.Cell) []*pb.CellReplicas {
+// newCells returns what changed in the cells since it was sent last, and notes it as sent.
+func (p *sentParts) newCells(cells Cells) []*pb.CellReplicas {
+	sent := make([]news.CellHead, 0, len(p.cells))
+	for id, version := range p.cells {
+		sent = append(sent, news.CellHead{Cell: id, Version: version})
+	}
 	var unsent []*pb.CellReplicas
-	for _, c := range cells {
-		if !p.cells[c.Head] {
-			p.cells[c.Head] = true
-			unsent = append(unsent, peercodec.EncodeCell(c))
-		}
+	for _, d := range cells.Since(sent, true) {
+		p.cells[d.Cell.Head.Cell] = d.Cell.Head.Version
+		unsent = append(unsent, peercodec.EncodeDelta(d))
 	}
 	return unsent
 }
@@ -183,7 +185,7 @@
 		Generation:   uint64(head.Generation),
 		ManifestHash: head.Manifest[:],
 		Sections:     bundlefile.SectionsToWire(sent.newSections(sections)),
-		Cells:        sent.newCells(s.Cells.All()),
+		Cells:        sent.newCells(s.Cells),
 		Members:      peercodec.EncodeMembers(members),
 	}
 	for _, id := range known.LeavingUpstreams() {
--- a/internal/coordination/spread/board.go
+++ b/internal/coordination/spread/board.go
@@ -1,7 +1,8 @@
 // Package spread decides what an instance passes on to its neighbours. News is
 // sent at once to all neighbours and repeated with later probes, so that it
-// reaches all instances within seconds though messages get lost. The bundle
-// head and a digest of all cell heads go with every message.
+// reaches all instances within seconds though messages get lost; news of cells
+// is gathered for a short time first. The bundle head and a digest of all cell
+// heads go with every probe.
 //
 // Board is a state machine without a clock. It is not safe for concurrent use.
 package spread
@@ -23,6 +24,8 @@
 type Settings struct {
 	MaxItems         int           `help:"Largest number of items of one kind in one message." default:"16" min:"1" max:"256"`
 	Repeats          int           `help:"Number of messages that carry an item." default:"24" min:"1" max:"1000"`
+	CellInterval     time.Duration `help:"Shortest time between two messages to a neighbour about newer replicas. Probes tell of them meanwhile." default:"5s" min:"10ms" max:"1m"`
+	CellRepeats      int           `help:"Number of probes that repeat the news of one cell's newer replicas. A digest makes good what still gets lost." default:"4" min:"1" max:"1000"`
 	LeavingRetention time.Duration `help:"Time for which an upstream counts as leaving." default:"10m" min:"10s" max:"24h"`
 }
 
@@ -182,9 +185,9 @@
 	b.expire(now)
 	return news.Batch{
 		Head:        b.head,
-		Suspects:    take(b.suspects, b.settings),
-		Leaving:     take(b.leaving, b.settings),
-		Cells:       take(b.cells, b.settings),
+		Suspects:    take(b.suspects, b.settings.Repeats, b.settings.MaxItems),
+		Leaving:     take(b.leaving, b.settings.Repeats, b.settings.MaxItems),
+		Cells:       take(b.cells, b.settings.CellRepeats, b.settings.MaxItems),
 		CellsDigest: b.digest,
 	}
 }
@@ -220,10 +223,10 @@
 }
 
 // take returns the items of the next message and counts them as sent.
-func take[K comparable, T any](items map[K]*item[T], s Settings) []T {
+func take[K comparable, T any](items map[K]*item[T], repeats, most int) []T {
 	var due []*item[T]
 	for _, i := range items {
-		if i.sent < s.Repeats {
+		if i.sent < repeats {
 			due = append(due, i)
 		}
 	}
@@ -231,7 +234,7 @@
 		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.name, y.name))
 	})
 	var taken []T
-	for _, i := range due[:min(len(due), s.MaxItems)] {
+	for _, i := range due[:min(len(due), most)] {
 		i.sent++
 		taken = append(taken, i.value)
 	}
--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	controlPeer   errs.Peer = "control"
 	stepWatchView errs.Step = "watch view"
 	stepReport    errs.Step = "report to control"
+	stepTakeCell  errs.Step = "take in cell replicas"
 
 	reconnectDelay = 500 * time.Millisecond
 )
@@ -99,16 +101,29 @@
 	if err := s.takeBundle(message); err != nil {
 		return err
 	}
-	for _, c := range message.GetCells() {
-		cell := peercodec.DecodeCell(c)
-		if known, ok := s.cells[cell.Head.Cell]; !ok || cell.Head.Version > known.Head.Version {
-			s.cells[cell.Head.Cell] = cell
-		}
-	}
+	misfit := s.takeCells(message.GetCells())
 	if s.bundle != nil {
 		s.current.Store(entry.NewView(s.viewData(message)))
 	}
-	return nil
+	return misfit
+}
+
+// takeCells takes in the cells that are newer. The error names the last cell whose change
+// did not fit what is here; the next stream has it whole.
+func (s *Source) takeCells(cells []*pb.CellReplicas) error {
+	var misfit error
+	for _, c := range cells {
+		d := peercodec.DecodeDelta(c)
+		id := d.Cell.Head.Cell
+		next, err := replica.Apply(s.cells[id], d)
+		switch {
+		case err == nil:
+			s.cells[id] = next
+		case !errors.Is(err, replica.ErrStale):
+			misfit = errs.Wrap(err, stepTakeCell, errs.Peer(id))
+		}
+	}
+	return misfit
 }
 
 func (s *Source) takeBundle(message *pb.View) error {
--- a/internal/entry/controlview/controlview_test.go
+++ b/internal/entry/controlview/controlview_test.go
@@ -32,7 +32,7 @@
 		Sections:     bundlefile.SectionsToWire(append(encoded.Sections, encoded.Manifest)),
 	}
 	for _, c := range cells {
-		v.Cells = append(v.Cells, peercodec.EncodeCell(c))
+		v.Cells = append(v.Cells, peercodec.EncodeDelta(replica.Delta{Cell: c, Digest: c.Digest()}))
 	}
 	return v
 }
@@ -79,3 +79,38 @@
 	assert.Assert(t, s.take(damaged) != nil)
 	assert.Equal(t, s.View().Bundle.Generation, bundle.Generation(5))
 }
+
+// A change that does not fit what the entry holds ends the stream; the next one is whole.
+func TestUnfitChangeOfACellEndsTheStream(t *testing.T) {
+	s := newSource()
+	assert.NilError(t, s.take(message(t, 5, "1", cell(7, "e1"))))
+	history := &replica.History{}
+	for _, c := range []replica.Cell{cell(8, "e2"), bothAt(9)} {
+		assert.NilError(t, history.Take(replica.Delta{Cell: c, Digest: c.Digest()}))
+	}
+	change := &pb.View{Cells: []*pb.CellReplicas{peercodec.EncodeDelta(history.Since(8))}}
+	assert.Equal(t, change.GetCells()[0].GetBaseVersion(), uint64(8))
+	assert.ErrorIs(t, s.take(change), replica.ErrNoBase)
+	assert.Assert(t, s.View().Serves("e1", "m1", ""), "the last view stays")
+	assert.NilError(t, s.take(&pb.View{Cells: []*pb.CellReplicas{peercodec.EncodeDelta(history.Since(0))}}))
+	assert.Assert(t, s.View().Serves("e2", "m1", ""))
+	assert.NilError(t, s.take(change), "an old change")
+}
+
+func TestViewTakesChangesOfCells(t *testing.T) {
+	s := newSource()
+	assert.NilError(t, s.take(message(t, 5, "1", cell(8, "e2"))))
+	history := &replica.History{}
+	for _, c := range []replica.Cell{cell(8, "e2"), bothAt(9)} {
+		assert.NilError(t, history.Take(replica.Delta{Cell: c, Digest: c.Digest()}))
+	}
+	assert.NilError(t, s.take(&pb.View{Cells: []*pb.CellReplicas{peercodec.EncodeDelta(history.Since(8))}}))
+	assert.Assert(t, s.View().Serves("e1", "m1", "") && s.View().Serves("e2", "m1", ""))
+}
+
+// bothAt is a cell with two replicas.
+func bothAt(version uint64) replica.Cell {
+	c := cell(version, "e1")
+	c.Replicas = append(c.Replicas, cell(version, "e2").Replicas...)
+	return c
+}
--- a/internal/protocol/peercodec/cells.go
+++ b/internal/protocol/peercodec/cells.go
@@ -35,20 +35,60 @@
 	return decoded
 }
 
-// EncodeCell turns a cell into its message.
-func EncodeCell(c replica.Cell) *pb.CellReplicas {
+// EncodeDelta turns what changed in a cell into its message.
+func EncodeDelta(d replica.Delta) *pb.CellReplicas {
+	gone := make([]replica.Replica, 0, len(d.Gone))
+	for _, key := range d.Gone {
+		gone = append(gone, replica.Replica{Upstream: key.Upstream, Model: key.Model, Adapter: key.Adapter})
+	}
 	return &pb.CellReplicas{
-		Head:     &pb.CellHead{Cell: string(c.Head.Cell), Version: c.Head.Version},
-		Replicas: EncodeReplicas(c.Replicas),
+		Head:        EncodeCellHead(d.Cell.Head),
+		Replicas:    EncodeReplicas(d.Cell.Replicas),
+		BaseVersion: d.Base,
+		Gone:        EncodeReplicas(gone),
+		Digest:      d.Digest,
+	}
+}
+
+// DecodeDelta turns a message into what changed in a cell.
+func DecodeDelta(c *pb.CellReplicas) replica.Delta {
+	d := replica.Delta{
+		Cell:   replica.Cell{Head: DecodeCellHead(c.GetHead()), Replicas: DecodeReplicas(c.GetReplicas())},
+		Base:   c.GetBaseVersion(),
+		Digest: c.GetDigest(),
+	}
+	for _, r := range DecodeReplicas(c.GetGone()) {
+		d.Gone = append(d.Gone, r.Key())
+	}
+	return d
+}
+
+// EncodeCellHead turns the head of a cell into its message.
+func EncodeCellHead(head news.CellHead) *pb.CellHead {
+	return &pb.CellHead{Cell: string(head.Cell), Version: head.Version}
+}
+
+// DecodeCellHead turns a message into the head of a cell.
+func DecodeCellHead(head *pb.CellHead) news.CellHead {
+	return news.CellHead{Cell: news.CellID(head.GetCell()), Version: head.GetVersion()}
+}
+
+// EncodeCellHeads turns the heads of cells into their messages.
+func EncodeCellHeads(heads []news.CellHead) []*pb.CellHead {
+	encoded := make([]*pb.CellHead, 0, len(heads))
+	for _, head := range heads {
+		encoded = append(encoded, EncodeCellHead(head))
 	}
+	return encoded
 }
 
-// DecodeCell turns a message into a cell.
-func DecodeCell(c *pb.CellReplicas) replica.Cell {
-	return replica.Cell{
-		Head:     news.CellHead{Cell: news.CellID(c.GetHead().GetCell()), Version: c.GetHead().GetVersion()},
-		Replicas: DecodeReplicas(c.GetReplicas()),
+// DecodeCellHeads turns messages into the heads of cells.
+func DecodeCellHeads(heads []*pb.CellHead) []news.CellHead {
+	decoded := make([]news.CellHead, 0, len(heads))
+	for _, head := range heads {
+		decoded = append(decoded, DecodeCellHead(head))
 	}
+	return decoded
 }
 
 // EncodeDemand turns the traffic of models into its messages.
--- /dev/null
+++ b/internal/state/replica/delta.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryweir/internal/state/bundle"
+)
+
+var (
+	// ErrStale reports that the offered version is not newer than the known one.
+	ErrStale = errors.New("replicas of an old version")
+	// ErrNoBase reports that a delta starts later than the known version.
+	ErrNoBase = errors.New("base of the replicas is missing")
+	// ErrDigest reports that a delta does not lead to the replicas of its version.
+	ErrDigest = errors.New("replicas differ from their digest")
+)
+
+// Key names a replica.
+type Key struct {
+	Upstream bundle.UpstreamID
+	Model    bundle.ModelID
+	Adapter  bundle.AdapterID
+}
+
+// Key returns the name of the replica.
+func (r Replica) Key() Key { return Key{Upstream: r.Upstream, Model: r.Model, Adapter: r.Adapter} }
+
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Upstream, other.Upstream), cmp.Compare(k.Model, other.Model), cmp.Compare(k.Adapter, other.Adapter))
+}
+
+// Sort puts replicas in the order in which cells keep them.
+func Sort(replicas []Replica) {
+	slices.SortFunc(replicas, func(a, b Replica) int { return a.Key().compare(b.Key()) })
+}
+
+// Digest returns a hash over the replicas of a cell, which are sorted.
+func (c Cell) Digest() uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, r := range c.Replicas {
+		state := "\x00\x00"
+		if r.Ready {
+			state = "\x00\x01"
+		}
+		_, _ = digest.WriteString(string(r.Upstream) + "\x00" + string(r.Model) + "\x00" + string(r.Adapter) + state)
+	}
+	return digest.Sum64()
+}
+
+// Delta is what changed in a cell since a base version, or the whole cell if the
+// base is zero. It leads from the base, and from each version between the base
+// and its own, to the version of its head.
+type Delta struct {
+	Cell   Cell // the head, and the replicas that were added or changed
+	Base   uint64
+	Gone   []Key
+	Digest uint64 // of the cell that the delta leads to
+}
+
+// IsWhole reports whether the delta needs no base.
+func (d Delta) IsWhole() bool { return d.Base == 0 }
+
+// Apply returns the cell that a delta leads to. The delta is refused with ErrStale,
+// ErrNoBase or ErrDigest if it does not fit the known cell.
+func Apply(known Cell, d Delta) (Cell, error) {
+	switch {
+	case d.Cell.Head.Version <= known.Head.Version:
+		return known, ErrStale
+	case known.Head.Version < d.Base:
+		return known, ErrNoBase
+	}
+	next := Cell{Head: d.Cell.Head, Replicas: slices.Clone(d.Cell.Replicas)}
+	if !d.IsWhole() {
+		next.Replicas = merge(known.Replicas, d)
+	}
+	Sort(next.Replicas)
+	if next.Digest() != d.Digest {
+		return known, ErrDigest
+	}
+	return next, nil
+}
+
+// merge returns the replicas with the changes of a delta.
+func merge(known []Replica, d Delta) []Replica {
+	changed := make(map[Key]bool, len(d.Cell.Replicas)+len(d.Gone))
+	for _, r := range d.Cell.Replicas {
+		changed[r.Key()] = true
+	}
+	for _, key := range d.Gone {
+		changed[key] = true
+	}
+	merged := slices.Clone(d.Cell.Replicas)
+	for _, r := range known {
+		if !changed[r.Key()] {
+			merged = append(merged, r)
+		}
+	}
+	return merged
+}
