--- a/internal/control/view/guests_test.go
+++ b/internal/control/view/guests_test.go
@@ -35,7 +35,7 @@
 
 type noCells struct{}
 
-func (noCells) All() []replica.Cell { return nil }
+func (noCells) Since([]news.CellHead, bool) []replica.Delta { return nil }
 
 func newService() *Service {
 	return New(Options{Clock: hlc.New(time.Now), Bundles: noBundles{}, Peers: noPeers{}, Cells: noCells{}, Heartbeat: heartbeat})
--- a/internal/entry/controlview/follow.go
+++ b/internal/entry/controlview/follow.go
@@ -81,6 +81,7 @@
 			return
 		}
 		s.Log.Warn().Err(errs.Wrap(err, stepWatchView, controlPeer)).Msg("View stream ended; the last view stays.")
+		pause.For(ctx, ownRetry)
 	}
 }
 
