Orders: one stream for each pair of control processes, static flow control windows

Cause: at 9 instances an order cost about 550 to 580 B sent between control processes. It takes a claim and a result, each a unary call with its own headers and trailers, service and key as text, a 32 byte fingerprint, the claimant, two absolute times and a clock reading each way; and gRPC sent a ping and its acknowledgement for each message, by which it sizes flow control windows.

Ruled out: waiting at the claimant for company. At 9 instances and 400 orders/s a pair of instances has about 11 calls a second, at 320 far fewer, so any wait that saves frames is longer than the interval between commits. Calls share a frame within 20 ms, replies of one commit share one.

Change: Exchange, a bidirectional stream from claimant to owner. A stream that ends puts the calls without a reply in doubt, at once, as a failed call did. An idle stream is closed after idle-unload. Claims and results of peers no longer come as unary calls; a claim without an entry's session is refused, so that a call of another version isn't taken for a new entry process. Windows of 256 KiB without pings.

Tests: the cluster of the histories carries streams, cut with the frames on their way when an answer is lost; half of the cuts reach the receiver late. Each failed with its mechanism off: - calls of a cut stream not ended: LinkCutWithinABatch, call 1 waits on - abandoned calls sent, or not forgotten: LinkForgetsCallsThatNobodyWaitsFor - idle streams closed under a waiting call: LinkEndsWhenIdle - no interval: BoundFramesOfALink and LinkCutWithinABatch - session not checked: ClaimWithoutSessionIsRefused - give-up time ignored: OwnerRecordsNoClaimThatWasGivenUp - replies given to any waiting call: histories, orders ran twice - a cut taken for a grant and a record: histories, orders ran twice Changed tests: OwnerRecordsNoClaimThatWasGivenUp hands its claim to the stream's handler, since unary claims of peers are gone. The bound tests count a frame as 14 B of HTTP/2 and gRPC beside its message, and a unary call as 200 B as before. The model of the histories guards what callers heard by its lock: the race detector saw a write and a read that only the lock of the old calls had ordered.

--- a/internal/control/claims/bound_test.go
+++ b/internal/control/claims/bound_test.go
@@ -17,31 +17,36 @@
 	"savoryweir/internal/state/order"
 )
 
-// traffic counts the calls and encoded bytes that leave and reach each instance.
+// traffic counts the encoded bytes that leave and reach each instance, with the
+// overhead of calls and frames.
 type traffic struct {
-	mu    sync.Mutex // guards calls and bytes
-	calls map[string]int
+	mu    sync.Mutex // guards bytes
 	bytes map[string]int
 }
 
-func (t *traffic) count(from, to string, messages ...proto.Message) {
+func (t *traffic) count(from, to string, overhead int, messages ...proto.Message) {
+	for _, m := range messages {
+		overhead += proto.Size(m)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, id := range []string{from, to} {
-		t.calls[id]++
-		for _, m := range messages {
-			t.bytes[id] += proto.Size(m)
-		}
+	t.bytes[from] += overhead
+	t.bytes[to] += overhead
+}
+
+// countFrame counts a message of a stream.
+func (c *conn) countFrame(m proto.Message) {
+	if c.cluster.traffic != nil {
+		c.cluster.traffic.count(c.from.id, c.to.id, frameOverhead, m)
 	}
 }
 
-// perSecond returns the mean and the largest bytes a second of an instance,
-// with an overhead for each call.
-func (t *traffic) perSecond(instances int, d time.Duration, overhead int) (mean, most float64) {
+// perSecond returns the mean and the largest bytes a second of an instance.
+func (t *traffic) perSecond(instances int, d time.Duration) (mean, most float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, n := range t.bytes {
-		rate := float64(n+t.calls[id]*overhead) / d.Seconds()
+	for _, n := range t.bytes {
+		rate := float64(n) / d.Seconds()
 		mean += rate / float64(instances)
 		most = max(most, rate)
 	}
@@ -54,6 +59,7 @@
 	shortestLoad     = 5 * time.Second
 	fewestOrders     = 2500 // so that every shard has sealed segments
 	callOverhead     = 200  // bytes of a call's headers on the wire, both ways
+	frameOverhead    = 14   // bytes before a message of a stream: 9 by HTTP/2, 5 by gRPC
 	targetRequests   = 9800
 	storeWriteBudget = 200  // writes a second of the several hundred that the store takes
 	controlBudget    = 3000 // bytes a second and instance
@@ -92,7 +98,7 @@
 func runLoad(t *testing.T, l load) loadReport {
 	t.Helper()
 	c := newCluster(t, l.instances, 1, l.settings, objectapi.Limits{})
-	c.traffic = &traffic{calls: make(map[string]int), bytes: make(map[string]int)}
+	c.traffic = &traffic{bytes: make(map[string]int)}
 	c.store.SetFaults(objectapi.Faults{Delay: storeLatency})
 	var mu sync.Mutex
 	var latencies []time.Duration
@@ -137,7 +143,7 @@
 		r.headBytes = max(r.headBytes, len(h.Data))
 	}
 	r.bytesPerOrder = float64(c.written.Load()) / orders
-	r.mean, r.most = c.traffic.perSecond(len(c.nodes), l.length(), callOverhead)
+	r.mean, r.most = c.traffic.perSecond(len(c.nodes), l.length())
 	return r
 }
 
--- a/internal/control/claims/claim.go
+++ b/internal/control/claims/claim.go
@@ -14,13 +14,17 @@
 	"savoryweir/internal/state/timeline"
 )
 
-// Claim implements the Orders service for the local entry and for peers.
+// ownerClaim is a claim for the owner of its shard.
+type ownerClaim struct {
+	journal.Claim
+	giveUp time.Time // it is not recorded later
+}
+
+// Claim implements the Orders service for the local entry.
 func (s *Service) Claim(ctx context.Context, request *pb.ClaimRequest) (*pb.ClaimResponse, error) {
 	s.observe(request.GetTime())
-	if request.GetClaimant() != nil {
-		return s.serveClaim(ctx, request), nil
-	}
 	response := s.claimLocal(ctx, request)
+	response.Time = s.stamp()
 	s.metrics.claims.WithLabelValues(response.GetStatus().String()).Inc()
 	return response, nil
 }
@@ -28,50 +32,63 @@
 // claimLocal claims for the local entry. A claim that is not granted leaves the
 // table before the entry is told so.
 func (s *Service) claimLocal(ctx context.Context, request *pb.ClaimRequest) *pb.ClaimResponse {
-	token, ok := ordermsg.TokenFromWire(request.GetToken())
+	claim, ok := s.claimFromEntry(request)
 	if !ok {
 		return s.unavailable(refusalRequest)
 	}
-	if !s.holds.open(token, request.GetSession(), time.Now()) {
+	if !s.holds.open(claim.Token, request.GetSession(), time.Now()) {
 		return s.unavailable(refusalOverload)
 	}
-	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(request.GetGiveUpUnixMillis()))
+	ctx, cancel := context.WithDeadline(ctx, claim.giveUp)
 	defer cancel()
-	key := journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey()))
-	response, sure := s.claimUntilDecided(ctx, key, request)
+	response, sure := s.claimUntilDecided(ctx, claim, request.GetRequest())
 	if response.GetStatus() == pb.ClaimStatus_CLAIM_STATUS_GRANTED {
-		if ctx.Err() == nil && s.holds.grant(token) {
-			s.record(timeline.KindOrderClaimed, key, request.GetRequest())
+		if ctx.Err() == nil && s.holds.grant(claim.Token) {
+			s.record(timeline.KindOrderClaimed, claim.Key, request.GetRequest())
 			return response
 		}
 		response, sure = s.unavailable(refusalTimeout), false
 	}
-	s.holds.abandon(token)
+	s.holds.abandon(claim.Token)
 	response.InDoubt = !sure
 	return response
 }
 
+// claimFromEntry reads a claim of the local entry, which names its session.
+func (s *Service) claimFromEntry(request *pb.ClaimRequest) (ownerClaim, bool) {
+	token, tokenOK := ordermsg.TokenFromWire(request.GetToken())
+	fingerprint, fingerprintOK := ordermsg.FingerprintFromWire(request.GetFingerprint())
+	return ownerClaim{
+		Claim: journal.Claim{
+			Key:         journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
+			Fingerprint: fingerprint,
+			Token:       token,
+			Claimant:    s.claimant(),
+			Deadline:    time.UnixMilli(request.GetDeadlineUnixMillis()),
+		},
+		giveUp: time.UnixMilli(request.GetGiveUpUnixMillis()),
+	}, tokenOK && fingerprintOK && request.GetSession() != ""
+}
+
 // claimUntilDecided claims, and resolves the claims of others that it meets.
 // It answers RUNNING after one wait, so that a frozen control process is told
 // from a long wait by its entry. See claimAtOwner for sure.
-func (s *Service) claimUntilDecided(ctx context.Context, key journal.KeyHash, local *pb.ClaimRequest) (response *pb.ClaimResponse, sure bool) {
-	request := s.forwarded(local)
+func (s *Service) claimUntilDecided(ctx context.Context, claim ownerClaim, requestID string) (response *pb.ClaimResponse, sure bool) {
 	answerBy := time.Now().Add(s.settings.WaitSlice)
 	sure = true
 	for {
-		answer, allSure := s.claimAtOwner(ctx, key, request)
+		answer, allSure := s.claimAtOwner(ctx, claim)
 		sure = sure && allSure
 		if answer.GetStatus() != pb.ClaimStatus_CLAIM_STATUS_RUNNING {
 			return answer, sure
 		}
 		switch s.decideResend(ctx, answer, time.Until(answerBy)) {
 		case claims.ResendSupersede:
-			request = s.forwarded(local)
-			request.Supersedes = answer.GetHolderToken()
+			claim.Supersedes, _ = ordermsg.TokenFromWire(answer.GetHolderToken())
 		case claims.ResendUnknown:
-			return s.unknown(key, local), sure
+			return s.unknown(claim.Key, requestID), sure
 		case claims.ResendRunning:
-			return &pb.ClaimResponse{Time: s.stamp(), Status: answer.GetStatus()}, sure
+			return &pb.ClaimResponse{Status: answer.GetStatus()}, sure
 		}
 		if ctx.Err() != nil {
 			return s.unavailable(refusalTimeout), sure
@@ -79,19 +96,6 @@
 	}
 }
 
-func (s *Service) forwarded(local *pb.ClaimRequest) *pb.ClaimRequest {
-	return &pb.ClaimRequest{
-		Time:               s.stamp(),
-		Service:            local.GetService(),
-		Key:                local.GetKey(),
-		Fingerprint:        local.GetFingerprint(),
-		Token:              local.GetToken(),
-		DeadlineUnixMillis: local.GetDeadlineUnixMillis(),
-		GiveUpUnixMillis:   local.GetGiveUpUnixMillis(),
-		Claimant:           ordermsg.ClaimantToWire(s.claimant()),
-	}
-}
-
 func (s *Service) claimant() journal.Claimant {
 	return journal.Claimant{Instance: s.options.Self.ID, Incarnation: s.options.Self.Incarnation}
 }
@@ -112,15 +116,11 @@
 }
 
 // serveClaim decides a claim as the owner of its shard.
-func (s *Service) serveClaim(ctx context.Context, request *pb.ClaimRequest) *pb.ClaimResponse {
-	claim, ok := claimFromWire(request)
-	if !ok {
-		return s.unavailable(refusalRequest)
-	}
-	ctx, cancel := context.WithDeadline(ctx, time.UnixMilli(request.GetGiveUpUnixMillis()))
+func (s *Service) serveClaim(ctx context.Context, claim ownerClaim) *pb.ClaimResponse {
+	ctx, cancel := context.WithDeadline(ctx, claim.giveUp)
 	defer cancel()
 	op := newOperation(ctx, time.Now())
-	op.claim = &claim
+	op.claim = &claim.Claim
 	r := s.submit(claim.Key.Shard(s.settings.Shards), op)
 	if r.refusal != refusalNone {
 		return s.unavailable(r.refusal)
@@ -128,22 +128,8 @@
 	return s.claimResponse(r.decision)
 }
 
-func claimFromWire(request *pb.ClaimRequest) (journal.Claim, bool) {
-	token, tokenOK := ordermsg.TokenFromWire(request.GetToken())
-	fingerprint, fingerprintOK := ordermsg.FingerprintFromWire(request.GetFingerprint())
-	supersedes, _ := ordermsg.TokenFromWire(request.GetSupersedes())
-	return journal.Claim{
-		Key:         journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
-		Fingerprint: fingerprint,
-		Token:       token,
-		Claimant:    ordermsg.ClaimantFromWire(request.GetClaimant()),
-		Deadline:    time.UnixMilli(request.GetDeadlineUnixMillis()),
-		Supersedes:  supersedes,
-	}, tokenOK && fingerprintOK
-}
-
 func (s *Service) claimResponse(d journal.Decision) *pb.ClaimResponse {
-	response := &pb.ClaimResponse{Time: s.stamp()}
+	response := &pb.ClaimResponse{}
 	switch d.Verdict {
 	case journal.VerdictGranted:
 		response.Status = pb.ClaimStatus_CLAIM_STATUS_GRANTED
@@ -168,7 +154,6 @@
 // unavailable answers that nothing was granted.
 func (s *Service) unavailable(why refusal) *pb.ClaimResponse {
 	return &pb.ClaimResponse{
-		Time:             s.stamp(),
 		Status:           pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE,
 		RetryAfterMillis: s.random.retryAfter(s.settings.RetrySpread).Milliseconds(),
 		Reason:           string(why),
@@ -176,11 +161,10 @@
 }
 
 // unknown answers that the order may have run.
-func (s *Service) unknown(key journal.KeyHash, request *pb.ClaimRequest) *pb.ClaimResponse {
+func (s *Service) unknown(key journal.KeyHash, requestID string) *pb.ClaimResponse {
 	s.metrics.unknown.Inc()
-	s.record(timeline.KindOrderUnknown, key, request.GetRequest())
+	s.record(timeline.KindOrderUnknown, key, requestID)
 	return &pb.ClaimResponse{
-		Time:   s.stamp(),
 		Status: pb.ClaimStatus_CLAIM_STATUS_FINISHED,
 		Result: &pb.OrderResult{Outcome: pb.OrderOutcome_ORDER_OUTCOME_UNKNOWN},
 	}
--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -365,7 +365,7 @@
 			return none, errUnreachable
 		}
 		if c.cluster.traffic != nil && c.from != c.to {
-			c.cluster.traffic.count(c.from.id, c.to.id, request, r.response)
+			c.cluster.traffic.count(c.from.id, c.to.id, callOverhead, request, r.response)
 		}
 		return r.response, r.err
 	case <-ctx.Done():
--- a/internal/control/claims/faults_test.go
+++ b/internal/control/claims/faults_test.go
@@ -11,6 +11,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/protocol/ordermsg"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/journal"
 	"savoryweir/internal/state/order"
@@ -224,12 +225,12 @@
 func TestOwnerRecordsNoClaimThatWasGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 2, 1, defaultSettings(), objectapi.Limits{})
-		late, err := c.nodes["i001"].service.Claim(context.Background(), &pb.ClaimRequest{
-			Service: "desk", Key: "k", Fingerprint: make([]byte, len(order.Fingerprint{})), Token: make([]byte, journal.HashBytes),
-			Claimant:         &pb.Claimant{Instance: "i000", Incarnation: 1},
-			GiveUpUnixMillis: time.Now().Add(-time.Second).UnixMilli(),
-		})
-		assert.NilError(t, err)
+		owner := c.nodes["i001"]
+		now := owner.service.clock().Now()
+		claim := journal.Claim{Key: journal.HashKey("desk", "k"), Token: journal.Token{1}, Deadline: time.Now().Add(time.Minute)}
+		giveUp := time.Now().Add(-time.Second)
+		x := &exchange{service: owner.service, claimant: journal.Claimant{Instance: "i000", Incarnation: 1}}
+		late := x.serve(context.Background(), ordermsg.ClaimCall(1, claim, giveUp, now), now).GetClaim()
 		assert.Equal(t, late.GetStatus(), pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE)
 		assert.Equal(t, c.store.Counts().Writes(), uint64(0))
 	})
--- a/internal/control/claims/finish.go
+++ b/internal/control/claims/finish.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
 	"savoryweir/internal/pause"
@@ -18,9 +16,7 @@
 
 // finishTask is a result that is sent to the owner until it is durable.
 type finishTask struct {
-	key     journal.KeyHash
-	token   journal.Token
-	request *pb.FinishRequest
+	finish  journal.Finish
 	expires time.Time     // end of the key's lifetime
 	done    chan struct{} // closed when the result is durable or given up
 	saved   bool          // set before done is closed
@@ -32,23 +28,21 @@
 // finishBackoff spaces the attempts at one result.
 var finishBackoff = claims.Backoff{Base: 200 * time.Millisecond, Cap: 5 * time.Second}
 
-// Finish implements the Orders service for the local entry and for peers.
+// Finish implements the Orders service for the local entry.
 func (s *Service) Finish(ctx context.Context, request *pb.FinishRequest) (*pb.FinishResponse, error) {
 	s.observe(request.GetTime())
-	if request.GetForwarded() {
-		return s.serveFinish(ctx, request), nil
-	}
-	return s.finishLocal(ctx, request), nil
+	response := s.finishLocal(ctx, request)
+	response.Time = s.stamp()
+	return response, nil
 }
 
 // finishLocal queues a result of the local entry and waits for it to be
 // durable. When the wait ends earlier the result stays queued.
 func (s *Service) finishLocal(ctx context.Context, request *pb.FinishRequest) *pb.FinishResponse {
-	token, ok := ordermsg.TokenFromWire(request.GetToken())
+	task, ok := s.newFinishTask(request)
 	if !ok {
 		return s.notRecorded(refusalRequest)
 	}
-	task := s.newFinishTask(request, token)
 	if !s.finishing.Offer(task) {
 		return s.notRecorded(refusalOverload)
 	}
@@ -63,37 +57,39 @@
 		return s.notRecorded(refusalStore)
 	}
 	s.metrics.finishes.WithLabelValues(request.GetResult().GetOutcome().String()).Inc()
-	return &pb.FinishResponse{Time: s.stamp(), Recorded: true}
+	return &pb.FinishResponse{Recorded: true}
 }
 
-func (s *Service) newFinishTask(request *pb.FinishRequest, token journal.Token) *finishTask {
-	stored := journal.NewResult(ordermsg.ResultFromWire(request.GetResult()), s.settings.MaxBodyBytes)
+// newFinishTask reads a result of the local entry. It is false when the request
+// is malformed: a claim that was given up needs its fingerprint.
+func (s *Service) newFinishTask(request *pb.FinishRequest) (*finishTask, bool) {
+	token, tokenOK := ordermsg.TokenFromWire(request.GetToken())
+	fingerprint, fingerprintOK := ordermsg.FingerprintFromWire(request.GetFingerprint())
+	result := ordermsg.ResultFromWire(request.GetResult())
 	return &finishTask{
-		key:     journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
-		token:   token,
 		expires: time.Now().Add(s.settings.KeyLifetime),
 		done:    make(chan struct{}),
-		request: &pb.FinishRequest{
-			Service:     request.GetService(),
-			Key:         request.GetKey(),
-			Token:       token[:],
-			Forwarded:   true,
-			Fingerprint: request.GetFingerprint(),
-			Result: &pb.OrderResult{
-				Outcome:     request.GetResult().GetOutcome(),
-				Status:      uint32(stored.Status),
-				ContentType: stored.ContentType,
-				Body:        stored.Body,
-				BodyOmitted: len(stored.BodyHash) > 0,
-				BodyHash:    stored.BodyHash,
-			},
+		finish: journal.Finish{
+			Key:         journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
+			Token:       token,
+			Fingerprint: fingerprint,
+			Claimant:    s.claimant(),
+			Result:      s.shorten(result),
 		},
-	}
+	}, tokenOK && (fingerprintOK || result.Outcome != order.OutcomeNotRun)
+}
+
+// shorten replaces a body that the journal does not keep by its hash.
+func (s *Service) shorten(r order.Result) order.Result {
+	stored := journal.NewResult(r, s.settings.MaxBodyBytes)
+	r.Body = stored.Body
+	r.BodyHash = stored.BodyHash
+	r.BodyOmitted = len(stored.BodyHash) > 0
+	return r
 }
 
 func (s *Service) notRecorded(why refusal) *pb.FinishResponse {
 	return &pb.FinishResponse{
-		Time:             s.stamp(),
 		RetryAfterMillis: s.random.retryAfter(s.settings.RetrySpread).Milliseconds(),
 		Reason:           string(why),
 	}
@@ -114,12 +110,10 @@
 func (s *Service) finishTask(ctx context.Context, task *finishTask) {
 	defer close(task.done)
 	for attempt := 0; ctx.Err() == nil && time.Now().Before(task.expires); attempt++ {
-		request := proto.CloneOf(task.request)
-		request.Time = s.stamp()
-		if s.finishAtOwner(ctx, task.key, request) {
+		if s.finishAtOwner(ctx, task.finish) {
 			task.saved = true
-			s.holds.end(task.token)
-			s.record(timeline.KindOrderFinished, task.key, "")
+			s.holds.end(task.finish.Token)
+			s.record(timeline.KindOrderFinished, task.finish.Key, "")
 			return
 		}
 		pause.For(ctx, s.random.backoff(finishBackoff, attempt))
@@ -127,27 +121,12 @@
 }
 
 // serveFinish records a result as the owner of its shard.
-func (s *Service) serveFinish(ctx context.Context, request *pb.FinishRequest) *pb.FinishResponse {
-	token, ok := ordermsg.TokenFromWire(request.GetToken())
-	if !ok {
-		return s.notRecorded(refusalRequest)
-	}
-	fingerprint, ok := ordermsg.FingerprintFromWire(request.GetFingerprint())
-	result := ordermsg.ResultFromWire(request.GetResult())
-	if !ok && result.Outcome == order.OutcomeNotRun {
-		return s.notRecorded(refusalRequest)
-	}
+func (s *Service) serveFinish(ctx context.Context, finish journal.Finish) *pb.FinishResponse {
 	op := newOperation(ctx, time.Now())
-	op.finish = &journal.Finish{
-		Key:         journal.HashKey(bundle.ServiceName(request.GetService()), order.Key(request.GetKey())),
-		Token:       token,
-		Fingerprint: fingerprint,
-		Claimant:    s.claimant(),
-		Result:      result,
-	}
-	r := s.submit(op.finish.Key.Shard(s.settings.Shards), op)
+	op.finish = &finish
+	r := s.submit(finish.Key.Shard(s.settings.Shards), op)
 	if r.refusal != refusalNone {
 		return s.notRecorded(r.refusal)
 	}
-	return &pb.FinishResponse{Time: s.stamp(), Recorded: true}
+	return &pb.FinishResponse{Recorded: true}
 }
--- /dev/null
+++ b/internal/control/claims/link_test.go
@@ -0,0 +1,272 @@
+package claims
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/journal"
+	"savoryweir/internal/state/order"
+)
+
+// owner is a peer whose replies the test writes.
+type owner struct {
+	pb.OrdersClient
+	streams chan *ownerStream
+}
+
+// Orders implements Dialer.
+func (o *owner) Orders(string) (pb.OrdersClient, error) { return o, nil }
+
+// Exchange implements the client of the Orders service.
+func (o *owner) Exchange(ctx context.Context, _ ...grpc.CallOption) (grpc.BidiStreamingClient[pb.OrderFrame, pb.OrderReplies], error) {
+	ctx, cut := context.WithCancel(ctx)
+	s := &ownerStream{ctx: ctx, cut: cut, frames: make(chan *pb.OrderFrame, 16), replies: make(chan *pb.OrderReplies, 16)}
+	o.streams <- s
+	return s, nil
+}
+
+type ownerStream struct {
+	grpc.ClientStream
+	ctx     context.Context
+	cut     context.CancelFunc
+	frames  chan *pb.OrderFrame
+	replies chan *pb.OrderReplies
+}
+
+// Send implements the stream.
+func (s *ownerStream) Send(f *pb.OrderFrame) error {
+	s.frames <- f
+	return nil
+}
+
+// Recv implements the stream.
+func (s *ownerStream) Recv() (*pb.OrderReplies, error) {
+	select {
+	case r := <-s.replies:
+		return r, nil
+	case <-s.ctx.Done():
+		return nil, errUnreachable
+	}
+}
+
+// linkTest is a set of links to one owner, and the ends of the calls by their keys.
+type linkTest struct {
+	links *links
+	owner *owner
+	wait  sync.WaitGroup
+	mu    sync.Mutex // guards ends
+	ends  map[byte]error
+}
+
+func newLinkTest(t *testing.T) *linkTest {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &linkTest{owner: &owner{streams: make(chan *ownerStream, 16)}, ends: make(map[byte]error)}
+	l.links = &links{
+		dialer: l.owner, settings: defaultSettings(), clock: hlc.New(time.Now), byPeer: make(map[string]*link),
+		self: journal.Claimant{Instance: "i000", Incarnation: 1},
+		start: func(duty func(context.Context)) bool {
+			l.wait.Go(func() { duty(ctx) })
+			return true
+		},
+	}
+	t.Cleanup(func() {
+		cancel()
+		l.wait.Wait()
+	})
+	return l
+}
+
+// call claims a key of one byte and notes the end.
+func (l *linkTest) call(ctx context.Context, key byte) {
+	claim := &ownerClaim{Claim: journal.Claim{Key: journal.KeyHash{key}}, giveUp: time.Now().Add(time.Second)}
+	l.wait.Go(func() {
+		_, err := l.links.call(ctx, "peer", &linkCall{claim: claim})
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.ends[key] = err
+	})
+	synctest.Wait()
+}
+
+func (l *linkTest) ended(key byte) (err error, ok bool) {
+	synctest.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	err, ok = l.ends[key]
+	return err, ok
+}
+
+func granted(id uint32) *pb.OrderReplies {
+	claim := &pb.ClaimResponse{Status: pb.ClaimStatus_CLAIM_STATUS_GRANTED}
+	return &pb.OrderReplies{Replies: []*pb.OrderReply{{Id: id, Claim: claim}}}
+}
+
+// TestLinkCutWithinABatch cuts the stream when one of three calls of a frame is
+// answered and a fourth waits to be sent.
+func TestLinkCutWithinABatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLinkTest(t)
+		l.call(t.Context(), 0)
+		stream := <-l.owner.streams
+		assert.Equal(t, len((<-stream.frames).GetCalls()), 1, "an idle link sends at once")
+		stream.replies <- granted(1)
+		for key := byte(1); key <= 3; key++ {
+			l.call(t.Context(), key)
+		}
+		frame := <-stream.frames
+		assert.Equal(t, len(frame.GetCalls()), 3, "calls within one interval share a frame")
+		assert.Assert(t, frame.GetClaimant() == nil, "the first frame named the claimant")
+		l.call(t.Context(), 4)
+		stream.replies <- granted(frame.GetCalls()[1].GetId())
+		stream.replies <- granted(frame.GetCalls()[1].GetId()) // once more
+		stream.replies <- granted(99)
+		synctest.Wait()
+		began := time.Now()
+		stream.cut()
+		for key, want := range []error{nil, errLinkCut, nil, errLinkCut, errLinkCut} {
+			err, ok := l.ended(byte(key))
+			assert.Assert(t, ok, "call %d waits on after the cut", key)
+			assert.Assert(t, errors.Is(err, want), "call %d: %v", key, err)
+		}
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		l.call(t.Context(), 5)
+		again := <-l.owner.streams
+		assert.Equal(t, (<-again.frames).GetClaimant().GetInstance(), "i000", "a new stream names the claimant")
+	})
+}
+
+func TestLinkForgetsCallsThatNobodyWaitsFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLinkTest(t)
+		sent, leave := context.WithCancel(t.Context())
+		l.call(sent, 0)
+		stream := <-l.owner.streams
+		<-stream.frames
+		unsent, leaveUnsent := context.WithCancel(t.Context())
+		l.call(unsent, 1)
+		l.call(t.Context(), 2)
+		leave()
+		leaveUnsent()
+		frame := <-stream.frames
+		assert.Equal(t, len(frame.GetCalls()), 1)
+		assert.Equal(t, frame.GetCalls()[0].GetKey()[0], byte(2), "a call that was given up is not sent")
+		l.links.mu.Lock()
+		k := l.links.byPeer["peer"]
+		l.links.mu.Unlock()
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		assert.Equal(t, len(k.waiting), 1)
+	})
+}
+
+func TestLinkEndsWhenIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLinkTest(t)
+		l.call(t.Context(), 0)
+		stream := <-l.owner.streams
+		id := (<-stream.frames).GetCalls()[0].GetId()
+		time.Sleep(2 * l.links.settings.IdleUnload)
+		assert.NilError(t, stream.ctx.Err(), "a call waits for its reply")
+		stream.replies <- granted(id)
+		time.Sleep(2 * l.links.settings.IdleUnload)
+		assert.Assert(t, stream.ctx.Err() != nil)
+		assert.Equal(t, len(l.links.byPeer), 0)
+	})
+}
+
+// TestBoundFramesOfALink sends a thousand claims a second: the frames follow the
+// interval and not the load.
+func TestBoundFramesOfALink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLinkTest(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		frames, calls := 0, 0
+		for i := range 1000 {
+			l.call(ctx, byte(i))
+			time.Sleep(time.Millisecond)
+			if i == 0 {
+				continue
+			}
+			for _, stream := range l.links.streamsOf(l.owner) {
+				for len(stream.frames) > 0 {
+					calls += len((<-stream.frames).GetCalls())
+					frames++
+				}
+			}
+		}
+		assert.Assert(t, calls > 900, calls)
+		assert.Assert(t, frames <= int(time.Second/frameInterval)+1, "%d frames", frames)
+	})
+}
+
+// streamsOf returns the streams of an owner, which stay in its channel.
+func (l *links) streamsOf(o *owner) []*ownerStream {
+	var list []*ownerStream
+	for range len(o.streams) {
+		s := <-o.streams
+		list = append(list, s)
+		o.streams <- s
+	}
+	return list
+}
+
+// TestCutStreamTurnsClaimsToTheNextOwner loses the answer of a batch of claims
+// that took effect. Each is granted once, elsewhere and at once.
+func TestCutStreamTurnsClaimsToTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		n, at := c.nodes["i000"], c.nodes["i001"]
+		first, second := c.keysOwnedBy(at)
+		grant(t, n, first) // opens the stream
+		var wait sync.WaitGroup
+		began := time.Now()
+		c.setLostReplies(1)
+		for _, key := range []string{second, fmt.Sprint(second, " ")} {
+			wait.Go(func() {
+				claim, answer := grant(t, n, key)
+				assert.NilError(t, n.client.Finish(context.Background(), claim, answer.Token, order.Result{Outcome: order.OutcomeRan, Status: 201}))
+			})
+		}
+		wait.Wait()
+		assert.Assert(t, time.Since(began) < c.settings.PeerTimeout, time.Since(began))
+		c.setLostReplies(0)
+		resend, err := resendOutcome(t, c.nodes["i002"], second)
+		assert.NilError(t, err)
+		assert.Equal(t, resend.Result.Status, 201)
+	})
+}
+
+// TestClaimWithoutSessionIsRefused has a control process of another version
+// forward a claim as a call of its own: it must not count as a new entry process.
+func TestClaimWithoutSessionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1, defaultSettings(), objectapi.Limits{})
+		n := c.nodes["i000"]
+		_, held := grant(t, n, "k")
+		response, err := n.service.Claim(context.Background(), &pb.ClaimRequest{
+			Service: "desk", Key: "other", Fingerprint: make([]byte, len(order.Fingerprint{})), Token: make([]byte, journal.HashBytes),
+			GiveUpUnixMillis: time.Now().Add(time.Second).UnixMilli(),
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, response.GetReason(), string(refusalRequest))
+		raw, err := hex.DecodeString(held.Token)
+		assert.NilError(t, err)
+		hold, _ := n.service.holds.lookup(journal.Token(raw))
+		assert.Equal(t, hold, claims.HoldHeld)
+	})
+}
--- a/internal/control/claims/model_test.go
+++ b/internal/control/claims/model_test.go
@@ -109,12 +109,25 @@
 	m.violations = append(m.violations, fmt.Sprintf(format, args...))
 }
 
+// hear notes what the caller of an attempt was told.
+func (m *model) hear(a *attempt, t told) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a.told = t
+}
+
+func (m *model) heard(a *attempt) told {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return a.told
+}
+
 // history lists what the callers of a key were told.
 func (m *model) history(key string) []told {
 	var list []told
 	for _, a := range m.attempts {
 		if a.key == key {
-			list = append(list, a.told)
+			list = append(list, m.heard(a))
 		}
 	}
 	return list
@@ -123,12 +136,12 @@
 // check compares what callers were told with what ran.
 func (m *model) check() {
 	for _, a := range m.attempts {
-		switch {
-		case a.told == toldNotRun && m.ran(a):
+		switch heard := m.heard(a); {
+		case heard == toldNotRun && m.ran(a):
 			m.violate("attempt %d of key %s was told not_run and ran", a.id, a.key)
-		case a.told == toldRan && len(m.runs[a.key]) == 0:
+		case heard == toldRan && len(m.runs[a.key]) == 0:
 			m.violate("attempt %d of key %s was told ran and did not run", a.id, a.key)
-		case a.told == toldRefused && m.ran(a):
+		case heard == toldRefused && m.ran(a):
 			m.violate("attempt %d of key %s was refused and ran", a.id, a.key)
 		}
 	}
@@ -183,11 +196,11 @@
 	u.cluster.goRun(func() { answer <- u.serve(entry, n, a) })
 	select {
 	case t := <-answer:
-		a.told = t
+		u.model.hear(a, t)
 	case <-time.After(callerPatience):
 	case <-entry.Done():
 	}
-	return a.told
+	return u.model.heard(a)
 }
 
 // serve is what an entry does with an order. It ends unfinished when the entry is killed.
--- /dev/null
+++ b/internal/control/claims/pipe_test.go
@@ -0,0 +1,138 @@
+package claims
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+
+	pb "savoryweir/api/savoryweir/v1"
+)
+
+const (
+	// pipeFrames is how many frames are on their way at most.
+	pipeFrames = 64
+	// cutNoticeMax is the longest time after which a receiver notes that a stream was cut.
+	cutNoticeMax = 3 * time.Second
+)
+
+// pipe is one stream between two control processes. It is cut, with all frames
+// on their way, when an answer is lost or one of its ends is killed.
+type pipe struct {
+	conn    *conn
+	service *Service // of the receiver when the stream was opened
+	ctx     context.Context
+	cut     context.CancelFunc
+	frames  chan *pb.OrderFrame
+	replies chan *pb.OrderReplies
+}
+
+// Exchange opens a stream. A frozen receiver serves it after its thaw.
+func (c *conn) Exchange(ctx context.Context, _ ...grpc.CallOption) (grpc.BidiStreamingClient[pb.OrderFrame, pb.OrderReplies], error) {
+	if c.to == nil || c.to.isDead() {
+		return nil, errUnreachable
+	}
+	ctx, cut := context.WithCancel(ctx)
+	p := &pipe{
+		conn: c, service: c.to.serviceNow(), ctx: ctx, cut: cut,
+		frames: make(chan *pb.OrderFrame, pipeFrames), replies: make(chan *pb.OrderReplies, pipeFrames),
+	}
+	c.cluster.goRun(func() {
+		defer cut()
+		c.to.awaitThaw()
+		_ = p.service.Exchange(&pipeServer{pipe: p})
+	})
+	return &pipeClient{pipe: p}, nil
+}
+
+// broken cuts the stream when its receiver is gone.
+func (p *pipe) broken() bool {
+	if p.conn.to.isDead() || p.conn.to.serviceNow() != p.service {
+		p.cut()
+	}
+	return p.ctx.Err() != nil
+}
+
+// loses cuts the stream when the frame is to be lost.
+func (p *pipe) loses() bool {
+	if p.conn.cluster.losesReply() {
+		p.cut()
+	}
+	return p.ctx.Err() != nil
+}
+
+// pipeClient is the sender's end.
+type pipeClient struct {
+	grpc.ClientStream
+	*pipe
+}
+
+// Send implements the stream. The frame may be lost.
+func (p *pipeClient) Send(frame *pb.OrderFrame) error {
+	if p.broken() || p.loses() {
+		return io.EOF
+	}
+	p.conn.countFrame(frame)
+	select {
+	case p.frames <- frame:
+		return nil
+	case <-p.ctx.Done():
+		return io.EOF
+	}
+}
+
+// Recv implements the stream. Replies that arrive at a cut are lost.
+func (p *pipeClient) Recv() (*pb.OrderReplies, error) {
+	select {
+	case replies := <-p.replies:
+		if p.ctx.Err() == nil {
+			return replies, nil
+		}
+	case <-p.ctx.Done():
+	}
+	return nil, errUnreachable
+}
+
+// pipeServer is the receiver's end.
+type pipeServer struct {
+	grpc.ServerStream
+	*pipe
+}
+
+// Context implements the stream. Half of the cuts do not reach the receiver at once.
+func (p *pipeServer) Context() context.Context { return p.conn.cluster.ctx }
+
+// Recv implements the stream.
+func (p *pipeServer) Recv() (*pb.OrderFrame, error) {
+	select {
+	case frame := <-p.frames:
+		p.conn.to.awaitThaw()
+		return frame, nil
+	case <-p.ctx.Done():
+	}
+	if p.conn.cluster.intN(2) == 0 {
+		notice := time.NewTimer(time.Duration(p.conn.cluster.intN(int(cutNoticeMax))))
+		defer notice.Stop()
+		select {
+		case <-notice.C:
+		case <-p.conn.cluster.ctx.Done():
+		}
+	}
+	return nil, errUnreachable
+}
+
+// Send implements the stream. The frame may be lost after its calls took effect.
+func (p *pipeServer) Send(replies *pb.OrderReplies) error {
+	p.conn.to.awaitThaw()
+	if p.broken() || p.loses() {
+		return errUnreachable
+	}
+	p.conn.countFrame(replies)
+	select {
+	case p.replies <- replies:
+		return nil
+	case <-p.ctx.Done():
+		return errUnreachable
+	}
+}
--- a/internal/control/claims/route.go
+++ b/internal/control/claims/route.go
@@ -20,11 +20,11 @@
 // in rendezvous order, else at the store itself. Since the token makes claims
 // idempotent, an owner that did not answer may still have recorded the claim.
 // Sure is false when a claim may be recorded beside an answer that grants nothing.
-func (s *Service) claimAtOwner(ctx context.Context, key journal.KeyHash, request *pb.ClaimRequest) (response *pb.ClaimResponse, sure bool) {
+func (s *Service) claimAtOwner(ctx context.Context, claim ownerClaim) (response *pb.ClaimResponse, sure bool) {
 	sure = true
 	refused := 0
-	for _, m := range s.route(key) {
-		answer, err := s.claimAt(ctx, m, request)
+	for _, m := range s.route(claim.Key) {
+		answer, err := s.claimAt(ctx, m, claim)
 		if err != nil {
 			sure = false
 			continue
@@ -43,29 +43,20 @@
 	return response, sure
 }
 
-func (s *Service) claimAt(ctx context.Context, m claims.Member, request *pb.ClaimRequest) (*pb.ClaimResponse, error) {
+func (s *Service) claimAt(ctx context.Context, m claims.Member, claim ownerClaim) (*pb.ClaimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.settings.peerTimeout())
 	defer cancel()
 	if m.ID == s.options.Self.ID {
-		return s.serveClaim(ctx, request), nil
+		return s.serveClaim(ctx, claim), nil
 	}
-	client, err := s.peers.client(m)
-	if err != nil {
-		return nil, err
-	}
-	response, err := client.Claim(ctx, request)
-	if err != nil {
-		s.peers.failed(m.ID, time.Now())
-		return nil, err
-	}
-	s.observe(response.GetTime())
-	return response, nil
+	reply, err := s.callPeer(ctx, m, &linkCall{claim: &claim})
+	return reply.GetClaim(), err
 }
 
 // finishAtOwner records a result in the same order of members as claimAtOwner.
-func (s *Service) finishAtOwner(ctx context.Context, key journal.KeyHash, request *pb.FinishRequest) bool {
-	for _, m := range s.route(key) {
-		response, err := s.finishAt(ctx, m, request)
+func (s *Service) finishAtOwner(ctx context.Context, finish journal.Finish) bool {
+	for _, m := range s.route(finish.Key) {
+		response, err := s.finishAt(ctx, m, finish)
 		if err == nil && response.GetRecorded() {
 			return true
 		}
@@ -73,23 +64,26 @@
 	return false
 }
 
-func (s *Service) finishAt(ctx context.Context, m claims.Member, request *pb.FinishRequest) (*pb.FinishResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.settings.peerTimeout()+s.settings.FinishDelay)
+func (s *Service) finishAt(ctx context.Context, m claims.Member, finish journal.Finish) (*pb.FinishResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.finishTimeout())
 	defer cancel()
 	if m.ID == s.options.Self.ID {
-		return s.serveFinish(ctx, request), nil
+		return s.serveFinish(ctx, finish), nil
 	}
-	client, err := s.peers.client(m)
-	if err != nil {
-		return nil, err
+	reply, err := s.callPeer(ctx, m, &linkCall{finish: &finish})
+	return reply.GetFinish(), err
+}
+
+// callPeer calls another member, and passes it over for a while when it does not reply.
+func (s *Service) callPeer(ctx context.Context, m claims.Member, c *linkCall) (*pb.OrderReply, error) {
+	reply, err := s.links.call(ctx, m.Address, c)
+	if err == nil && (reply.GetClaim() != nil) != (c.claim != nil) {
+		err = errReplyKind
 	}
-	response, err := client.Finish(ctx, request)
 	if err != nil {
 		s.peers.failed(m.ID, time.Now())
-		return nil, err
 	}
-	s.observe(response.GetTime())
-	return response, nil
+	return reply, err
 }
 
 // route returns the members to try for a key, this instance last at the latest.
--- a/internal/control/claims/service.go
+++ b/internal/control/claims/service.go
@@ -53,6 +53,7 @@
 	gate      *gate
 	holds     *holds
 	peers     *peers
+	links     *links
 	metrics   *metrics
 	finishing *ring.Ring[*finishTask]
 	obsolete  *ring.Ring[journal.SegmentRef]
@@ -80,6 +81,10 @@
 		workers:   make(map[journal.ShardID]*worker),
 		running:   notRunning(),
 	}
+	s.links = &links{
+		dialer: o.Dialer, settings: o.Settings, clock: s.clock(), self: s.claimant(),
+		start: s.startDuty, byPeer: make(map[string]*link),
+	}
 	s.metrics = newMetrics(o.Registerer, func() float64 { return float64(s.holds.len()) })
 	return s
 }
@@ -113,6 +118,18 @@
 	}()
 }
 
+// startDuty starts a duty that ends with the service. It is false when the service does not run.
+func (s *Service) startDuty(duty func(context.Context)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx := s.running
+	if ctx.Err() != nil {
+		return false
+	}
+	s.start(func() { duty(ctx) })
+	return true
+}
+
 const drainPoll = 50 * time.Millisecond
 
 // Drain waits until all orders of the local entry are finished and durable, or
--- a/internal/control/claims/settings.go
+++ b/internal/control/claims/settings.go
@@ -54,3 +54,6 @@
 
 // peerTimeout is the time for an owner to answer, which includes one wait for its commit.
 func (s Settings) peerTimeout() time.Duration { return s.PeerTimeout + s.pace().Interval }
+
+// finishTimeout is the time for an owner to record a result, which may wait for company.
+func (s Settings) finishTimeout() time.Duration { return s.peerTimeout() + s.FinishDelay }
--- a/internal/transport/peerconn/pool.go
+++ b/internal/transport/peerconn/pool.go
@@ -15,8 +15,11 @@
 
 // Sizes that keep a connection small: control messages are short.
 const (
-	bufferBytes       = 4 << 10
-	maxMessageBytes   = 4 << 20
+	bufferBytes     = 4 << 10
+	maxMessageBytes = 4 << 20
+	// windowBytes is the flow control window of streams and connections. A fixed
+	// window spares the pings by which gRPC sizes windows: one for each message.
+	windowBytes       = 256 << 10
 	idleTimeout       = 30 * time.Second
 	dialTimeout       = 2 * time.Second
 	maxReconnectDelay = 2 * time.Second
@@ -44,6 +47,8 @@
 		grpc.WithTransportCredentials(c),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
@@ -99,6 +104,8 @@
 	options := []grpc.ServerOption{
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	}
 	if c != nil {
