Entry: a resend is told when the answer of its order was not kept

The entry's replay ignored that and answered with the recorded status and an empty body, which passes for the whole answer.

Ruled out: the recorded status with a header of its own. A caller that does not know the header takes the empty body for the answer. 410 with an error body can't be read as the answer, and the outcome "ran" with the code says that it is no refusal.

Change: 410 order_answer_not_kept, outcome ran, Idempotent-Replayed: true, and the recorded status and body hash in Idempotent-Replayed-Status and Idempotent-Replayed-Digest.

Test: TestResendIsToldThatTheAnswerWasNotKept; without the check of BodyOmitted it got 201 with an empty body. The in-memory claims of the entry's tests can give a key's result to any body, for this test.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -169,6 +169,7 @@
 		f = f.forResend()
 	}
 	s.noteFailure(c, f)
+	f.setHeaders(w.Header())
 	httpapi.WriteError(w, f.Status, f.detail(c.id))
 }
 
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"savoryweir/internal/coordination/admission"
@@ -20,6 +21,8 @@
 	Cause      error
 	// Settled tells that the outcome holds for all sends of an order, not only for this one.
 	Settled bool
+	// NotKept is the recorded answer whose body is missing, nil for none.
+	NotKept *order.Result
 }
 
 // Error implements the error interface.
@@ -43,6 +46,16 @@
 	}
 }
 
+// setHeaders adds what is known of an answer whose body was not kept.
+func (f *Failure) setHeaders(h http.Header) {
+	if f.NotKept == nil {
+		return
+	}
+	h.Set(httpapi.HeaderReplayed, "true")
+	h.Set(httpapi.HeaderReplayedStatus, strconv.Itoa(f.NotKept.Status))
+	h.Set(httpapi.HeaderReplayedDigest, httpapi.SHA256Digest(f.NotKept.BodyHash))
+}
+
 func badRequest(err error) *Failure {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -127,6 +127,8 @@
 	states map[order.Key]*memoryClaim
 	down   error
 	lose   bool // answers to claims are lost after they took effect
+	// anyBody gives all resends of a key its result.
+	anyBody bool
 }
 
 type memoryClaim struct {
@@ -151,7 +153,7 @@
 			return order.Answer{}, context.DeadlineExceeded
 		}
 		return order.Answer{State: order.ClaimGranted, Token: "token"}, nil
-	case known.fingerprint != c.Fingerprint:
+	case known.fingerprint != c.Fingerprint && !m.anyBody:
 		return order.Answer{State: order.ClaimMismatch}, nil
 	case known.done:
 		return order.Answer{State: order.ClaimFinished, Result: known.result}, nil
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"errors"
 	"net"
 	"net/http"
@@ -213,3 +215,24 @@
 		assert.Equal(t, isOrderPath(s, path), expected, path)
 	}
 }
+
+// A resend of an order whose answer was too long to record is told so, and gets
+// no empty body that passes for the answer.
+func TestResendIsToldThatTheAnswerWasNotKept(t *testing.T) {
+	hash := sha256.Sum256([]byte("a long answer"))
+	claims := newMemoryClaims()
+	claims.states["o1"] = &memoryClaim{done: true, result: order.Result{
+		Outcome: order.OutcomeRan, Status: http.StatusCreated, ContentType: "text/plain", BodyOmitted: true, BodyHash: hash[:],
+	}}
+	one := startService(t, "s1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, claims, nil)
+	claims.anyBody = true
+	got := e.order("o1", key("o1"))
+	assert.Equal(t, got.status, http.StatusGone, got.body)
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeAnswerNotKept)
+	assert.Equal(t, got.header.Get(httpapi.HeaderOutcome), "ran")
+	assert.Equal(t, got.header.Get(httpapi.HeaderReplayed), "true")
+	assert.Equal(t, got.header.Get(httpapi.HeaderReplayedStatus), "201")
+	assert.Equal(t, got.header.Get(httpapi.HeaderReplayedDigest), "sha-256=:"+base64.StdEncoding.EncodeToString(hash[:])+":")
+	assert.Equal(t, one.service.RunsOf("o1"), 0)
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -192,6 +192,15 @@
 	}
 }
 
+// answerNotKept answers a resend of an order that ran and whose body was too long to record.
+func answerNotKept(r order.Result) *Failure {
+	return &Failure{
+		Code: httpapi.CodeAnswerNotKept, Status: http.StatusGone,
+		Message: "The order ran. The body of its answer was too long to be kept for resends.",
+		Outcome: order.OutcomeRan, NotKept: &r,
+	}
+}
+
 // replay answers from the record of an earlier run.
 func (o *orderRun) replay(r order.Result) orderEnd {
 	if r.Outcome == order.OutcomeNotRun {
@@ -200,6 +209,9 @@
 	if r.Outcome != order.OutcomeRan {
 		return orderEnd{failure: unknownOrder(nil)}
 	}
+	if r.BodyOmitted {
+		return orderEnd{failure: answerNotKept(r)}
+	}
 	return orderEnd{answer: &plainAnswer{
 		status: r.Status, contentType: r.ContentType, body: r.Body, outcome: r.Outcome, replayed: true,
 	}}
--- a/internal/protocol/httpapi/errors.go
+++ b/internal/protocol/httpapi/errors.go
@@ -31,6 +31,7 @@
 	CodeOrdersDown       Code = "order_claims_unavailable"
 	CodeOrderRunning     Code = "order_running"
 	CodeOrderUnknown     Code = "order_outcome_unknown"
+	CodeAnswerNotKept    Code = "order_answer_not_kept"
 	CodeKeyReused        Code = "idempotency_key_reused"
 	CodeMethodNotAllowed Code = "method_not_allowed"
 )
--- a/internal/protocol/httpapi/headers.go
+++ b/internal/protocol/httpapi/headers.go
@@ -3,6 +3,7 @@
 package httpapi
 
 import (
+	"encoding/base64"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -37,6 +38,10 @@
 	HeaderOutcome = "Call-Outcome"
 	// HeaderReplayed marks an answer that comes from the record of an earlier run.
 	HeaderReplayed = "Idempotent-Replayed"
+	// HeaderReplayedStatus is the status of a recorded answer whose body was not kept.
+	HeaderReplayedStatus = "Idempotent-Replayed-Status"
+	// HeaderReplayedDigest is the digest of a body that was not kept, as in RFC 9530.
+	HeaderReplayedDigest = "Idempotent-Replayed-Digest"
 	// HeaderGeneration is the bundle generation under which a request ran.
 	HeaderGeneration = "X-Bundle-Generation"
 	// HeaderLoadRunning is the number of requests that an upstream runs.
@@ -157,3 +162,8 @@
 	}
 	return true
 }
+
+// SHA256Digest returns the form of a SHA-256 hash in a digest header.
+func SHA256Digest(hash []byte) string {
+	return "sha-256=:" + base64.StdEncoding.EncodeToString(hash) + ":"
+}
