Entry: one wait for a running order, with one set of settings

Cause: the entry asked again every poll-every of [orders], each question cut at its claim-timeout of 2 s, and beneath it the client of the claims had a loop of its own with claim-timeout 5 s and running-poll of [claims]. A question waits at the control process up to wait-slice, so the entry's 2 s mostly ended within one: a resend of an order that ran longer got order_claims_unavailable after 2 s instead of waiting. The same happened at the caller's deadline within a question.

Ruled out: the loop in the entry. The client makes a new token for each question and releases the one that it gives up, so the wait belongs there.

Change: the entry asks once with its caller's time; the client alone waits, to the end of the order or the claim's deadline, and says "running" at the deadline once it knew so. [orders] claim-timeout and poll-every are gone. [claims] claim-timeout and finish-timeout are 2 s, which the entry's 2 s made of them before for callers; attempts from the backlog had 5 s. Between two questions lie 250 ms instead of 100 ms at most, beside the wait at the control process.

Tests: TestClaimWaitsForARunningOrder failed with "context deadline exceeded" at both deadlines without the change; TestClaimMayTakeAsLongAsItsCallerWaits failed with a wait of 2 s against 60 s. The cluster of the histories now takes the product's client settings (2 s for 5 s, backlog 4096 for 1024). The entry's in-memory claims wait for a running order, as the interface now asks.

--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -18,6 +18,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/settings"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/hlc"
 	"savoryweir/internal/state/object"
@@ -68,12 +69,8 @@
 	}
 }
 
-func clientSettings() orderclient.Settings {
-	return orderclient.Settings{
-		ClaimTimeout: 5 * time.Second, FinishTimeout: 5 * time.Second, RunningPoll: 250 * time.Millisecond,
-		RetryAfter: 2 * time.Second, Backlog: 1024, RetryInterval: 500 * time.Millisecond,
-	}
-}
+// clientSettings are those of the product.
+func clientSettings() orderclient.Settings { return settings.Defaults[orderclient.Settings]() }
 
 func newCluster(t *testing.T, instances int, seed uint64, settings Settings, limits objectapi.Limits) *cluster {
 	t.Helper()
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/protocol/sse"
 	"savoryweir/internal/settings"
@@ -139,7 +140,20 @@
 
 func newMemoryClaims() *memoryClaims { return &memoryClaims{states: make(map[order.Key]*memoryClaim)} }
 
-func (m *memoryClaims) Claim(_ context.Context, c order.Claim) (order.Answer, error) {
+// memoryPoll is the time between two looks at a running order.
+const memoryPoll = 5 * time.Millisecond
+
+// Claim implements Claims: it waits while the order is running.
+func (m *memoryClaims) Claim(ctx context.Context, c order.Claim) (order.Answer, error) {
+	for {
+		answer, err := m.claimOnce(c)
+		if err != nil || answer.State != order.ClaimRunning || !pause.For(ctx, memoryPoll) {
+			return answer, err
+		}
+	}
+}
+
+func (m *memoryClaims) claimOnce(c order.Claim) (order.Answer, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down != nil {
@@ -196,7 +210,6 @@
 	s.Upstreams.EjectFor = 300 * time.Millisecond
 	s.Upstreams.Settle = 300 * time.Millisecond
 	s.Queue.MaxWait = 5 * time.Second
-	s.Orders.PollEvery = 10 * time.Millisecond
 	s.Shutdown.BalancerLag = 0
 	return s
 }
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -148,7 +148,7 @@
 	s.Callers.MaxBodyBytes, s.Callers.MaxStreams, s.Callers.ReadTimeout = 1<<20, 10, time.Second
 	s.Callers.Reserved = 10
 	s.Callers.DefaultDeadline, s.Queue.MaxWait = 20*time.Millisecond, time.Millisecond
-	s.Queue.RetryAfter, s.Orders.MaxWait, s.Orders.ClaimTimeout = time.Second, time.Second, time.Second
+	s.Queue.RetryAfter, s.Orders.MaxWait = time.Second, time.Second
 	s.Operations.TimelineEvents, s.Upstreams.MaxInFlight = 16, 1
 	server, err := New(s, Dependencies{Views: StaticSource{NewView(data)}, Claims: NoClaims{}, Log: zerolog.Nop()})
 	assert.NilError(f, err)
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/base64"
 	"errors"
@@ -236,3 +237,25 @@
 	assert.Equal(t, got.header.Get(httpapi.HeaderReplayedDigest), "sha-256=:"+base64.StdEncoding.EncodeToString(hash[:])+":")
 	assert.Equal(t, one.service.RunsOf("o1"), 0)
 }
+
+// deadlineClaims notes until when the entry waits for a claim.
+type deadlineClaims struct {
+	*memoryClaims
+	waits, deadline time.Time
+}
+
+func (d *deadlineClaims) Claim(ctx context.Context, c order.Claim) (order.Answer, error) {
+	d.waits, _ = ctx.Deadline()
+	d.deadline = c.Deadline
+	return d.memoryClaims.Claim(ctx, c)
+}
+
+// An entry waits for a running order as long as its caller: the client of the
+// claims alone bounds one question.
+func TestClaimMayTakeAsLongAsItsCallerWaits(t *testing.T) {
+	claims := &deadlineClaims{memoryClaims: newMemoryClaims()}
+	e := startEntry(t, &sharedView{data: viewOf(startService(t, "s1"))}, claims, nil)
+	got := e.order("o1", key("o1"), header{httpapi.HeaderDeadline, "60000"})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, claims.waits.Equal(claims.deadline), "waits until %v, caller until %v", claims.waits, claims.deadline)
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -17,9 +16,11 @@
 
 // Claims records the right to run an order once.
 type Claims interface {
-	// Claim asks for the right to run an order. An error means that no right was given.
+	// Claim asks for the right to run an order, and waits while another claim holds
+	// it, until ctx or the claim's deadline ends. An error means that no right was given.
 	Claim(ctx context.Context, claim order.Claim) (order.Answer, error)
-	// Finish records the end of an order whose claim was granted.
+	// Finish records the end of an order whose claim was granted. It ends in a time
+	// of its own, and is repeated until the end is recorded.
 	Finish(ctx context.Context, claim order.Claim, token string, result order.Result) error
 }
 
@@ -108,7 +109,7 @@
 	if o.claim.Key == "" {
 		return o.sendUnclaimed(ctx, caller)
 	}
-	answer, err := o.claimUntilKnown(caller)
+	answer, err := o.server.claims.Claim(caller, o.claim)
 	if err != nil {
 		return orderEnd{failure: o.claimFailure(caller, err)}
 	}
@@ -131,29 +132,6 @@
 	return orderEnd{answer, failure}
 }
 
-// claimUntilKnown asks for the claim until the order no longer runs elsewhere.
-func (o *orderRun) claimUntilKnown(ctx context.Context) (order.Answer, error) {
-	for {
-		answer, err := o.claimOnce(ctx)
-		if err != nil || answer.State != order.ClaimRunning {
-			return answer, err
-		}
-		timer := time.NewTimer(o.server.settings.Orders.PollEvery)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return answer, nil
-		}
-	}
-}
-
-func (o *orderRun) claimOnce(ctx context.Context) (order.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.server.settings.Orders.ClaimTimeout)
-	defer cancel()
-	return o.server.claims.Claim(ctx, o.claim)
-}
-
 // claimFailure answers a call whose claim was not given, so nothing was sent.
 func (o *orderRun) claimFailure(caller context.Context, err error) *Failure {
 	if cause := causeOf(caller); errors.Is(cause, errDeadline) {
@@ -240,9 +218,7 @@
 		kind = timeline.KindOrderUnknown
 	}
 	s.record(o.call.call, kind, "", string(result.Outcome))
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.settings.Orders.ClaimTimeout)
-	defer cancel()
-	if err := s.claims.Finish(ctx, o.claim, o.token, result); err != nil {
+	if err := s.claims.Finish(context.WithoutCancel(ctx), o.claim, o.token, result); err != nil {
 		s.metrics.unrecorded.Inc()
 		s.log.Warn().Str("request", o.call.id).Err(err).Msg("End of order not recorded.")
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -76,9 +76,7 @@
 
 // OrderSettings describe calls that must not be repeated.
 type OrderSettings struct {
-	MaxWait      time.Duration `help:"Time to the answer of an order, also after its caller has left." default:"60s" min:"100ms" max:"1h"`
-	ClaimTimeout time.Duration `help:"Time to the answer of a claim." default:"2s" min:"10ms" max:"1m"`
-	PollEvery    time.Duration `help:"Time between questions for an order that runs elsewhere." default:"100ms" min:"10ms" max:"10s"`
+	MaxWait time.Duration `help:"Time to the answer of an order, also after its caller has left." default:"60s" min:"100ms" max:"1h"`
 }
 
 // OperationsSettings describe the port for operators.
--- a/internal/transport/orderclient/orderclient.go
+++ b/internal/transport/orderclient/orderclient.go
@@ -25,8 +25,8 @@
 
 // Settings of the client.
 type Settings struct {
-	ClaimTimeout  time.Duration `help:"Time for the control process to answer a claim." default:"5s" min:"100ms" max:"60s"`
-	FinishTimeout time.Duration `help:"Time for the control process to record a result, for one attempt." default:"5s" min:"100ms" max:"60s"`
+	ClaimTimeout  time.Duration `help:"Time for the control process to answer a claim." default:"2s" min:"100ms" max:"60s"`
+	FinishTimeout time.Duration `help:"Time for the control process to record a result, for one attempt." default:"2s" min:"100ms" max:"60s"`
 	RunningPoll   time.Duration `help:"Time between two questions about a running order." default:"250ms" min:"10ms" max:"10s"`
 	RetryAfter    time.Duration `help:"Time after which callers are told to come back while the control process does not answer." default:"2s" min:"1s" max:"5m"`
 	Backlog       int           `help:"Results and given-up claims that wait for the control process." default:"4096" min:"1" max:"65536"`
@@ -73,16 +73,21 @@
 }
 
 // Claim asks for the right to run an order once. While another claim holds the
-// order, it waits until the deadline of the claim. An UnavailableError means
-// that the order must not be sent.
+// order, it waits until ctx or the claim's deadline ends, and answers that the
+// order is running. An UnavailableError means that the order must not be sent.
 func (c *Client) Claim(ctx context.Context, claim order.Claim) (order.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, claim.Deadline)
 	defer cancel()
+	running := false
 	for {
 		answer, err := c.claimOnce(ctx, claim)
+		if err != nil && running && ctx.Err() != nil {
+			return order.Answer{State: order.ClaimRunning}, nil
+		}
 		if err != nil || answer.State != order.ClaimRunning {
 			return answer, err
 		}
+		running = true
 		if !pause.For(ctx, c.settings.RunningPoll) {
 			return answer, nil
 		}
