--- a/internal/control/claims/settings.go
+++ b/internal/control/claims/settings.go
@@ -18,7 +18,7 @@
 	WritesPerSecond int           `help:"Commits a second to the store over all shards." default:"150" min:"1" max:"1000"`
 	FinishDelay     time.Duration `help:"Longest time that a result waits for a claim to share its commit." default:"200ms" min:"1ms" max:"10s"`
 	BatchSize       int           `help:"Most claims and results in one commit." default:"256" min:"1" max:"512"`
-	ActiveKiB       int           `name:"active-kib" help:"Size of the unsealed records of a shard, in KiB." default:"8" min:"1" max:"128"`
+	ActiveKiB       int           `name:"active-kib" help:"Largest size of the unsealed records of a shard, in KiB." default:"8" min:"1" max:"128"`
 	SegmentKiB      int           `name:"segment-kib" help:"Size of the largest sealed segment, in KiB." default:"512" min:"16" max:"640"`
 	MaxRecords      int           `help:"Keys that a shard remembers before it refuses new ones." default:"64000" min:"100" max:"1000000"`
 	MaxBodyBytes    int           `help:"Longest response body that is recorded, in bytes." default:"256" min:"0" max:"1024"`
