--- a/internal/control/claims/faults_test.go
+++ b/internal/control/claims/faults_test.go
@@ -13,6 +13,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/protocol/ordermsg"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/journal"
 	"savoryweir/internal/state/order"
@@ -226,17 +227,20 @@
 func TestOwnerRecordsNoClaimThatWasGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 2, 1, defaultSettings(), objectapi.Limits{})
-		late, err := c.nodes["i001"].service.Claim(context.Background(), &pb.ClaimRequest{
-			Service: "desk", Key: "k", Fingerprint: make([]byte, len(order.Fingerprint{})), Token: make([]byte, journal.HashBytes),
-			Claimant:         &pb.Claimant{Instance: "i000", Incarnation: 1},
-			GiveUpUnixMillis: time.Now().Add(-time.Second).UnixMilli(),
-		})
-		assert.NilError(t, err)
+		claim := journal.Claim{Key: journal.HashKey("desk", "k"), Token: journal.Token{1}, Deadline: time.Now().Add(time.Minute)}
+		late := handOver(c.nodes["i001"], claim, time.Now().Add(-time.Second))
 		assert.Equal(t, late.GetStatus(), pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE)
 		assert.Equal(t, c.store.Counts().Writes(), uint64(0))
 	})
 }
 
+// handOver gives an owner a claim of instance i000, as its stream does.
+func handOver(owner *node, claim journal.Claim, giveUp time.Time) *pb.ClaimResponse {
+	now := owner.service.clock().Now()
+	x := &exchange{service: owner.service, claimant: journal.Claimant{Instance: "i000", Incarnation: 1}}
+	return x.serve(context.Background(), ordermsg.ClaimCall(1, claim, giveUp, now), now).GetClaim()
+}
+
 func TestHolds(t *testing.T) {
 	token, now := journal.Token{1}, time.Unix(100, 0)
 	open := func(h *holds) { h.open(token, "first", now) }
@@ -286,13 +290,8 @@
 		first := testClaim(key, "book")
 		token := journal.Token{1}
 		c.store.SetFaults(objectapi.Faults{Delay: 100 * time.Millisecond})
-		c.goRun(func() {
-			_, _ = owner.service.Claim(context.Background(), &pb.ClaimRequest{
-				Service: string(first.Service), Key: key, Fingerprint: first.Fingerprint[:], Token: token[:],
-				Claimant:         &pb.Claimant{Instance: claimant.id, Incarnation: 1},
-				GiveUpUnixMillis: time.Now().Add(2 * time.Second).UnixMilli(),
-			})
-		})
+		late := journal.Claim{Key: journal.HashKey(first.Service, order.Key(key)), Fingerprint: journal.Shorten(first.Fingerprint), Token: token}
+		c.goRun(func() { handOver(owner, late, time.Now().Add(2*time.Second)) })
 		time.Sleep(50 * time.Millisecond)
 		owner.freeze()
 		c.store.SetFaults(objectapi.Faults{})
