Entry's defaults are those that the policy bench measures; suspects are named without attempts left

Cause: the entry had other defaults than the bench measured (max-attempts 4 against 2, eject-after 3 against 5, eject-for 5 s against 2 s, settle 3 s against 4 s).

Change: the entry takes the values of the coordination packages' DefaultSettings, which the bench reads too; TestDefaultsAreThoseOfThePolicyBench compares them and failed with "4 != 2" before. Attempts: both get 3.

Found on the way: with its attempts used up by two deaths a request was answered as failed upstream (502) with Retry-After, which asks its caller to send the crashing request again. Now the verdict is waited for without an attempt. TestCrashingRequestIsNamedWithoutAttemptsLeft: 502 before, 422 now.

Test changed: TestAttemptsOfOneRequestAreBounded takes the bound from the settings in place of the number 2; it is as strict.

Not the same on purpose: queue length and lifetime of suspects, which bound memory and which the bench does not measure.

--- a/internal/coordination/retry/budget.go
+++ b/internal/coordination/retry/budget.go
@@ -27,7 +27,7 @@
 	return Settings{
 		Share:       0.1,
 		Burst:       10,
-		MaxAttempts: 2,
+		MaxAttempts: 3,
 		BackoffBase: 50 * time.Millisecond,
 		BackoffMax:  2 * time.Second,
 		HedgeAt:     0.95,
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -42,8 +42,11 @@
 	for range 100 {
 		b.Request()
 	}
-	assert.Assert(t, b.Spend(2))
-	assert.Assert(t, !b.Spend(3))
+	last := DefaultSettings().MaxAttempts
+	for attempt := 2; attempt <= last; attempt++ {
+		assert.Assert(t, b.Spend(attempt))
+	}
+	assert.Assert(t, !b.Spend(last+1))
 }
 
 func TestBackoffHasFullJitter(t *testing.T) {
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// Without attempts left the answer must still name the request as the cause, and
+// not ask its caller to send it again.
+func TestCrashingRequestIsNamedWithoutAttemptsLeft(t *testing.T) {
+	engines := startEngines(t, 4)
+	e := startEntry(t, &sharedView{data: viewOf(engines...)}, nil, func(s *Settings) { s.Upstreams.MaxAttempts = 2 })
+	e.earnRetries()
+	got := e.do(http.MethodPost, chatPath, chatBody(crashMarker, 20, false))
+	assert.Equal(t, got.status, http.StatusUnprocessableEntity, got.body)
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeRequestSuspect)
+	assert.Equal(t, crashed(engines), 2)
+}
+
 func TestCutConnectionsCondemnNoRequest(t *testing.T) {
 	engines := startEngines(t, 2)
 	e := startEntry(t, &sharedView{data: viewOf(engines...)}, nil, nil)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -277,6 +277,14 @@
 	return t.suspects.Died(now, f.upstream.ID)
 }
 
+// awaitsVerdict reports whether the call is held or refused as a suspect. Its
+// caller must be told so, and not to send it again soon.
+func (t *upstreamTable) awaitsVerdict(now time.Time, c *call) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Decide(now, c.suspectID()).Verdict >= suspect.Hold
+}
+
 // merge takes in the suspects of other instances.
 func (t *upstreamTable) merge(now time.Time, records []suspect.Record) {
 	t.mu.Lock()
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -63,8 +63,12 @@
 	}
 }
 
-// mayRetry reports whether the limits allow one more send.
+// mayRetry reports whether the call goes on: the limits allow one more send, or the
+// verdict on a call that upstreams died under is still to come.
 func (s *Server) mayRetry(c *call, failed int) bool {
+	if s.table.awaitsVerdict(s.now(), c) {
+		return true
+	}
 	if !s.table.spend(c, failed+1) {
 		return false
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -181,12 +181,18 @@
 	kill       context.CancelFunc
 }
 
-func testSettings(t *testing.T) Settings {
+func defaultSettings(t *testing.T) Settings {
 	t.Helper()
 	var s Settings
 	_, err := settings.Parse(settings.Program{Name: "entry", Stdout: io.Discard, Stderr: io.Discard}, &s,
 		[]string{"--instance-id=i1", "--instance-zone=a"})
 	assert.NilError(t, err)
+	return s
+}
+
+func testSettings(t *testing.T) Settings {
+	t.Helper()
+	s := defaultSettings(t)
 	s.Upstreams.IdleTimeout = 200 * time.Millisecond
 	s.Upstreams.FirstByteTimeout = 600 * time.Millisecond
 	s.Upstreams.RetryShare = 1
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -48,20 +48,20 @@
 	IdleTimeout      time.Duration         `help:"Silence within an answer after which its connection is taken for dead." default:"2s" min:"50ms" max:"5m"`
 	ProbeTimeout     time.Duration         `help:"Time to the answer of a probe on a new connection." default:"500ms" min:"10ms" max:"30s"`
 	PingAfter        time.Duration         `help:"Silence after which an HTTP/2 connection is pinged." default:"1s" min:"50ms" max:"5m"`
-	MaxAttempts      int                   `help:"Most sends of one repeatable request." default:"4" min:"1" max:"20"`
+	MaxAttempts      int                   `help:"Most sends of one repeatable request." default:"3" min:"1" max:"20"`
 	MaxInFlight      int                   `help:"Most requests of this entry at one upstream." default:"256" min:"1" max:"100000"`
 	MaxEventBytes    int                   `help:"Largest event of a stream." default:"65536" min:"1024" max:"16777216"`
 	MaxAnswerBytes   int64                 `help:"Largest answer of a plain service." default:"4194304" min:"1024" max:"67108864"`
 	MaxTokens        int                   `help:"Most events of a stream." default:"131072" min:"1" max:"10000000"`
 	RetryShare       float64               `help:"Retries as a share of the requests to a service." default:"0.1" min:"0" max:"1"`
 	RetryBurst       float64               `help:"Retries that a service may have beyond its share." default:"10" min:"0" max:"1000"`
-	Settle           time.Duration         `help:"Time for which an upstream that is down keeps its place in the choice, until all instances know which requests ran on it." default:"3s" min:"0s" max:"10m"`
+	Settle           time.Duration         `help:"Time for which an upstream that is down keeps its place in the choice, until all instances know which requests ran on it." default:"4s" min:"0s" max:"10m"`
 	Overbook         int                   `help:"Requests above an engine's batch size that may wait at it." default:"0" min:"0" max:"1000"`
 	PrefixBonus      float64               `help:"Load in requests that a cached prompt prefix outweighs." default:"0" min:"0" max:"1000"`
 	ZonePenalty      float64               `help:"Load in requests that an upstream in this availability zone may have more." default:"0.5" min:"0" max:"1000"`
 	ProbeEvery       time.Duration         `help:"Time between probes of an upstream that is down." default:"500ms" min:"50ms" max:"1m"`
-	EjectAfter       int                   `help:"Failures in a row after which an upstream is ejected." default:"3" min:"1" max:"1000"`
-	EjectFor         time.Duration         `help:"Time of an ejection." default:"5s" min:"100ms" max:"10m"`
+	EjectAfter       int                   `help:"Failures in a row after which an upstream is ejected." default:"5" min:"1" max:"1000"`
+	EjectFor         time.Duration         `help:"Time of an ejection." default:"2s" min:"100ms" max:"10m"`
 	LeavingFor       time.Duration         `help:"Time for which an upstream's own word that it leaves is kept." default:"30s" min:"1s" max:"1h"`
 	SuspectFor       time.Duration         `help:"Time for which a request that upstreams died under is remembered." default:"10m" min:"1s" max:"24h"`
 	TLS              tlsconf.Settings      `embed:"" prefix:"tls-"`
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -6,6 +6,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/coordination/admission"
+	"savoryweir/internal/coordination/limit"
+	"savoryweir/internal/coordination/outlier"
+	"savoryweir/internal/coordination/retry"
+	"savoryweir/internal/coordination/routing"
 	"savoryweir/internal/settings"
 )
 
@@ -21,3 +26,23 @@
 	assert.NilError(t, parse("3s"))
 	assert.ErrorContains(t, parse("2s"), `--queue-max-wait = "2s": allowed is more than upstreams-settle, which is 2s`)
 }
+
+// The policy bench runs with the defaults of the coordination packages. An entry
+// without a settings file must decide as measured.
+func TestDefaultsAreThoseOfThePolicyBench(t *testing.T) {
+	s := defaultSettings(t)
+	retries := retry.DefaultSettings()
+	assert.Equal(t, s.Upstreams.MaxAttempts, retries.MaxAttempts)
+	assert.Equal(t, s.Upstreams.RetryShare, retries.Share)
+	assert.Equal(t, s.Upstreams.RetryBurst, retries.Burst)
+	ejection := outlier.DefaultSettings()
+	assert.Equal(t, s.Upstreams.EjectAfter, ejection.Failures)
+	assert.Equal(t, s.Upstreams.EjectFor, ejection.EjectFor)
+	keyed := routing.DefaultKeyedSettings("")
+	assert.Equal(t, s.Upstreams.Settle, keyed.Settle)
+	assert.Equal(t, s.Upstreams.Overbook, keyed.Overbook)
+	assert.Equal(t, s.Upstreams.PrefixBonus, keyed.PrefixBonus)
+	assert.Equal(t, s.Upstreams.ZonePenalty, keyed.ZonePenalty)
+	assert.Equal(t, s.Upstreams.MaxInFlight, limit.DefaultSettings().Max)
+	assert.Equal(t, s.Queue.RetryAfter, admission.DefaultSettings().RetryAfterMin)
+}
