Cells: a stored roster assigns engines, and a hand-over moves them between ledgers

Cause: engines went to cells by hash over a fixed number of cells. Another number would have charged an engine in two ledgers, so a service could not be resized.

Ruled out: one ledger object an engine (no check of the last replica by one conditional update); the account itself in the roster (one hot object of all cells); releasing an engine only when no order is open (a lost engine or one that keeps charges until a restart would never move).

Change: a roster object a service, replaced by conditional update, gives each engine its cell, the cell before and the number of the hand-over. The cell before moves the engine's whole account, open orders included, to a record of its ledger; the new cell adopts it under a higher base of fencing numbers; then the record goes. One engine is on its way from a cell at a time. A ledger carries the version of the roster that its last write followed, and a holder with an older one may not write. A model's home is a rendezvous hash over the cells; engines that arrive with models of other cells keep them until the home's ledger, written by this roster or a later one, shows them ready and the engine itself says so. The number of cells follows the engines (cell-size), between half and one and a half times the wanted size; cells-per-service overrides it.

--- a/internal/control/adapters.go
+++ b/internal/control/adapters.go
@@ -10,6 +10,7 @@
 	"savoryweir/internal/control/demandflow"
 	"savoryweir/internal/control/peers"
 	"savoryweir/internal/control/placing"
+	"savoryweir/internal/control/rosters"
 	"savoryweir/internal/coordination/claims"
 	"savoryweir/internal/coordination/membership"
 	"savoryweir/internal/protocol/bundlefile"
@@ -18,6 +19,7 @@
 	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/news"
 	"savoryweir/internal/state/replica"
+	"savoryweir/internal/state/roster"
 	"savoryweir/internal/transport/engineclient"
 	"savoryweir/internal/transport/peerconn"
 	"savoryweir/internal/transport/tlsconf"
@@ -71,12 +73,12 @@
 // OnDemand implements view.DemandSink.
 func (l localDemand) OnDemand(report demand.Report) { l.flow.OnLocal(report) }
 
-// placingInputs implements placing.Inputs and demandflow.Owners.
+// placingInputs implements placing.Inputs, rosters.Inputs and demandflow.Owners.
 type placingInputs struct {
 	peers   *peers.Service
 	bundles *bundles.Manager
 	flow    *demandflow.Flow
-	cells   int // of each service
+	rosters *rosters.Keeper
 }
 
 // Bundle implements placing.Inputs.
@@ -99,6 +101,11 @@
 // Demand implements placing.Inputs.
 func (p placingInputs) Demand(now time.Time) []placing.Demand { return p.flow.Demand(now) }
 
+// Roster implements placing.Inputs.
+func (p placingInputs) Roster(service bundle.ServiceName) (roster.Stored, bool) {
+	return p.rosters.Roster(service)
+}
+
 // Owner implements demandflow.Owners.
 func (p placingInputs) Owner(id bundle.ModelID) (member.Member, bool) {
 	b := p.Bundle()
@@ -109,7 +116,11 @@
 	if !ok {
 		return member.Member{}, false
 	}
-	name := placing.CellName(m.Service, placing.CellOf(string(id), p.cells))
+	r, ok := p.rosters.Roster(m.Service)
+	if !ok {
+		return member.Member{}, false
+	}
+	name := placing.CellName(m.Service, r.Home(id))
 	ranked := membership.Rank(placing.OwnerTask(name), p.Members())
 	if len(ranked) == 0 {
 		return member.Member{}, false
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -22,7 +22,9 @@
 	"savoryweir/internal/control/demandflow"
 	"savoryweir/internal/control/peers"
 	"savoryweir/internal/control/placing"
+	"savoryweir/internal/control/rosters"
 	"savoryweir/internal/control/view"
+	"savoryweir/internal/coordination/rosterplan"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/logging"
 	"savoryweir/internal/protocol/approvalfile"
@@ -67,6 +69,7 @@
 
 	peers   *peers.Service
 	cells   *cells.Store
+	rosters *rosters.Keeper
 	bundles *bundles.Manager
 	claims  *claims.Service
 	view    *view.Service
@@ -221,6 +224,14 @@
 		Cells:    p.cells,
 		Demand:   localDemand{flow: p.flow},
 	})
+	p.rosters = rosters.New(rosters.Options{
+		Settings: rosterplan.Settings{Size: s.Placement.CellSize, Cells: s.Placement.CellsPerService},
+		Self:     self.ID,
+		Store:    p.store,
+		Inputs:   p.placingInputs(),
+		Log:      logging.For(root, partPlacing),
+		Random:   newRandom(),
+	})
 	p.holder = placing.NewHolder(placing.Options{
 		Settings:  s.Placement,
 		Self:      self.ID,
@@ -234,7 +245,7 @@
 }
 
 func (p *Process) placingInputs() placingInputs {
-	return placingInputs{peers: p.peers, bundles: p.bundles, flow: p.flow, cells: p.settings.Placement.CellsPerService}
+	return placingInputs{peers: p.peers, bundles: p.bundles, flow: p.flow, rosters: p.rosters}
 }
 
 // newRandom returns a generator for one goroutine, seeded by the system.
@@ -252,6 +263,7 @@
 	group.Go(func() error { return p.cells.Run(working, p.peers, p.peers) })
 	group.Go(func() error { return p.bundles.Run(working) })
 	group.Go(func() error { return p.claims.Run(working) })
+	group.Go(func() error { return p.rosters.Run(working) })
 	group.Go(func() error { return p.holder.Run(working) })
 	group.Go(func() error { return p.flow.Run(working, p.placingInputs(), p.peers) })
 	group.Go(func() error { return p.runNotifier(working) })
--- a/internal/control/placing/cell.go
+++ b/internal/control/placing/cell.go
@@ -26,6 +26,12 @@
 	Leaving    []bundle.UpstreamID
 	Demand     []Demand
 	Rates      placement.Rates
+	// Assignment is the roster's word. Without it the cell has all Upstreams, for good.
+	Assignment *Assignment
+	// ReadyInNews tells whether a cell has published a model as ready. It may be nil.
+	ReadyInNews func(cell object.Name, model bundle.ModelID) bool
+	// kept are the models of other cells that must not leave yet.
+	kept []bundle.ModelID
 	// OthersAlive tells whether an instance is still a member.
 	OthersAlive func(instance string) bool
 }
@@ -44,6 +50,7 @@
 	answered map[bundle.UpstreamID]time.Time // last report of each engine
 	reported time.Time                       // last time that all engines were asked
 	known    *stored                         // as this instance wrote it last, nil if it has to be read
+	homes    map[object.Name]homeView        // what was read of other cells
 }
 
 // NewCell returns a cell that has read nothing yet. nonce returns a new random number at each call.
@@ -51,7 +58,7 @@
 	return &Cell{
 		instance: instance, settings: s, store: store, engines: engines, policy: policy, nonce: nonce,
 		sessions: make(map[bundle.UpstreamID]Session), tracker: newTracker(),
-		answered: make(map[bundle.UpstreamID]time.Time),
+		answered: make(map[bundle.UpstreamID]time.Time), homes: make(map[object.Name]homeView),
 	}
 }
 
@@ -74,7 +81,17 @@
 		return nil
 	}
 	next := current.ledger.Clone()
-	quiet := c.isQuiet(now, next, scope)
+	moved, err := c.handOver(ctx, now, next, scope, current.version)
+	if err != nil {
+		c.known = nil
+		return errs.Wrap(err, "hand over engines", errs.Self)
+	}
+	if !moved && c.isIdle(current, scope) {
+		c.last = next
+		return nil
+	}
+	scope = scope.owned(next)
+	quiet := !moved && c.isQuiet(now, next, scope)
 	if !quiet {
 		c.settle(ctx, now, next, scope)
 		c.reported = now
@@ -84,12 +101,13 @@
 	if quiet {
 		next = next.Clone() // plans on old reports are not carried out
 	}
-	orders := c.plan(now, next, scope, ledger.Fence(current.version))
+	scope.kept = c.keep(ctx, now, next, scope)
+	orders := c.plan(now, next, scope, next.FenceAt(current.version))
 	if quiet && len(orders) > 0 {
 		c.reported = time.Time{}
 		return nil
 	}
-	if len(orders) == 0 && !c.mustRenew(now, current, scope) {
+	if len(orders) == 0 && !moved && !c.mustRenew(now, current, scope) {
 		return nil
 	}
 	version, err := c.write(ctx, now, scope, next, current.version)
@@ -122,6 +140,7 @@
 	if c.known != nil {
 		return *c.known, nil
 	}
+	clear(c.homes) // another holder may have adopted engines
 	return c.read(ctx, name)
 }
 
@@ -214,18 +233,27 @@
 	return fetched{session: session, report: report, err: err}
 }
 
-// mustRenew reports whether the lease or the generation has to be written anew.
+// mustRenew reports whether the lease, the generation or the roster has to be written anew.
 func (c *Cell) mustRenew(now time.Time, current stored, scope Scope) bool {
 	l := current.ledger
 	half := l.LeaseUntil.Add(-c.settings.Lease / 2)
-	return current.version == 0 || l.Holder != c.instance || !now.Before(half) || l.Generation != scope.Generation
+	stale := l.Generation != scope.Generation || l.Roster != scope.rosterVersion()
+	return current.version == 0 || l.Holder != c.instance || !now.Before(half) || stale
+}
+
+// rosterVersion returns the version of the roster that the scope follows, or zero.
+func (s Scope) rosterVersion() object.Version {
+	if s.Assignment == nil {
+		return 0
+	}
+	return s.Assignment.Roster.Version
 }
 
 // write replaces the ledger by conditional update and learns the outcome of a lost answer.
 func (c *Cell) write(ctx context.Context, now time.Time, scope Scope, l *ledger.Ledger, expected object.Version) (object.Version, error) {
 	const step errs.Step = "write placement cell"
 	l.Holder, l.LeaseUntil = c.instance, now.Add(c.settings.Lease)
-	l.Nonce, l.Generation = c.nonce(), scope.Generation
+	l.Nonce, l.Generation, l.Roster = c.nonce(), scope.Generation, scope.rosterVersion()
 	data, err := ledgerfile.Encode(l)
 	if err != nil {
 		return 0, errs.Wrap(err, step, errs.Self)
--- a/internal/control/placing/holder.go
+++ b/internal/control/placing/holder.go
@@ -2,22 +2,21 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"savoryweir/internal/coordination/membership"
 	"savoryweir/internal/coordination/placement"
+	"savoryweir/internal/protocol/ledgerfile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/news"
 	"savoryweir/internal/state/object"
 	"savoryweir/internal/state/replica"
+	"savoryweir/internal/state/roster"
 )
 
 // Inputs is what the rest of the control process knows.
@@ -30,6 +29,8 @@
 	Leaving() []bundle.UpstreamID
 	// Demand returns the present traffic over all entries of the models.
 	Demand(now time.Time) []Demand
+	// Roster returns the assignment of a service's engines, if there is one yet.
+	Roster(service bundle.ServiceName) (roster.Stored, bool)
 }
 
 // Publisher tells the entries which replicas a cell has.
@@ -55,12 +56,13 @@
 // Holder holds the cells that fall to this instance.
 type Holder struct {
 	Options
-	cells map[object.Name]*Cell
+	cells       map[object.Name]*Cell
+	assignments map[bundle.ServiceName]knownAssignment
 }
 
 // NewHolder returns a holder without cells. Run makes it work.
 func NewHolder(o Options) *Holder {
-	return &Holder{Options: o, cells: make(map[object.Name]*Cell)}
+	return &Holder{Options: o, cells: make(map[object.Name]*Cell), assignments: make(map[bundle.ServiceName]knownAssignment)}
 }
 
 // Run takes a step of each cell that falls to this instance, again and again, until ctx ends.
@@ -170,66 +172,43 @@
 	alive := func(instance string) bool {
 		return slices.ContainsFunc(members, func(m member.Member) bool { return string(m.ID) == instance })
 	}
-	all := h.scopes(b)
+	rates := h.rates(b)
 	var own []Scope
-	for _, s := range all {
-		if !membership.Carries(h.Self, OwnerTask(s.Name), 1, members) {
-			continue
-		}
-		s.Demand, s.Leaving, s.OthersAlive = demand, leaving, alive
-		s.Rates = placement.Rates{
-			Loads:    max(h.Settings.LoadsAtOnce/len(all), 1),
-			Adapters: max(h.Settings.AdaptersInTransit/len(all), 1),
-		}
+	for _, s := range h.scopes(b, members) {
+		s.Demand, s.Leaving, s.OthersAlive, s.Rates = demand, leaving, alive, rates
+		s.ReadyInNews = h.isReadyInNews
 		own = append(own, s)
 	}
 	return own
 }
 
-// OwnerTask names the task of holding a cell, by which its owner is chosen.
-func OwnerTask(name object.Name) string { return "placement-cell/" + string(name) }
-
-// scopes splits the bundle into cells.
-func (h *Holder) scopes(b *bundle.Bundle) []Scope {
-	var all []Scope
+// rates splits the weight store's limits evenly over the cells.
+func (h *Holder) rates(b *bundle.Bundle) placement.Rates {
+	cells := 0
 	for _, s := range b.Services {
-		if s.Kind == bundle.KindGeneration {
-			all = append(all, h.scopesOf(b, s.Name)...)
+		if r, ok := h.Inputs.Roster(s.Name); ok && s.Kind == bundle.KindGeneration {
+			cells += r.Cells
 		}
 	}
-	return all
+	cells = max(cells, 1)
+	return placement.Rates{
+		Loads:    max(h.Settings.LoadsAtOnce/cells, 1),
+		Adapters: max(h.Settings.AdaptersInTransit/cells, 1),
+	}
 }
 
-// scopesOf splits the engines and models of a service. An engine's cell never
-// changes, so that its memory is charged in one ledger only.
-func (h *Holder) scopesOf(b *bundle.Bundle, service bundle.ServiceName) []Scope {
-	scopes := make([]Scope, h.Settings.CellsPerService)
-	for i := range scopes {
-		scopes[i] = Scope{Name: CellName(service, i), Generation: b.Generation}
-	}
-	for _, u := range b.UpstreamsOf(service) {
-		i := CellOf(string(u.ID), len(scopes))
-		scopes[i].Upstreams = append(scopes[i].Upstreams, u)
-	}
-	for _, m := range b.Models {
-		if m.Service == service {
-			i := CellOf(string(m.ID), len(scopes))
-			scopes[i].Models = append(scopes[i].Models, m)
-		}
-	}
-	for _, a := range b.Adapters {
-		if m, ok := b.Model(a.Model); ok && m.Service == service {
-			i := CellOf(string(a.Model), len(scopes))
-			scopes[i].Adapters = append(scopes[i].Adapters, a)
-		}
-	}
-	return scopes
+// isReadyInNews reports whether a cell has published a model as ready.
+func (h *Holder) isReadyInNews(cell object.Name, id bundle.ModelID) bool {
+	known, ok := h.Publisher.Cell(news.CellID(cell))
+	return ok && slices.ContainsFunc(known.Replicas, func(r replica.Replica) bool {
+		return r.Model == id && r.Adapter == "" && r.Ready
+	})
 }
 
+// OwnerTask names the task of holding a cell, by which its owner is chosen.
+func OwnerTask(name object.Name) string { return "placement-cell/" + string(name) }
+
 // CellName returns the name of a service's cell.
 func CellName(service bundle.ServiceName, index int) object.Name {
-	return object.Name(fmt.Sprintf("%s-%d", service, index))
+	return ledgerfile.Name(service, index)
 }
-
-// CellOf returns the index of the cell of an engine or a model.
-func CellOf(id string, cells int) int { return int(xxhash.Sum64String(id) % uint64(cells)) }
--- a/internal/control/placing/placing.go
+++ b/internal/control/placing/placing.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"savoryweir/internal/coordination/placement"
+	"savoryweir/internal/protocol/ledgerfile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/ledger"
-	"savoryweir/internal/state/object"
 )
 
 // Settings configure placement.
@@ -21,8 +21,9 @@
 	EngineTimeout  time.Duration `help:"Longest wait for an engine's answer." default:"2s" min:"10ms" max:"1m"`
 	LostAfter      time.Duration `help:"Time without an answer after which an engine's replicas are replaced." default:"3s" min:"0s" max:"10m"`
 	ReportsAtOnce  int           `help:"Engines of a cell that are asked for their report at once." default:"8" min:"1" max:"200"`
-	// CellsPerService must be the same on all instances and must not change while engines hold models.
-	CellsPerService int `help:"Placement cells of each service. The same on all instances, for good." default:"1" min:"1" max:"256"`
+	CellSize       int           `help:"Engines of a placement cell, by which the number of cells follows that of the engines." default:"18" min:"1" max:"1000"`
+	// CellsPerService overrides the number that follows from CellSize.
+	CellsPerService int `help:"Placement cells of each service, whatever its engines. 0 lets their number follow the engines." default:"0" min:"0" max:"256"`
 	// Copies is the assumption on which the release of memory rests where fencing is ignored.
 	Copies            bool    `help:"Copies of an order may reach engines that ignore fencing numbers at any time." default:"true" negatable:""`
 	LoadsAtOnce       int     `help:"Model loads at once at which the weight store keeps full speed." default:"4" min:"1" max:"1000"`
@@ -63,7 +64,5 @@
 	Ready    bool
 }
 
-// The kinds and names of the store objects of placement.
-const (
-	CellKind object.Kind = "placement-cells"
-)
+// CellKind is the kind of the store objects of placement cells.
+const CellKind = ledgerfile.Kind
--- a/internal/control/placing/plan.go
+++ b/internal/control/placing/plan.go
@@ -17,7 +17,7 @@
 	}
 	orders := c.resend(now, l, scope, fence)
 	for _, a := range c.policy.Decide(now, c.snapshot(now, l, scope)) {
-		order, err := planAction(l, a, fence)
+		order, err := planAction(l, a, scope, fence)
 		if err == nil {
 			orders = append(orders, order)
 		}
@@ -25,11 +25,11 @@
 	return orders
 }
 
-func planAction(l *ledger.Ledger, a placement.Action, fence ledger.Fence) (ledger.Order, error) {
+func planAction(l *ledger.Ledger, a placement.Action, scope Scope, fence ledger.Fence) (ledger.Order, error) {
 	if a.Action == ledger.Load {
 		return l.PlanLoad(a.Engine, a.Slot, a.Memory, fence)
 	}
-	return l.PlanUnload(a.Engine, a.Slot, a.Retired, fence)
+	return l.PlanUnload(a.Engine, a.Slot, a.Retired && !scope.keeps(a.Slot.Model), fence)
 }
 
 // resend records again the orders that have had no effect for a while.
@@ -56,7 +56,7 @@
 // planAgain repeats an order, or takes back what is not wanted any more: a load of a slot
 // that the bundle does not list, or the unload of what has become the last ready replica.
 func planAgain(l *ledger.Ledger, id bundle.UpstreamID, item ledger.Item, scope Scope, fence ledger.Fence) (ledger.Order, error) {
-	retired := !scope.lists(item.Slot.Model)
+	retired := !scope.lists(item.Slot.Model) && !scope.keeps(item.Slot.Model)
 	if len(item.Unloads) == 0 && !retired && scope.wants(item.Slot) {
 		return l.PlanLoad(id, item.Slot, item.Memory, fence)
 	}
@@ -71,6 +71,9 @@
 	return slices.ContainsFunc(s.Models, func(m bundle.Model) bool { return m.ID == id })
 }
 
+// keeps reports whether a model of another cell must not leave yet.
+func (s Scope) keeps(id bundle.ModelID) bool { return slices.Contains(s.kept, id) }
+
 func (s Scope) wants(slot ledger.Slot) bool {
 	return slices.ContainsFunc(s.Models, func(m bundle.Model) bool {
 		return m.ID == slot.Model && m.Version == slot.Version
@@ -84,7 +87,7 @@
 
 // snapshot builds what the policy decides on.
 func (c *Cell) snapshot(now time.Time, l *ledger.Ledger, scope Scope) placement.Snapshot {
-	s := placement.Snapshot{Rates: scope.Rates}
+	s := placement.Snapshot{Rates: scope.Rates, Kept: scope.kept}
 	for _, u := range scope.Upstreams {
 		e := l.Engine(u.ID)
 		s.Engines = append(s.Engines, placement.Engine{
@@ -153,8 +156,12 @@
 	if c.last == nil {
 		return nil
 	}
+	engines := slices.Clone(c.last.Engines)
+	for _, h := range c.last.Outgoing {
+		engines = append(engines, h.Engine) // until the other cell has it and publishes it
+	}
 	var all []Replica
-	for _, e := range c.last.Engines {
+	for _, e := range engines {
 		if e.Unreachable || !scope.takesOrders(e.ID) {
 			continue
 		}
--- a/internal/control/placing/world_test.go
+++ b/internal/control/placing/world_test.go
@@ -75,6 +75,7 @@
 	holders  []*holder
 	failures []string
 	seen     counts
+	checks   func(event string) // in place of the check of one cell, if not nil
 }
 
 // holder is one instance with its own path to the store.
@@ -86,6 +87,8 @@
 	frozen time.Time
 	killed bool
 	nested bool
+	// stepCells is the step of an instance with several cells, if not nil.
+	stepCells func(now time.Time)
 }
 
 func newWorld(seed uint64, scope Scope, limits weights.Limits, s Settings, f chances) *world {
@@ -170,6 +173,10 @@
 	if h.killed || now.Before(h.frozen) {
 		return
 	}
+	if h.stepCells != nil {
+		h.stepCells(now)
+		return
+	}
 	_ = h.cell.Step(context.Background(), now, h.w.scope)
 	h.w.check("step of " + h.name)
 }
@@ -224,6 +231,10 @@
 
 // check compares every engine's own account with what the stored ledger charges.
 func (w *world) check(event string) {
+	if w.checks != nil {
+		w.checks(event)
+		return
+	}
 	w.store.SetFaults(objectapi.Faults{})
 	o, err := w.store.Get(context.Background(), CellKind, cellName)
 	if err != nil {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -67,6 +67,7 @@
 	Models   []Model
 	Adapters []Adapter
 	Rates    Rates
+	Kept     []bundle.ModelID // not among Models, but to be left where they are
 }
 
 // Reason tells why an action was taken.
--- a/internal/coordination/placement/steady.go
+++ b/internal/coordination/placement/steady.go
@@ -170,7 +170,7 @@
 }
 
 func (p *Steady) retireItem(v *view, e int, i Item) {
-	if i.State == Leaving {
+	if i.State == Leaving || slices.Contains(v.Kept, i.Slot.Model) {
 		return
 	}
 	m := slices.IndexFunc(v.Models, func(m Model) bool { return m.ID == i.Slot.Model })
--- a/internal/protocol/ledgerfile/ledgerfile.go
+++ b/internal/protocol/ledgerfile/ledgerfile.go
@@ -11,6 +11,7 @@
 	savoryweirv1 "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/ledger"
+	"savoryweir/internal/state/object"
 )
 
 // ErrMalformed reports bytes that are no ledger.
@@ -38,10 +39,15 @@
 	n.add("") // index zero is the empty name, which costs no bytes in an item
 	m := &savoryweirv1.Ledger{
 		Holder: l.Holder, LeaseUntilUnixMillis: l.LeaseUntil.UnixMilli(), Nonce: l.Nonce, Generation: uint64(l.Generation),
+		Base: uint64(l.Base), Roster: uint64(l.Roster),
 	}
 	for _, e := range l.Engines {
 		m.Engines = append(m.Engines, encodeEngine(e, n))
 	}
+	for _, h := range l.Outgoing {
+		handover := &savoryweirv1.LedgerHandover{Engine: encodeEngine(h.Engine, n), To: string(h.To), Fence: uint64(h.Fence)}
+		m.Outgoing = append(m.Outgoing, handover)
+	}
 	m.Names = n.list
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
@@ -50,6 +56,7 @@
 	m := &savoryweirv1.LedgerEngine{
 		Upstream: string(e.ID), Boot: e.Boot, Sequence: e.Sequence, Fence: uint64(e.Fence),
 		MemoryMib: uint64(e.Memory), Delivery: uint32(e.Delivery), Unreachable: e.Unreachable,
+		Move: e.Move,
 	}
 	for _, i := range e.Items {
 		m.Items = append(m.Items, &savoryweirv1.LedgerItem{
@@ -77,7 +84,7 @@
 	}
 	l := &ledger.Ledger{
 		Holder: m.Holder, LeaseUntil: time.UnixMilli(m.LeaseUntilUnixMillis), Nonce: m.Nonce,
-		Generation: bundle.Generation(m.Generation),
+		Generation: bundle.Generation(m.Generation), Base: ledger.Fence(m.Base), Roster: object.Version(m.Roster),
 	}
 	for _, engine := range m.Engines {
 		e, err := decodeEngine(engine, m.Names)
@@ -86,6 +93,16 @@
 		}
 		l.Engines = append(l.Engines, e)
 	}
+	for _, h := range m.Outgoing {
+		if h.Engine == nil {
+			return nil, ErrMalformed
+		}
+		e, err := decodeEngine(h.Engine, m.Names)
+		if err != nil {
+			return nil, err
+		}
+		l.Outgoing = append(l.Outgoing, ledger.Handover{Engine: e, To: object.Name(h.To), Fence: ledger.Fence(h.Fence)})
+	}
 	return l, nil
 }
 
@@ -96,6 +113,7 @@
 	e := ledger.Engine{
 		ID: bundle.UpstreamID(m.Upstream), Boot: m.Boot, Sequence: m.Sequence, Fence: ledger.Fence(m.Fence),
 		Memory: bundle.MiB(m.MemoryMib), Delivery: ledger.Delivery(m.Delivery), Unreachable: m.Unreachable,
+		Move: m.Move,
 	}
 	for _, item := range m.Items {
 		if int(max(item.Model, item.Version, item.Adapter)) >= len(list) {
--- a/internal/protocol/ledgerfile/ledgerfile_test.go
+++ b/internal/protocol/ledgerfile/ledgerfile_test.go
@@ -7,16 +7,18 @@
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/state/ledger"
+	"savoryweir/internal/state/object"
 )
 
 func sample() *ledger.Ledger {
 	slot := ledger.Slot{Model: "m", Version: "1"}
 	return &ledger.Ledger{
-		Holder: "a", LeaseUntil: time.UnixMilli(5), Nonce: 3, Generation: 2,
+		Holder: "a", LeaseUntil: time.UnixMilli(5), Nonce: 3, Generation: 2, Roster: 8, Base: 6,
 		Engines: []ledger.Engine{{
 			ID: "e", Boot: "b", Sequence: 4, Fence: 9, Memory: 100, Delivery: ledger.DeliveryOnce,
 			Items: []ledger.Item{{Slot: slot, Memory: 10, Resident: true, Loads: []ledger.Fence{1, 2}, Unloads: []ledger.Fence{3}}},
 		}},
+		Outgoing: []ledger.Handover{{Engine: ledger.Engine{ID: "f", Move: 2, Items: []ledger.Item{{Slot: slot, Memory: 7}}}, To: "s-1", Fence: 12}},
 	}
 }
 
@@ -28,6 +30,16 @@
 	assert.DeepEqual(t, decoded, sample())
 }
 
+func TestIndexIsReadFromTheNamesOfOneServiceOnly(t *testing.T) {
+	index, ok := Index("s", Name("s", 12))
+	assert.Assert(t, ok)
+	assert.Equal(t, index, 12)
+	for _, name := range []object.Name{"s-t-1", "s-", "s-01", "s--1", "t-1"} {
+		_, ok := Index("s", name)
+		assert.Assert(t, !ok, "%s", name)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(sample())
 	assert.NilError(f, err)
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -3,8 +3,9 @@
 // and memory stays charged for as long as a recorded order may take effect.
 //
 // A ledger is stored as one object and replaced by conditional update. The fencing
-// number of an order is the object version that the update replaced: at most one
-// update succeeds on each version, so fencing numbers are unique and increase.
+// number of an order is the object version that the update replaced, plus a base that
+// rises when an engine is taken over from another ledger: at most one update succeeds
+// on each version, so fencing numbers are unique and increase.
 package ledger
 
 import (
@@ -13,6 +14,7 @@
 	"time"
 
 	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/object"
 )
 
 // Fence is a fencing number.
@@ -67,6 +69,7 @@
 	Memory      bundle.MiB
 	Delivery    Delivery
 	Unreachable bool
+	Move        uint64 // hand-over by which this ledger has the engine
 	Items       []Item
 }
 
@@ -107,7 +110,10 @@
 	LeaseUntil time.Time // a lease spares conflicting writes; safety does not depend on it
 	Nonce      uint64    // of the last write, to recognize it after a lost answer
 	Generation bundle.Generation
+	Roster     object.Version // of the roster that the last write followed
+	Base       Fence          // what fencing numbers are above the versions that writes replace
 	Engines    []Engine
+	Outgoing   []Handover
 }
 
 // Errors of planning an order.
@@ -134,16 +140,24 @@
 	c := *l
 	c.Engines = slices.Clone(l.Engines)
 	for e := range c.Engines {
-		items := slices.Clone(c.Engines[e].Items)
-		for i := range items {
-			items[i].Loads = slices.Clone(items[i].Loads)
-			items[i].Unloads = slices.Clone(items[i].Unloads)
-		}
-		c.Engines[e].Items = items
+		c.Engines[e] = c.Engines[e].clone()
+	}
+	c.Outgoing = slices.Clone(l.Outgoing)
+	for h := range c.Outgoing {
+		c.Outgoing[h].Engine = c.Outgoing[h].Engine.clone()
 	}
 	return &c
 }
 
+func (e Engine) clone() Engine {
+	e.Items = slices.Clone(e.Items)
+	for i := range e.Items {
+		e.Items[i].Loads = slices.Clone(e.Items[i].Loads)
+		e.Items[i].Unloads = slices.Clone(e.Items[i].Unloads)
+	}
+	return e
+}
+
 // SetEngine adds an engine or updates what the bundle says of it. An engine that
 // the bundle no longer lists stays in the ledger with its charges.
 func (l *Ledger) SetEngine(id bundle.UpstreamID, memory bundle.MiB, delivery Delivery) {
@@ -168,14 +182,16 @@
 func (l *Ledger) ReadyReplicas(model bundle.ModelID) int {
 	count := 0
 	for _, e := range l.Engines {
-		if e.hasStable(model) {
+		if e.HasStable(model) {
 			count++
 		}
 	}
 	return count
 }
 
-func (e *Engine) hasStable(model bundle.ModelID) bool {
+// HasStable reports whether the engine holds the model ready, in any version, where
+// neither an unload nor the engine's loss can take it away.
+func (e *Engine) HasStable(model bundle.ModelID) bool {
 	return !e.Unreachable && slices.ContainsFunc(e.Items, func(i Item) bool {
 		return i.Slot.Model == model && i.Slot.Adapter == "" && i.Stable()
 	})
--- /dev/null
+++ b/internal/state/roster/roster_test.go
@@ -0,0 +1,37 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/bundle"
+)
+
+func TestOnlyModelsThatFallToANewCellChangeTheirHome(t *testing.T) {
+	before, after := Roster{Cells: 20}, Roster{Cells: 40}
+	moved := 0
+	for i := range 770 {
+		id := bundle.ModelID(fmt.Sprint("model-", i))
+		old, now := before.Home(id), after.Home(id)
+		assert.Assert(t, old == now || now >= 20)
+		if old != now {
+			moved++
+		}
+	}
+	assert.Assert(t, moved > 770*4/10 && moved < 770*6/10, "%d moved", moved)
+}
+
+func TestEntriesAreKeptInOrder(t *testing.T) {
+	var r Roster
+	for _, id := range []bundle.UpstreamID{"c", "a", "b", "a"} {
+		r.Set(Entry{Engine: id, Move: uint64(len(r.Entries))})
+	}
+	assert.Equal(t, len(r.Entries), 3)
+	e, ok := r.Entry("a")
+	assert.Assert(t, ok)
+	assert.Equal(t, e.Move, uint64(3))
+	_, ok = r.Entry("d")
+	assert.Assert(t, !ok)
+}
