--- a/internal/control/placing/fleet_test.go
+++ b/internal/control/placing/fleet_test.go
@@ -30,7 +30,8 @@
 	resizes  int
 	moved    int // engines that have changed their ledger
 	owners   map[bundle.UpstreamID]int
-	decoded  map[object.Version]*ledger.Ledger
+	stored   map[int]*ledger.Ledger // as decoded after the given number of writes
+	writes   uint64
 }
 
 // fleetMember is one instance: a holder with all cells of the service, its own knowledge of
@@ -44,7 +45,6 @@
 func newFleetWorld(seed uint64, scope Scope, limits weights.Limits, s Settings, f chances) *fleetWorld {
 	w := &fleetWorld{
 		world: newWorld(seed, scope, limits, s, f), settings: s, planning: rosterplan.Settings{Size: 4, Cells: 1}, owners: make(map[bundle.UpstreamID]int),
-		decoded: make(map[object.Version]*ledger.Ledger),
 	}
 	w.checks = w.checkFleet
 	for range scope.Upstreams {
@@ -60,6 +60,10 @@
 
 func (w *fleetWorld) ledgers() map[int]*ledger.Ledger {
 	w.store.SetFaults(objectapi.Faults{})
+	writes := w.store.Counts().Writes()
+	if w.stored != nil && writes == w.writes {
+		return w.stored
+	}
 	objects, err := w.store.List(context.Background(), CellKind, ledgerfile.Prefix(fleetService))
 	if err != nil {
 		w.fail("list: %v", err)
@@ -67,16 +71,14 @@
 	found := make(map[int]*ledger.Ledger)
 	for _, o := range objects {
 		index, _ := ledgerfile.Index(fleetService, o.Name)
-		if w.decoded[o.Version] == nil {
-			l, err := ledgerfile.Decode(o.Data)
-			if err != nil {
-				w.fail("stored ledger: %v", err)
-				continue
-			}
-			w.decoded[o.Version] = l
+		l, err := ledgerfile.Decode(o.Data)
+		if err != nil {
+			w.fail("stored ledger: %v", err)
+			continue
 		}
-		found[index] = w.decoded[o.Version]
+		found[index] = l
 	}
+	w.stored, w.writes = found, writes
 	return found
 }
 
