Merge cells: a stored roster assigns engines to cells, hand-overs between ledgers

A step settles the engines that are due, or all after a hand-over, and plans on a copy; when something is to move, the others are settled and the plan is made anew.

--- a/internal/control/placing/cell.go
+++ b/internal/control/placing/cell.go
@@ -25,6 +25,12 @@
 	Leaving    []bundle.UpstreamID
 	Demand     []Demand
 	Rates      placement.Rates
+	// Assignment is the roster's word. Without it the cell has all Upstreams, for good.
+	Assignment *Assignment
+	// ReadyInNews tells whether a cell has published a model as ready. It may be nil.
+	ReadyInNews func(cell object.Name, model bundle.ModelID) bool
+	// kept are the models of other cells that must not leave yet.
+	kept []bundle.ModelID
 	// OthersAlive tells whether an instance is still a member.
 	OthersAlive func(instance string) bool
 }
@@ -42,6 +48,7 @@
 	last     *ledger.Ledger
 	answered map[bundle.UpstreamID]time.Time // last report of each engine
 	known    *stored                         // as this instance wrote it last, nil if it has to be read
+	homes    map[object.Name]homeView        // what was read of other cells
 }
 
 // NewCell returns a cell that has read nothing yet. nonce returns a new random number at each call.
@@ -49,7 +56,7 @@
 	return &Cell{
 		instance: instance, settings: s, store: store, engines: engines, policy: policy, nonce: nonce,
 		sessions: make(map[bundle.UpstreamID]Session), tracker: newTracker(),
-		answered: make(map[bundle.UpstreamID]time.Time),
+		answered: make(map[bundle.UpstreamID]time.Time), homes: make(map[object.Name]homeView),
 	}
 }
 
@@ -72,20 +79,23 @@
 		return nil
 	}
 	next := current.ledger.Clone()
-	due := c.due(now, next, scope)
-	c.settle(ctx, now, next, scope, due)
-	c.tracker.observe(now, next)
-	c.last = next.Clone()
-	orders := c.plan(now, c.last, scope, ledger.Fence(current.version))
-	if rest := others(scope, due); len(orders) > 0 && len(rest) > 0 {
-		// Plans on old reports are not carried out.
-		c.settle(ctx, now, next, scope, rest)
-		c.tracker.observe(now, next)
-		c.last = next.Clone()
-		orders = c.plan(now, c.last, scope, ledger.Fence(current.version))
+	moved, err := c.handOver(ctx, now, next, scope, current.version)
+	if err != nil {
+		c.known = nil
+		return errs.Wrap(err, "hand over engines", errs.Self)
 	}
+	if !moved && c.isIdle(current, scope) {
+		c.last = next
+		return nil
+	}
+	scope = scope.owned(next)
+	due := scope.Upstreams
+	if !moved {
+		due = c.due(now, next, scope)
+	}
+	orders := c.decide(ctx, now, next, scope, due, current.version)
 	next = c.last
-	if len(orders) == 0 && !c.mustRenew(now, current, scope) {
+	if len(orders) == 0 && !moved && !c.mustRenew(now, current, scope) {
 		return nil
 	}
 	version, err := c.write(ctx, now, scope, next, current.version)
@@ -99,6 +109,27 @@
 	return nil
 }
 
+// decide settles the engines that are due and plans. If something is to move, the
+// other engines are settled as well and the plan is made anew: plans on old reports
+// are not carried out.
+func (c *Cell) decide(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope, due []bundle.Upstream, version object.Version) []ledger.Order {
+	orders := c.settleAndPlan(ctx, now, l, scope, due, version)
+	rest := except(scope, due)
+	if len(orders) == 0 || len(rest) == 0 {
+		return orders
+	}
+	return c.settleAndPlan(ctx, now, l, scope, rest, version)
+}
+
+// settleAndPlan settles the engines asked in l and plans on a copy, which is the last ledger then.
+func (c *Cell) settleAndPlan(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope, asked []bundle.Upstream, version object.Version) []ledger.Order {
+	c.settle(ctx, now, l, scope, asked)
+	c.tracker.observe(now, l)
+	c.last = l.Clone()
+	scope.kept = c.keep(ctx, now, c.last, scope)
+	return c.plan(now, c.last, scope, c.last.FenceAt(version))
+}
+
 // Ledger returns the cell's account as of the last step, or nil. It must not be changed.
 func (c *Cell) Ledger() *ledger.Ledger { return c.last }
 
@@ -108,6 +139,7 @@
 	if c.known != nil {
 		return *c.known, nil
 	}
+	clear(c.homes) // another holder may have adopted engines
 	return c.read(ctx, name)
 }
 
@@ -202,18 +234,27 @@
 	return fetched{session: session, report: report, err: err}
 }
 
-// mustRenew reports whether the lease or the generation has to be written anew.
+// mustRenew reports whether the lease, the generation or the roster has to be written anew.
 func (c *Cell) mustRenew(now time.Time, current stored, scope Scope) bool {
 	l := current.ledger
 	half := l.LeaseUntil.Add(-c.settings.Lease / 2)
-	return current.version == 0 || l.Holder != c.instance || !now.Before(half) || l.Generation != scope.Generation
+	stale := l.Generation != scope.Generation || l.Roster != scope.rosterVersion()
+	return current.version == 0 || l.Holder != c.instance || !now.Before(half) || stale
+}
+
+// rosterVersion returns the version of the roster that the scope follows, or zero.
+func (s Scope) rosterVersion() object.Version {
+	if s.Assignment == nil {
+		return 0
+	}
+	return s.Assignment.Roster.Version
 }
 
 // write replaces the ledger by conditional update and learns the outcome of a lost answer.
 func (c *Cell) write(ctx context.Context, now time.Time, scope Scope, l *ledger.Ledger, expected object.Version) (object.Version, error) {
 	const step errs.Step = "write placement cell"
 	l.Holder, l.LeaseUntil = c.instance, now.Add(c.settings.Lease)
-	l.Nonce, l.Generation = c.nonce(), scope.Generation
+	l.Nonce, l.Generation, l.Roster = c.nonce(), scope.Generation, scope.rosterVersion()
 	data, err := ledgerfile.Encode(l)
 	if err != nil {
 		return 0, errs.Wrap(err, step, errs.Self)
--- a/internal/control/placing/due.go
+++ b/internal/control/placing/due.go
@@ -28,8 +28,8 @@
 	return due
 }
 
-// others returns the engines that are not among the given ones.
-func others(scope Scope, given []bundle.Upstream) []bundle.Upstream {
+// except returns the engines that are not among the given ones.
+func except(scope Scope, given []bundle.Upstream) []bundle.Upstream {
 	var rest []bundle.Upstream
 	for _, u := range scope.Upstreams {
 		if !slices.ContainsFunc(given, func(g bundle.Upstream) bool { return g.ID == u.ID }) {
