Orders: a stream that names no claimant is refused

Cause: reading the change once more: calls before the claimant's name would have been recorded for nobody, so that no resend could ask for their end.

Change: the first frame must name the claimant, which later frames do not change.

Test: TestExchangeServesCallsOfANamedClaimant. It also has a malformed call beside a good one in a frame.

--- a/internal/control/claims/exchange.go
+++ b/internal/control/claims/exchange.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/ordermsg"
@@ -22,6 +25,8 @@
 	replyCapacity = 1024
 )
 
+var errNoClaimant = status.Error(codes.InvalidArgument, "the first frame names no claimant")
+
 // exchange serves the calls of one stream.
 type exchange struct {
 	service  *Service
@@ -49,8 +54,8 @@
 		}
 		at := times.Read(frame.GetWallDeltaMillis(), frame.GetLogical())
 		s.clock().Observe(at)
-		if frame.GetClaimant() != nil {
-			x.claimant = ordermsg.ClaimantFromWire(frame.GetClaimant())
+		if !x.named(frame) {
+			return errNoClaimant
 		}
 		for _, call := range frame.GetCalls() {
 			duties.Go(func() { _ = x.replies.Put(ctx, x.serve(ctx, call, at)) })
@@ -58,6 +63,15 @@
 	}
 }
 
+// named takes the claimant from the first frame. It is false when nobody was named:
+// no resend could ask for the end of such a claim.
+func (x *exchange) named(frame *pb.OrderFrame) bool {
+	if x.claimant == (journal.Claimant{}) {
+		x.claimant = ordermsg.ClaimantFromWire(frame.GetClaimant())
+	}
+	return x.claimant.Instance != ""
+}
+
 // serve decides one call.
 func (x *exchange) serve(ctx context.Context, call *pb.OrderCall, at hlc.Timestamp) *pb.OrderReply {
 	if call.GetResult() != nil {
--- /dev/null
+++ b/internal/control/claims/exchange_test.go
@@ -0,0 +1,79 @@
+package claims
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/protocol/ordermsg"
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/journal"
+)
+
+// serverStream is a stream of one frame, whose replies the test reads.
+type serverStream struct {
+	grpc.ServerStream
+	ctx     context.Context
+	frames  chan *pb.OrderFrame
+	replies chan *pb.OrderReplies
+}
+
+// Context implements the stream.
+func (s *serverStream) Context() context.Context { return s.ctx }
+
+// Recv implements the stream.
+func (s *serverStream) Recv() (*pb.OrderFrame, error) {
+	select {
+	case f := <-s.frames:
+		return f, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// Send implements the stream.
+func (s *serverStream) Send(r *pb.OrderReplies) error {
+	s.replies <- r
+	return nil
+}
+
+// TestExchangeServesCallsOfANamedClaimant has a malformed call beside a good one
+// in a frame, and a frame without a claimant.
+func TestExchangeServesCallsOfANamedClaimant(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 1, 1, defaultSettings(), objectapi.Limits{})
+			service := c.nodes["i000"].service
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			s := &serverStream{ctx: ctx, frames: make(chan *pb.OrderFrame, 1), replies: make(chan *pb.OrderReplies, 4)}
+			now := service.clock().Now()
+			claim := journal.Claim{Key: journal.HashKey("desk", "k"), Token: journal.Token{1}, Deadline: time.Now().Add(time.Minute)}
+			frame := &pb.OrderFrame{WallDeltaMillis: now.WallMillis, Calls: []*pb.OrderCall{
+				ordermsg.ClaimCall(1, claim, time.Now().Add(time.Second), now), {Id: 2, Key: []byte("short")},
+			}}
+			if named {
+				frame.Claimant = &pb.Claimant{Instance: "i001", Incarnation: 1}
+			}
+			s.frames <- frame
+			err := service.Exchange(s)
+			if !named {
+				assert.ErrorIs(t, err, errNoClaimant)
+				assert.Equal(t, c.store.Counts().Writes(), uint64(0))
+				return
+			}
+			answers := make(map[uint32]pb.ClaimStatus)
+			for range len(s.replies) {
+				for _, r := range (<-s.replies).GetReplies() {
+					answers[r.GetId()] = r.GetClaim().GetStatus()
+				}
+			}
+			assert.DeepEqual(t, answers, map[uint32]pb.ClaimStatus{1: pb.ClaimStatus_CLAIM_STATUS_GRANTED, 2: pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE})
+		})
+	}
+}
