Entry: failed reads and streams send their callers back by the queue

Cause: 504 and other final failures carried the fixed queue retry-after (1 s), however long the queue. Refusals of the queue had the time to work it off.

Change: failures of reads and streams that ask to come back carry at least Queue.RetryAfter of their service. Handed-over streams keep theirs, since they go on elsewhere at once. Orders are left as they are.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -91,6 +91,16 @@
 	return unavailable(httpapi.CodeNoCapacity, "Too many requests wait for this service.", outcome, refused.refusal.RetryAfter)
 }
 
+// withRetryAfter sends a caller back no sooner than the service's queue will likely be
+// worked off. A stream that is handed over goes on at another instance at once.
+func (s *Server) withRetryAfter(c *call, f *Failure) *Failure {
+	if f == nil || f.RetryAfter == 0 || f.Code == httpapi.CodeStopping {
+		return f
+	}
+	f.RetryAfter = max(f.RetryAfter, s.table.retryAfter(s.now(), c))
+	return f
+}
+
 func suspectFailure(outcome order.Outcome) *Failure {
 	return &Failure{
 		Code: httpapi.CodeRequestSuspect, Status: http.StatusUnprocessableEntity,
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -80,7 +80,7 @@
 		ctx, stop = s.drain.handingOver(ctx)
 		defer stop()
 	}
-	failure := g.run(ctx)
+	failure := s.withRetryAfter(c, g.run(ctx))
 	s.demand.ended(c, g.reader.offset-g.first, failure)
 	if failure == nil {
 		s.finished(c)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -135,7 +135,7 @@
 func (s *Server) serveRead(ctx context.Context, w http.ResponseWriter, p *plainCall) {
 	answer, failure := s.read(ctx, p)
 	if failure != nil {
-		s.reject(w, p.call, failure)
+		s.reject(w, p.call, s.withRetryAfter(p.call, failure))
 		return
 	}
 	s.writePlain(w, p.call, answer)
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -87,6 +87,13 @@
 	t.service(c).budget.Request()
 }
 
+// retryAfter returns when a caller of the service is told to come back.
+func (t *upstreamTable) retryAfter(now time.Time, c *call) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(c).queue.RetryAfter(now)
+}
+
 // spend takes a retry from the budget and reports whether there was one.
 func (t *upstreamTable) spend(c *call, attempt int) bool {
 	t.mu.Lock()
