Entry follows its streams: late ones given up early, slow engines get no requests that must fail there

Change: the entry counts the events of its streams, learns each engine's pace (coordination/progress), passes it to routing, expects an answer's time at the fastest engine, and gives up a stream that will be late with 504 and Retry-After at once. The length is what the caller tells in X-Answer-Tokens; without it nothing is given up early. A stream given up counts against its upstream as a missed deadline does.

Found on the way: the time of a stall was part of the pace, so a pause of a whole engine would have given up all its streams in place of sending them elsewhere. Only the time between two tokens counts now, at most 0.3 s of it.

Tests: TestStreamThatWillBeLateIsGivenUpEarly waits for the deadline of 30 s with the mechanism off.

Not measured with real processes under load.

--- a/internal/coordination/progress/progress.go
+++ b/internal/coordination/progress/progress.go
@@ -24,7 +24,10 @@
 	Shortest float64
 	// MinTokens is how many tokens a stream brings before it is judged.
 	MinTokens int
-	// Confirm is how long a stream must seem late, so that a short stall cancels none.
+	// MaxGap is the longest time between two tokens that counts, so that the end of a
+	// stall does not make streams late that go on as before.
+	MaxGap time.Duration
+	// Confirm is how long a stream must seem late before it is.
 	Confirm time.Duration
 }
 
@@ -35,6 +38,7 @@
 		Keep:      5 * time.Second,
 		Shortest:  0.9,
 		MinTokens: 3,
+		MaxGap:    300 * time.Millisecond,
 		Confirm:   300 * time.Millisecond,
 	}
 }
@@ -42,7 +46,7 @@
 // Stream is what is known of a running stream.
 type Stream struct {
 	tokens    float64
-	at        time.Time // of the latest Add, zero before the first token
+	at        time.Time // of the latest token, zero before the first one
 	lateSince time.Time // zero while it is in time
 }
 
@@ -59,19 +63,19 @@
 func New(settings Settings) *Meter { return &Meter{settings: settings} }
 
 // Add records how many tokens a stream has brought so far. The time before its
-// first token counts for nothing: it depends on the length of the prompt.
+// first token counts for nothing: it depends on the length of the prompt. Nor does
+// that since its latest one: a stream gone silent is sent elsewhere, and does not
+// make the others late.
 func (m *Meter) Add(now time.Time, s *Stream, tokens float64) {
-	if tokens <= 0 {
+	if tokens <= s.tokens {
 		return
 	}
 	m.decay(now)
 	if !s.at.IsZero() {
 		m.made += tokens - s.tokens
-		m.took += float64(now.Sub(s.at))
-	}
-	if tokens > s.tokens {
-		m.at = now
+		m.took += float64(min(now.Sub(s.at), m.settings.MaxGap))
 	}
+	m.at = now
 	s.tokens = tokens
 	s.at = now
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -24,6 +24,7 @@
 var (
 	errDeadline   = errors.New("the deadline passed")
 	errCallerGone = errors.New("the caller left")
+	errLate       = errors.New("the answer would not be whole before the deadline")
 	errHandover   = errors.New("this instance stops and hands its streams over")
 )
 
@@ -136,7 +137,7 @@
 		return nil
 	}
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errDeadline), errors.Is(cause, errHandover):
+	case errors.Is(cause, errDeadline), errors.Is(cause, errHandover), errors.Is(cause, errLate):
 		return cause
 	default:
 		return errCallerGone
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -75,7 +75,7 @@
 	t.nextID++
 	request := admission.Request{
 		ID: t.nextID, Caller: c.caller, Class: c.request.Class, Deadline: c.request.Deadline,
-		Expected: s.perToken.times(1),
+		Expected: t.expect(now, s, c),
 	}
 	if refusal, ok := s.queue.Offer(now, request); !ok {
 		return nil, &refusedError{refusal}
@@ -299,6 +299,7 @@
 func (t *upstreamTable) expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.followStreams(now)
 	for _, s := range t.services {
 		for _, refusal := range s.queue.Expire(now) {
 			w := s.waiters[refusal.Request.ID]
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// lateFailure answers at once, before the deadline.
+func lateFailure(outcome order.Outcome, retryAfter time.Duration) *Failure {
+	failure := deadlineFailure(outcome, retryAfter)
+	failure.Message = "The answer would not be whole before the deadline."
+	return failure
+}
+
 func upstreamFailure(cause error, outcome order.Outcome, retryAfter time.Duration) *Failure {
 	return &Failure{
 		Code: httpapi.CodeUpstreamFailed, Status: http.StatusBadGateway,
@@ -84,9 +91,7 @@
 // queueFailure answers a request that the queue refused. It comes at once, with the time to come back.
 func queueFailure(refused *refusedError, outcome order.Outcome) *Failure {
 	if refused.refusal.Reason == admission.ReasonDeadline {
-		failure := deadlineFailure(outcome, refused.refusal.RetryAfter)
-		failure.Message = "The answer would not be whole before the deadline."
-		return failure
+		return lateFailure(outcome, refused.refusal.RetryAfter)
 	}
 	return unavailable(httpapi.CodeNoCapacity, "Too many requests wait for this service.", outcome, refused.refusal.RetryAfter)
 }
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -153,7 +153,7 @@
 		return attemptResult{tokens: tokens}
 	}
 	cause := causeOf(ctx)
-	if errors.Is(cause, errDeadline) {
+	if errors.Is(cause, errDeadline) || errors.Is(err, errLate) {
 		return attemptResult{late: true, tokens: tokens}
 	}
 	if cause != nil || errors.Is(err, errCallerGone) {
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -111,6 +111,7 @@
 func (g *generation) run(ctx context.Context) *Failure {
 	s := g.server
 	for {
+		g.call.request.Tokens = float64(max(g.call.headers.Tokens-g.reader.offset, 0))
 		f, err := s.waitForUpstream(ctx, g.call)
 		if err != nil {
 			return g.noUpstream(ctx, err)
@@ -159,6 +160,8 @@
 // ended turns the end of the call's context into the caller's answer.
 func (g *generation) ended(cause error) *Failure {
 	switch {
+	case errors.Is(cause, errLate):
+		return lateFailure(g.outcome(), g.server.settings.Queue.RetryAfter)
 	case errors.Is(cause, errDeadline):
 		return deadlineFailure(g.outcome(), g.server.settings.Queue.RetryAfter)
 	case errors.Is(cause, errHandover):
@@ -180,7 +183,7 @@
 	if cause := causeOf(ctx); cause != nil {
 		return g.ended(cause)
 	}
-	if errors.Is(err, errCallerGone) {
+	if errors.Is(err, errCallerGone) || errors.Is(err, errLate) {
 		return g.ended(err)
 	}
 	var refused *refusal
@@ -229,6 +232,7 @@
 	if got := response.Header.Get(httpapi.HeaderRequestID); got != g.reader.upstreamID {
 		return newFault(faultCrossed, "the answer carries the id %q", got)
 	}
+	g.reader.arrived = s.table.follow(f, cancel)
 	body := progressReader{response.Body, dog}
 	return g.reader.copy(ctx, body, s.settings.Upstreams.MaxEventBytes, g.sink)
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/protocol/sse"
@@ -58,6 +59,7 @@
 	callerID   string // the id that the caller gets instead
 	offset     int    // of the last event taken
 	maxTokens  int
+	arrived    *atomic.Int64 // counts the events of this send, nil when nobody follows it
 }
 
 // copy passes checked events on to out until the end mark. It returns an
@@ -80,6 +82,9 @@
 			return err
 		}
 		r.offset = event.ID
+		if r.arrived != nil {
+			r.arrived.Add(1)
+		}
 	}
 }
 
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -10,6 +10,7 @@
 	"savoryweir/internal/coordination/admission"
 	"savoryweir/internal/coordination/bulkhead"
 	"savoryweir/internal/coordination/limit"
+	"savoryweir/internal/coordination/progress"
 	"savoryweir/internal/coordination/routing"
 	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/protocol/httpapi"
@@ -21,14 +22,16 @@
 	upstream bundle.Upstream
 	call     *call
 	started  time.Time
-	fresh    bool // the request goes on a new connection
-	beside   int  // requests at the upstream when this one was sent
+	fresh    bool            // the request goes on a new connection
+	beside   int             // requests at the upstream when this one was sent
+	stream   *followedStream // nil until the answer of a stream begins
 }
 
 // upstreamState is what this entry knows of one upstream.
 type upstreamState struct {
 	flights      map[*flight]struct{}
 	limiter      *limit.Limiter
+	meter        *progress.Meter
 	load         routing.Load
 	sent         int       // requests since load
 	leavingSince time.Time // zero while the upstream takes new work
@@ -88,7 +91,7 @@
 		limits := limit.DefaultSettings()
 		limits.Max = t.settings.Upstreams.MaxInFlight
 		limits.Start = min(limits.Start, limits.Max)
-		u = &upstreamState{flights: make(map[*flight]struct{}), limiter: limit.New(limits)}
+		u = &upstreamState{flights: make(map[*flight]struct{}), limiter: limit.New(limits), meter: progress.New(progress.DefaultSettings())}
 		t.states[id] = u
 	}
 	return u
@@ -132,6 +135,7 @@
 		HasAdapter:      c.request.Adapter == "" || live.Serves(u.ID, c.request.Model, c.request.Adapter),
 		Ejected:         status.Ejected || !state.downSince.IsZero(),
 		RecoveryShare:   status.RecoveryShare,
+		PerToken:        state.meter.PerToken(now),
 		Leaving:         leaving,
 		DownSince:       state.goneSince(),
 	}
--- a/internal/protocol/httpapi/headers.go
+++ b/internal/protocol/httpapi/headers.go
@@ -18,6 +18,8 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderDeadline is the time in milliseconds in which the whole answer is of use.
 	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderAnswerTokens is the length of the answer that the caller expects.
+	HeaderAnswerTokens = "X-Answer-Tokens"
 	// HeaderClass is the urgency of a request.
 	HeaderClass = "X-Request-Class"
 	// HeaderIdempotencyKey identifies an order over all its resends.
@@ -53,6 +55,7 @@
 	MaxIdempotencyKeyBytes = 255
 	MaxDeadline            = 24 * time.Hour
 	MaxAttempt             = 1_000_000
+	MaxAnswerTokens        = 1 << 20
 	MaxResumeOffset        = 1 << 31
 )
 
@@ -64,6 +67,7 @@
 	Key       order.Key // empty when the caller gave none
 	Attempt   int
 	Offset    int
+	Tokens    int // expected length of the answer, zero when the caller gave none
 }
 
 // HeaderError reports a header with a value that is not allowed.
@@ -106,6 +110,9 @@
 	if parsed.Offset, err = parseNumber(h, HeaderResumeOffset, 0, 0, MaxResumeOffset); err != nil {
 		return err
 	}
+	if parsed.Tokens, err = parseNumber(h, HeaderAnswerTokens, 0, 1, MaxAnswerTokens); err != nil {
+		return err
+	}
 	parsed.Class, err = parseClass(h.Get(HeaderClass))
 	return err
 }
@@ -113,6 +120,7 @@
 func checkSingle(h http.Header) error {
 	for _, name := range []string{
 		HeaderRequestID, HeaderDeadline, HeaderClass, HeaderIdempotencyKey, HeaderAttempt, HeaderResumeOffset,
+		HeaderAnswerTokens,
 	} {
 		if len(h.Values(name)) > 1 {
 			return &HeaderError{name, "given once"}
