--- a/internal/protocol/httpapi/headers.go
+++ b/internal/protocol/httpapi/headers.go
@@ -19,6 +19,8 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderDeadline is the time in milliseconds in which the whole answer is of use.
 	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderAnswerTokens is the length of the answer that the caller expects.
+	HeaderAnswerTokens = "X-Answer-Tokens"
 	// HeaderClass is the urgency of a request.
 	HeaderClass = "X-Request-Class"
 	// HeaderIdempotencyKey identifies an order over all its resends.
@@ -58,6 +60,7 @@
 	MaxIdempotencyKeyBytes = 255
 	MaxDeadline            = 24 * time.Hour
 	MaxAttempt             = 1_000_000
+	MaxAnswerTokens        = 1 << 20
 	MaxResumeOffset        = 1 << 31
 )
 
@@ -69,6 +72,7 @@
 	Key       order.Key // empty when the caller gave none
 	Attempt   int
 	Offset    int
+	Tokens    int // expected length of the answer, zero when the caller gave none
 }
 
 // HeaderError reports a header with a value that is not allowed.
@@ -111,6 +115,9 @@
 	if parsed.Offset, err = parseNumber(h, HeaderResumeOffset, 0, 0, MaxResumeOffset); err != nil {
 		return err
 	}
+	if parsed.Tokens, err = parseNumber(h, HeaderAnswerTokens, 0, 1, MaxAnswerTokens); err != nil {
+		return err
+	}
 	parsed.Class, err = parseClass(h.Get(HeaderClass))
 	return err
 }
@@ -118,6 +125,7 @@
 func checkSingle(h http.Header) error {
 	for _, name := range []string{
 		HeaderRequestID, HeaderDeadline, HeaderClass, HeaderIdempotencyKey, HeaderAttempt, HeaderResumeOffset,
+		HeaderAnswerTokens,
 	} {
 		if len(h.Values(name)) > 1 {
 			return &HeaderError{name, "given once"}
