Joint bench: requests, queues and routing together with placement

Cause: the policy bench has a fixed placement, the moves bench perfect routing and no queue. Neither shows what the two do to each other.

Change: policy.RunPlaced takes a placement that moves models during a run.

--- a/internal/bench/moves/cell.go
+++ b/internal/bench/moves/cell.go
@@ -93,8 +93,8 @@
 	return c
 }
 
-// step lets one second pass. seen is the demand as reported, with its lag, now the true one.
-func (c *cell) step(start time.Time, at time.Duration, seen, now []float64, adapters []bool, measured bool) {
+// decide lets one second pass. seen is the demand that the policy is told.
+func (c *cell) decide(at time.Duration, seen []float64, adapters []bool, counted bool) {
 	c.finish(at)
 	for m := range c.models {
 		c.models[m].Demand = seen[m]
@@ -107,10 +107,10 @@
 	}
 	actions := c.policy.Decide(start.Add(at), placement.Snapshot{Engines: c.snapshot(), Models: c.models, Adapters: c.adapters, Rates: c.rates})
 	for _, action := range actions {
-		c.begin(action, at, measured)
+		c.begin(action, at, counted)
 	}
-	if measured {
-		c.measure(now, len(actions) > 0)
+	if counted && len(actions) > 0 {
+		c.result.StoreWrites++
 	}
 }
 
@@ -185,25 +185,20 @@
 }
 
 // measure counts the demand that the ready replicas can serve.
-func (c *cell) measure(now []float64, wrote bool) {
+func (c *cell) measure(now []float64) {
 	compute := make([]float64, len(c.engines))
 	holds := make([][]bool, len(c.models))
 	for m, model := range c.models {
 		holds[m] = make([]bool, len(c.engines))
 		for e, engine := range c.engines {
 			compute[e] = engine.Compute
-			holds[m][e] = slices.ContainsFunc(engine.Items, func(i placement.Item) bool {
-				return i.State == placement.Ready && i.Slot == ledger.Slot{Model: model.ID, Version: model.Version}
-			})
+			holds[m][e] = isReady(engine, ledger.Slot{Model: model.ID, Version: model.Version})
 		}
 	}
 	wanted, capacity := sum(now), sum(compute)
 	c.result.Demand += wanted
 	c.result.Served += wanted - placement.Assign(now, compute, holds).TotalUnmet()
 	c.result.Bound += min(wanted, capacity)
-	if wrote {
-		c.result.StoreWrites++
-	}
 }
 
 func sum(values []float64) float64 {
--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -45,30 +45,23 @@
 // Run measures one policy on one scenario. The same seed gives the same result.
 func Run(s Scenario, p Policy, seed uint64) Result {
 	total := Result{Policy: p.Name, Engines: s.Engines()}
-	var cells []*cell
-	var demands []*demand
-	var history [][][]float64 // per service and second
-	for _, service := range s.Services {
-		cells = append(cells, newCell(s, service, p.New()))
-		demands = append(demands, newDemand(service, s.Utilization, seed))
-		history = append(history, nil)
-	}
-	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	placing := NewPlacing(s, p, seed)
+	var history [][][]float64 // per second and service
 	for at := time.Duration(0); at < s.WarmUp+s.Duration; at += time.Second {
-		measured := at >= s.WarmUp
-		for i, c := range cells {
-			now := demands[i].step(at)
-			history[i] = append(history[i], now)
-			seen := history[i][max(0, len(history[i])-1-reportLag)]
-			c.step(start, at, seen, now, demands[i].adapters, measured)
+		now := placing.Demand(at)
+		history = append(history, now)
+		placing.Decide(at, history[max(0, len(history)-1-reportLag)])
+		if at < s.WarmUp {
+			continue
 		}
-		if measured && (at-s.WarmUp)%time.Minute == time.Minute-time.Second {
-			total.addMinute(cells)
+		for i, c := range placing.cells {
+			c.measure(now[i])
+		}
+		if (at-s.WarmUp)%time.Minute == time.Minute-time.Second {
+			total.addMinute(placing.cells)
 		}
 	}
-	for _, c := range cells {
-		total.LedgerBytes += c.ledgerBytes()
-	}
+	total.LedgerBytes = placing.Count().LedgerBytes
 	return total
 }
 
--- a/internal/bench/moves/scenario.go
+++ b/internal/bench/moves/scenario.go
@@ -180,3 +180,15 @@
 
 // modelMemory gives models between 10 and 25 GiB.
 func modelMemory(m int) bundle.MiB { return bundle.MiB(10+5*(m%4)) * 1024 }
+
+// ServiceName returns the name of the service.
+func (s Service) ServiceName() bundle.ServiceName { return bundle.ServiceName(s.Name) }
+
+// ModelIDs returns the models of the service in order.
+func (s Service) ModelIDs() []bundle.ModelID {
+	var ids []bundle.ModelID
+	for m := range s.Models {
+		ids = append(ids, s.modelID(m))
+	}
+	return ids
+}
--- a/internal/bench/policy/demand.go
+++ b/internal/bench/policy/demand.go
@@ -182,6 +182,13 @@
 	s.sumUp()
 }
 
+func (s *sampler) set(weights []float64) {
+	copy(s.weights, weights)
+	s.sumUp()
+}
+
+func (s *sampler) total() float64 { return s.sums[len(s.sums)-1] }
+
 func (s *sampler) sumUp() {
 	var sum float64
 	for i, w := range s.weights {
--- a/internal/bench/policy/engine.go
+++ b/internal/bench/policy/engine.go
@@ -67,7 +67,7 @@
 }
 
 func (e *engine) arrive(a *attempt) {
-	if e.down || e.failing {
+	if e.down || e.failing || !e.sim.ready(e.service, a.job.model, e.index) {
 		e.answer(a, false)
 		return
 	}
--- a/internal/bench/policy/instance.go
+++ b/internal/bench/policy/instance.go
@@ -29,6 +29,7 @@
 	suspects   *suspect.Registry
 	perService []*serviceState
 	nextID     admission.RequestID
+	traffic    [][]Traffic // since the last demand report, per service and model
 }
 
 // pending is a request within an instance.
@@ -101,6 +102,7 @@
 
 func (in *instance) accept(j *job, origin *instance) {
 	l := in.perService[j.service]
+	in.countArrival(j)
 	if !in.bulkhead.Enter(l.spec.Name) {
 		in.sim.finish(j, outcomeFull, 0)
 		return
@@ -173,6 +175,7 @@
 		if in.sim.now > a.job.deadline {
 			in.sim.result.workWasted += a.job.tokens
 		}
+		in.countAnswer(a.job)
 		in.end(a.pending, outcomeDone, 0)
 	} else {
 		l.retry(a)
--- a/internal/bench/policy/result.go
+++ b/internal/bench/policy/result.go
@@ -35,6 +35,9 @@
 	return sum
 }
 
+// Met returns the requests that met their deadline.
+func (c ClassResult) Met() int { return c.Ended[outcomeDone] }
+
 // Attainment returns the share of requests that met their deadline.
 func (c ClassResult) Attainment() float64 {
 	if c.Total() == 0 {
@@ -62,6 +65,7 @@
 	Crashes          int
 	CrashedUpstreams int
 	InnocentRefused  int
+	Dropped          int // attempts that an unload ended
 
 	exact        bool
 	accelerators int
--- a/internal/bench/policy/service.go
+++ b/internal/bench/policy/service.go
@@ -39,7 +39,7 @@
 func newServiceState(in *instance, service int) *serviceState {
 	s := in.sim
 	l := &serviceState{
-		in: in, sim: s, spec: &s.scenario.Services[service], hosts: s.hosts[service],
+		in: in, sim: s, spec: &s.scenario.Services[service], hosts: slices.Clone(s.hosts[service]),
 		queue:    admission.New(admission.DefaultSettings(), rand.New(rand.NewPCG(s.scenario.Seed, uint64(1<<20+in.index)))),
 		budget:   retry.NewBudget(s.policy.Retry),
 		pace:     admission.NewEstimator(s.scenario.Services[service].step(0)),
--- a/internal/bench/policy/sim.go
+++ b/internal/bench/policy/sim.go
@@ -67,32 +67,42 @@
 	names     []string // of the instances
 	result    *Result
 	crashedBy map[bundle.UpstreamID]bool
+	placement Placement     // nil for a fixed one
+	holder    [][][]Traffic // last demand report per instance, service and model
 }
 
 // Run runs the scenario under the policy.
 func Run(scenario Scenario, policy Policy) *Result {
+	s := newSimulation(scenario, policy)
+	s.run()
+	return s.result
+}
+
+func newSimulation(scenario Scenario, policy Policy) *simulation {
 	if policy.Exact {
 		scenario.Instances = 1
 		scenario.NearDelay, scenario.FarDelay = 0, 0
 	}
-	s := &simulation{
+	return &simulation{
 		scenario: scenario, policy: policy,
 		rand:      rand.New(rand.NewPCG(scenario.Seed, 1)),
 		result:    newResult(scenario, policy),
 		crashedBy: make(map[bundle.UpstreamID]bool),
 	}
+}
+
+func (s *simulation) run() {
 	s.build()
 	s.startDemand()
 	s.startFaults()
 	s.startReports()
 	s.startTicks()
-	for len(s.events) > 0 && s.events[0].at <= scenario.Duration {
+	for len(s.events) > 0 && s.events[0].at <= s.scenario.Duration {
 		next := heap.Pop(&s.events).(event)
 		s.now = next.at
 		next.do()
 	}
 	s.finishOpen()
-	return s.result
 }
 
 func (s *simulation) time() time.Time { return epoch.Add(s.now) }
@@ -141,6 +151,9 @@
 	if spec.Models == 0 {
 		return [][]int{everyIndex(spec.Engines)}
 	}
+	if s.placement != nil {
+		return make([][]int, spec.Models)
+	}
 	demand := newSampler(spec.Models, modelSkew)
 	used := make([]float64, spec.Engines)
 	hosts := make([][]int, spec.Models)
@@ -184,8 +197,10 @@
 }
 
 func (s *simulation) startDemand() {
+	var demands []*demand
 	for i := range s.scenario.Services {
 		d := newDemand(&s.scenario, i)
+		demands = append(demands, d)
 		s.after(d.gap(), func() { s.arrive(d) })
 		s.every(burstPeriod, d.nextBurst)
 		s.every(s.scenario.ShiftEvery, func() {
@@ -193,6 +208,7 @@
 			s.after(s.scenario.ShiftFor, d.unshift)
 		})
 	}
+	s.startPlacement(demands)
 	if s.scenario.Crash != nil {
 		s.startCrash()
 	}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p out
-for bench in membership moves policy; do
+for bench in membership moves policy joint; do
   echo "== $bench"
   go run "./internal/bench/cmd/$bench" --out out
 done
