--- a/internal/control/bundles/watch.go
+++ b/internal/control/bundles/watch.go
@@ -78,14 +78,16 @@
 		case err != nil:
 			m.metrics.watchErrors.Inc()
 			m.log.Warn().Err(err).Msg("Pointer not read.")
-			pause(ctx, m.jitter(wait), nil)
+			sleepOrWake(ctx, m.jitter(wait), nil)
 			wait = min(2*wait, m.longestRetry(watching))
 			after, err = m.readPointer(ctx)
 			continue
-		case watching:
+		case watching && m.options.Keys.Policy() == m.readUnder:
 			after, err = m.watchPointer(ctx, after)
+		case watching: // an approval that was refused may be signed as the new policy requires
+			after, err = m.readPointer(ctx)
 		default:
-			pause(ctx, m.settings.PollInterval/2+m.jitter(m.settings.PollInterval), rewatch)
+			sleepOrWake(ctx, m.settings.PollInterval/2+m.jitter(m.settings.PollInterval), rewatch)
 			after, err = m.readPointer(ctx)
 		}
 		if err == nil {
@@ -109,8 +111,8 @@
 	return time.Duration(m.options.Rand.Int64N(int64(wait) + 1))
 }
 
-// pause waits until the time is over, wake is closed or ctx ends.
-func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// sleepOrWake waits until the time is over, wake is closed or ctx ends.
+func sleepOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -121,6 +123,7 @@
 }
 
 func (m *Manager) readPointer(ctx context.Context) (object.Version, error) {
+	m.readUnder = m.options.Keys.Policy()
 	o, err := m.options.Store.Get(ctx, approvalfile.KindPointer, approvalfile.PointerName)
 	if errors.Is(err, object.ErrNotFound) {
 		return 0, nil
@@ -149,7 +152,7 @@
 
 // offerPointer puts the latest approval forward that is signed as the policy requires.
 func (m *Manager) offerPointer(ctx context.Context, o object.Object) error {
-	latest, err := bundlestore.LatestSigned(ctx, m.options.Store, m.options.Policy, o, m.Head().Generation)
+	latest, err := bundlestore.LatestSigned(ctx, m.options.Store, *m.options.Keys.Policy(), o, m.Head().Generation)
 	for _, refused := range latest.Refused {
 		m.metrics.refused.Inc()
 		m.log.Error().Err(refused.Cause).Uint64("generation", uint64(refused.Head.Generation)).Msg("Approval refused.")
--- a/internal/control/claims/faults_test.go
+++ b/internal/control/claims/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/protocol/ordermsg"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/journal"
 	"savoryweir/internal/state/order"
@@ -224,17 +227,20 @@
 func TestOwnerRecordsNoClaimThatWasGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 2, 1, defaultSettings(), objectapi.Limits{})
-		late, err := c.nodes["i001"].service.Claim(context.Background(), &pb.ClaimRequest{
-			Service: "desk", Key: "k", Fingerprint: make([]byte, len(order.Fingerprint{})), Token: make([]byte, journal.HashBytes),
-			Claimant:         &pb.Claimant{Instance: "i000", Incarnation: 1},
-			GiveUpUnixMillis: time.Now().Add(-time.Second).UnixMilli(),
-		})
-		assert.NilError(t, err)
+		claim := journal.Claim{Key: journal.HashKey("desk", "k"), Token: journal.Token{1}, Deadline: time.Now().Add(time.Minute)}
+		late := handOver(c.nodes["i001"], claim, time.Now().Add(-time.Second))
 		assert.Equal(t, late.GetStatus(), pb.ClaimStatus_CLAIM_STATUS_UNAVAILABLE)
 		assert.Equal(t, c.store.Counts().Writes(), uint64(0))
 	})
 }
 
+// handOver gives an owner a claim of instance i000, as its stream does.
+func handOver(owner *node, claim journal.Claim, giveUp time.Time) *pb.ClaimResponse {
+	now := owner.service.clock().Now()
+	x := &exchange{service: owner.service, claimant: journal.Claimant{Instance: "i000", Incarnation: 1}}
+	return x.serve(context.Background(), ordermsg.ClaimCall(1, claim, giveUp, now), now).GetClaim()
+}
+
 func TestHolds(t *testing.T) {
 	token, now := journal.Token{1}, time.Unix(100, 0)
 	open := func(h *holds) { h.open(token, "first", now) }
@@ -272,3 +278,35 @@
 		})
 	}
 }
+
+// TestClaimDecidedLateHoldsNothing freezes an owner while it opens a shard for a
+// claim. The claim is given up and released, and so is a later claim of the same
+// order. The journal keeps the last release only, since a key has one record.
+func TestClaimDecidedLateHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 1, defaultSettings(), objectapi.Limits{})
+		owner, claimant, other := c.nodes["i001"], c.nodes["i000"], c.nodes["i002"]
+		key := c.keyOwnedBy(owner)
+		first := testClaim(key, "book")
+		token := journal.Token{1}
+		c.store.SetFaults(objectapi.Faults{Delay: 100 * time.Millisecond})
+		late := journal.Claim{Key: journal.HashKey(first.Service, order.Key(key)), Fingerprint: journal.Shorten(first.Fingerprint), Token: token}
+		c.goRun(func() { handOver(owner, late, time.Now().Add(2*time.Second)) })
+		time.Sleep(50 * time.Millisecond)
+		owner.freeze()
+		c.store.SetFaults(objectapi.Faults{})
+		withoutOwner := slices.DeleteFunc(slices.Clone(other.Members()), func(m claims.Member) bool { return m.ID == owner.id })
+		claimant.setView(withoutOwner)
+		other.setView(withoutOwner)
+		time.Sleep(3 * time.Second)
+		released := order.Result{Outcome: order.OutcomeNotRun}
+		assert.NilError(t, claimant.client.Finish(context.Background(), first, hex.EncodeToString(token[:]), released))
+		second, answer := grant(t, other, key)
+		assert.NilError(t, other.client.Finish(context.Background(), second, answer.Token, released))
+		owner.thaw()
+		time.Sleep(10 * time.Second)
+		claimant.kill()
+		c.publish(0)
+		grant(t, other, key)
+	})
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"os"
 	"strconv"
 	"time"
 
@@ -22,19 +21,21 @@
 	"savoryweir/internal/control/demandflow"
 	"savoryweir/internal/control/peers"
 	"savoryweir/internal/control/placing"
+	"savoryweir/internal/control/rosters"
 	"savoryweir/internal/control/view"
+	"savoryweir/internal/coordination/rosterplan"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/logging"
-	"savoryweir/internal/protocol/approvalfile"
-	"savoryweir/internal/state/approval"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
 	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/timeline"
+	"savoryweir/internal/transport/bundlestore"
 	"savoryweir/internal/transport/operations"
 	"savoryweir/internal/transport/peerconn"
 	"savoryweir/internal/transport/storeclient"
 	"savoryweir/internal/transport/tlsconf"
+	"savoryweir/internal/transport/trustedkeys"
 )
 
 // Parts are the prefixes of the log lines.
@@ -49,11 +50,10 @@
 
 // Times of the end of the process.
 const (
-	leaveTimeout   = time.Second
-	stopTimeout    = 2 * time.Second
-	stepListen     = errs.Step("listen")
-	stepReadPolicy = errs.Step("read trusted keys")
-	stepTLS        = errs.Step("read TLS files")
+	leaveTimeout = time.Second
+	stopTimeout  = 2 * time.Second
+	stepListen   = errs.Step("listen")
+	stepTLS      = errs.Step("read TLS files")
 )
 
 // Process is one control process.
@@ -67,7 +67,9 @@
 
 	peers   *peers.Service
 	cells   *cells.Store
+	rosters *rosters.Keeper
 	bundles *bundles.Manager
+	sweeper *bundles.Sweeper
 	claims  *claims.Service
 	view    *view.Service
 	flow    *demandflow.Flow
@@ -86,7 +88,11 @@
 
 // New builds a control process and opens its ports. Run starts it.
 func New(s Settings, root zerolog.Logger) (*Process, error) {
-	policy, err := readPolicy(s.Bundles.TrustedKeys)
+	keys, err := trustedkeys.Open(s.Bundles.TrustedKeys, logging.For(root, partBundles))
+	if err != nil {
+		return nil, err
+	}
+	store, err := storeclient.New(s.Store)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +107,7 @@
 		log:      logging.For(root, partControl),
 		registry: newRegistry(counter),
 		recorder: timeline.NewRecorder(clock, "control", s.Instance.ID, s.Instance.Zone, s.Operations.TimelineEvents),
-		store:    storeclient.New(s.Store, nil),
+		store:    store,
 		pool:     peerconn.NewPool(credentials, counter),
 
 		listedLeaving: make(map[bundle.UpstreamID]bool),
@@ -114,28 +120,17 @@
 	if err := p.listen(counter); err != nil {
 		return nil, err
 	}
-	p.build(root, clock, policy)
+	p.build(root, clock, keys)
 	p.peerServer = grpc.NewServer(peerconn.ServerOptions(credentials)...)
 	pb.RegisterPeerServer(p.peerServer, p.peers)
 	pb.RegisterOrdersServer(p.peerServer, p.claims)
+	pb.RegisterLocalServer(p.peerServer, p.view.ForGuests(s.Peers.GuestViews))
 	p.localServer = grpc.NewServer(peerconn.ServerOptions(nil)...)
 	pb.RegisterLocalServer(p.localServer, p.view)
 	pb.RegisterOrdersServer(p.localServer, p.claims)
 	return p, nil
 }
 
-func readPolicy(path string) (approval.Policy, error) {
-	if path == "" {
-		return approval.Policy{}, errs.New(stepReadPolicy, errs.Self, "bundles-trusted-keys is not set")
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return approval.Policy{}, errs.Wrap(err, stepReadPolicy, errs.Self)
-	}
-	policy, err := approvalfile.DecodePolicy(path, data)
-	return policy, errs.Wrap(err, stepReadPolicy, errs.Self)
-}
-
 func newRegistry(counter *peerconn.Counter) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
@@ -161,13 +156,15 @@
 	if p.localListener, err = net.Listen("tcp", p.settings.Local.Address); err != nil {
 		return errs.Wrap(err, stepListen, errs.Peer(p.settings.Local.Address))
 	}
-	if p.operationsListener, err = net.Listen("tcp", p.settings.Operations.Address); err != nil {
+	plain, err := net.Listen("tcp", p.settings.Operations.Address)
+	if err != nil {
 		return errs.Wrap(err, stepListen, errs.Peer(p.settings.Operations.Address))
 	}
-	return nil
+	p.operationsListener, err = tlsconf.Listen(plain, p.settings.Operations.TLS)
+	return errs.Wrap(err, stepTLS, errs.Self)
 }
 
-func (p *Process) build(root zerolog.Logger, clock *hlc.Clock, policy approval.Policy) {
+func (p *Process) build(root zerolog.Logger, clock *hlc.Clock, keys *trustedkeys.Source) {
 	s := p.settings
 	self := member.Member{
 		ID:          member.ID(s.Instance.ID),
@@ -179,13 +176,21 @@
 	p.cells = cells.New(logging.For(root, partCells))
 	p.bundles = bundles.New(bundles.Options{
 		Settings: s.Bundles,
-		Policy:   policy,
+		Keys:     keys,
 		Store:    p.store,
 		Recorder: p.recorder,
 		Logger:   logging.For(root, partBundles),
 		Metrics:  p.registry,
 		Rand:     newRandom(),
 	})
+	p.sweeper = bundles.NewSweeper(bundles.SweepOptions{
+		Settings: s.Bundles,
+		Store:    bundlestore.New(p.store),
+		Carries:  p.sweepsStore,
+		Logger:   logging.For(root, partBundles),
+		Metrics:  p.registry,
+		Rand:     newRandom(),
+	})
 	p.peers = peers.New(peers.Options{
 		Membership: s.Membership,
 		Spread:     s.Spread,
@@ -205,7 +210,7 @@
 	p.claims = claims.New(claims.Options{
 		Settings:   s.Orders,
 		Self:       claimMember(self),
-		Members:    claimMembers{peers: p.peers},
+		Members:    &claimMembers{peers: p.peers},
 		Dialer:     ordersDialer{pool: p.pool},
 		Store:      p.store,
 		Recorder:   p.recorder,
@@ -220,6 +225,16 @@
 		Peers:    p.peers,
 		Cells:    p.cells,
 		Demand:   localDemand{flow: p.flow},
+
+		Heartbeat: s.Local.Heartbeat,
+	})
+	p.rosters = rosters.New(rosters.Options{
+		Settings: rosterplan.Settings{Size: s.Placement.CellSize, Cells: s.Placement.CellsPerService},
+		Self:     self.ID,
+		Store:    p.store,
+		Inputs:   p.placingInputs(),
+		Log:      logging.For(root, partPlacing),
+		Random:   newRandom(),
 	})
 	p.holder = placing.NewHolder(placing.Options{
 		Settings:  s.Placement,
@@ -234,7 +249,7 @@
 }
 
 func (p *Process) placingInputs() placingInputs {
-	return placingInputs{peers: p.peers, bundles: p.bundles, flow: p.flow, cells: p.settings.Placement.CellsPerService}
+	return placingInputs{peers: p.peers, bundles: p.bundles, flow: p.flow, rosters: p.rosters}
 }
 
 // newRandom returns a generator for one goroutine, seeded by the system.
@@ -251,7 +266,9 @@
 	group.Go(func() error { return p.peers.Run(working) })
 	group.Go(func() error { return p.cells.Run(working, p.peers, p.peers) })
 	group.Go(func() error { return p.bundles.Run(working) })
+	group.Go(func() error { return p.sweeper.Run(working) })
 	group.Go(func() error { return p.claims.Run(working) })
+	group.Go(func() error { return p.rosters.Run(working) })
 	group.Go(func() error { return p.holder.Run(working) })
 	group.Go(func() error { return p.flow.Run(working, p.placingInputs(), p.peers) })
 	group.Go(func() error { return p.runNotifier(working) })
--- a/internal/control/placing/cell.go
+++ b/internal/control/placing/cell.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"savoryweir/internal/coordination/placement"
 	"savoryweir/internal/errs"
-	"savoryweir/internal/protocol/ledgerfile"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/ledger"
 	"savoryweir/internal/state/object"
@@ -26,6 +23,12 @@
 	Leaving    []bundle.UpstreamID
 	Demand     []Demand
 	Rates      placement.Rates
+	// Assignment is the roster's word. Without it the cell has all Upstreams, for good.
+	Assignment *Assignment
+	// ReadyInNews tells whether a cell has published a model as ready. It may be nil.
+	ReadyInNews func(cell object.Name, model bundle.ModelID) bool
+	// kept are the models of other cells that must not leave yet.
+	kept []bundle.ModelID
 	// OthersAlive tells whether an instance is still a member.
 	OthersAlive func(instance string) bool
 }
@@ -43,8 +46,8 @@
 	tracker   *tracker
 	last      *ledger.Ledger
 	answered  map[bundle.UpstreamID]time.Time // last report of each engine
-	reported  time.Time                       // last time that all engines were asked
 	known     *stored                         // as this instance wrote it last, nil if it has to be read
+	homes     map[object.Name]homeView        // what was read of other cells
 }
 
 // NewCell returns a cell that has read nothing yet. nonce returns a new random number at each call.
@@ -52,17 +55,11 @@
 	return &Cell{
 		instance: instance, settings: s, store: store, engines: engines, policy: policy, nonce: nonce,
 		sessions: make(map[bundle.UpstreamID]Session), tracker: newTracker(),
-		answered:  make(map[bundle.UpstreamID]time.Time),
+		answered: make(map[bundle.UpstreamID]time.Time), homes: make(map[object.Name]homeView),
 		estimator: &placement.Estimator{EngineTokens: s.EngineTokens, Smoothing: s.Policy.Smoothing},
 	}
 }
 
-// stored is a ledger with the version of its object, zero if there is none yet.
-type stored struct {
-	ledger  *ledger.Ledger
-	version object.Version
-}
-
 // Step reads the cell, and if this instance may hold it, settles it by the engines'
 // reports, decides, writes the intents and sends the orders.
 func (c *Cell) Step(ctx context.Context, now time.Time, scope Scope) error {
@@ -76,22 +73,23 @@
 		return nil
 	}
 	next := current.ledger.Clone()
-	quiet := c.isQuiet(now, next, scope)
-	if !quiet {
-		c.settle(ctx, now, next, scope)
-		c.reported = now
-	}
-	c.tracker.observe(now, next)
-	c.last = next
-	if quiet {
-		next = next.Clone() // plans on old reports are not carried out
+	moved, err := c.handOver(ctx, now, next, scope, current.version)
+	if err != nil {
+		c.known = nil
+		return errs.Wrap(err, "hand over engines", errs.Self)
 	}
-	orders := c.plan(now, next, scope, ledger.Fence(current.version))
-	if quiet && len(orders) > 0 {
-		c.reported = time.Time{}
+	if !moved && c.isIdle(current, scope) {
+		c.last = next
 		return nil
 	}
-	if len(orders) == 0 && !c.mustRenew(now, current, scope) {
+	scope = scope.owned(next)
+	due := scope.Upstreams
+	if !moved {
+		due = c.due(now, next, scope)
+	}
+	orders := c.decide(ctx, now, next, scope, due, current.version)
+	next = c.last
+	if len(orders) == 0 && !moved && !c.mustRenew(now, current, scope) {
 		return nil
 	}
 	version, err := c.write(ctx, now, scope, next, current.version)
@@ -105,43 +103,29 @@
 	return nil
 }
 
-// isQuiet reports whether the engines need not be asked in this step: nothing is
-// under way, and their last reports are not too old to be shown to entries. A
-// quiet cell that wants to move something asks first, in the next step.
-func (c *Cell) isQuiet(now time.Time, l *ledger.Ledger, scope Scope) bool {
-	if now.Sub(c.reported) >= c.settings.ReportInterval || l.Generation != scope.Generation {
-		return false
+// decide settles the engines that are due and plans. If something is to move, the
+// other engines are settled as well and the plan is made anew: plans on old reports
+// are not carried out.
+func (c *Cell) decide(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope, due []bundle.Upstream, version object.Version) []ledger.Order {
+	orders := c.settleAndPlan(ctx, now, l, scope, due, version)
+	rest := except(scope, due)
+	if len(orders) == 0 || len(rest) == 0 {
+		return orders
 	}
-	return !slices.ContainsFunc(l.Engines, func(e ledger.Engine) bool { return e.Unreachable || !e.IsSettled() })
+	return c.settleAndPlan(ctx, now, l, scope, rest, version)
 }
 
-// Ledger returns the cell's account as of the last step, or nil. It must not be changed.
-func (c *Cell) Ledger() *ledger.Ledger { return c.last }
-
-// current returns the stored ledger. What this instance wrote last needs no read: if
-// another instance has written since, the next conditional update fails and shows it.
-func (c *Cell) current(ctx context.Context, name object.Name) (stored, error) {
-	if c.known != nil {
-		return *c.known, nil
-	}
-	return c.read(ctx, name)
+// settleAndPlan settles the engines asked in l and plans on a copy, which is the last ledger then.
+func (c *Cell) settleAndPlan(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope, asked []bundle.Upstream, version object.Version) []ledger.Order {
+	c.settle(ctx, now, l, scope, asked)
+	c.tracker.observe(now, l)
+	c.last = l.Clone()
+	scope.kept = c.keep(ctx, now, c.last, scope)
+	return c.plan(now, c.last, scope, c.last.FenceAt(version))
 }
 
-func (c *Cell) read(ctx context.Context, name object.Name) (stored, error) {
-	const step errs.Step = "read placement cell"
-	o, err := c.store.Get(ctx, CellKind, name)
-	if errors.Is(err, object.ErrNotFound) {
-		return stored{ledger: &ledger.Ledger{}}, nil
-	}
-	if err != nil {
-		return stored{}, errs.Wrap(err, step, "store")
-	}
-	l, err := ledgerfile.Decode(o.Data)
-	if err != nil {
-		return stored{}, errs.Wrap(err, step, "store")
-	}
-	return stored{ledger: l, version: o.Version}, nil
-}
+// Ledger returns the cell's account as of the last step, or nil. It must not be changed.
+func (c *Cell) Ledger() *ledger.Ledger { return c.last }
 
 // mayHold reports whether no other live holder has a lease. It spares conflicting work only.
 func (c *Cell) mayHold(now time.Time, l *ledger.Ledger, scope Scope) bool {
@@ -158,12 +142,12 @@
 	err     error
 }
 
-// settle brings the ledger up to the bundle in force and to the engines' reports.
-func (c *Cell) settle(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope) {
-	results := make([]fetched, len(scope.Upstreams))
+// settle brings the ledger up to the bundle in force and to the reports of the given engines.
+func (c *Cell) settle(ctx context.Context, now time.Time, l *ledger.Ledger, scope Scope, asked []bundle.Upstream) {
+	results := make([]fetched, len(asked))
 	var group errgroup.Group
 	group.SetLimit(c.settings.ReportsAtOnce)
-	for i, u := range scope.Upstreams {
+	for i, u := range asked {
 		session := c.sessions[u.ID]
 		group.Go(func() error {
 			results[i] = c.fetch(ctx, u, session)
@@ -171,8 +155,10 @@
 		})
 	}
 	_ = group.Wait() // failures are in the results
-	for i, u := range scope.Upstreams {
+	for _, u := range scope.Upstreams {
 		l.SetEngine(u.ID, u.Memory, c.delivery(u))
+	}
+	for i, u := range asked {
 		c.settleEngine(now, l, u.ID, results[i])
 	}
 }
@@ -216,43 +202,6 @@
 	return fetched{session: session, report: report, err: err}
 }
 
-// mustRenew reports whether the lease or the generation has to be written anew.
-func (c *Cell) mustRenew(now time.Time, current stored, scope Scope) bool {
-	l := current.ledger
-	half := l.LeaseUntil.Add(-c.settings.Lease / 2)
-	return current.version == 0 || l.Holder != c.instance || !now.Before(half) || l.Generation != scope.Generation
-}
-
-// write replaces the ledger by conditional update and learns the outcome of a lost answer.
-func (c *Cell) write(ctx context.Context, now time.Time, scope Scope, l *ledger.Ledger, expected object.Version) (object.Version, error) {
-	const step errs.Step = "write placement cell"
-	l.Holder, l.LeaseUntil = c.instance, now.Add(c.settings.Lease)
-	l.Nonce, l.Generation = c.nonce(), scope.Generation
-	data, err := ledgerfile.Encode(l)
-	if err != nil {
-		return 0, errs.Wrap(err, step, errs.Self)
-	}
-	version, err := c.replace(ctx, scope.Name, data, expected)
-	if !errors.Is(err, object.ErrOutcomeUnknown) {
-		return version, errs.Wrap(err, step, "store")
-	}
-	found, readErr := c.read(ctx, scope.Name)
-	if readErr != nil {
-		return 0, readErr
-	}
-	if found.ledger.Nonce != l.Nonce {
-		return 0, errs.Wrap(err, step, "store")
-	}
-	return found.version, nil
-}
-
-func (c *Cell) replace(ctx context.Context, name object.Name, data []byte, expected object.Version) (object.Version, error) {
-	if expected == 0 {
-		return c.store.Create(ctx, CellKind, name, data)
-	}
-	return c.store.Update(ctx, CellKind, name, data, expected)
-}
-
 // send sends each order once, on the connection to the boot that the order was planned for.
 func (c *Cell) send(ctx context.Context, orders []ledger.Order) {
 	for _, o := range orders {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -75,7 +75,7 @@
 	t.nextID++
 	request := admission.Request{
 		ID: t.nextID, Caller: c.caller, Class: c.request.Class, Deadline: c.request.Deadline,
-		Expected: s.perToken.times(1),
+		Expected: t.expect(now, s, c),
 	}
 	if refusal, ok := s.queue.Offer(now, request); !ok {
 		return nil, &refusedError{refusal}
@@ -277,6 +277,14 @@
 	return t.suspects.Died(now, f.upstream.ID)
 }
 
+// awaitsVerdict reports whether the call is held or refused as a suspect. Its
+// caller must be told so, and not to send it again soon.
+func (t *upstreamTable) awaitsVerdict(now time.Time, c *call) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Decide(now, c.suspectID()).Verdict >= suspect.Hold
+}
+
 // merge takes in the suspects of other instances.
 func (t *upstreamTable) merge(now time.Time, records []suspect.Record) {
 	t.mu.Lock()
@@ -291,6 +299,7 @@
 func (t *upstreamTable) expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.followStreams(now)
 	for _, s := range t.services {
 		for _, refusal := range s.queue.Expire(now) {
 			w := s.waiters[refusal.Request.ID]
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"savoryweir/internal/coordination/admission"
@@ -20,6 +21,8 @@
 	Cause      error
 	// Settled tells that the outcome holds for all sends of an order, not only for this one.
 	Settled bool
+	// NotKept is the recorded answer whose body is missing, nil for none.
+	NotKept *order.Result
 }
 
 // Error implements the error interface.
@@ -43,6 +46,16 @@
 	}
 }
 
+// setHeaders adds what is known of an answer whose body was not kept.
+func (f *Failure) setHeaders(h http.Header) {
+	if f.NotKept == nil {
+		return
+	}
+	h.Set(httpapi.HeaderReplayed, "true")
+	h.Set(httpapi.HeaderReplayedStatus, strconv.Itoa(f.NotKept.Status))
+	h.Set(httpapi.HeaderReplayedDigest, httpapi.SHA256Digest(f.NotKept.BodyHash))
+}
+
 func badRequest(err error) *Failure {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -74,6 +87,13 @@
 	}
 }
 
+// lateFailure answers at once, before the deadline.
+func lateFailure(outcome order.Outcome, retryAfter time.Duration) *Failure {
+	failure := deadlineFailure(outcome, retryAfter)
+	failure.Message = "The answer would not be whole before the deadline."
+	return failure
+}
+
 func upstreamFailure(cause error, outcome order.Outcome, retryAfter time.Duration) *Failure {
 	return &Failure{
 		Code: httpapi.CodeUpstreamFailed, Status: http.StatusBadGateway,
@@ -84,13 +104,21 @@
 // queueFailure answers a request that the queue refused. It comes at once, with the time to come back.
 func queueFailure(refused *refusedError, outcome order.Outcome) *Failure {
 	if refused.refusal.Reason == admission.ReasonDeadline {
-		failure := deadlineFailure(outcome, refused.refusal.RetryAfter)
-		failure.Message = "The answer would not be whole before the deadline."
-		return failure
+		return lateFailure(outcome, refused.refusal.RetryAfter)
 	}
 	return unavailable(httpapi.CodeNoCapacity, "Too many requests wait for this service.", outcome, refused.refusal.RetryAfter)
 }
 
+// withRetryAfter sends a caller back no sooner than the service's queue will likely be
+// worked off. A stream that is handed over goes on at another instance at once.
+func (s *Server) withRetryAfter(c *call, f *Failure) *Failure {
+	if f == nil || f.RetryAfter == 0 || f.Code == httpapi.CodeStopping {
+		return f
+	}
+	f.RetryAfter = max(f.RetryAfter, s.table.retryAfter(s.now(), c))
+	return f
+}
+
 func suspectFailure(outcome order.Outcome) *Failure {
 	return &Failure{
 		Code: httpapi.CodeRequestSuspect, Status: http.StatusUnprocessableEntity,
--- a/internal/entry/order_test.go
+++ b/internal/entry/order_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
 	"errors"
 	"net"
 	"net/http"
@@ -213,3 +216,46 @@
 		assert.Equal(t, isOrderPath(s, path), expected, path)
 	}
 }
+
+// A resend of an order whose answer was too long to record is told so, and gets
+// no empty body that passes for the answer.
+func TestResendIsToldThatTheAnswerWasNotKept(t *testing.T) {
+	hash := sha256.Sum256([]byte("a long answer"))
+	claims := newMemoryClaims()
+	claims.states["o1"] = &memoryClaim{done: true, result: order.Result{
+		Outcome: order.OutcomeRan, Status: http.StatusCreated, ContentType: "text/plain", BodyOmitted: true, BodyHash: hash[:],
+	}}
+	one := startService(t, "s1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, claims, nil)
+	claims.anyBody = true
+	got := e.order("o1", key("o1"))
+	assert.Equal(t, got.status, http.StatusGone, got.body)
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeAnswerNotKept)
+	assert.Equal(t, got.header.Get(httpapi.HeaderOutcome), "ran")
+	assert.Equal(t, got.header.Get(httpapi.HeaderReplayed), "true")
+	assert.Equal(t, got.header.Get(httpapi.HeaderReplayedStatus), "201")
+	assert.Equal(t, got.header.Get(httpapi.HeaderReplayedDigest), "sha-256=:"+base64.StdEncoding.EncodeToString(hash[:])+":")
+	assert.Equal(t, one.service.RunsOf("o1"), 0)
+}
+
+// deadlineClaims notes until when the entry waits for a claim.
+type deadlineClaims struct {
+	*memoryClaims
+	waits, deadline time.Time
+}
+
+func (d *deadlineClaims) Claim(ctx context.Context, c order.Claim) (order.Answer, error) {
+	d.waits, _ = ctx.Deadline()
+	d.deadline = c.Deadline
+	return d.memoryClaims.Claim(ctx, c)
+}
+
+// An entry waits for a running order as long as its caller: the client of the
+// claims alone bounds one question.
+func TestClaimMayTakeAsLongAsItsCallerWaits(t *testing.T) {
+	claims := &deadlineClaims{memoryClaims: newMemoryClaims()}
+	e := startEntry(t, &sharedView{data: viewOf(startService(t, "s1"))}, claims, nil)
+	got := e.order("o1", key("o1"), header{httpapi.HeaderDeadline, "60000"})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, claims.waits.Equal(claims.deadline), "waits until %v, caller until %v", claims.waits, claims.deadline)
+}
