--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,6 +112,32 @@
 	return s.queue.Len()
 }
 
+// The one place of the upstream is taken for a second and a half while many requests
+// wait. Whoever comes back after a second finds the queue as long.
+func TestMissedDeadlineSendsItsCallerBackByTheQueue(t *testing.T) {
+	const waiting = 40
+	one := startEngine(t, "e1")
+	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, func(s *Settings) {
+		s.Upstreams.MaxInFlight = 1
+		s.Queue.MaxWait = 2500 * time.Millisecond
+	})
+	ended := make(chan reply, 1)
+	go func() {
+		ended <- e.do(http.MethodPost, chatPath, chatBody("late", 100000, false), header{httpapi.HeaderDeadline, "1500"})
+	}()
+	eventually(t, "the place is taken", func() bool { return one.engine.Started() == 1 })
+	var group sync.WaitGroup
+	for i := range waiting {
+		body := chatBody(fmt.Sprintf("waiting %d", i), 1000, false)
+		group.Go(func() { e.do(http.MethodPost, chatPath, body, header{httpapi.HeaderDeadline, "600000"}) })
+	}
+	eventually(t, "the others wait", func() bool { return e.queued("tagger") == waiting })
+	got := <-ended
+	group.Wait()
+	assert.Equal(t, got.status, http.StatusGatewayTimeout, got.body)
+	assert.Assert(t, got.failure(t).RetryAfterSeconds >= 4, got.body)
+}
+
 func TestNoViewIsNotReady(t *testing.T) {
 	e := startEntry(t, StaticSource{}, nil, nil)
 	got := e.do(http.MethodPost, chatPath, chatBody("hello", 2, true))
