Placement: an unload is not sent again for ever where it changes nothing

Cause: a slot that is not in memory, with a lost load and an unload recorded, counted as unloading. On an engine that ignores fencing both records stay until a restart, so the unload was recorded and sent again every resend interval, with a write of the ledger each time. Ruled out: dropping the charge (the lost load may still come), no resend at all (an engine that checks fencing needs the higher number). Change: such a slot counts as absent, unless the engine checks fencing. Before: TestLostUnloadIsSentAgainWhileItBringsSomething failed for both kinds of engines without fencing. After: it and all tests of placing pass.

--- a/internal/control/placing/lifecycle.go
+++ b/internal/control/placing/lifecycle.go
@@ -64,7 +64,7 @@
 		for _, i := range e.Items {
 			key := slotKey{e.ID, i.Slot}
 			seen[key] = true
-			t.enter(now, key, lifeState(i))
+			t.enter(now, key, lifeState(i, e.Delivery))
 		}
 	}
 	t.order = slices.DeleteFunc(t.order, func(key slotKey) bool {
@@ -77,9 +77,13 @@
 	})
 }
 
-func lifeState(i ledger.Item) string {
+// lifeState returns the state of a slot. One that is not in memory and has an unload
+// recorded counts as absent, although a lost load may stay charged: another unload
+// would change nothing, unless its fencing number makes the engine refuse that load.
+func lifeState(i ledger.Item, d ledger.Delivery) string {
+	isGone := !i.Resident && len(i.Unloads) > 0 && d != ledger.DeliveryFenced
 	switch {
-	case !i.Charged():
+	case !i.Charged() || isGone:
 		return stateAbsent
 	case len(i.Unloads) > 0:
 		return stateUnloading
--- /dev/null
+++ b/internal/control/placing/lifecycle_test.go
@@ -0,0 +1,37 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/ledger"
+)
+
+// An unload that was lost is sent again while it can bring something: while the slot
+// is in memory, or while the engine's fencing number has to rise above a lost load.
+func TestLostUnloadIsSentAgainWhileItBringsSomething(t *testing.T) {
+	const resend = 10 * time.Second
+	start := time.Unix(0, 0)
+	slot := ledger.Slot{Model: "m", Version: "1"}
+	for name, tc := range map[string]struct {
+		delivery ledger.Delivery
+		item     ledger.Item
+		again    bool
+	}{
+		"in memory, delivered once":       {ledger.DeliveryOnce, ledger.Item{Slot: slot, Resident: true, Unloads: []ledger.Fence{2}}, true},
+		"in memory, copies":               {ledger.DeliveryAny, ledger.Item{Slot: slot, Resident: true, Unloads: []ledger.Fence{2}}, true},
+		"lost load, delivered once":       {ledger.DeliveryOnce, ledger.Item{Slot: slot, Loads: []ledger.Fence{1}, Unloads: []ledger.Fence{2}}, false},
+		"lost load, copies":               {ledger.DeliveryAny, ledger.Item{Slot: slot, Loads: []ledger.Fence{1}, Unloads: []ledger.Fence{2}}, false},
+		"lost load, engine checks fences": {ledger.DeliveryFenced, ledger.Item{Slot: slot, Loads: []ledger.Fence{1}, Unloads: []ledger.Fence{2}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTracker()
+			l := &ledger.Ledger{Engines: []ledger.Engine{{ID: "e", Delivery: tc.delivery, Items: []ledger.Item{tc.item}}}}
+			tracker.observe(start, l)
+			tracker.observe(start.Add(resend), l)
+			assert.Equal(t, len(tracker.overdue(start.Add(resend), resend)) > 0, tc.again)
+		})
+	}
+}
