Entry and control: files of one job each, and no report of loads that nobody reads

Ruled out: sending the demand of a failed report again: after minutes without a control process it would count as the demand of a few seconds. After: vet, linters, and the tests of the view, of control and of the reference pass.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,9 +1,6 @@
 package control
 
 import (
-	"context"
-	"errors"
-	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -11,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	pb "savoryweir/api/savoryweir/v1"
@@ -23,15 +19,11 @@
 	"savoryweir/internal/control/placing"
 	"savoryweir/internal/control/rosters"
 	"savoryweir/internal/control/view"
-	"savoryweir/internal/coordination/rosterplan"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/logging"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
-	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/timeline"
-	"savoryweir/internal/transport/bundlestore"
-	"savoryweir/internal/transport/operations"
 	"savoryweir/internal/transport/peerconn"
 	"savoryweir/internal/transport/storeclient"
 	"savoryweir/internal/transport/tlsconf"
@@ -163,162 +155,3 @@
 	p.operationsListener, err = tlsconf.Listen(plain, p.settings.Operations.TLS)
 	return errs.Wrap(err, stepTLS, errs.Self)
 }
-
-func (p *Process) build(root zerolog.Logger, clock *hlc.Clock, keys *trustedkeys.Source) {
-	s := p.settings
-	self := member.Member{
-		ID:          member.ID(s.Instance.ID),
-		Address:     p.peerListener.Addr().String(),
-		Zone:        bundle.Zone(s.Instance.Zone),
-		Incarnation: member.NewIncarnation(time.Now()),
-	}
-	p.flow = demandflow.New(s.Demand, self.ID, logging.For(root, partPlacing))
-	p.cells = cells.New(logging.For(root, partCells))
-	p.bundles = bundles.New(bundles.Options{
-		Settings: s.Bundles,
-		Keys:     keys,
-		Store:    p.store,
-		Recorder: p.recorder,
-		Logger:   logging.For(root, partBundles),
-		Metrics:  p.registry,
-		Rand:     newRandom(),
-	})
-	p.sweeper = bundles.NewSweeper(bundles.SweepOptions{
-		Settings: s.Bundles,
-		Store:    bundlestore.New(p.store),
-		Carries:  p.sweepsStore,
-		Logger:   logging.For(root, partBundles),
-		Metrics:  p.registry,
-		Rand:     newRandom(),
-	})
-	p.peers = peers.New(peers.Options{
-		Membership: s.Membership,
-		Spread:     s.Spread,
-		Seeds:      s.Peers.Seeds,
-		Self:       self,
-		Pool:       p.pool,
-		Clock:      clock,
-		Recorder:   p.recorder,
-		Log:        logging.For(root, partPeers),
-		Random:     newRandom(),
-		Heads:      p.bundles,
-		Sections:   p.bundles,
-		Cells:      p.cells,
-		Demand:     p.flow,
-	})
-	p.bundles.SetPeerFetcher(p.peers)
-	p.claims = claims.New(claims.Options{
-		Settings:   s.Orders,
-		Self:       claimMember(self),
-		Members:    &claimMembers{peers: p.peers},
-		Dialer:     ordersDialer{pool: p.pool},
-		Store:      p.store,
-		Recorder:   p.recorder,
-		Logger:     logging.For(root, partOrders),
-		Registerer: p.registry,
-		Random:     newRandom(),
-	})
-	p.view = view.New(view.Options{
-		Instance: s.Instance.ID,
-		Clock:    clock,
-		Bundles:  bundleView{bundles: p.bundles},
-		Peers:    p.peers,
-		Cells:    p.cells,
-		Demand:   localDemand{flow: p.flow},
-
-		Heartbeat: s.Local.Heartbeat,
-	})
-	p.rosters = rosters.New(rosters.Options{
-		Settings: rosterplan.Settings{Size: s.Placement.CellSize, Cells: s.Placement.CellsPerService},
-		Self:     self.ID,
-		Store:    p.store,
-		Inputs:   p.placingInputs(),
-		Log:      logging.For(root, partPlacing),
-		Random:   newRandom(),
-	})
-	p.holder = placing.NewHolder(placing.Options{
-		Settings:  s.Placement,
-		Self:      self.ID,
-		Store:     p.store,
-		Engines:   engines{identity: p.engineIdentity},
-		Inputs:    p.placingInputs(),
-		Publisher: cellPublisher{cells: p.cells, peers: p.peers},
-		Log:       logging.For(root, partPlacing),
-		Random:    newRandom(),
-	})
-}
-
-func (p *Process) placingInputs() placingInputs {
-	return placingInputs{peers: p.peers, bundles: p.bundles, flow: p.flow, rosters: p.rosters}
-}
-
-// newRandom returns a generator for one goroutine, seeded by the system.
-func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-
-// Run works until ctx ends. Then it leaves the membership and closes its ports.
-func (p *Process) Run(ctx context.Context) error {
-	p.recorder.Record(timeline.Event{Kind: timeline.KindProcessStarted})
-	p.log.Info().Str("peers", p.peerListener.Addr().String()).Str("local", p.localListener.Addr().String()).
-		Str("operations", p.operationsListener.Addr().String()).Msg("Control started.")
-	working, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	group, working := errgroup.WithContext(working)
-	group.Go(func() error { return p.peers.Run(working) })
-	group.Go(func() error { return p.cells.Run(working, p.peers, p.peers) })
-	group.Go(func() error { return p.bundles.Run(working) })
-	group.Go(func() error { return p.sweeper.Run(working) })
-	group.Go(func() error { return p.claims.Run(working) })
-	group.Go(func() error { return p.rosters.Run(working) })
-	group.Go(func() error { return p.holder.Run(working) })
-	group.Go(func() error { return p.flow.Run(working, p.placingInputs(), p.peers) })
-	group.Go(func() error { return p.runNotifier(working) })
-	group.Go(func() error { return p.runHeads(working) })
-	group.Go(func() error { return p.runInstanceList(working) })
-	group.Go(func() error { return serveGRPC(p.peerServer, p.peerListener) })
-	group.Go(func() error { return serveGRPC(p.localServer, p.localListener) })
-	group.Go(func() error {
-		return operations.Serve(working, p.operationsListener, p.operationsHandler(), stopTimeout)
-	})
-	select {
-	case <-ctx.Done():
-	case <-working.Done():
-	}
-	p.drain(working)
-	p.leave(working)
-	stop()
-	p.peerServer.Stop()
-	p.localServer.Stop()
-	err := group.Wait()
-	p.pool.Close()
-	p.log.Info().Msg("Control stopped.")
-	return err
-}
-
-// drain goes on for the entry until it has stopped or had time to, and then
-// waits until the results of all its orders are durable.
-func (p *Process) drain(working context.Context) {
-	p.recorder.Record(timeline.Event{Kind: timeline.KindProcessStopping})
-	p.view.WaitUnwatched(working, p.settings.Shutdown.EntryWait)
-	draining, cancel := context.WithTimeout(working, p.settings.Shutdown.DrainTime)
-	defer cancel()
-	if err := p.claims.Drain(draining); err != nil {
-		p.log.Warn().Int("orders", p.claims.Held()).Msg("Stopped with orders in progress.")
-	}
-}
-
-// leave tells the peers that this instance stops.
-func (p *Process) leave(working context.Context) {
-	leaving, cancel := context.WithTimeout(working, leaveTimeout)
-	defer cancel()
-	if err := p.peers.Leave(leaving); err != nil {
-		p.log.Warn().Err(err).Msg("Peers were not told of the leave.")
-	}
-}
-
-func serveGRPC(server *grpc.Server, listener net.Listener) error {
-	err := server.Serve(listener)
-	if errors.Is(err, grpc.ErrServerStopped) {
-		return nil
-	}
-	return err
-}
--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -215,11 +215,6 @@
 			Requests: d.Requests, Tokens: d.Tokens, MissedDeadlines: d.MissedDeadlines, Completed: d.Completed,
 		})
 	}
-	for _, l := range report.Loads {
-		request.Loads = append(request.Loads, &pb.UpstreamLoad{
-			Upstream: string(l.Upstream), Running: uint32(l.Running), Waiting: uint32(l.Waiting), SeenUnixMillis: l.SeenAt.UnixMilli(),
-		})
-	}
 	response, err := (*s.followed.Load()).Report(ctx, request)
 	if err != nil {
 		return errs.Wrap(err, stepReport, controlPeer)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"maps"
 	"net/http"
 	"path"
 	"strings"
@@ -13,7 +11,6 @@
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/order"
 	"savoryweir/internal/state/timeline"
-	"savoryweir/internal/transport/upstreamhttp"
 )
 
 const servicesPath = "/services/"
@@ -225,85 +222,3 @@
 		p.exclude(f.upstream.ID)
 	}
 }
-
-// sendPlain sends the call once. Left tells whether a byte may have left; it is
-// false only when the call did not run and will not.
-func (s *Server) sendPlain(ctx context.Context, client *upstreamhttp.Client, p *plainCall, f *flight, once bool) (*plainAnswer, bool, error) {
-	limits := s.settings.Upstreams
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	dog := newWatchdog(limits.FirstByteTimeout, limits.IdleTimeout, cancel)
-	defer dog.stop()
-	id := p.upstreamID()
-	h := p.header.Clone()
-	h.Set(httpapi.HeaderRequestID, id)
-	response, sent, err := client.Do(ctx, upstreamhttp.Request{
-		Method: p.method, Address: f.upstream.Address, Path: p.path, Header: h, Body: p.body, Once: once, Fresh: f.fresh,
-	})
-	if err != nil {
-		left := sent.MayHaveLeft()
-		return nil, left, sendFault(ctx, err, left)
-	}
-	defer closeBody(response)
-	s.observe(f.upstream.ID, response.Header)
-	if got := response.Header.Get(httpapi.HeaderRequestID); got != id {
-		return nil, true, newFault(faultCrossed, "the answer carries the id %q", got)
-	}
-	answer, err := readPlain(ctx, response, dog, limits.MaxAnswerBytes)
-	if err != nil {
-		return nil, true, err
-	}
-	return answer, answer.outcome != order.OutcomeNotRun, nil
-}
-
-func readPlain(ctx context.Context, response *http.Response, dog *watchdog, limit int64) (*plainAnswer, error) {
-	if !hasEndMark(response) {
-		return nil, &upstreamFault{kind: faultNoEnd, err: errNoEndMark}
-	}
-	body, err := io.ReadAll(io.LimitReader(progressReader{response.Body, dog}, limit+1))
-	if err != nil {
-		return nil, sendFault(ctx, err, true)
-	}
-	if int64(len(body)) > limit {
-		return nil, &upstreamFault{kind: faultTooLarge, err: errBodyLength}
-	}
-	return &plainAnswer{
-		status:      response.StatusCode,
-		contentType: response.Header.Get("Content-Type"),
-		header:      selectHeaders(response.Header, returnedHeaders),
-		body:        body,
-		outcome:     answerOutcome(response),
-	}, nil
-}
-
-// hasEndMark reports whether the end of the answer can be told from a cut connection.
-func hasEndMark(response *http.Response) bool {
-	chunked := len(response.TransferEncoding) > 0
-	return response.ContentLength >= 0 || chunked || response.ProtoMajor >= 2
-}
-
-// answerOutcome tells whether a call ran from the service's whole answer to it.
-func answerOutcome(response *http.Response) order.Outcome {
-	switch response.StatusCode {
-	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusTooManyRequests:
-		return refusalOutcome(response.Header)
-	default:
-		return order.OutcomeRan
-	}
-}
-
-func (s *Server) writePlain(w http.ResponseWriter, c *call, a *plainAnswer) {
-	h := w.Header()
-	maps.Copy(h, a.header)
-	setAnswerHeaders(h, c)
-	h.Set(httpapi.HeaderOutcome, string(a.outcome))
-	if a.contentType != "" {
-		h.Set("Content-Type", a.contentType)
-	}
-	if a.replayed {
-		h.Set(httpapi.HeaderReplayed, "true")
-	}
-	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
-	s.finished(c)
-}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -106,7 +106,6 @@
 		case now := <-ticker.C:
 			report := Report{Suspects: s.reports.suspects.Drain(reportRing), Leaving: s.reports.leaving.Drain(reportRing)}
 			if now.Sub(full) >= reportEvery {
-				report.Loads = s.table.loads(full)
 				report.Demand = s.demand.take()
 				full = now
 			}
@@ -116,7 +115,7 @@
 }
 
 func (s *Server) sendReport(ctx context.Context, report Report) {
-	if len(report.Suspects)+len(report.Leaving)+len(report.Loads)+len(report.Demand) == 0 {
+	if len(report.Suspects)+len(report.Leaving)+len(report.Demand) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -214,16 +214,3 @@
 	}
 	return found
 }
-
-// loads returns the reports that were seen after a time.
-func (t *upstreamTable) loads(after time.Time) []UpstreamLoad {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var found []UpstreamLoad
-	for id, state := range t.states {
-		if state.load.SeenAt.After(after) {
-			found = append(found, UpstreamLoad{id, state.load.Running, state.load.Waiting, state.load.SeenAt})
-		}
-	}
-	return found
-}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"os"
-	"time"
 
 	"savoryweir/internal/coordination/suspect"
 	"savoryweir/internal/errs"
@@ -117,18 +116,9 @@
 type Report struct {
 	Suspects []suspect.Record
 	Leaving  []bundle.UpstreamID
-	Loads    []UpstreamLoad
 	Demand   []ModelDemand
 }
 
-// UpstreamLoad is an upstream's own report as last seen.
-type UpstreamLoad struct {
-	Upstream bundle.UpstreamID
-	Running  int
-	Waiting  int
-	SeenAt   time.Time
-}
-
 // ModelDemand is the traffic of one model.
 type ModelDemand struct {
 	Model           bundle.ModelID
