Entry: a request goes elsewhere when its engine has just unloaded the model

Cause: an engine's 404 counted as the final answer. Engines answer so for a model that they do not have, and a view that lags by a second names engines that have just unloaded one: the caller was told 404 for a model that the bundle lists and other engines have. The engine stand-in answered 503, which hid it. Ruled out: counting it as a failure of the engine (it would be ejected for its other models); 404 of plain services and orders, which are their own answers. Change: a 404 of an engine sends the request elsewhere within the retry budget and says nothing of the engine's health; with none left the caller gets 503 and Retry-After. The stand-in answers 404. Before: both new tests failed with status 404. After: they pass, and so do the tests of the entry.

--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -18,10 +18,18 @@
 type refusal struct {
 	status  int
 	outcome order.Outcome
+	// absent tells that an engine does not have the model, which the bundle lists: it
+	// was unloaded after the view was made. That says nothing of the engine's health.
+	absent bool
 }
 
+// newRefusal describes the answer of an engine.
 func newRefusal(response *http.Response) *refusal {
-	return &refusal{status: response.StatusCode, outcome: refusalOutcome(response.Header)}
+	return &refusal{
+		status:  response.StatusCode,
+		outcome: refusalOutcome(response.Header),
+		absent:  response.StatusCode == http.StatusNotFound,
+	}
 }
 
 // refusalOutcome believes an upstream only when it says that the call did not run.
@@ -39,7 +47,7 @@
 
 func (r *refusal) failure(retryAfter time.Duration) *Failure {
 	status := r.status
-	if status >= http.StatusInternalServerError {
+	if status >= http.StatusInternalServerError || r.absent {
 		status = http.StatusServiceUnavailable
 	}
 	return &Failure{
@@ -160,10 +168,17 @@
 		return attemptResult{abandoned: true}
 	}
 	var refused *refusal
-	if errors.As(err, &refused) && refused.forLoad() {
+	if !errors.As(err, &refused) {
+		return attemptResult{failed: true, tokens: tokens}
+	}
+	switch {
+	case refused.forLoad():
 		return attemptResult{refused: true}
+	case refused.absent:
+		return attemptResult{abandoned: true}
+	default:
+		return attemptResult{failed: true, tokens: tokens}
 	}
-	return attemptResult{failed: true, tokens: tokens}
 }
 
 // forLoad reports whether the upstream refused because it is full.
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -198,7 +198,8 @@
 
 func (g *generation) afterRefusal(f *flight, refused *refusal) *Failure {
 	s := g.server
-	if refused.status < http.StatusInternalServerError && refused.status != http.StatusTooManyRequests {
+	isFinal := refused.status < http.StatusInternalServerError && !refused.forLoad() && !refused.absent
+	if isFinal {
 		return refused.failure(0)
 	}
 	g.call.exclude(f.upstream.ID)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -60,10 +60,16 @@
 }
 
 func startEngine(t *testing.T, id string) *node {
+	t.Helper()
+	return startEngineWith(t, id, testModel)
+}
+
+// startEngineWith starts an engine with one model.
+func startEngineWith(t *testing.T, id, model string) *node {
 	t.Helper()
 	n := &node{id: bundle.UpstreamID(id)}
 	n.engine = engine.New(engine.Settings{
-		Models: []string{testModel}, MaxBatch: 8, StepBase: time.Millisecond, CacheSize: 8,
+		Models: []string{model}, MaxBatch: 8, StepBase: time.Millisecond, CacheSize: 8,
 		CrashMarker: crashMarker, OnCrash: func() { n.stop() },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -234,3 +234,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(answer), "HTTP/1.1 400")
 }
+
+// An engine that has unloaded a model answers 404 until the view shows it. The
+// request runs elsewhere, and the engine stays in use for its other models.
+func TestEngineWithoutTheModelIsPassedOver(t *testing.T) {
+	without, with := startEngineWith(t, "e1", "other"), startEngine(t, "e2")
+	data := viewOf(without, with)
+	data.Bundle.Models = append(data.Bundle.Models, bundle.Model{ID: "other", Service: "tagger"})
+	data.Replicas = append(data.Replicas, Replica{Upstream: "e1", Model: "other", Ready: true})
+	e := startEntry(t, &sharedView{data: data}, nil, func(s *Settings) { s.Upstreams.RetryShare = 1 })
+	e.earnRetries()
+	for n := range 40 {
+		content := fmt.Sprintf("text %d", n)
+		assertWhole(t, e.stream(t, fmt.Sprintf("r%d", n), content, 3), content, 3)
+	}
+	got := e.do(http.MethodPost, chatPath, `{"model":"other","messages":[{"role":"user","content":"a"}]}`)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+}
+
+// When no engine has the model any more, callers are told to come back, not that
+// the model is unknown.
+func TestModelThatNoEngineHasIsNotUnknown(t *testing.T) {
+	e := startEntry(t, &sharedView{data: viewOf(startEngineWith(t, "e1", "other"))}, nil, nil)
+	got := e.do(http.MethodPost, chatPath, `{"model":"small","messages":[{"role":"user","content":"a"}]}`)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+	assert.Equal(t, got.header.Get(httpapi.HeaderOutcome), string(order.OutcomeNotRun))
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -93,9 +93,12 @@
 	}
 	offset, _ := strconv.Atoi(r.Header.Get(httpapi.HeaderResumeOffset))
 	fault := e.faults.take(string(body), offset > 0)
-	if fault.Kind == FaultRefuse || !e.settings.serves(request.Model) {
-		w.Header().Set(httpapi.HeaderOutcome, string(order.OutcomeNotRun))
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if fault.Kind == FaultRefuse {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	if !e.settings.serves(request.Model) {
+		refuse(w, http.StatusNotFound)
 		return
 	}
 	if request.MaxTokens <= 0 {
@@ -113,6 +116,12 @@
 	answer.whole(ctx, s)
 }
 
+// refuse answers a request that does not run.
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(httpapi.HeaderOutcome, string(order.OutcomeNotRun))
+	w.WriteHeader(status)
+}
+
 // answer writes the tokens of one request.
 type answer struct {
 	engine  *Engine
