Control: entries of other instances are remote entries, since guests are models

Cause: the glossary's guest is a model on an engine of another cell; the views for entries of other instances had taken the same word. Change: view.Remote, [peers] remote-views.

--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -43,7 +43,7 @@
 	Seeds        []string         `help:"IP addresses and ports of control processes to ask at the start, when the platform's list can't be read."`
 	ListInterval time.Duration    `help:"Time between two reads of the platform's list of instances." default:"2s" min:"100ms" max:"10m"`
 	ListReaders  int              `help:"Number of instances that read the platform's list and watch the bundle pointer." default:"3" min:"1" max:"64"`
-	GuestViews   int              `help:"Entry processes of other instances, whose own control process does not answer, that may watch the view here." default:"4" min:"0" max:"1024"`
+	RemoteViews  int              `help:"Entry processes of other instances, whose own control process does not answer, that may watch the view here." default:"4" min:"0" max:"1024"`
 	TLS          tlsconf.Settings `embed:"" prefix:"tls-"`
 }
 
--- a/internal/control/view/guests_test.go
+++ b/internal/control/view/remote_test.go
@@ -97,21 +97,21 @@
 	})
 }
 
-func TestGuestsAreLimitedAndNotWaitedFor(t *testing.T) {
+func TestRemoteEntriesAreLimitedAndNotWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service := newService()
-		guests := service.ForGuests(1)
-		first, leave := watch(t, guests)
+		remote := service.ForRemote(1)
+		first, leave := watch(t, remote)
 		views, _ := first.counts()
 		assert.Equal(t, views, 1)
-		refused := guests.WatchView(&pb.WatchViewRequest{}, &stream{ctx: t.Context()})
+		refused := remote.WatchView(&pb.WatchViewRequest{}, &stream{ctx: t.Context()})
 		assert.Equal(t, status.Code(refused), codes.ResourceExhausted)
 		began := time.Now()
 		service.WaitUnwatched(t.Context(), time.Minute)
 		assert.Equal(t, time.Since(began), time.Duration(0))
 		leave()
 		synctest.Wait()
-		second, leave := watch(t, guests)
+		second, leave := watch(t, remote)
 		defer leave()
 		views, _ = second.counts()
 		assert.Equal(t, views, 1)
