--- a/internal/bench/joint/joint_test.go
+++ b/internal/bench/joint/joint_test.go
@@ -49,11 +49,18 @@
 	assert.Assert(t, share >= boundShare, "seed %d: %.4f of the bound", s.Routing.Seed, share)
 }
 
-func TestBoundJointAttainmentInKalyvas(t *testing.T) { forBothSeeds(t, Kalyvas, reachesTheAim) }
+func TestBoundJointAttainmentInKalyvas(t *testing.T) {
+	t.Parallel()
+	forBothSeeds(t, Kalyvas, reachesTheAim)
+}
 
-func TestBoundJointAttainmentInMagnolia(t *testing.T) { forBothSeeds(t, Magnolia, reachesTheAim) }
+func TestBoundJointAttainmentInMagnolia(t *testing.T) {
+	t.Parallel()
+	forBothSeeds(t, Magnolia, reachesTheAim)
+}
 
 func TestBoundJointHalfTheMovesOfGreedy(t *testing.T) {
+	t.Parallel()
 	check := func(t *testing.T, s Scenario) {
 		results := RunAll(s, []Policy{find(t, "steady"), find(t, "greedy")}, 1)
 		steady, greedy := results[0].MovesAnHour(), results[1].MovesAnHour()
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -16,6 +16,14 @@
 mapfile -t all < <(go list -f '{{.Dir}}' ./... | sed "s|^$PWD|.|")
 mapfile -t real < <(comm -23 <(printf '%s\n' "${all[@]}" | sort) <(printf '%s\n' "${virtual[@]}"))
 
-go test -race "${options[@]}" "${real[@]}"
-go test -race -cpu 1 "${options[@]}" "${virtual[@]}"
-go test "${options[@]}" "${virtual[@]}"
+# The first two runs go side by side: the first mostly waits for real processes.
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+go test -race -cpu 1 "${options[@]}" "${virtual[@]}" >"$log" 2>&1 &
+single=$!
+status=0
+go test -race "${options[@]}" "${real[@]}" || status=1
+wait "$single" || status=1
+cat "$log"
+go test "${options[@]}" "${virtual[@]}" || status=1
+exit $status
