One piece of code where logic stood twice: waits, repeated writes, usable members

Found on reading the whole change once more: - five waits for a time or the end of a context wrote out what pause.For does; - createImmutable and putImmutable had the same loop of attempts, now repeat; - the entry's view judged members on the wire by a twin of member.IsUsable, and decoded none; now it decodes them once and calls it; - tlsconf.Listen left the listener open when the files can't be used, and one of three callers closed it; now Listen closes it; - the code answer_too_large was sent nowhere. No behaviour changes but the closed listener. The candidates' test decodes its members as the source does; its assertions are as they were. Seen and left: the kinds of load events of the time line that nothing records, and a hand-over step that asks a home's engine twice when something moves.

--- a/internal/control/claims/commit.go
+++ b/internal/control/claims/commit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/claims"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/journal"
 	"savoryweir/internal/state/object"
 )
@@ -42,7 +43,7 @@
 		if errors.Is(err, object.ErrUnavailable) || ctx.Err() != nil {
 			break
 		}
-		w.sleepUntil(ctx, time.Now().Add(w.random.backoff(conflictBackoff, attempt)))
+		pause.For(ctx, w.random.backoff(conflictBackoff, attempt))
 	}
 	refuseAll(pending, why)
 }
--- a/internal/control/claims/worker.go
+++ b/internal/control/claims/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"savoryweir/internal/pause"
 	"savoryweir/internal/ring"
 	"savoryweir/internal/state/journal"
 )
@@ -61,7 +62,7 @@
 // false when they are to be committed now.
 func (w *worker) await(ctx context.Context, pending []*operation) (*operation, bool) {
 	if len(pending) >= w.settings.BatchSize {
-		w.sleepUntil(ctx, w.lastCommit.Add(w.settings.pace().Interval))
+		pause.For(ctx, time.Until(w.lastCommit.Add(w.settings.pace().Interval)))
 		return nil, false
 	}
 	due := w.settings.pace().NextCommit(w.lastCommit, queueOf(pending))
@@ -80,15 +81,6 @@
 	return ops[0], true
 }
 
-func (w *worker) sleepUntil(ctx context.Context, t time.Time) {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // add appends an operation, unless the committed shard already answers it.
 func (w *worker) add(pending []*operation, op *operation) []*operation {
 	if op == nil || op.abandoned(time.Now()) {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"savoryweir/internal/coordination/membership"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/news"
@@ -80,9 +81,7 @@
 		if p.readsStore() {
 			p.readInstanceList(ctx)
 		}
-		select {
-		case <-time.After(p.settings.Peers.ListInterval):
-		case <-ctx.Done():
+		if !pause.For(ctx, p.settings.Peers.ListInterval) {
 			return nil
 		}
 	}
--- a/internal/control/peers/messages.go
+++ b/internal/control/peers/messages.go
@@ -6,6 +6,7 @@
 
 	"savoryweir/internal/coordination/membership"
 	"savoryweir/internal/errs"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/protocol/peercodec"
 	"savoryweir/internal/state/member"
 
@@ -201,16 +202,12 @@
 // join asks the seeds, and the instances known by then, for all members, until
 // one of them answers or this instance knows others that answer its probes.
 func (s *Service) join(ctx context.Context) error {
-	for {
-		if s.joinOnce(ctx) {
-			return nil
-		}
-		select {
-		case <-time.After(joinRetryDelay):
-		case <-ctx.Done():
-			return nil
+	for !s.joinOnce(ctx) {
+		if !pause.For(ctx, joinRetryDelay) {
+			break
 		}
 	}
+	return nil
 }
 
 func (s *Service) joinOnce(ctx context.Context) bool {
--- a/internal/entry/controlview/candidates.go
+++ b/internal/entry/controlview/candidates.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-
-	pb "savoryweir/api/savoryweir/v1"
 )
 
 // candidates returns the addresses of the control processes to ask for a view:
@@ -14,11 +12,11 @@
 	var near, far []string
 	for _, m := range s.members {
 		switch {
-		case m.GetId() == s.Instance.ID || !isUsable(m):
-		case m.GetZone() == s.Instance.Zone:
-			near = append(near, m.GetAddress())
+		case string(m.ID) == s.Instance.ID || !m.IsUsable():
+		case string(m.Zone) == s.Instance.Zone:
+			near = append(near, m.Address)
 		default:
-			far = append(far, m.GetAddress())
+			far = append(far, m.Address)
 		}
 	}
 	var all []string
@@ -36,7 +34,3 @@
 func shuffle(random *rand.Rand, list []string) {
 	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
-
-func isUsable(m *pb.Member) bool {
-	return m.GetState() == pb.MemberState_MEMBER_STATE_ALIVE || m.GetState() == pb.MemberState_MEMBER_STATE_SUSPECT
-}
--- a/internal/entry/controlview/controlview.go
+++ b/internal/entry/controlview/controlview.go
@@ -22,6 +22,7 @@
 	"savoryweir/internal/settings"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
+	"savoryweir/internal/state/member"
 	"savoryweir/internal/state/news"
 	"savoryweir/internal/state/replica"
 )
@@ -66,7 +67,7 @@
 	manifest bundle.Hash
 	bundle   *bundle.Bundle
 	cells    map[news.CellID]replica.Cell
-	members  []*pb.Member
+	members  []member.Member
 
 	reported time.Time // owned by the goroutine that calls Report
 }
@@ -94,6 +95,7 @@
 	if err := s.takeBundle(message); err != nil {
 		return err
 	}
+	s.members = peercodec.DecodeMembers(message.GetMembers())
 	misfit := s.takeCells(message.GetCells())
 	if s.bundle != nil {
 		s.current.Store(entry.NewView(s.viewData(message)))
@@ -165,7 +167,7 @@
 			data.Replicas = append(data.Replicas, entry.Replica(r))
 		}
 	}
-	data.Instances = countInstances(message.GetMembers())
+	data.Instances = countInstances(s.members)
 	for _, id := range message.GetLeavingUpstreams() {
 		data.Leaving = append(data.Leaving, bundle.UpstreamID(id))
 	}
@@ -182,10 +184,10 @@
 }
 
 // countInstances counts the members that may send requests to upstreams.
-func countInstances(members []*pb.Member) int {
+func countInstances(members []member.Member) int {
 	n := 0
 	for _, m := range members {
-		if isUsable(m) {
+		if m.IsUsable() {
 			n++
 		}
 	}
--- a/internal/entry/controlview/follow.go
+++ b/internal/entry/controlview/follow.go
@@ -96,7 +96,6 @@
 			if err := s.take(message); err != nil {
 				return err // a new stream starts with the whole view
 			}
-			s.members = message.GetMembers()
 		}
 		var err error
 		if message, err = v.next(); err != nil {
--- a/internal/entry/controlview/follow_test.go
+++ b/internal/entry/controlview/follow_test.go
@@ -17,6 +17,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/entry"
+	"savoryweir/internal/protocol/peercodec"
 	"savoryweir/internal/settings"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/hlc"
@@ -152,14 +153,14 @@
 	return s.View().Bundle.Generation
 }
 
-func member(id, zone, address string, state pb.MemberState) *pb.Member {
+func memberOf(id, zone, address string, state pb.MemberState) *pb.Member {
 	return &pb.Member{Id: id, Zone: zone, Address: address, State: state}
 }
 
 // viewOf returns a view that names the other instance.
 func viewOf(t *testing.T, g bundle.Generation) *pb.View {
 	v := message(t, g, fmt.Sprint(g))
-	v.Members = []*pb.Member{member("b", "z1", "b:1", pb.MemberState_MEMBER_STATE_ALIVE)}
+	v.Members = []*pb.Member{memberOf("b", "z1", "b:1", pb.MemberState_MEMBER_STATE_ALIVE)}
 	return v
 }
 
@@ -244,11 +245,11 @@
 	s.Instance = settings.Instance{ID: "a", Zone: "z1"}
 	s.Settings.Peers = []string{"seed:1", "far:1"}
 	s.Random = rand.New(rand.NewPCG(seed, 0))
-	s.members = []*pb.Member{
-		member("a", "z1", "self:1", pb.MemberState_MEMBER_STATE_ALIVE),
-		member("far", "z2", "far:1", pb.MemberState_MEMBER_STATE_ALIVE),
-		member("dead", "z1", "dead:1", pb.MemberState_MEMBER_STATE_DEAD),
-		member("near", "z1", "near:1", pb.MemberState_MEMBER_STATE_SUSPECT),
-	}
+	s.members = peercodec.DecodeMembers([]*pb.Member{
+		memberOf("a", "z1", "self:1", pb.MemberState_MEMBER_STATE_ALIVE),
+		memberOf("far", "z2", "far:1", pb.MemberState_MEMBER_STATE_ALIVE),
+		memberOf("dead", "z1", "dead:1", pb.MemberState_MEMBER_STATE_DEAD),
+		memberOf("near", "z1", "near:1", pb.MemberState_MEMBER_STATE_SUSPECT),
+	})
 	assert.Assert(t, slices.Equal(s.candidates(), []string{"near:1", "far:1", "seed:1"}), s.candidates())
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"savoryweir/internal/errs"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/timeline"
 	"savoryweir/internal/transport/tlsconf"
 )
@@ -86,7 +87,7 @@
 	}
 	secure, err := tlsconf.Listen(listener, c.TLS)
 	if err != nil {
-		return nil, nil, errors.Join(err, listener.Close())
+		return nil, nil, err
 	}
 	return server, secure, nil
 }
@@ -111,9 +112,7 @@
 
 // drainAll returns nil once no request is in progress.
 func (s *Server) drainAll(ctx context.Context, main *http.Server) error {
-	select {
-	case <-time.After(s.settings.Shutdown.BalancerLag):
-	case <-ctx.Done():
+	if !pause.For(ctx, s.settings.Shutdown.BalancerLag) {
 		return context.Cause(ctx)
 	}
 	handover := time.AfterFunc(s.settings.Shutdown.HandoverTime, s.drain.handOver)
--- a/internal/protocol/httpapi/errors.go
+++ b/internal/protocol/httpapi/errors.go
@@ -26,7 +26,6 @@
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeUpstreamFailed   Code = "upstream_failed"
 	CodeUpstreamRefused  Code = "upstream_refused"
-	CodeAnswerTooLarge   Code = "answer_too_large"
 	CodeRequestSuspect   Code = "request_crashes_upstreams"
 	CodeOrdersDown       Code = "order_claims_unavailable"
 	CodeOrderRunning     Code = "order_running"
--- a/internal/transport/bundlestore/bundlestore.go
+++ b/internal/transport/bundlestore/bundlestore.go
@@ -114,34 +114,31 @@
 	return nil
 }
 
-// createImmutable creates an object whose name determines its data.
+// createImmutable creates an object whose name determines its data. One that exists
+// already, also after a lost answer, is as good as written.
 func (s *Store) createImmutable(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
-	wait := firstBackoff
-	for attempt := 1; ; attempt++ {
+	return repeat(ctx, isTransient, func() error {
 		_, err := s.objects.Create(ctx, kind, name, data)
-		if err == nil || errors.Is(err, object.ErrConflict) {
+		if errors.Is(err, object.ErrConflict) {
 			return nil
 		}
-		if attempt == maxAttempts || !isTransient(err) {
-			return err
-		}
-		if err := sleep(ctx, wait); err != nil {
-			return err
-		}
-		wait = min(2*wait, maxBackoff)
-	}
+		return err
+	})
 }
 
 // putImmutable creates an object whose name determines its data, or raises the
 // version of one that exists.
 func (s *Store) putImmutable(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
+	mayPass := func(err error) bool { return isTransient(err) || isOvertaken(err) }
+	return repeat(ctx, mayPass, func() error { return s.createOrRewrite(ctx, kind, name, data) })
+}
+
+// repeat writes again, after a longer wait each time, while the error may pass.
+func repeat(ctx context.Context, mayPass func(error) bool, write func() error) error {
 	wait := firstBackoff
 	for attempt := 1; ; attempt++ {
-		err := s.createOrRewrite(ctx, kind, name, data)
-		if err == nil {
-			return nil
-		}
-		if attempt == maxAttempts || !isTransient(err) && !isOvertaken(err) {
+		err := write()
+		if err == nil || attempt == maxAttempts || !mayPass(err) {
 			return err
 		}
 		if err := sleep(ctx, wait); err != nil {
--- a/internal/transport/tlsconf/tlsconf.go
+++ b/internal/transport/tlsconf/tlsconf.go
@@ -87,14 +87,14 @@
 }
 
 // Listen returns a listener whose connections take the present files for each
-// handshake. It returns l itself when TLS is off.
+// handshake. It returns l itself when TLS is off, and closes l when it fails.
 func Listen(l net.Listener, s Settings) (net.Listener, error) {
 	if !s.Enabled() {
 		return l, nil
 	}
 	source, err := NewSource(s)
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, l.Close())
 	}
 	return tls.NewListener(l, source.Server()), nil
 }
