Store: one client and one stand-in, both by the platform's protocol

Change: storeclient and the stand-in speak it through platform/objects.go, the codec objecthttp is gone. A watch whose history is gone is told so (WatchSince); Watch itself lists again, as before. Connections to the store notice a silent peer (watchfulconn). Ruled out: a second client beside the first.

--- a/internal/standin/objectapi/admin.go
+++ b/internal/standin/objectapi/admin.go
@@ -37,7 +37,7 @@
 		}
 		m.SetInstance(c.Instance, lag)
 	})
-	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, m.Counts()) })
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { writeBody(w)(json.Marshal(m.Counts())) })
 	return mux
 }
 
--- a/internal/standin/objectapi/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -100,12 +101,18 @@
 
 // List implements object.Reader.
 func (m *Memory) List(ctx context.Context, kind object.Kind, prefix string) ([]object.Object, error) {
+	found, _, err := m.ListAt(ctx, kind)
+	return slices.DeleteFunc(found, func(o object.Object) bool { return !strings.HasPrefix(string(o.Name), prefix) }), err
+}
+
+// ListAt returns the objects of a kind in name order, with the store's version.
+func (m *Memory) ListAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
 	if err := m.admitRead(ctx, func(c *Counts) { c.Lists++ }); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.list(kind, prefix), nil
+	return m.list(kind, ""), m.version, nil
 }
 
 func (m *Memory) list(kind object.Kind, prefix string) []object.Object {
@@ -203,6 +210,19 @@
 // Watch implements object.Watcher. A watch that has fallen behind the log gets
 // all present objects, without deletions.
 func (m *Memory) Watch(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
+	events, next, err := m.WatchSince(ctx, kind, after, wait)
+	if !errors.Is(err, object.ErrHistoryGone) {
+		return events, next, err
+	}
+	present, next, err := m.ListAt(ctx, kind)
+	for _, o := range present {
+		events = append(events, object.Event{Object: o})
+	}
+	return events, next, err
+}
+
+// WatchSince waits for changes after a version, or returns object.ErrHistoryGone.
+func (m *Memory) WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
 	if err := m.admitRead(ctx, func(c *Counts) { c.Watches++ }); err != nil {
 		return nil, after, err
 	}
@@ -232,13 +252,10 @@
 	if m.faults.Outage {
 		return nil, after, nil, object.ErrUnavailable
 	}
-	var events []object.Event
 	if after < m.logStart {
-		for _, o := range m.list(kind, "") {
-			events = append(events, object.Event{Object: o})
-		}
-		return events, m.version, m.changed, nil
+		return nil, after, nil, object.ErrHistoryGone
 	}
+	var events []object.Event
 	for _, e := range m.log {
 		if e.Object.Kind == kind && e.Object.Version > after {
 			events = append(events, object.Event{Object: clone(e.Object), Deleted: e.Deleted})
@@ -247,6 +264,15 @@
 	return events, m.version, m.changed, nil
 }
 
+// DropHistory forgets all changes so far, as the store may do at any time.
+func (m *Memory) DropHistory() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.log, m.logStart = nil, m.version
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 func clone(o object.Object) object.Object {
 	o.Data = slices.Clone(o.Data)
 	return o
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -5,26 +5,24 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
-	"time"
+	"slices"
 
-	"savoryweir/internal/protocol/objecthttp"
 	"savoryweir/internal/state/object"
+	"savoryweir/platform"
 )
 
-// maxWatchWait bounds how long a watch may wait.
-const maxWatchWait = time.Minute
+// pageLength is the largest number of objects in one answer to a list.
+const pageLength = 500
 
 // Handler serves the object API over HTTP.
 func Handler(m *Memory) http.Handler {
 	s := &server{store: m}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+objecthttp.ObjectPath, s.get)
-	mux.HandleFunc("PUT "+objecthttp.ObjectPath, s.put)
-	mux.HandleFunc("DELETE "+objecthttp.ObjectPath, s.remove)
-	mux.HandleFunc("GET "+objecthttp.ListPath, s.list)
-	mux.HandleFunc("GET "+objecthttp.WatchPath, s.watch)
-	mux.HandleFunc("GET "+objecthttp.InstancesPath, s.instances)
+	mux.HandleFunc("GET "+platform.ObjectPattern, s.get)
+	mux.HandleFunc("PUT "+platform.ObjectPattern, s.put)
+	mux.HandleFunc("DELETE "+platform.ObjectPattern, s.remove)
+	mux.HandleFunc("GET "+platform.KindPattern, s.listOrWatch)
+	mux.HandleFunc("POST "+platform.KindPattern, s.create)
 	return mux
 }
 
@@ -37,105 +35,116 @@
 func (s *server) get(w http.ResponseWriter, r *http.Request) {
 	kind, name := target(r)
 	o, err := s.store.Get(r.Context(), kind, name)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	w.Header().Set(objecthttp.VersionHeader, objecthttp.FormatVersion(o.Version))
-	_, _ = w.Write(o.Data)
+	writeObject(w, o, err)
 }
 
-func (s *server) put(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, object.MaxSizeBytes))
+func readObject(w http.ResponseWriter, r *http.Request) (object.Object, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 2*object.MaxSizeBytes))
 	if err != nil {
-		writeError(w, object.ErrTooLarge)
-		return
+		return object.Object{}, object.ErrTooLarge
 	}
-	kind, name := target(r)
-	var version object.Version
-	if r.Header.Get("If-None-Match") == "*" {
-		version, err = s.store.Create(r.Context(), kind, name, data)
-	} else {
-		var expected object.Version
-		expected, err = objecthttp.ParseVersion(r.Header.Get("If-Match"))
-		if err != nil {
-			http.Error(w, "If-Match or If-None-Match is required", http.StatusPreconditionRequired)
-			return
-		}
-		version, err = s.store.Update(r.Context(), kind, name, data, expected)
+	return platform.DecodeObject(object.Kind(r.PathValue("kind")), body)
+}
+
+func (s *server) create(w http.ResponseWriter, r *http.Request) {
+	o, err := readObject(w, r)
+	if err == nil {
+		o.Version, err = s.store.Create(r.Context(), o.Kind, o.Name, o.Data)
 	}
-	if err != nil {
-		writeError(w, err)
-		return
+	writeObject(w, o, err)
+}
+
+func (s *server) put(w http.ResponseWriter, r *http.Request) {
+	o, err := readObject(w, r)
+	if err == nil {
+		_, o.Name = target(r)
+		o.Version, err = s.store.Update(r.Context(), o.Kind, o.Name, o.Data, o.Version)
 	}
-	w.Header().Set(objecthttp.VersionHeader, objecthttp.FormatVersion(version))
+	writeObject(w, o, err)
 }
 
 func (s *server) remove(w http.ResponseWriter, r *http.Request) {
-	expected, err := objecthttp.ParseVersion(r.Header.Get("If-Match"))
+	query, err := platform.ParseQuery(r.URL.Query())
 	if err != nil {
-		http.Error(w, "If-Match is required", http.StatusPreconditionRequired)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	kind, name := target(r)
-	if err := s.store.Delete(r.Context(), kind, name, expected); err != nil {
+	if err := s.store.Delete(r.Context(), kind, name, query.Expected); err != nil {
 		writeError(w, err)
 	}
 }
 
-func (s *server) list(w http.ResponseWriter, r *http.Request) {
+func (s *server) listOrWatch(w http.ResponseWriter, r *http.Request) {
 	kind, _ := target(r)
-	found, err := s.store.List(r.Context(), kind, r.URL.Query().Get(objecthttp.PrefixParam))
+	query, err := platform.ParseQuery(r.URL.Query())
 	if err != nil {
-		writeError(w, err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	var reply objecthttp.Objects
-	for _, o := range found {
-		reply.Objects = append(reply.Objects, objecthttp.Object{Name: o.Name, Version: o.Version, Data: o.Data})
+	if query.IsWatch {
+		wait := min(query.Wait, platform.MaxWatchWait)
+		events, next, err := s.store.WatchSince(r.Context(), kind, query.Watch, wait)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeBody(w)(platform.EncodeEvents(events, next))
+		return
 	}
-	writeJSON(w, reply)
+	s.list(w, r, kind, query.After)
 }
 
-func (s *server) watch(w http.ResponseWriter, r *http.Request) {
-	kind, _ := target(r)
-	after, err := objecthttp.ParseVersion(r.URL.Query().Get(objecthttp.AfterParam))
-	if err != nil {
-		http.Error(w, "the version to watch after is missing", http.StatusBadRequest)
+func (s *server) list(w http.ResponseWriter, r *http.Request, kind object.Kind, after object.Name) {
+	if kind == object.KindInstances {
+		s.instances(w, r)
 		return
 	}
-	millis, err := strconv.Atoi(r.URL.Query().Get(objecthttp.WaitMillisParam))
+	found, version, err := s.store.ListAt(r.Context(), kind)
 	if err != nil {
-		http.Error(w, "the time to wait is missing", http.StatusBadRequest)
+		writeError(w, err)
 		return
 	}
-	wait := min(time.Duration(millis)*time.Millisecond, maxWatchWait)
-	events, next, err := s.store.Watch(r.Context(), kind, after, wait)
+	found = slices.DeleteFunc(found, func(o object.Object) bool { return o.Name <= after })
+	more := len(found) > pageLength
+	writeBody(w)(platform.EncodePage(platform.Page{Objects: found[:min(pageLength, len(found))], More: more, Revision: version}))
+}
+
+func (s *server) instances(w http.ResponseWriter, r *http.Request) {
+	list, err := s.store.Instances(r.Context())
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	reply := objecthttp.Objects{Next: next}
-	for _, e := range events {
-		reply.Objects = append(reply.Objects, objecthttp.Object{
-			Name: e.Object.Name, Version: e.Object.Version, Data: e.Object.Data, Deleted: e.Deleted,
-		})
+	var page platform.Page
+	for _, i := range list {
+		data, err := json.Marshal(i)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		page.Objects = append(page.Objects, object.Object{Kind: object.KindInstances, Name: object.Name(i.ID), Data: data})
 	}
-	writeJSON(w, reply)
+	writeBody(w)(platform.EncodePage(page))
 }
 
-func (s *server) instances(w http.ResponseWriter, r *http.Request) {
-	list, err := s.store.Instances(r.Context())
+func writeObject(w http.ResponseWriter, o object.Object, err error) {
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, list)
+	writeBody(w)(platform.EncodeObject(o))
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+func writeBody(w http.ResponseWriter) func([]byte, error) {
+	return func(body []byte, err error) {
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(body)
+	}
 }
 
 func writeError(w http.ResponseWriter, err error) {
@@ -146,7 +155,9 @@
 	case errors.Is(err, object.ErrNotFound):
 		status = http.StatusNotFound
 	case errors.Is(err, object.ErrConflict):
-		status = http.StatusPreconditionFailed
+		status = http.StatusConflict
+	case errors.Is(err, object.ErrHistoryGone):
+		status = http.StatusGone
 	case errors.Is(err, object.ErrThrottled):
 		status = http.StatusTooManyRequests
 	case errors.Is(err, object.ErrUnavailable):
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -43,6 +43,9 @@
 	RoleUpstream   Role = "upstream"
 )
 
+// KindInstances holds the platform's list of instances.
+const KindInstances Kind = "savoryweir-instances"
+
 // Instance is one entry of the platform's lagging list of instances. Address
 // is that of the control process, or of the upstream.
 type Instance struct {
@@ -68,6 +71,9 @@
 	// ErrOutcomeUnknown reports that the answer to a write was lost.
 	// The write may have taken effect, or may still do so.
 	ErrOutcomeUnknown = errors.New("outcome of store write unknown")
+	// ErrHistoryGone reports that the store no longer has the changes after the
+	// version from which a watch was to go on.
+	ErrHistoryGone = errors.New("history of changes is gone")
 	// ErrTooLarge reports a value above MaxSizeBytes.
 	ErrTooLarge = errors.New("object too large")
 )
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -10,14 +10,15 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
+	"slices"
 	"strings"
 	"time"
 
 	"savoryweir/internal/errs"
-	"savoryweir/internal/protocol/objecthttp"
 	"savoryweir/internal/state/object"
 	"savoryweir/internal/transport/tlsconf"
+	"savoryweir/internal/transport/watchfulconn"
+	"savoryweir/platform"
 )
 
 // Settings configure the client.
@@ -31,6 +32,9 @@
 // maxListBytes bounds the answer to a list or a watch.
 const maxListBytes = 64 * object.MaxSizeBytes
 
+// maxObjectBytes bounds the answer that holds one object, with its wrapping.
+const maxObjectBytes = 2 * object.MaxSizeBytes
+
 const peer errs.Peer = "store"
 
 // Client calls the object API. It implements object.Store.
@@ -38,8 +42,15 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	observe Observer
 }
 
+// Observer is told of each call with its outcome.
+type Observer func(step errs.Step, took time.Duration, err error)
+
+// Observe sets the observer. It must be called before the first call.
+func (c *Client) Observe(o Observer) { c.observe = o }
+
 const (
 	stepTLS   errs.Step = "read TLS files"
 	schemeTLS string    = "https://"
@@ -49,6 +60,8 @@
 // a URL without TLS.
 func New(s Settings) (*Client, error) {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.DialContext = watchfulconn.Dialer(s.Timeout).DialContext
 	if s.TLS.Enabled() {
 		if !strings.HasPrefix(s.URL, schemeTLS) {
 			return nil, errs.New(stepTLS, peer, "TLS files are set, but the URL does not begin with "+schemeTLS)
@@ -57,149 +70,194 @@
 		if err != nil {
 			return nil, errs.Wrap(err, stepTLS, peer)
 		}
-		transport.DialTLSContext = identity.Dial((&net.Dialer{}).DialContext)
+		transport.DialTLSContext = identity.Dial(watchfulconn.Dialer(s.Timeout).DialContext)
 	}
 	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: transport}}, nil
 }
 
 // call is one HTTP call to the store.
 type call struct {
-	step    errs.Step
-	method  string
-	path    string
-	query   url.Values
-	body    []byte
-	ifMatch string // version, "*" for a create, empty for reads
-	limit   int64
-	extra   time.Duration // waited beyond the timeout
-}
-
-// reply is the answer to a call.
-type reply struct {
-	version object.Version
-	body    []byte
-}
-
-func objectPath(kind object.Kind, name object.Name) string {
-	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(string(name))
+	step   errs.Step
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	limit  int64
+	extra  time.Duration // waited beyond the timeout
 }
 
 // Get implements object.Reader.
 func (c *Client) Get(ctx context.Context, kind object.Kind, name object.Name) (object.Object, error) {
-	r, err := c.do(ctx, call{step: "get object", method: http.MethodGet, path: objectPath(kind, name), limit: object.MaxSizeBytes})
+	const step errs.Step = "get object"
+	body, err := c.do(ctx, call{step: step, method: http.MethodGet, path: platform.ObjectPath(kind, name), limit: maxObjectBytes})
 	if err != nil {
 		return object.Object{}, err
 	}
-	return object.Object{Kind: kind, Name: name, Version: r.version, Data: r.body}, nil
+	o, err := platform.DecodeObject(kind, body)
+	return o, errs.Wrap(err, step, peer)
 }
 
 // List implements object.Reader.
 func (c *Client) List(ctx context.Context, kind object.Kind, prefix string) ([]object.Object, error) {
-	query := url.Values{objecthttp.PrefixParam: {prefix}}
-	found, err := c.objects(ctx, call{step: "list objects", path: "/v1/objects/" + url.PathEscape(string(kind)), query: query})
+	all, _, err := c.ListAt(ctx, kind)
 	if err != nil {
 		return nil, err
 	}
-	var list []object.Object
-	for _, o := range found.Objects {
-		list = append(list, object.Object{Kind: kind, Name: o.Name, Version: o.Version, Data: o.Data})
+	return slices.DeleteFunc(all, func(o object.Object) bool { return !strings.HasPrefix(string(o.Name), prefix) }), nil
+}
+
+// ListAt returns all objects of a kind, with the version from which a watch sees
+// every later change.
+func (c *Client) ListAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
+	const step errs.Step = "list objects"
+	var all []object.Object
+	var first object.Version
+	for after := object.Name(""); ; {
+		body, err := c.do(ctx, call{
+			step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.ListQuery(after), limit: maxListBytes,
+		})
+		if err != nil {
+			return nil, 0, err
+		}
+		page, err := platform.DecodePage(kind, body)
+		if err != nil {
+			return nil, 0, errs.Wrap(err, step, peer)
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		all = append(all, page.Objects...)
+		if !page.More || len(page.Objects) == 0 {
+			return all, first, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
 	}
-	return list, nil
 }
 
-// Watch implements object.Watcher.
+// Watch implements object.Watcher. Where the store has dropped the history after
+// the version, all present objects come back instead, without deletions.
 func (c *Client) Watch(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
-	query := url.Values{
-		objecthttp.AfterParam:      {objecthttp.FormatVersion(after)},
-		objecthttp.WaitMillisParam: {strconv.FormatInt(wait.Milliseconds(), 10)},
+	events, next, err := c.WatchSince(ctx, kind, after, wait)
+	if !errors.Is(err, object.ErrHistoryGone) {
+		return events, next, err
+	}
+	present, next, err := c.ListAt(ctx, kind)
+	if err != nil {
+		return nil, after, err
+	}
+	for _, o := range present {
+		events = append(events, object.Event{Object: o})
 	}
-	found, err := c.objects(ctx, call{
-		step: "watch objects", path: "/v1/watch/" + url.PathEscape(string(kind)), query: query, extra: wait,
+	return events, next, nil
+}
+
+// WatchSince waits for changes after a version. It returns object.ErrHistoryGone
+// where the store no longer has them.
+func (c *Client) WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
+	const step errs.Step = "watch objects"
+	body, err := c.do(ctx, call{
+		step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.WatchQuery(after, wait),
+		limit: maxListBytes, extra: wait,
 	})
 	if err != nil {
 		return nil, after, err
 	}
-	var events []object.Event
-	for _, o := range found.Objects {
-		changed := object.Object{Kind: kind, Name: o.Name, Version: o.Version, Data: o.Data}
-		events = append(events, object.Event{Object: changed, Deleted: o.Deleted})
+	events, next, err := platform.DecodeEvents(kind, body)
+	if err != nil {
+		return nil, after, errs.Wrap(err, step, peer)
 	}
-	return events, found.Next, nil
+	return events, max(next, after), nil
 }
 
 // Instances implements object.Store.
 func (c *Client) Instances(ctx context.Context) ([]object.Instance, error) {
 	const step errs.Step = "list instances"
-	r, err := c.do(ctx, call{step: step, method: http.MethodGet, path: objecthttp.InstancesPath, limit: maxListBytes})
+	found, err := c.List(ctx, object.KindInstances, "")
 	if err != nil {
 		return nil, err
 	}
 	var list []object.Instance
-	if err := json.Unmarshal(r.body, &list); err != nil {
-		return nil, errs.Wrap(err, step, peer)
+	for _, o := range found {
+		var instance object.Instance
+		if err := json.Unmarshal(o.Data, &instance); err != nil {
+			return nil, errs.Wrap(err, step, peer)
+		}
+		list = append(list, instance)
 	}
 	return list, nil
 }
 
-func (c *Client) objects(ctx context.Context, k call) (objecthttp.Objects, error) {
-	k.method, k.limit = http.MethodGet, maxListBytes
-	r, err := c.do(ctx, k)
-	if err != nil {
-		return objecthttp.Objects{}, err
-	}
-	var found objecthttp.Objects
-	if err := json.Unmarshal(r.body, &found); err != nil {
-		return objecthttp.Objects{}, errs.Wrap(err, k.step, peer)
-	}
-	return found, nil
-}
-
 // Create implements object.Writer.
 func (c *Client) Create(ctx context.Context, kind object.Kind, name object.Name, data []byte) (object.Version, error) {
-	r, err := c.do(ctx, call{step: "create object", method: http.MethodPut, path: objectPath(kind, name), body: data, ifMatch: "*"})
-	return r.version, err
+	return c.write(ctx, call{step: "create object", method: http.MethodPost, path: platform.KindPath(kind)},
+		object.Object{Kind: kind, Name: name, Data: data})
 }
 
 // Update implements object.Writer.
 func (c *Client) Update(ctx context.Context, kind object.Kind, name object.Name, data []byte, expected object.Version) (object.Version, error) {
-	r, err := c.do(ctx, call{
-		step: "update object", method: http.MethodPut, path: objectPath(kind, name),
-		body: data, ifMatch: objecthttp.FormatVersion(expected),
-	})
-	return r.version, err
+	return c.write(ctx, call{step: "update object", method: http.MethodPut, path: platform.ObjectPath(kind, name)},
+		object.Object{Kind: kind, Name: name, Version: expected, Data: data})
+}
+
+func (c *Client) write(ctx context.Context, k call, o object.Object) (object.Version, error) {
+	if len(o.Data) > object.MaxSizeBytes {
+		return 0, errs.Wrap(object.ErrTooLarge, k.step, peer)
+	}
+	body, err := platform.EncodeObject(o)
+	if err != nil {
+		return 0, errs.Wrap(err, k.step, peer)
+	}
+	k.body, k.limit = body, maxObjectBytes
+	answer, err := c.do(ctx, k)
+	if err != nil {
+		return 0, err
+	}
+	written, err := platform.DecodeObject(o.Kind, answer)
+	if err != nil {
+		return 0, errs.Wrap(errors.Join(object.ErrOutcomeUnknown, err), k.step, peer)
+	}
+	return written.Version, nil
 }
 
 // Delete implements object.Writer.
 func (c *Client) Delete(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) error {
 	_, err := c.do(ctx, call{
-		step: "delete object", method: http.MethodDelete, path: objectPath(kind, name),
-		ifMatch: objecthttp.FormatVersion(expected),
+		step: "delete object", method: http.MethodDelete, path: platform.ObjectPath(kind, name),
+		query: platform.DeleteQuery(expected), limit: maxObjectBytes,
 	})
 	return err
 }
 
 // do performs one call and maps its outcome to the errors of package object.
-func (c *Client) do(ctx context.Context, k call) (reply, error) {
+func (c *Client) do(ctx context.Context, k call) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.extra)
 	defer cancel()
+	started := time.Now()
+	body, err := c.send(ctx, k)
+	if c.observe != nil {
+		c.observe(k.step, time.Since(started), err)
+	}
+	return body, errs.Wrap(err, k.step, peer)
+}
+
+func (c *Client) send(ctx context.Context, k call) ([]byte, error) {
 	request, err := c.request(ctx, k)
 	if err != nil {
-		return reply{}, errs.Wrap(err, k.step, peer)
+		return nil, err
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return reply{}, errs.Wrap(lostAnswer(k, err), k.step, peer)
+		return nil, lostAnswer(k, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, k.limit))
 	if err := statusError(k, response.StatusCode); err != nil {
-		return reply{}, errs.Wrap(err, k.step, peer)
+		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, k.limit))
 	if err != nil {
-		return reply{}, errs.Wrap(lostAnswer(k, err), k.step, peer)
+		return nil, lostAnswer(k, err)
 	}
-	version, _ := objecthttp.ParseVersion(response.Header.Get(objecthttp.VersionHeader))
-	return reply{version: version, body: body}, nil
+	return body, nil
 }
 
 func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
@@ -214,12 +272,8 @@
 	if k.isWrite() {
 		request.GetBody = nil // the library must not send a write again by itself
 	}
-	switch k.ifMatch {
-	case "":
-	case "*":
-		request.Header.Set("If-None-Match", "*")
-	default:
-		request.Header.Set("If-Match", k.ifMatch)
+	if len(k.body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
 	}
 	return request, nil
 }
@@ -238,12 +292,14 @@
 
 func statusError(k call, status int) error {
 	switch status {
-	case http.StatusOK:
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return nil
 	case http.StatusNotFound:
 		return object.ErrNotFound
-	case http.StatusPreconditionFailed:
+	case http.StatusConflict:
 		return object.ErrConflict
+	case http.StatusGone:
+		return object.ErrHistoryGone
 	case http.StatusTooManyRequests:
 		return object.ErrThrottled
 	case http.StatusServiceUnavailable:
