Steward: orders are counted by engines' reports, not by entries

Cause: the field seq of an entry counts heartbeats; as a count of orders it kept every lane unconfirmed, so that no order was given. Change: entries tell models, reports tell the count of orders; entries are merged once for each version.

--- a/internal/node/sinks.go
+++ b/internal/node/sinks.go
@@ -80,7 +80,7 @@
 }
 
 func (s upstreamSink) decode(o object.Object) (fleet.Upstream, bool) {
-	u, err := platform.DecodeUpstream(string(o.Name), o.Data)
+	u, err := platform.DecodeUpstream(string(o.Name), uint64(o.Version), o.Data)
 	if err != nil {
 		s.node.log.Info().Err(err).Str("event", "upstream.foreign").Str("upstream", string(o.Name)).Msg("entry names no upstream")
 		return u, false
--- a/internal/node/steward/lanes.go
+++ b/internal/node/steward/lanes.go
@@ -29,21 +29,35 @@
 // is asked what became of the order.
 const overdueLoad = time.Second
 
-// merge takes the engine's entry in the store, unless the orders of this term are newer.
+// merge takes what has changed in the engine's entry in the store.
 func (l *lane) merge(entry *fleet.Upstream) {
-	draining := entry.Draining
-	if entry.Orders >= l.upstream.Orders && !l.inFlight {
-		adapters := l.upstream.Models
-		same := entry.Orders == l.upstream.Orders
-		l.upstream = *entry
-		if same && l.confirmed {
-			l.keepAdapters(adapters)
-		}
+	if entry.Entry <= l.upstream.Entry || l.inFlight {
+		return
 	}
-	l.upstream.Draining = draining
+	models := entry.Models
+	if l.confirmed {
+		models = withAdapters(entry.Models, l.upstream.Models)
+	}
+	orders, coming := l.upstream.Orders, l.upstream.Coming
+	l.upstream = *entry
+	l.upstream.Models, l.upstream.Orders, l.upstream.Coming = models, orders, coming
 	l.notice()
 }
 
+// withAdapters returns the models with the adapters known of each, as entries tell
+// of adapters only with the next heartbeat.
+func withAdapters(models, known []fleet.Resident) []fleet.Resident {
+	merged := slices.Clone(models)
+	for i := range merged {
+		for _, r := range known {
+			if r.Model == merged[i].Model {
+				merged[i].Adapters = r.Adapters
+			}
+		}
+	}
+	return merged
+}
+
 // notice drops what the engine's state shows to be done.
 func (l *lane) notice() {
 	if l.pending != nil && l.upstream.Holds(l.pending.Model, "") == l.pending.Load {
@@ -59,18 +73,6 @@
 	}
 }
 
-// keepAdapters keeps the adapters ordered in this term, as engines tell of them
-// only with their next heartbeat.
-func (l *lane) keepAdapters(known []fleet.Resident) {
-	for i := range l.upstream.Models {
-		for _, r := range known {
-			if r.Model == l.upstream.Models[i].Model {
-				l.upstream.Models[i].Adapters = r.Adapters
-			}
-		}
-	}
-}
-
 // snapshot returns the engine for a plan.
 func (l *lane) snapshot(now time.Time) steering.Engine {
 	e := steering.Engine{
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -119,7 +119,8 @@
 	Slots    int
 	Draining bool
 	TimeLeft time.Duration // until it is gone, zero if unknown
-	Orders   uint64        // orders accepted since its start
+	Entry    uint64        // version of its entry in the store
+	Orders   uint64        // orders accepted since its start, known from its reports only
 	Busy     bool          // an order is in progress
 	Models   []Resident
 	Coming   []string // adapters on their way, MODEL/NAME
