Store: watches end in turn, and instances tell each other what they have seen

Ruled out: shorter waits everywhere, whose price grows with the fleet. Change: the waits are staggered by the rank of the instance, so that one watch of the fleet begins anew each 0.7 s; datagrams carry the newest version seen, and a watch that stays behind is begun again.

--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -85,6 +85,18 @@
 	return len(m.peers)
 }
 
+// Rank returns the place of this instance among all by name, and their number.
+func (m *Mesh) Rank() (rank, of int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for instance := range m.peers {
+		if instance < m.instance {
+			rank++
+		}
+	}
+	return rank, len(m.peers) + 1
+}
+
 // Alive returns how many other instances were heard of lately.
 func (m *Mesh) Alive(now time.Time) int {
 	m.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,8 @@
 	holder   *steward.Holder
 	reports  *reporter
 
+	followConfig, followUpstreams, followInstances *storewatch.Follower
+
 	stopping atomic.Bool
 }
 
@@ -90,6 +92,9 @@
 		Ask: n.reports.ask, Count: n.reports.count,
 	})
 	leases := steward.LeaseSettings(n.settings.Bounds.TurnGap)
+	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n})
+	n.followUpstreams = n.follow(platform.KindEngines, upstreamPause, upstreamSink{n})
+	n.followInstances = n.follow(object.KindInstances, instancePause, &instanceSink{node: n})
 	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, leases, n.settings.Instance.ID, uuid.NewString())
 	n.steward = steward.New(steward.Options{
 		Instance: n.settings.Instance.ID, Log: logging.For(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
@@ -115,23 +120,46 @@
 // are listed, as one that can't be heard may still serve.
 func (n *Node) instances() int { return n.mesh.Known() + 1 }
 
-// Watch settings of the three kinds that an instance follows. The waits bound how
-// long a connection that has gone silent can hide a change.
-var (
-	followConfig    = storewatch.Settings{Kind: platform.KindConfig, Wait: 5 * time.Second, Pause: 20 * time.Millisecond}
-	followUpstreams = storewatch.Settings{Kind: platform.KindEngines, Wait: 5 * time.Second, Pause: 150 * time.Millisecond}
-	followInstances = storewatch.Settings{Kind: object.KindInstances, Wait: 20 * time.Second, Pause: time.Second}
+const (
+	// pollEvery is the time within which some instance begins a new watch of each
+	// kind, and tells the others what it finds: it bounds how long watches that
+	// have all gone silent hide a change, well below the two seconds within which
+	// a configuration has to be in force.
+	pollEvery = 700 * time.Millisecond
+	// maxWatch bounds a watch in large fleets.
+	maxWatch = 25 * time.Second
+	// pauses gather changes in quick succession into one answer of the store.
+	configPause   = 20 * time.Millisecond
+	upstreamPause = 150 * time.Millisecond
+	instancePause = time.Second
 )
 
+// watchTurn returns the wait of a watch, so that the watches of all instances end
+// one after the other, though they begin together after a change: first by the
+// rank of this instance, then the time of a whole round.
+func (n *Node) watchTurn(f *storewatch.Follower, last *object.Version) time.Duration {
+	rank, of := n.mesh.Rank()
+	if newest := f.Newest(); newest != *last {
+		*last = newest
+		return min(time.Duration(rank+1)*pollEvery, maxWatch)
+	}
+	return min(time.Duration(of)*pollEvery, maxWatch)
+}
+
+func (n *Node) follow(kind object.Kind, pause time.Duration, sink storewatch.Sink) *storewatch.Follower {
+	var f *storewatch.Follower
+	var last object.Version
+	s := storewatch.Settings{Kind: kind, Pause: pause, Wait: func() time.Duration { return n.watchTurn(f, &last) }}
+	f = storewatch.New(s, n.store, sink, logging.For(n.log, "store"))
+	return f
+}
+
 // duties returns what the node does besides serving callers.
 func (n *Node) duties() map[string]func(context.Context) {
-	watch := func(s storewatch.Settings, sink storewatch.Sink) func(context.Context) {
-		return func(ctx context.Context) { storewatch.New(s, n.store, sink, logging.For(n.log, "store")).Run(ctx) }
-	}
 	return map[string]func(context.Context){
-		"config":    watch(followConfig, configSink{n}),
-		"upstreams": watch(followUpstreams, upstreamSink{n}),
-		"instances": watch(followInstances, &instanceSink{node: n}),
+		"config":    n.followConfig.Run,
+		"upstreams": n.followUpstreams.Run,
+		"instances": n.followInstances.Run,
 		"register":  n.register,
 		"mesh":      n.mesh.Run,
 		"reports":   n.reports.run,
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -11,6 +11,7 @@
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/loads"
+	"savoryweir/internal/state/object"
 )
 
 const (
@@ -85,6 +86,7 @@
 
 func (r *reporter) run(ctx context.Context) {
 	var last map[fleet.UpstreamID]loads.Load
+	var told seen
 	var sentAt time.Time
 	for number := 0; ; number++ {
 		interval := min(max(reportInterval, reportPerPeer*time.Duration(r.node.mesh.Known())), maxInterval)
@@ -94,11 +96,14 @@
 		r.feedOwnDemand(number)
 		own := r.node.tracker.Own()
 		fence, holds := r.node.holder.MayAct()
-		if maps.Equal(own, last) && time.Since(sentAt) < reportIdle/2 {
+		newest := r.newest()
+		if maps.Equal(own, last) && newest == told && time.Since(sentAt) < reportIdle/2 {
 			continue
 		}
-		last, sentAt = own, time.Now()
-		message := &pb.FleetMessage{Loads: encodeLoads(own)}
+		last, told, sentAt = own, newest, time.Now()
+		message := &pb.FleetMessage{
+			Loads: encodeLoads(own), NewestConfig: uint64(newest.config), NewestUpstream: uint64(newest.upstream),
+		}
 		if holds {
 			message.Holding = &pb.Holding{Fence: uint64(fence)}
 		}
@@ -106,6 +111,13 @@
 	}
 }
 
+// seen are the newest versions of objects that an instance has seen in the store.
+type seen struct{ config, upstream object.Version }
+
+func (r *reporter) newest() seen {
+	return seen{config: r.node.followConfig.Newest(), upstream: r.node.followUpstreams.Newest()}
+}
+
 // feedOwnDemand gives the demand counted since the last call to the holder.
 func (r *reporter) feedOwnDemand(number int) {
 	if number%demandEvery != 0 {
@@ -146,6 +158,12 @@
 	if len(m.Demands) > 0 {
 		r.node.steward.Learn(m.Instance, m.Incarnation, decodeDemands(m.Demands))
 	}
+	if m.NewestConfig > 0 {
+		r.node.followConfig.Compare(time.Now(), object.Version(m.NewestConfig))
+	}
+	if m.NewestUpstream > 0 {
+		r.node.followUpstreams.Compare(time.Now(), object.Version(m.NewestUpstream))
+	}
 	for _, w := range m.Wants {
 		r.node.steward.Want(steering.DemandKey{Service: w.Service, Model: w.Model, Adapter: w.Adapter})
 	}
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,9 +32,9 @@
 // Settings of a follower.
 type Settings struct {
 	Kind object.Kind
-	// Wait is the longest wait of one watch; a silent connection is noticed no
-	// later than this.
-	Wait time.Duration
+	// Wait returns the longest wait of the next watch; a watch that has gone silent
+	// is noticed no later than this.
+	Wait func() time.Duration
 	// Pause is kept between two watches, so that changes in quick succession come
 	// with one call.
 	Pause time.Duration
@@ -56,6 +58,53 @@
 	version    object.Version // zero when a list is needed
 	failures   int
 	returnedAt time.Time
+	newest     atomic.Uint64 // version of the newest object seen
+
+	mu        sync.Mutex // guards the two below
+	behind    time.Time  // since when others have seen newer objects
+	interrupt context.CancelCauseFunc
+}
+
+// pokeDelay is how long another instance may be ahead before a watch is taken for
+// silent: an answer of the store, and the pause between two watches.
+const pokeDelay = 300 * time.Millisecond
+
+var errBehind = errors.New("other instances have seen newer objects")
+
+// Newest returns the version of the newest object seen.
+func (f *Follower) Newest() object.Version { return object.Version(f.newest.Load()) }
+
+// Compare takes the version of the newest object that another instance has seen.
+// A watch that stays behind is given up and begun again.
+func (f *Follower) Compare(now time.Time, theirs object.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case theirs <= f.Newest():
+	case f.behind.IsZero():
+		f.behind = now
+	case now.Sub(f.behind) > pokeDelay && f.interrupt != nil:
+		f.interrupt(errBehind)
+		f.behind = time.Time{}
+	}
+}
+
+func (f *Follower) saw(objects ...object.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range objects {
+		f.newest.Store(max(f.newest.Load(), uint64(o.Version)))
+	}
+	f.behind = time.Time{}
+}
+
+// watching returns a context that Compare can end.
+func (f *Follower) watching(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	f.mu.Lock()
+	f.interrupt = cancel
+	f.mu.Unlock()
+	return ctx, func() { cancel(nil) }
 }
 
 // New returns a follower; Run starts it.
@@ -82,11 +131,18 @@
 		}
 		f.succeeded()
 		f.version = version
+		f.saw(objects...)
 		f.sink.Replace(objects, f.wasAway())
 		f.log.Debug().Str("event", "store.listed").Uint64("version", uint64(version)).Int("objects", len(objects)).Msg("objects listed")
 		return nil
 	}
-	events, next, err := f.source.WatchSince(ctx, f.settings.Kind, f.version, f.settings.Wait)
+	watching, done := f.watching(ctx)
+	defer done()
+	events, next, err := f.source.WatchSince(watching, f.settings.Kind, f.version, f.settings.Wait())
+	if err != nil && errors.Is(context.Cause(watching), errBehind) {
+		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Uint64("newest", f.newest.Load()).Msg("watch was silent, beginning it again")
+		return nil
+	}
 	if errors.Is(err, object.ErrHistoryGone) {
 		f.log.Info().Str("event", "store.history_gone").Uint64("version", uint64(f.version)).Msg("history is gone, listing again")
 		f.version = 0
@@ -98,6 +154,9 @@
 	f.succeeded()
 	f.version = next
 	if len(events) > 0 {
+		for _, e := range events {
+			f.saw(e.Object)
+		}
 		f.sink.Apply(events, f.wasAway())
 	}
 	return nil
