Leaving: the callers' port closes after the notice; silent watches end with their wait

A watch that was cut without a sign ended only two seconds after its wait (CONFIG). Change: the port closes after 2.5 s, what still arrives is refused; a watch without an answer 0.3 s after its wait begins again.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -90,10 +90,17 @@
 	}
 }
 
+// refuse takes no further connections, and refuses what callers send on others.
+func (c *callerServers) refuse() error {
+	c.gateway.Leave()
+	return c.listener.Close()
+}
+
+// close ends all connections.
 func (c *callerServers) close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	err := c.listener.Close()
+	var err error
 	for _, s := range append(c.former, c.server) {
 		if s != nil {
 			err = errors.Join(err, s.Close())
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -54,6 +54,7 @@
 	current  atomic.Pointer[Current]
 	inFlight atomic.Int64
 	crashes  *crashGuard
+	leaving  atomic.Bool
 
 	mu      sync.Mutex // guards budgets
 	budgets map[string]*retry.Window
@@ -78,6 +79,9 @@
 	return nil
 }
 
+// Leave refuses all requests that arrive from now on.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
 // InFlight returns how many requests of callers are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -92,6 +96,10 @@
 		c.refuse(http.StatusServiceUnavailable, unknownConfigWait, "no configuration yet")
 		return
 	}
+	if g.leaving.Load() {
+		c.refuse(http.StatusServiceUnavailable, leavingWait, "instance is leaving")
+		return
+	}
 	c.target = target(r)
 	path, _, _ := strings.Cut(c.target, "?")
 	if c.route = current.Table.Match(r.Host, path); c.route == nil {
@@ -109,6 +117,10 @@
 // surely knows the configuration.
 const unknownConfigWait = 500 * time.Millisecond
 
+// leavingWait is the time after which a caller that met an instance that is
+// leaving comes back, to another one.
+const leavingWait = 50 * time.Millisecond
+
 // target returns path and query as the caller sent them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,7 +125,7 @@
 	// kind, and tells the others what it finds: it bounds how long watches that
 	// have all gone silent hide a change, well below the two seconds within which
 	// a configuration has to be in force.
-	pollEvery = 700 * time.Millisecond
+	pollEvery = 500 * time.Millisecond
 	// maxWatch bounds a watch in large fleets.
 	maxWatch = 25 * time.Second
 	// pauses gather changes in quick succession into one answer of the store.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -19,7 +19,9 @@
 
 const (
 	// noticeTime is how long an instance that leaves still takes new connections:
-	// the platform asks for readiness each second and needs two misses.
+	// the platform asks for readiness each second and needs two misses. Then it
+	// closes its port, as the platform may go on to send callers here where an
+	// availability zone has too few other instances.
 	noticeTime = 2500 * time.Millisecond
 	// graceMargin is kept between the last answer and the platform's SIGKILL.
 	graceMargin = 400 * time.Millisecond
@@ -139,11 +141,12 @@
 	began := time.Now()
 	n.stopping.Store(true)
 	callers.leave()
-	end := began.Add(n.bounds.Load().Grace - graceMargin)
-	for time.Now().Before(end) {
-		if n.gateway.InFlight() == 0 && time.Since(began) > noticeTime {
-			return
-		}
+	grace := n.bounds.Load().Grace
+	time.Sleep(min(noticeTime, grace/3))
+	if err := callers.refuse(); err != nil {
+		n.log.Warn().Err(err).Str("event", "listener.failed").Msg("callers' port was not closed")
+	}
+	for n.gateway.InFlight() > 0 && time.Since(began) < grace-graceMargin {
 		time.Sleep(drainStep)
 	}
 }
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -57,6 +57,7 @@
 
 	version    object.Version // zero when a list is needed
 	failures   int
+	silent     bool // the last watch was not answered
 	returnedAt time.Time
 	newest     atomic.Uint64 // version of the newest object seen
 
@@ -143,6 +144,11 @@
 		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Uint64("newest", f.newest.Load()).Msg("watch was silent, beginning it again")
 		return nil
 	}
+	if errors.Is(err, object.ErrSilent) && !f.silent {
+		f.silent = true // once: a store that stays silent is lost
+		f.log.Info().Str("event", "store.silent").Uint64("version", uint64(f.version)).Msg("watch was not answered, beginning it again")
+		return nil
+	}
 	if errors.Is(err, object.ErrHistoryGone) {
 		f.log.Info().Str("event", "store.history_gone").Uint64("version", uint64(f.version)).Msg("history is gone, listing again")
 		f.version = 0
@@ -152,7 +158,7 @@
 		return err
 	}
 	f.succeeded()
-	f.version = next
+	f.version, f.silent = next, false
 	if len(events) > 0 {
 		for _, e := range events {
 			f.saw(e.Object)
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -83,9 +83,15 @@
 	query  url.Values
 	body   []byte
 	limit  int64
-	extra  time.Duration // waited beyond the timeout
+	extra  time.Duration // longest wait of a watch
+
+	watches bool // waits for a change; its answer comes at the latest after extra
 }
 
+// watchSlack is how long the answer to a watch may take after its wait is over. A
+// watch without an answer by then has been cut off without a sign.
+const watchSlack = 300 * time.Millisecond
+
 // Get implements object.Reader.
 func (c *Client) Get(ctx context.Context, kind object.Kind, name object.Name) (object.Object, error) {
 	const step errs.Step = "get object"
@@ -157,7 +163,7 @@
 	const step errs.Step = "watch objects"
 	body, err := c.do(ctx, call{
 		step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.WatchQuery(after, wait),
-		limit: maxListBytes, extra: wait,
+		limit: maxListBytes, watches: true, extra: wait,
 	})
 	if err != nil {
 		return nil, after, err
@@ -230,7 +236,11 @@
 
 // do performs one call and maps its outcome to the errors of package object.
 func (c *Client) do(ctx context.Context, k call) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.extra)
+	limit := c.timeout
+	if k.watches {
+		limit = k.extra + watchSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	started := time.Now()
 	body, err := c.send(ctx, k)
@@ -247,6 +257,9 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		if k.watches && errors.Is(err, context.DeadlineExceeded) {
+			return nil, errors.Join(object.ErrSilent, err)
+		}
 		return nil, lostAnswer(k, err)
 	}
 	defer func() { _ = response.Body.Close() }()
