--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -24,10 +24,13 @@
 
 // Record is the content of the lease object.
 type Record struct {
-	Holder   string         `json:"holder"` // instance, empty when released
-	Nonce    string         `json:"nonce"`  // of the holder's process
-	Released bool           `json:"released"`
-	Version  object.Version `json:"-"`
+	Holder   string `json:"holder"` // instance, empty when released
+	Nonce    string `json:"nonce"`  // of the holder's process
+	Released bool   `json:"released"`
+	// Writes counts the holder's writes: one that changes nothing makes no version,
+	// and would look like a holder that is gone.
+	Writes  uint64         `json:"writes"`
+	Version object.Version `json:"-"`
 }
 
 // Step is what to do next.
@@ -56,6 +59,7 @@
 	fence   object.Version // zero if not held
 	sentAt  time.Duration  // when the last successful write was sent
 	actFrom time.Duration
+	writes  uint64
 }
 
 // New returns the view of an instance that knows nothing yet.
@@ -163,8 +167,11 @@
 	}
 }
 
-// Own returns the record that a write of this instance carries.
-func (l *Lease) Own() Record { return Record{Holder: l.instance, Nonce: l.nonce} }
+// Own returns the record for the next write of this instance.
+func (l *Lease) Own() Record {
+	l.writes++
+	return Record{Holder: l.instance, Nonce: l.nonce, Writes: l.writes}
+}
 
 // Version returns the version that a write must find, zero for none.
 func (l *Lease) Version() object.Version { return l.record.Version }
--- a/internal/standin/objectapi/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -4,6 +4,7 @@
 package objectapi
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -177,6 +178,9 @@
 		m.counts.Conflicts++
 		return 0, answer(loseAnswer, object.ErrConflict)
 	}
+	if old, ok := m.objects[k]; ok && bytes.Equal(old.Data, data) {
+		return old.Version, answer(loseAnswer, nil) // a write that changes nothing makes no version
+	}
 	m.version++
 	o := object.Object{Kind: k.kind, Name: k.name, Version: m.version, Data: slices.Clone(data)}
 	m.objects[k] = o
