Placement by utilization of engines; last replicas stay; admission against the whole target

Change: cost of an engine by its utilization, measured capacity, adapter slots as work; only residents allow an eviction; models stay 8 s; adapters are ordered during loads. Admission compares the expected time with the whole target.

--- a/internal/coordination/dispatch/admission.go
+++ b/internal/coordination/dispatch/admission.go
@@ -12,14 +12,14 @@
 
 // Patience bounds what a caller waits for the first byte.
 type Patience struct {
-	Target time.Duration // time within which the answer has its full worth
+	Target time.Duration // time from the request's arrival within which the answer has its full worth
 	Left   time.Duration // until the caller's deadline, or until it gives up
 }
 
 const (
 	// lateShare is the multiple of the target up to which a late answer is still
 	// started. Beyond it the engine's time serves others that are still on time.
-	lateShare = 1.5
+	lateShare = 1.2
 	// leftShare is the share of the caller's remaining time within which the first
 	// byte must be expected, so that the rest of the answer fits.
 	leftShare = 0.8
--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -2,27 +2,51 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"savoryweir/internal/state/fleet"
 )
 
 const (
-	// gainFromStore and gainFromDisk are the shares by which a load must lower the
-	// imbalance of work, above the noise of demand measured over some seconds.
-	gainFromStore = 0.10
+	// gainFromStore and gainFromDisk are the least gains of a load, in squared
+	// utilization of an engine: a load from the store takes seconds in which the
+	// demand moves on, and counts against the ceiling of all engines.
+	gainFromStore = 0.12
 	gainFromDisk  = 0.05
+	// busyFrom is the utilization beyond which requests wait noticeably for one
+	// another, and busyWeight how much more it counts from there on.
+	busyFrom   = 0.5
+	busyWeight = 4.0
 	// busiestConsidered bounds the models for which a further replica is weighed
 	// in one plan, so that a plan stays below a millisecond for hundreds of models.
 	busiestConsidered = 16
-	// idleWork is the work, in prompt tokens a second, that a model without
-	// requests counts with, so that replicas of idle models are not all given up.
-	idleWork = 1.0
+	// idleWork is the utilization that a model without requests counts with, so
+	// that replicas of idle models are not all given up.
+	idleWork = 0.0005
+	// adapterTime is how long a request occupies an adapter slot: a long answer.
+	adapterTime = 2 * time.Second
+	// fullSlots is the utilization that an engine counts with when all its adapter
+	// slots are in use.
+	fullSlots = 0.4
 )
 
-func (p *planner) work(model string) float64 { return max(p.Work[model], idleWork) }
+// work returns the part of an engine's capacity that a model's requests need.
+func (p *planner) work(model string) float64 {
+	return max(p.Work[model]/max(p.Capacity, 1), p.adapterWork[model], idleWork)
+}
+
+// addAdapterWork counts the adapter slots that a model's requests occupy.
+func (p *planner) addAdapterWork() {
+	p.adapterWork = make(map[string]float64)
+	for key, rate := range p.Adapters {
+		occupied := 1 - math.Exp(-rate*adapterTime.Seconds())
+		p.adapterWork[key.Model] += occupied * fullSlots / float64(max(p.Class.AdapterSlots, 1))
+	}
+}
 
-// load returns the work of an engine if each model's work is shared evenly.
+// load returns the utilization of an engine if each model's work is shared evenly.
 func (p *planner) load(i int) float64 {
 	sum := 0.0
 	for m := range p.states[i].models {
@@ -31,6 +55,12 @@
 	return sum
 }
 
+// cost weighs the utilization of an engine.
+func cost(utilization float64) float64 {
+	over := max(utilization-busyFrom, 0)
+	return utilization*utilization + busyWeight*over*over
+}
+
 // placeModels loads missing models first, then further replicas of busy ones.
 func (p *planner) placeModels() {
 	for _, m := range p.missing() {
@@ -72,7 +102,7 @@
 	best, found := move{}, false
 	for i := range p.states {
 		for _, mv := range p.moves(i, m) {
-			if mv.evict != "" && p.replica[mv.evict] < 2 && p.Work[mv.evict] >= p.Work[m.Name] {
+			if mv.evict != "" && p.resident[mv.evict] < 2 && p.Work[mv.evict] >= p.Work[m.Name] {
 				continue // it would only change which model is missing
 			}
 			mv.gain = -p.loadAfter(mv, m)
@@ -96,11 +126,11 @@
 func (p *planner) loadAfter(mv move, m *fleet.Model) float64 {
 	after := p.load(mv.engine) + p.work(m.Name)/float64(p.replica[m.Name]+1)
 	if mv.evict != "" {
-		after -= p.work(mv.evict) / float64(p.replica[mv.evict])
+		after -= p.work(mv.evict) / float64(max(p.replica[mv.evict], 1))
 		after += p.work(mv.evict) / float64(max(p.replica[mv.evict]-1, 1))
 	}
 	if !mv.disk {
-		after *= 1 + gainFromStore
+		after += gainFromStore
 	}
 	return after
 }
@@ -108,7 +138,7 @@
 // moves returns the ways to load a model on an engine.
 func (p *planner) moves(i int, m *fleet.Model) []move {
 	st := &p.states[i]
-	if st.used || st.models[m.Name] || st.Upstream.Holds(m.Name, "") || st.Loading != "" {
+	if st.used || st.moving || st.models[m.Name] || st.Upstream.Holds(m.Name, "") || st.Loading != "" {
 		return nil
 	}
 	disk := st.hasOwnCopy(m.Name)
@@ -121,7 +151,7 @@
 	var list []move
 	for other := range st.models {
 		size := p.Class.Model(other)
-		if size != nil && st.free-p.reserveMB()+size.WeightsMB >= m.WeightsMB {
+		if size != nil && !st.Fresh[other] && st.Upstream.Holds(other, "") && st.free-p.reserveMB()+size.WeightsMB >= m.WeightsMB {
 			list = append(list, move{engine: i, evict: other, disk: disk})
 		}
 	}
@@ -131,25 +161,22 @@
 // addReplica performs the move that lowers the imbalance most, if one is worth it.
 func (p *planner) addReplica() bool {
 	loads := make([]float64, len(p.states))
-	total := 0.0
 	for i := range p.states {
 		loads[i] = p.load(i)
-		total += loads[i] * loads[i]
 	}
 	var best move
 	var bestModel *fleet.Model
 	for _, m := range p.busiest() {
 		for i := range p.states {
 			for _, mv := range p.moves(i, m) {
-				if mv.evict != "" && p.replica[mv.evict] < 2 {
+				if mv.evict != "" && p.resident[mv.evict] < 2 {
 					continue
 				}
-				mv.gain = p.gain(loads, mv, m) / max(total, 1)
-				need := gainFromStore
+				mv.gain = p.gain(loads, mv, m) - gainFromStore
 				if mv.disk {
-					need = gainFromDisk
+					mv.gain += gainFromStore - gainFromDisk
 				}
-				if mv.gain > need && mv.gain > best.gain {
+				if mv.gain > best.gain {
 					best, bestModel = mv, m
 				}
 			}
@@ -166,7 +193,7 @@
 func (p *planner) busiest() []*fleet.Model {
 	var list []*fleet.Model
 	for i := range p.Class.Models {
-		if m := &p.Class.Models[i]; p.Work[m.Name] > idleWork && p.replica[m.Name] > 0 {
+		if m := &p.Class.Models[i]; p.work(m.Name) > idleWork && p.replica[m.Name] > 0 {
 			list = append(list, m)
 		}
 	}
@@ -175,7 +202,7 @@
 	return list[:min(len(list), busiestConsidered)]
 }
 
-// gain returns by how much a move lowers the sum of the squared work of engines.
+// gain returns by how much a move lowers the cost over all engines.
 func (p *planner) gain(loads []float64, mv move, m *fleet.Model) float64 {
 	r := float64(p.replica[m.Name])
 	less := p.work(m.Name)/r - p.work(m.Name)/(r+1)
@@ -198,7 +225,7 @@
 				after += more
 			}
 		}
-		sum += loads[i]*loads[i] - after*after
+		sum += cost(loads[i]) - cost(after)
 	}
 	return sum
 }
@@ -211,6 +238,7 @@
 		p.act(mv.engine, Action{Model: mv.evict, For: m.Name, Reason: ReasonRoom})
 		delete(st.models, mv.evict)
 		p.replica[mv.evict]--
+		p.resident[mv.evict]--
 	} else {
 		p.act(mv.engine, Action{Load: true, Model: m.Name, FromDisk: mv.disk, Reason: why})
 	}
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -18,10 +18,14 @@
 type Engine struct {
 	Upstream *fleet.Upstream
 	Ready    bool   // takes orders: not leaving, and none of ours is under way
+	Moving   bool   // an order for a model is under way; adapters may still be ordered
 	Loading  string // model that is being loaded, or for which room is made; empty for none
 	// Retired are models that no instance sends requests for any more, as they
 	// are about to be unloaded.
 	Retired map[string]bool
+	// Fresh are models that were loaded a short while ago; they are not evicted, so
+	// that noise in the demand does not move models to and fro.
+	Fresh map[string]bool
 }
 
 // Snapshot is what a plan is made from.
@@ -32,6 +36,7 @@
 	Adapters map[AdapterKey]float64 // requests a second
 	Wanted   map[AdapterKey]bool    // requests wait for these; an empty adapter names the model
 	Loads    int                    // loads from the weight store that may begin now
+	Capacity float64                // prompt tokens that an engine reads in a second
 }
 
 // Action is one order to an engine.
@@ -71,9 +76,11 @@
 
 type planner struct {
 	Snapshot
-	states  []engineState
-	replica map[string]int // engines that hold or load the model and take requests
-	actions []Action
+	states      []engineState
+	replica     map[string]int     // engines that hold or load the model and take requests
+	resident    map[string]int     // engines that hold the model now and take requests
+	adapterWork map[string]float64 // utilization by the adapters of a model
+	actions     []Action
 }
 
 type engineState struct {
@@ -81,23 +88,28 @@
 	models map[string]bool // that count as held after the actions planned so far
 	free   float64         // MB
 	used   bool            // has an order in this plan, or can't take one
+	moving bool            // can't take an order for a model
 }
 
 func newPlanner(s Snapshot) *planner {
-	p := &planner{Snapshot: s, replica: make(map[string]int)}
+	p := &planner{Snapshot: s, replica: make(map[string]int), resident: make(map[string]int)}
 	for _, e := range s.Engines {
 		p.states = append(p.states, p.state(e))
 	}
 	for i := range p.states {
 		for m := range p.states[i].models {
 			p.replica[m]++
+			if p.states[i].Upstream.Holds(m, "") {
+				p.resident[m]++
+			}
 		}
 	}
+	p.addAdapterWork()
 	return p
 }
 
 func (p *planner) state(e Engine) engineState {
-	st := engineState{Engine: e, models: make(map[string]bool), free: p.Class.WeightsMB, used: !e.Ready}
+	st := engineState{Engine: e, models: make(map[string]bool), free: p.Class.WeightsMB, used: !e.Ready, moving: e.Moving}
 	add := func(name string) {
 		if m := p.Class.Model(name); m != nil {
 			st.free -= m.WeightsMB
@@ -139,7 +151,7 @@
 func (p *planner) finishMoves() {
 	for i := range p.states {
 		st := &p.states[i]
-		if st.used {
+		if st.used || st.moving {
 			continue
 		}
 		if retired := st.retiredResident(); retired != "" {
@@ -149,7 +161,7 @@
 		if st.Loading == "" || st.Upstream.Holds(st.Loading, "") {
 			continue
 		}
-		st.used = true // reserved for the model that is coming
+		st.moving = true // reserved for the model that is coming
 		disk := st.hasOwnCopy(st.Loading)
 		if st.free < 0 || !disk && p.Loads <= 0 {
 			continue
--- a/internal/node/gateway/residency.go
+++ b/internal/node/gateway/residency.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// adapterWait is how long a request waits for an adapter: an order to the
-	// holder and from it to the engine, the load, and one repeat of all of them.
-	adapterWait = 400 * time.Millisecond
+	// adapterWait is how long a request waits for an adapter: several turns of the
+	// engine's slots at the load time of an adapter and the way of its order.
+	adapterWait = time.Second
 	// askAgain is the time between two askings of the holder, as datagrams may be lost.
 	askAgain = 60 * time.Millisecond
 	// loadShare is the multiple of a model's load time that is allowed for the
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -33,13 +33,13 @@
 func (c *call) patience() dispatch.Patience {
 	bears := max(callerPause, callerTargets*c.route.Target, callerGaps*c.route.GapTarget)
 	given := min(time.Until(c.due), time.Until(c.arrived.Add(bears)))
-	return dispatch.Patience{Target: c.route.Target - time.Since(c.arrived), Left: given}
+	return dispatch.Patience{Target: c.route.Target, Left: given}
 }
 
 // serveStream serves a request that is answered by events.
 func (c *call) serveStream(ctx context.Context) {
 	if c.engines != nil && c.wire.Model != "" {
-		c.gateway.Count(c.service, c.wire.Model, c.wire.Adapter, c.wire.PromptTokens+c.outputTokens())
+		c.gateway.Count(c.service, c.wire.Model, c.wire.Adapter, c.ownTokens()+c.outputTokens())
 	}
 	for {
 		f, ok := c.chooseEngine(ctx)
@@ -57,6 +57,16 @@
 	}
 }
 
+// ownTokens returns the prompt tokens that other requests do not share: all but
+// the parts before the last.
+func (c *call) ownTokens() int {
+	own := c.wire.PromptTokens
+	for i := 0; i < len(c.wire.Parts)-1; i++ {
+		own -= c.wire.Parts[i].Tokens
+	}
+	return max(own, 1)
+}
+
 // outputTokens returns the tokens that the answer is likely to have.
 func (c *call) outputTokens() int {
 	if c.wire.LengthHint > 0 {
@@ -86,7 +96,7 @@
 		p := c.patience()
 		if verdict := dispatch.Admit(f.expected, p); !verdict.Admit {
 			g.Log.Info().Str("event", "request.shed").Str("request", c.wire.ID).Str("route", c.route.Name).
-				Str("upstream", string(f.upstream.ID)).Dur("expected", f.expected).Int("unread_tokens", f.ahead).Int("running", f.running).
+				Str("upstream", string(f.upstream.ID)).Str("model", c.wire.Model).Dur("expected", f.expected).Int("unread_tokens", f.ahead).Int("running", f.running).
 				Dur("target", p.Target).Dur("left", p.Left).Dur("retry_after", verdict.RetryAfter).Msg("request refused")
 			c.refuse(http.StatusServiceUnavailable, verdict.RetryAfter, "overloaded")
 			return nil, false
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -72,6 +72,13 @@
 	t.cached.Keep(listed)
 }
 
+// Capacity returns the prompt tokens that an engine of a service reads in a second.
+func (t *Tracker) Capacity(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.speed(service).TokensPerMs * 1000
+}
+
 func (t *Tracker) speed(service string) dispatch.Speed {
 	s, ok := t.speeds[service]
 	if !ok {
--- a/internal/node/steward/lanes.go
+++ b/internal/node/steward/lanes.go
@@ -19,16 +19,24 @@
 	pending   *steering.Action // order for a model that is being carried out
 	doneBy    time.Time        // when the pending order should be done
 	retired   map[string]time.Time
+	loaded    map[string]time.Time // when models were ordered that are there, or coming
 }
 
 // retireWait is the time between the announcement that a model leaves an engine
 // and its unload, so that requests on their way still find it.
 const retireWait = 150 * time.Millisecond
 
+// adapterRetireWait is the same for adapters, whose requests are few: a datagram's way.
+const adapterRetireWait = 10 * time.Millisecond
+
 // overdueLoad is the time beyond the load time of a model after which the engine
 // is asked what became of the order.
 const overdueLoad = time.Second
 
+// minResidence is how long a model stays at least where it was loaded: twice the
+// time of a load from the weight store.
+const minResidence = 8 * time.Second
+
 // merge takes what has changed in the engine's entry in the store.
 func (l *lane) merge(entry *fleet.Upstream) {
 	if entry.Entry <= l.upstream.Entry || l.inFlight {
@@ -77,12 +85,19 @@
 func (l *lane) snapshot(now time.Time) steering.Engine {
 	e := steering.Engine{
 		Upstream: &l.upstream,
-		Ready:    l.confirmed && !l.inFlight && l.pending == nil && !l.upstream.Busy && !l.upstream.Draining && now.After(l.waitUntil),
+		Ready:    l.confirmed && !l.inFlight && !l.upstream.Draining && now.After(l.waitUntil),
+		Moving:   l.pending != nil || l.upstream.Busy,
 		Loading:  l.loading, Retired: make(map[string]bool, len(l.retired)),
 	}
 	for model := range l.retired {
 		e.Retired[model] = true
 	}
+	e.Fresh = make(map[string]bool)
+	for model, at := range l.loaded {
+		if now.Sub(at) < minResidence {
+			e.Fresh[model] = true
+		}
+	}
 	return e
 }
 
--- a/internal/node/steward/orders.go
+++ b/internal/node/steward/orders.go
@@ -31,7 +31,11 @@
 	item := registry.Item{Upstream: u.ID, Model: a.Model, Adapter: a.Adapter}
 	if !a.Load {
 		s.announce(item, false)
-		pause(ctx, retireWait)
+		if a.Adapter != "" {
+			pause(ctx, adapterRetireWait)
+		} else {
+			pause(ctx, retireWait)
+		}
 	}
 	result := s.order(ctx, u, a)
 	if result == platform.OrderAccepted && a.Load && a.Adapter != "" {
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -39,6 +39,8 @@
 	Config   func() *fleet.Config
 	// LoadWindow is the sliding window of the ceiling on loads.
 	LoadWindow func() time.Duration
+	// Capacity returns the prompt tokens that an engine of a service reads in a second.
+	Capacity func(service string) float64
 	// Announce tells the other instances what an order has changed.
 	Announce func(item registry.Item, present bool)
 }
@@ -53,25 +55,28 @@
 	holder     *Holder
 	config     func() *fleet.Config
 	loadWindow func() time.Duration
+	capacity   func(service string) float64
 	tell       func(item registry.Item, present bool)
 	woken      chan struct{}
 
-	mu     sync.Mutex // guards all below
-	demand *steering.Demand
-	wants  map[steering.DemandKey]time.Time
-	lanes  map[fleet.UpstreamID]*lane
-	loads  map[string][]time.Time // beginnings of loads from the weight store, by service
-	acting bool
-	since  time.Time // when this term began
+	mu       sync.Mutex // guards all below
+	demand   *steering.Demand
+	wants    map[steering.DemandKey]time.Time
+	lanes    map[fleet.UpstreamID]*lane
+	loads    map[string][]time.Time // beginnings of loads from the weight store, by service
+	reported map[string]time.Time   // last line on the placement, by service
+	acting   bool
+	since    time.Time // when this term began
 }
 
 // New returns a steward.
 func New(o Options) *Steward {
 	return &Steward{
 		instance: o.Instance, log: o.Log, metrics: o.Metrics, registry: o.Registry, pool: o.Pool, holder: o.Holder,
-		config: o.Config, loadWindow: o.LoadWindow, tell: o.Announce, woken: make(chan struct{}, 1),
+		config: o.Config, loadWindow: o.LoadWindow, capacity: o.Capacity, tell: o.Announce, woken: make(chan struct{}, 1),
 		demand: steering.NewDemand(), wants: make(map[steering.DemandKey]time.Time),
 		lanes: make(map[fleet.UpstreamID]*lane), loads: make(map[string][]time.Time),
+		reported: make(map[string]time.Time),
 	}
 }
 
@@ -160,24 +165,58 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.refresh(ctx, service, now)
-	snapshot := steering.Snapshot{Class: class, Wanted: s.wanted(service, now), Loads: s.loadsLeft(service, class, now)}
+	snapshot := steering.Snapshot{Class: class, Wanted: s.wanted(service, now), Loads: s.loadsLeft(service, class, now), Capacity: s.capacity(service)}
 	snapshot.Work, snapshot.Adapters = s.demand.Rates(now, service)
 	for _, u := range s.registry.View().All(service) {
 		if l := s.lanes[u.ID]; l != nil && !l.upstream.Draining {
 			snapshot.Engines = append(snapshot.Engines, l.snapshot(now))
 		}
 	}
+	s.report(service, snapshot, now)
 	for _, a := range steering.Plan(snapshot) {
 		s.begin(ctx, service, class, a, now)
 	}
 }
 
+// stateInterval is the time between two lines on the placement of models.
+const stateInterval = 2 * time.Second
+
+// report logs what the plans are made from. The caller holds s.mu.
+func (s *Steward) report(service string, snapshot steering.Snapshot, now time.Time) {
+	if now.Sub(s.reported[service]) < stateInterval {
+		return
+	}
+	s.reported[service] = now
+	replicas := make(map[string]int)
+	ready := 0
+	for _, e := range snapshot.Engines {
+		for _, r := range e.Upstream.Models {
+			replicas[r.Model]++
+		}
+		if e.Ready {
+			ready++
+		}
+	}
+	s.log.Info().Str("event", "placement.state").Str("service", service).Int("engines", len(snapshot.Engines)).Int("ready", ready).
+		Int("loads_left", snapshot.Loads).Float64("capacity", snapshot.Capacity).Interface("tokens_per_second", rounded(snapshot.Work)).Interface("replicas", replicas).
+		Int("wanted", len(snapshot.Wanted)).Msg("placement of models")
+}
+
+func rounded(rates map[string]float64) map[string]int {
+	whole := make(map[string]int, len(rates))
+	for name, rate := range rates {
+		whole[name] = int(rate)
+	}
+	return whole
+}
+
 // begin starts an action. The caller holds s.mu.
 func (s *Steward) begin(ctx context.Context, service string, class *fleet.EngineClass, a steering.Action, now time.Time) {
 	l := s.lanes[a.Upstream]
 	l.inFlight = true
 	if a.Load && a.Adapter == "" {
 		l.loading = a.Model
+		l.loaded[a.Model] = now
 		if !a.FromDisk {
 			s.loads[service] = append(s.loads[service], now)
 		}
@@ -201,7 +240,7 @@
 	for _, u := range view.All(service) {
 		l := s.lanes[u.ID]
 		if l == nil {
-			l = &lane{upstream: *u, retired: make(map[string]time.Time)}
+			l = &lane{upstream: *u, retired: make(map[string]time.Time), loaded: make(map[string]time.Time)}
 			s.lanes[u.ID] = l
 		}
 		l.merge(u)
