Steward: an order without an answer is sent again at once; models that are asked for go first

Cause: where workers leave orders unanswered, each lost one cost 1.5 s until the engine's report was read; models that nobody asked for used up loads while a busy one had one replica. Change: the same order with the same count of orders before goes out up to four times, 0.3 s apart; idle missing models wait for spare loads.

--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -61,15 +61,31 @@
 	return utilization*utilization + busyWeight*over*over
 }
 
-// placeModels loads missing models first, then further replicas of busy ones.
+// placeModels loads the missing models that are asked for, then further replicas
+// of busy ones, then the missing models that nobody asks for.
 func (p *planner) placeModels() {
-	for _, m := range p.missing() {
-		p.loadMissing(m)
+	missing := p.missing()
+	for _, m := range missing {
+		if p.isAskedFor(m) {
+			p.loadMissing(m)
+		}
 	}
 	for p.addReplica() {
 	}
+	for _, m := range missing {
+		if !p.isAskedFor(m) && p.Loads > p.reservedLoads() {
+			p.loadMissing(m)
+		}
+	}
 }
 
+func (p *planner) isAskedFor(m *fleet.Model) bool {
+	return p.Work[m.Name] > 0 || p.Wanted[AdapterKey{Model: m.Name}]
+}
+
+// reservedLoads are kept for models that are asked for: those of one second.
+func (p *planner) reservedLoads() int { return int(math.Ceil(p.Class.LoadsPerSecond)) }
+
 // missing returns the models that no engine holds, the wanted ones first, then by work.
 func (p *planner) missing() []*fleet.Model {
 	var list []*fleet.Model
--- a/internal/node/steward/orders.go
+++ b/internal/node/steward/orders.go
@@ -15,8 +15,11 @@
 
 const (
 	// orderTimeout bounds an exchange with an engine: a connection and an answer
-	// with a lost packet each.
-	orderTimeout = 800 * time.Millisecond
+	// with one lost packet.
+	orderTimeout = 300 * time.Millisecond
+	// orderTries is how often an order without an answer is sent. All carry the
+	// same count of orders before, so that at most one is carried out.
+	orderTries = 4
 	// orderBackoff is the pause after an order that did not succeed: an engine's
 	// report is some hundred milliseconds old.
 	orderBackoff = 500 * time.Millisecond
@@ -37,7 +40,10 @@
 			pause(ctx, retireWait)
 		}
 	}
-	result := s.order(ctx, u, a)
+	result := platform.OrderUnknown
+	for try := 0; try < orderTries && result == platform.OrderUnknown; try++ {
+		result = s.order(ctx, u, a)
+	}
 	if result == platform.OrderAccepted && a.Load && a.Adapter != "" {
 		pause(ctx, adapterReady)
 	}
