Placement calmer, pace without bias, admission up to the target

Cause: demand averaged over 2 s moves models to and fro; an engine's pace counted only ratios above one, so that engines looked twice as slow as they were and idle ones refused. Change: averages over 4 s, gain of a load from disk 0.08; the pace is an average of the ratio and counts from twice on; the first byte must be expected within the target.

--- a/internal/coordination/dispatch/admission.go
+++ b/internal/coordination/dispatch/admission.go
@@ -17,9 +17,10 @@
 }
 
 const (
-	// lateShare is the multiple of the target up to which a late answer is still
-	// started. Beyond it the engine's time serves others that are still on time.
-	lateShare = 1.2
+	// lateShare is the multiple of the target up to which the first byte may be
+	// expected. Beyond it the engine's time serves others that are still on time:
+	// it is the same work, and worth less when it is late.
+	lateShare = 1.0
 	// leftShare is the share of the caller's remaining time within which the first
 	// byte must be expected, so that the rest of the answer fits.
 	leftShare = 0.8
--- a/internal/coordination/steering/demand.go
+++ b/internal/coordination/steering/demand.go
@@ -15,7 +15,7 @@
 
 const (
 	// fastWindow follows a demand that moves to another model within seconds.
-	fastWindow = 2 * time.Second
+	fastWindow = 4 * time.Second
 	// slowWindow keeps replicas through short lulls.
 	slowWindow = 8 * time.Second
 	// slowShare is the share of the slow average that counts as demand.
--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -14,7 +14,7 @@
 	// utilization of an engine: a load from the store takes seconds in which the
 	// demand moves on, and counts against the ceiling of all engines.
 	gainFromStore = 0.12
-	gainFromDisk  = 0.05
+	gainFromDisk  = 0.08
 	// busyFrom is the utilization beyond which requests wait noticeably for one
 	// another, and busyWeight how much more it counts from there on.
 	busyFrom   = 0.5
--- a/internal/state/loads/pace.go
+++ b/internal/state/loads/pace.go
@@ -10,8 +10,12 @@
 	// paceWeight is the weight of one observation in the moving averages: ten
 	// observations outweigh what was known before.
 	paceWeight = 0.2
-	// slowMax bounds how slow an upstream is taken to be, so that it is tried again.
-	slowMax = 10.0
+	// ratioMin and slowMax bound one observation, so that an upstream that is taken
+	// to be slow is tried again.
+	ratioMin, slowMax = 0.2, 10.0
+	// slowFrom is the ratio from which an upstream counts as slow; below it the
+	// estimates are as likely to be wrong.
+	slowFrom = 2.0
 	// slowHalfLife is the time within which an upstream that gets no requests is
 	// taken to have half recovered.
 	slowHalfLife = 4 * time.Second
@@ -23,9 +27,10 @@
 
 // Pace is how an upstream answers.
 type Pace struct {
-	Slow       float64 // measured time to the first byte over the expected one, at least 1
+	Slow       float64 // measured time to the first byte over the expected one, 1 unless clearly above
 	AvoidUntil time.Time
-	failures   int // in a row
+	ratio      float64 // moving average of the measured over the expected time
+	failures   int     // in a row
 	measured   time.Time
 }
 
@@ -38,7 +43,7 @@
 func (p *Paces) of(id fleet.UpstreamID) *Pace {
 	pace := p.by[id]
 	if pace == nil {
-		pace = &Pace{Slow: 1}
+		pace = &Pace{Slow: 1, ratio: 1}
 		p.by[id] = pace
 	}
 	return pace
@@ -51,8 +56,11 @@
 		return Pace{Slow: 1}
 	}
 	got := *pace
-	for idle := now.Sub(got.measured); idle > slowHalfLife && got.Slow > 1.01; idle -= slowHalfLife {
-		got.Slow = 1 + (got.Slow-1)/2
+	for idle := now.Sub(got.measured); idle > slowHalfLife && got.ratio > 1.01; idle -= slowHalfLife {
+		got.ratio = 1 + (got.ratio-1)/2
+	}
+	if got.Slow = 1; got.ratio >= slowFrom {
+		got.Slow = got.ratio
 	}
 	return got
 }
@@ -62,8 +70,8 @@
 	pace := p.of(id)
 	pace.failures = 0
 	pace.AvoidUntil = time.Time{}
-	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), 1), slowMax)
-	pace.Slow = p.Get(now, id).Slow*(1-paceWeight) + ratio*paceWeight
+	ratio := min(max(float64(took)/float64(max(expected, time.Millisecond)), ratioMin), slowMax)
+	pace.ratio = p.Get(now, id).ratio*(1-paceWeight) + ratio*paceWeight
 	pace.measured = now
 }
 
