--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,6 +45,25 @@
 	return d.Sum64()
 }
 
+// brokeOff records that an upstream ended the connection while it may have run the
+// request. Other failures are no sign of a crash.
+func (c *call) brokeOff(id fleet.UpstreamID, err error) {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if !ended {
+		return
+	}
+	fingerprint := c.fingerprint()
+	c.gateway.LearnBreak(fingerprint, id)
+	c.gateway.TellBreak(fingerprint, id)
+}
+
+// LearnBreak records that an upstream broke off a request, here or at another instance.
+func (g *Gateway) LearnBreak(fingerprint uint64, id fleet.UpstreamID) {
+	if n := g.crashes.brokeOff(fingerprint, time.Now(), id); n == crashLimit {
+		g.Log.Warn().Str("event", "request.blocked").Uint64("fingerprint", fingerprint).Int("upstreams", n).Msg("request breaks whatever runs it, it is refused from now on")
+	}
+}
+
 func (g *crashGuard) isBlocked(fingerprint uint64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Instances func() int // alive, this one included
 	// Ask tells the holder of orders that a request waits for a model or adapter.
 	Ask func(service, model, adapter string)
+	// TellBreak tells the other instances that an upstream broke off a request.
+	TellBreak func(fingerprint uint64, upstream fleet.UpstreamID)
 	// Count records a request for a model or adapter with the work that it brings.
 	Count func(service, model, adapter string, tokens int)
 }
@@ -382,8 +384,9 @@
 	case failureLost:
 		c.sends++
 		c.mayHaveRun = true
-		if context.Cause(c.request.Context()) == nil {
+		if !c.hasLeft() {
 			a.flight.failed()
+			c.brokeOff(a.flight.upstream.ID, a.err)
 		}
 	case failureNone:
 		c.sends++
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -73,6 +73,7 @@
 	case err != nil:
 		f.failed()
 		c.logBroken(a, err)
+		c.brokeOff(f.upstream.ID, err)
 		return true, "answer broke off"
 	case len(body) > heldAnswerBytes:
 		f.answered()
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -247,7 +247,7 @@
 	}
 	a.flight.failed()
 	if cause == nil {
-		c.gateway.crashes.brokeOff(c.fingerprint(), time.Now(), a.flight.upstream.ID)
+		c.brokeOff(a.flight.upstream.ID, err)
 	}
 	if !c.route.IsRepeatable() {
 		c.mayHaveRun = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,7 +89,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Zone: n.settings.Instance.Zone, Log: logging.For(n.log, "gateway"), Metrics: n.metrics,
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, Retry: n.retryBounds, Instances: n.instances,
-		Ask: n.reports.ask, Count: n.reports.count,
+		Ask: n.reports.ask, Count: n.reports.count, TellBreak: n.reports.tellBreak,
 	})
 	leases := steward.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n})
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -84,6 +84,11 @@
 	}}})
 }
 
+// tellBreak tells the other instances that an upstream broke off a request.
+func (r *reporter) tellBreak(fingerprint uint64, upstream fleet.UpstreamID) {
+	r.node.mesh.Broadcast(&pb.FleetMessage{Breaks: []*pb.RequestBreak{{Fingerprint: fingerprint, Upstream: string(upstream)}}})
+}
+
 func (r *reporter) run(ctx context.Context) {
 	var last map[fleet.UpstreamID]loads.Load
 	var told seen
@@ -152,7 +157,7 @@
 		r.holder, r.holderAt = m.Instance, time.Now()
 		r.mu.Unlock()
 	}
-	if len(m.Demands) == 0 && len(m.Wants) == 0 && len(m.Changes) == 0 {
+	if m.NewestUpstream > 0 { // a report of loads; other messages carry none
 		r.node.tracker.Learn(m.Instance, decodeLoads(m.Loads))
 	}
 	if len(m.Demands) > 0 {
@@ -167,6 +172,9 @@
 	for _, w := range m.Wants {
 		r.node.steward.Want(steering.DemandKey{Service: w.Service, Model: w.Model, Adapter: w.Adapter})
 	}
+	for _, b := range m.Breaks {
+		r.node.gateway.LearnBreak(b.Fingerprint, fleet.UpstreamID(b.Upstream))
+	}
 	for _, c := range m.Changes {
 		item := registry.Item{Upstream: fleet.UpstreamID(c.Upstream), Model: c.Model, Adapter: c.Adapter}
 		if c.Present {
