Store: two instances follow it and tell the others

Ruled out: longer pauses between watches, which delay drains. Change: the first two instances by name that reach the store follow it and send what they see; others ask the store only when they are behind by versions for 0.3 s, or hear nobody who follows it. Instances are listed at the start and heard from then on.

--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -66,35 +66,35 @@
 	}, nil
 }
 
-// SetPeers replaces the addresses of the other instances.
-func (m *Mesh) SetPeers(peers map[string]netip.AddrPort) {
+// AddPeers adds addresses of other instances.
+func (m *Mesh) AddPeers(peers map[string]netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers = peers
-	for instance := range m.heard {
-		if _, ok := peers[instance]; !ok {
-			delete(m.heard, instance)
+	for instance, address := range peers {
+		if instance != m.instance {
+			m.peers[instance] = address
 		}
 	}
 }
 
-// Known returns how many other instances are listed.
-func (m *Mesh) Known() int {
+// Forget drops the instances that were not heard of since a time, unless they are
+// listed.
+func (m *Mesh) Forget(since time.Time, listed map[string]netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.peers)
+	for instance := range m.peers {
+		if _, ok := listed[instance]; !ok && m.heard[instance].at.Before(since) {
+			delete(m.peers, instance)
+			delete(m.heard, instance)
+		}
+	}
 }
 
-// Rank returns the place of this instance among all by name, and their number.
-func (m *Mesh) Rank() (rank, of int) {
+// Known returns how many other instances are listed.
+func (m *Mesh) Known() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for instance := range m.peers {
-		if instance < m.instance {
-			rank++
-		}
-	}
-	return rank, len(m.peers) + 1
+	return len(m.peers)
 }
 
 // Alive returns how many other instances were heard of lately.
@@ -162,7 +162,7 @@
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := m.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -170,24 +170,24 @@
 			m.log.Warn().Err(err).Str("event", "mesh.failed").Msg("datagram was not read")
 			continue
 		}
-		m.receive(buffer[:n])
+		m.receive(buffer[:n], from)
 	}
 }
 
-func (m *Mesh) receive(data []byte) {
+func (m *Mesh) receive(data []byte, from netip.AddrPort) {
 	var message pb.FleetMessage
 	if err := proto.Unmarshal(data, &message); err != nil {
 		m.log.Warn().Err(err).Str("event", "mesh.foreign").Msg("datagram was not understood")
 		return
 	}
-	if message.Instance == m.instance || !m.isNews(&message) {
+	if message.Instance == m.instance || !m.isNews(&message, from) {
 		return
 	}
 	m.handler.Receive(&message)
 }
 
 // isNews reports whether no later datagram of the process has been received.
-func (m *Mesh) isNews(message *pb.FleetMessage) bool {
+func (m *Mesh) isNews(message *pb.FleetMessage, from netip.AddrPort) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last := m.heard[message.Instance]
@@ -195,6 +195,7 @@
 		message.Incarnation == last.incarnation && message.Sequence <= last.sequence {
 		return false
 	}
+	m.peers[message.Instance] = from // also of instances that are not listed yet
 	m.heard[message.Instance] = heard{at: time.Now(), incarnation: message.Incarnation, sequence: message.Sequence}
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,14 +51,15 @@
 	holder   *steward.Holder
 	reports  *reporter
 
-	followConfig, followUpstreams, followInstances *storewatch.Follower
+	followConfig, followUpstreams *storewatch.Follower
 
+	started  time.Time
 	stopping atomic.Bool
 }
 
 // New returns a node that is ready to run. lines takes its log.
 func New(s Settings, lines *logging.Bounded) (*Node, error) {
-	n := &Node{settings: s, lines: lines, log: logging.NewOver(lines, s.Log, "node", s.Instance.ID)}
+	n := &Node{settings: s, lines: lines, started: time.Now(), log: logging.NewOver(lines, s.Log, "node", s.Instance.ID)}
 	n.bounds.Store(&s.Bounds)
 	n.metrics = telemetry.New(lines.Dropped)
 	store, err := storeclient.New(s.Store)
@@ -92,9 +93,8 @@
 		Ask: n.reports.ask, Count: n.reports.count, TellBreak: n.reports.tellBreak,
 	})
 	leases := steward.LeaseSettings(n.settings.Bounds.TurnGap)
-	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n})
-	n.followUpstreams = n.follow(platform.KindEngines, upstreamPause, upstreamSink{n})
-	n.followInstances = n.follow(object.KindInstances, instancePause, &instanceSink{node: n})
+	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n}, false)
+	n.followUpstreams = n.follow(platform.KindEngines, upstreamPause, upstreamSink{n}, true)
 	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, leases, n.settings.Instance.ID, uuid.NewString())
 	n.steward = steward.New(steward.Options{
 		Instance: n.settings.Instance.ID, Log: logging.For(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
@@ -126,30 +126,47 @@
 	// have all gone silent hide a change, well below the two seconds within which
 	// a configuration has to be in force.
 	pollEvery = 500 * time.Millisecond
-	// maxWatch bounds a watch in large fleets.
+	// maxWatch bounds a watch.
 	maxWatch = 25 * time.Second
-	// pauses gather changes in quick succession into one answer of the store.
-	configPause   = 20 * time.Millisecond
+	// Pauses gather changes in quick succession into one answer of the store.
+	configPause   = 100 * time.Millisecond
 	upstreamPause = 150 * time.Millisecond
-	instancePause = time.Second
+	// A store that does not answer is called ten times a second by all instances
+	// together, and by each within these bounds.
+	retryPerInstance = 100 * time.Millisecond
+	retryFloor       = 300 * time.Millisecond
+	retryCeiling     = 3 * time.Second
 )
 
-// watchTurn returns the wait of a watch, so that the watches of all instances end
-// one after the other, though they begin together after a change: first by the
-// rank of this instance, then the time of a whole round.
-func (n *Node) watchTurn(f *storewatch.Follower, last *object.Version) time.Duration {
-	rank, of := n.mesh.Rank()
-	if newest := f.Newest(); newest != *last {
+// watchTurn returns the wait of a watch, so that the watches of the instances that
+// watch end one after the other, though they begin together after a change: first
+// by the rank of this instance, then the time of a whole round.
+func (n *Node) watchTurn(newest object.Version, last *object.Version) time.Duration {
+	rank, of := n.reports.watcherRank(time.Now())
+	if newest != *last {
 		*last = newest
 		return min(time.Duration(rank+1)*pollEvery, maxWatch)
 	}
 	return min(time.Duration(of)*pollEvery, maxWatch)
 }
 
-func (n *Node) follow(kind object.Kind, pause time.Duration, sink storewatch.Sink) *storewatch.Follower {
+// storeRetry returns the pause before an instance calls a store again that does
+// not answer. Whoever is answered first tells the others.
+func (n *Node) storeRetry() time.Duration {
+	return min(max(time.Duration(n.instances())*retryPerInstance, retryFloor), retryCeiling)
+}
+
+func (n *Node) follow(kind object.Kind, pause time.Duration, sink storewatch.Sink, relay bool) *storewatch.Follower {
 	var f *storewatch.Follower
 	var last object.Version
-	s := storewatch.Settings{Kind: kind, Pause: pause, Wait: func() time.Duration { return n.watchTurn(f, &last) }}
+	s := storewatch.Settings{
+		Kind: kind, Pause: pause, Retry: n.storeRetry,
+		Wait:    func() time.Duration { return n.watchTurn(f.Newest(), &last) },
+		Watches: func() bool { return n.reports.watches(time.Now()) },
+	}
+	if relay {
+		s.Relay = n.reports.relay
+	}
 	f = storewatch.New(s, n.store, sink, logging.For(n.log, "store"))
 	return f
 }
@@ -159,7 +176,7 @@
 	return map[string]func(context.Context){
 		"config":    n.followConfig.Run,
 		"upstreams": n.followUpstreams.Run,
-		"instances": n.followInstances.Run,
+		"instances": n.listInstances,
 		"register":  n.register,
 		"mesh":      n.mesh.Run,
 		"reports":   n.reports.run,
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -109,6 +109,9 @@
 
 func (r *Registry) put(u fleet.Upstream) {
 	old, known := r.entries[u.ID]
+	if known && old.upstream.Entry > u.Entry {
+		return
+	}
 	restarted := known && !old.upstream.Born.Equal(u.Born)
 	if restarted {
 		r.dropCorrections(u.ID)
@@ -120,11 +123,14 @@
 	r.entries[u.ID] = entry{upstream: u}
 }
 
-// Remove records that an entry is gone. It stays in use until complete, as entries
-// may lapse while the store is away.
-func (r *Registry) Remove(id fleet.UpstreamID, complete time.Time) {
+// Remove records that an entry is gone since a version of the store. It stays in
+// use until complete, as entries may lapse while the store is away.
+func (r *Registry) Remove(id fleet.UpstreamID, version uint64, complete time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.entries[id].upstream.Entry > version {
+		return // the upstream has written its entry anew since
+	}
 	r.remove(id, complete)
 	r.publish()
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -39,12 +39,14 @@
 	changed  map[steering.DemandKey]bool
 	holder   string // instance that was last heard to give orders
 	holderAt time.Time
+	relays   map[string]time.Time // instances that follow the store, when last heard
 }
 
 func newReporter(n *Node) *reporter {
 	return &reporter{
 		node: n, begun: time.Now().UnixMilli(),
 		counts: make(map[steering.DemandKey]steering.Counts), changed: make(map[steering.DemandKey]bool),
+		relays: make(map[string]time.Time),
 	}
 }
 
@@ -108,6 +110,7 @@
 		last, told, sentAt = own, newest, time.Now()
 		message := &pb.FleetMessage{
 			Loads: encodeLoads(own), NewestConfig: uint64(newest.config), NewestUpstream: uint64(newest.upstream),
+			Relaying: r.isRelay(time.Now()),
 		}
 		if holds {
 			message.Holding = &pb.Holding{Fence: uint64(fence)}
@@ -163,6 +166,7 @@
 	if len(m.Demands) > 0 {
 		r.node.steward.Learn(m.Instance, m.Incarnation, decodeDemands(m.Demands))
 	}
+	r.noteRelay(m)
 	if m.NewestConfig > 0 {
 		r.node.followConfig.Compare(time.Now(), object.Version(m.NewestConfig))
 	}
@@ -172,6 +176,9 @@
 	for _, w := range m.Wants {
 		r.node.steward.Want(steering.DemandKey{Service: w.Service, Model: w.Model, Adapter: w.Adapter})
 	}
+	for _, c := range m.Relays {
+		r.node.followUpstreams.Told(decodeChanges(c))
+	}
 	for _, b := range m.Breaks {
 		r.node.gateway.LearnBreak(b.Fingerprint, fleet.UpstreamID(b.Upstream))
 	}
--- a/internal/node/sinks.go
+++ b/internal/node/sinks.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"encoding/json"
-	"net/netip"
 	"time"
 
 	"savoryweir/internal/state/fleet"
@@ -69,13 +67,13 @@
 func (s upstreamSink) Apply(events []object.Event, complete time.Time) {
 	for _, e := range events {
 		if e.Deleted {
-			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), complete)
+			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), uint64(e.Object.Version), complete)
 			continue
 		}
 		if u, ok := s.decode(e.Object); ok {
 			s.node.registry.Put(u)
 		} else {
-			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), time.Time{})
+			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), uint64(e.Object.Version), time.Time{})
 		}
 	}
 }
@@ -88,55 +86,3 @@
 	}
 	return u, true
 }
-
-// instanceSink tells the mesh which other instances there are.
-type instanceSink struct {
-	node  *Node
-	peers map[string]netip.AddrPort
-}
-
-// Replace implements storewatch.Sink.
-func (s *instanceSink) Replace(objects []object.Object, _ time.Time) {
-	s.peers = make(map[string]netip.AddrPort)
-	for _, o := range objects {
-		s.add(o)
-	}
-	s.publish()
-}
-
-// Apply implements storewatch.Sink.
-func (s *instanceSink) Apply(events []object.Event, _ time.Time) {
-	if s.peers == nil {
-		s.peers = make(map[string]netip.AddrPort)
-	}
-	for _, e := range events {
-		if e.Deleted {
-			delete(s.peers, string(e.Object.Name))
-			continue
-		}
-		s.add(e.Object)
-	}
-	s.publish()
-}
-
-func (s *instanceSink) add(o object.Object) {
-	var i object.Instance
-	err := json.Unmarshal(o.Data, &i)
-	address, errAddress := netip.ParseAddrPort(i.Address)
-	if err != nil || errAddress != nil {
-		s.node.log.Warn().Str("event", "instance.unread").Str("name", string(o.Name)).Msg("entry names no instance")
-		return
-	}
-	if i.ID != s.node.settings.Instance.ID {
-		s.peers[i.ID] = address
-	}
-}
-
-func (s *instanceSink) publish() {
-	peers := make(map[string]netip.AddrPort, len(s.peers))
-	for id, address := range s.peers {
-		peers[id] = address
-	}
-	s.node.mesh.SetPeers(peers)
-	s.node.log.Info().Str("event", "instances.known").Int("others", len(peers)).Msg("instances known")
-}
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -1,16 +1,17 @@
-// Package storewatch follows the objects of one kind in the platform's store.
+// Package storewatch follows the objects of one kind in the platform's store. A
+// follower watches the store itself, or takes the changes that other instances
+// tell and asks the store only for what it has missed: the store counts each call.
 package storewatch
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"savoryweir/internal/ring"
 	"savoryweir/internal/state/object"
 )
 
@@ -29,6 +30,12 @@
 	Apply(events []object.Event, complete time.Time)
 }
 
+// Changes are all changes of a kind after one version of the store up to another.
+type Changes struct {
+	After, Next object.Version
+	Events      []object.Event
+}
+
 // Settings of a follower.
 type Settings struct {
 	Kind object.Kind
@@ -38,11 +45,15 @@
 	// Pause is kept between two watches, so that changes in quick succession come
 	// with one call.
 	Pause time.Duration
+	// Watches reports whether this instance watches the store itself.
+	Watches func() bool
+	// Relay is given what this instance has seen in the store; nil if nobody is told.
+	Relay func(Changes)
+	// Retry returns the pause before the next call to a store that does not answer.
+	Retry func() time.Duration
 }
 
 const (
-	retryFirst = 100 * time.Millisecond
-	retryMost  = time.Second
 	// awayTime is how long after the store's return its lists may lack entries
 	// that lapsed while it was away; the platform's contract gives about two
 	// seconds, and as many for the last request to an upstream that is gone.
@@ -50,6 +61,15 @@
 	// lapseTime is the shortest absence in which an entry can lapse: two of the
 	// three heartbeats after which it does, as the first may have been due before.
 	lapseTime = 2 * time.Second
+	// behindDelay is how long others may be ahead before this instance asks the
+	// store itself: a datagram's way, an answer of the store and a pause between
+	// two watches.
+	behindDelay = 300 * time.Millisecond
+	// listenInterval is the time between two looks at whether this instance is
+	// behind or has to watch itself.
+	listenInterval = 100 * time.Millisecond
+	// relayed bounds the changes of other instances that wait to be taken.
+	relayed = 64
 )
 
 // Follower follows one kind.
@@ -58,119 +78,153 @@
 	source   Source
 	sink     Sink
 	log      zerolog.Logger
+	told     *ring.Ring[Changes]
+	progress progress
 
 	version    object.Version // zero when a list is needed
 	failures   int
-	silent     bool          // the last watch was not answered
-	lostAt     time.Time     // of the first failure in a row
-	returnedAt time.Time     // end of the last absence in which entries can have lapsed
-	newest     atomic.Uint64 // version of the newest object seen
-
-	mu        sync.Mutex // guards the two below
-	behind    time.Time  // since when others have seen newer objects
-	interrupt context.CancelCauseFunc
+	silent     bool      // the last watch was not answered
+	lostAt     time.Time // of the first failure in a row
+	returnedAt time.Time // end of the last absence in which entries can have lapsed
 }
 
-// pokeDelay is how long another instance may be ahead before a watch is taken for
-// silent: an answer of the store, and the pause between two watches.
-const pokeDelay = 300 * time.Millisecond
-
-var errBehind = errors.New("other instances have seen newer objects")
+// New returns a follower; Run starts it.
+func New(s Settings, source Source, sink Sink, log zerolog.Logger) *Follower {
+	return &Follower{
+		settings: s, source: source, sink: sink, log: log.With().Str("kind", string(s.Kind)).Logger(),
+		told: ring.New[Changes](relayed),
+	}
+}
 
 // Newest returns the version of the newest object seen.
-func (f *Follower) Newest() object.Version { return object.Version(f.newest.Load()) }
+func (f *Follower) Newest() object.Version { return f.progress.newestSeen() }
 
 // Compare takes the version of the newest object that another instance has seen.
-// A watch that stays behind is given up and begun again.
-func (f *Follower) Compare(now time.Time, theirs object.Version) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case theirs <= f.Newest():
-	case f.behind.IsZero():
-		f.behind = now
-	case now.Sub(f.behind) > pokeDelay && f.interrupt != nil:
-		f.interrupt(errBehind)
-		f.behind = time.Time{}
-	}
-}
+// A follower that stays behind asks the store.
+func (f *Follower) Compare(now time.Time, theirs object.Version) { f.progress.compare(now, theirs) }
 
-func (f *Follower) saw(objects ...object.Object) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, o := range objects {
-		f.newest.Store(max(f.newest.Load(), uint64(o.Version)))
+// Told takes changes that another instance has seen in the store.
+func (f *Follower) Told(c Changes) {
+	if !f.told.Offer(c) {
+		f.log.Info().Str("event", "store.told_dropped").Msg("changes told by another instance were dropped")
 	}
-	f.behind = time.Time{}
 }
 
-// watching returns a context that Compare can end.
-func (f *Follower) watching(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	f.mu.Lock()
-	f.interrupt = cancel
-	f.mu.Unlock()
-	return ctx, func() { cancel(nil) }
-}
-
-// New returns a follower; Run starts it.
-func New(s Settings, source Source, sink Sink, log zerolog.Logger) *Follower {
-	return &Follower{settings: s, source: source, sink: sink, log: log.With().Str("kind", string(s.Kind)).Logger()}
-}
+// Healthy reports whether the store answered the last call.
+func (f *Follower) Healthy() bool { return f.progress.isHealthy() }
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
 			f.failed(ctx, err)
-			continue
 		}
-		sleep(ctx, f.settings.Pause)
 	}
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if f.version == 0 {
-		objects, version, err := f.source.ListAt(ctx, f.settings.Kind)
-		if err != nil {
+	switch {
+	case f.version == 0:
+		return f.list(ctx)
+	case f.settings.Watches() || f.failures > 0:
+		watching, done := f.progress.begin(ctx)
+		defer done()
+		if err := f.watch(watching, f.settings.Wait()); err != nil {
 			return err
 		}
-		f.succeeded()
-		f.version = version
-		f.saw(objects...)
-		f.sink.Replace(objects, f.complete())
-		f.log.Debug().Str("event", "store.listed").Uint64("version", uint64(version)).Int("objects", len(objects)).Msg("objects listed")
+		sleep(ctx, f.settings.Pause)
 		return nil
-	}
-	watching, done := f.watching(ctx)
-	defer done()
-	events, next, err := f.source.WatchSince(watching, f.settings.Kind, f.version, f.settings.Wait())
-	if err != nil && errors.Is(context.Cause(watching), errBehind) {
-		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Uint64("newest", f.newest.Load()).Msg("watch was silent, beginning it again")
+	case f.progress.isBehind(time.Now()):
+		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Msg("others have seen newer objects, asking the store")
+		return f.watch(ctx, 0) // answered at once
+	default:
+		f.listen(ctx)
 		return nil
 	}
-	if errors.Is(err, object.ErrSilent) && !f.silent {
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	objects, version, err := f.source.ListAt(ctx, f.settings.Kind)
+	if err != nil {
+		return err
+	}
+	f.succeeded()
+	f.advance(version, objects...)
+	f.sink.Replace(objects, f.complete())
+	f.log.Debug().Str("event", "store.listed").Uint64("version", uint64(version)).Int("objects", len(objects)).Msg("objects listed")
+	return nil
+}
+
+// watch waits for changes and takes them. The context ends with errBehind where
+// others are ahead.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
+	events, next, err := f.source.WatchSince(ctx, f.settings.Kind, f.version, wait)
+	switch {
+	case err != nil && errors.Is(context.Cause(ctx), errBehind):
+		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Msg("watch was silent, beginning it again")
+		return nil
+	case errors.Is(err, object.ErrSilent) && !f.silent:
 		f.silent = true // once: a store that stays silent is lost
 		f.log.Info().Str("event", "store.silent").Uint64("version", uint64(f.version)).Msg("watch was not answered, beginning it again")
 		return nil
-	}
-	if errors.Is(err, object.ErrHistoryGone) {
+	case errors.Is(err, object.ErrHistoryGone):
 		f.log.Info().Str("event", "store.history_gone").Uint64("version", uint64(f.version)).Msg("history is gone, listing again")
 		f.version = 0
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	f.succeeded()
-	f.version, f.silent = next, false
-	if len(events) > 0 {
-		for _, e := range events {
-			f.saw(e.Object)
+	f.silent = false
+	f.take(Changes{After: f.version, Next: next, Events: events}, f.settings.Relay)
+	return nil
+}
+
+// listen waits for changes told by other instances.
+func (f *Follower) listen(ctx context.Context) {
+	timer := time.NewTimer(listenInterval)
+	defer timer.Stop()
+	select {
+	case c := <-f.told.C():
+		if c.After > f.version {
+			return // some are missing: the comparison of versions tells so
 		}
-		f.sink.Apply(events, f.complete())
+		c.Events = newer(c.Events, f.version)
+		f.take(c, nil)
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return nil
+}
+
+func newer(events []object.Event, than object.Version) []object.Event {
+	var left []object.Event
+	for _, e := range events {
+		if e.Object.Version > than {
+			left = append(left, e)
+		}
+	}
+	return left
+}
+
+// take applies changes and tells others of them.
+func (f *Follower) take(c Changes, relay func(Changes)) {
+	objects := make([]object.Object, 0, len(c.Events))
+	for _, e := range c.Events {
+		objects = append(objects, e.Object)
+	}
+	f.advance(max(c.Next, f.version), objects...)
+	if len(c.Events) == 0 {
+		return
+	}
+	f.sink.Apply(c.Events, f.complete())
+	if relay != nil {
+		relay(c)
+	}
+}
+
+func (f *Follower) advance(version object.Version, objects ...object.Object) {
+	f.version = version
+	f.progress.advance(version, objects)
 }
 
 // complete returns until when objects may be missing that lapsed while the store
@@ -183,6 +237,7 @@
 }
 
 func (f *Follower) succeeded() {
+	f.progress.setHealthy(true)
 	if f.failures == 0 {
 		return
 	}
@@ -198,12 +253,13 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.progress.setHealthy(false)
 	if f.failures == 0 {
 		f.lostAt = time.Now()
 		f.log.Warn().Err(err).Str("event", "store.lost").Uint64("version", uint64(f.version)).Msg("store does not answer")
 	}
 	f.failures++
-	wait := min(retryFirst<<min(f.failures-1, 5), retryMost)
+	wait := f.settings.Retry()
 	sleep(ctx, wait/2+rand.N(wait))
 }
 
