--- /dev/null
+++ b/internal/coordination/routetable/routetable_test.go
@@ -0,0 +1,37 @@
+package routetable
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/fleet"
+)
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table := New([]fleet.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"}, {Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	})
+	name := func(host, path string) string {
+		if r := table.Match(host, path); r != nil {
+			return r.Name
+		}
+		return ""
+	}
+	assert.Equal(t, name("a.example", "/x/1"), "short")
+	assert.Equal(t, name("A.Example:80", "/x/y/1"), "long")
+	assert.Equal(t, name("b.example", "/x/y/1"), "other")
+	assert.Equal(t, name("a.example", "/x"), "")
+	assert.Equal(t, name("c.example", "/x/1"), "")
+}
+
+func TestServiceFollowsTheWeights(t *testing.T) {
+	route := &fleet.Route{Splits: []fleet.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[Service(route, float64(i)/1000)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, Service(&fleet.Route{}, 0.5), "")
+}
--- /dev/null
+++ b/internal/state/loads/loads_test.go
@@ -0,0 +1,48 @@
+package loads
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/fleet"
+)
+
+func TestTotalAddsFreshReportsOfOthers(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := NewBook(time.Second)
+	b.Change("u", func(l *Load) { l.Unread[1] += 100 })
+	b.Learn(now, "i1", map[fleet.UpstreamID]Load{"u": {Unread: [Ranks]int{0: 30}, Running: 2}})
+	total := b.Total(now, "u")
+	assert.Equal(t, total.UnreadUpTo(0), 30)
+	assert.Equal(t, total.UnreadUpTo(3), 130)
+	assert.Equal(t, total.Running, 2)
+	assert.Equal(t, b.Total(now.Add(2*time.Second), "u").Running, 0, "an old report counts no more")
+	b.Change("u", func(l *Load) { l.Unread[1] -= 100 })
+	assert.Equal(t, len(b.Own()), 0)
+}
+
+func TestPace(t *testing.T) {
+	now := time.Unix(100, 0)
+	p := NewPaces()
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		p.Answered(now, "slow", 500*time.Millisecond, 100*time.Millisecond)
+		p.Answered(now, "usual", 130*time.Millisecond, 100*time.Millisecond)
+	}
+	assert.Assert(t, p.Get(now, "slow").Slow > 4)
+	assert.Equal(t, p.Get(now, "usual").Slow, 1.0, "estimates that are a little off say nothing")
+	assert.Assert(t, p.Get(now.Add(30*time.Second), "slow").Slow < 2, "it is tried again")
+	first := p.Failed(now, "u")
+	second := p.Failed(now, "u")
+	assert.Assert(t, second > first)
+	for range 20 {
+		p.Failed(now, "u")
+	}
+	assert.Equal(t, p.Failed(now, "u"), avoidMost)
+	p.Answered(now, "u", time.Millisecond, time.Millisecond)
+	assert.Assert(t, !now.Before(p.Get(now, "u").AvoidUntil))
+	p.Keep(func(fleet.UpstreamID) bool { return false })
+	assert.Equal(t, len(p.by), 0)
+}
