--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -24,6 +24,7 @@
 type TimelineCommand struct {
 	Operations []string `help:"Addresses of operations ports, IP address and port." placeholder:"ADDRESS"`
 	File       []string `help:"Saved time lines in JSON lines." type:"existingfile" placeholder:"FILE"`
+	Logs       []string `help:"Saved logs of processes, one JSON object a line." type:"existingfile" placeholder:"FILE"`
 	Request    string   `help:"Only events of this request."`
 	Order      string   `help:"Only events of this order, by its idempotency key."`
 	Upstream   string   `help:"Only events of this upstream."`
@@ -42,13 +43,14 @@
 Examples:
   savoryweirctl timeline --operations 10.0.1.11:7801,10.0.1.11:7802 --request r-17
   savoryweirctl timeline --operations 10.0.1.11:7801 --format jsonl --output saved.jsonl
+  savoryweirctl timeline --logs i1.log,i2.log --request 9c41d07be2a35f68
   savoryweirctl timeline --file saved.jsonl --format html --output timeline.html`
 }
 
 // Run merges, filters and writes the events.
 func (c *TimelineCommand) Run(env *Environment) error {
-	if len(c.Operations)+len(c.File) == 0 {
-		return errs.New("read time lines", errs.Self, "name processes with --operations or files with --file")
+	if len(c.Operations)+len(c.File)+len(c.Logs) == 0 {
+		return errs.New("read time lines", errs.Self, "name processes with --operations or files with --file or --logs")
 	}
 	lists, failed := c.collect(env)
 	filter := timeline.Filter{
@@ -70,20 +72,25 @@
 		failed = errors.Join(failed, a.err)
 	}
 	for _, name := range c.File {
-		events, err := readFile(name)
+		events, err := readFile(name, timelinefile.Read)
+		lists = append(lists, events)
+		failed = errors.Join(failed, err)
+	}
+	for _, name := range c.Logs {
+		events, err := readFile(name, timelinefile.ReadLog)
 		lists = append(lists, events)
 		failed = errors.Join(failed, err)
 	}
 	return lists, failed
 }
 
-func readFile(name string) (events []timeline.Event, err error) {
+func readFile(name string, read func(io.Reader) ([]timeline.Event, error)) (events []timeline.Event, err error) {
 	file, err := os.Open(name)
 	if err != nil {
 		return nil, errs.Wrap(err, "open time line", errs.Self)
 	}
 	defer func() { err = errors.Join(err, file.Close()) }()
-	events, err = timelinefile.Read(file)
+	events, err = read(file)
 	return events, errs.Wrap(err, errs.Step(fmt.Sprintf("read time line %s", name)), errs.Self)
 }
 
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -30,7 +30,7 @@
 	b := NewBounded(w)
 	done, ended := make(chan struct{}), make(chan struct{})
 	go func() { defer close(ended); b.Run(done) }()
-	log := NewOver(b, Settings{Level: "info"}, "node", "i1")
+	log := NewOver(b, Settings{Level: "info"}, "node", "i1", "z")
 	began := time.Now()
 	for range 5000 {
 		log.Info().Msg("ordinary")
@@ -53,7 +53,7 @@
 	b := NewBounded(w)
 	done, ended := make(chan struct{}), make(chan struct{})
 	go func() { defer close(ended); b.Run(done) }()
-	log := For(NewOver(b, Settings{Level: "warn"}, "node", "i1"), "gateway")
+	log := For(NewOver(b, Settings{Level: "warn"}, "node", "i1", "z"), "gateway")
 	log.Info().Msg("hidden")
 	log.WithLevel(zerolog.WarnLevel).Str("request", "r1").Msg("told")
 	close(done)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -13,6 +14,9 @@
 
 const partField = "part"
 
+// timeFormat tells milliseconds apart, in which most decisions fall.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Settings selects what a process logs.
 type Settings struct {
 	Level string `help:"Least severe level that is logged." default:"info" enum:"debug,info,warn,error"`
@@ -48,7 +52,18 @@
 	return s.plain.Write(p)
 }
 
-// NewOver returns the root logger of a process over a bounded writer.
-func NewOver(b *Bounded, s Settings, process, instance string) zerolog.Logger {
-	return New(levelSplit{plain: b.Plain(), urgent: b.Urgent()}, s, process, instance)
+// stamp adds the time of a line, with milliseconds.
+func stamp(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str(zerolog.TimestampFieldName, time.Now().Format(timeFormat))
+}
+
+// NewOver returns the root logger of a process over a bounded writer. Its times
+// have milliseconds.
+func NewOver(b *Bounded, s Settings, process, instance, zone string) zerolog.Logger {
+	level, err := zerolog.ParseLevel(s.Level)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	log := zerolog.New(levelSplit{plain: b.Plain(), urgent: b.Urgent()}).Level(level).Hook(zerolog.HookFunc(stamp))
+	return log.With().Str("process", process).Str("instance", instance).Str("zone", zone).Logger()
 }
--- a/internal/node/gateway/finish.go
+++ b/internal/node/gateway/finish.go
@@ -21,11 +21,14 @@
 	}
 }
 
+// outcomeLeft is the outcome of a request whose caller did not wait for the answer.
+const outcomeLeft = "caller left"
+
 func (c *call) report(aborted bool) {
 	g := c.gateway
 	g.Metrics.Request(kindName(c.route), outcomeLabel(c.status, aborted))
 	level := zerolog.InfoLevel
-	if aborted || c.status >= http.StatusBadRequest {
+	if (aborted || c.status >= http.StatusBadRequest) && c.outcome != outcomeLeft {
 		level = zerolog.WarnLevel
 	}
 	line := g.Log.WithLevel(level).Str("event", "request.end").Str("request", c.wire.ID).Str("kind", kindName(c.route)).
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -305,6 +305,10 @@
 		Upstream: string(f.upstream.ID), Left: left, Urgency: c.urgency(), LastEventID: resumeAfter,
 	})
 	f.begin()
+	g.Log.Info().Str("event", "request.sent").Str("request", c.wire.ID).Str("upstream", string(f.upstream.ID)).
+		Uint64("config", c.version).Uint64("entry", f.upstream.Entry).Str("model", c.wire.Model).Str("adapter", c.wire.Adapter).
+		Dur("expected", f.expected).Int("unread_tokens", f.ahead).Int("running", f.running).Float64("slow", f.slow).
+		Str("resume_after", resumeAfter).Dur("left", left).Msg("request sent on")
 	exchange, err := g.Pool.Do(ctx, upstreamconn.Request{
 		Address: f.upstream.Address, Method: c.request.Method, Target: c.target, Host: c.request.Host,
 		Header: header, Body: c.body, Once: !c.route.IsRepeatable(),
@@ -462,7 +466,7 @@
 func (c *call) giveUp(ctx context.Context, reason string) {
 	switch {
 	case c.hasLeft():
-		c.outcome = "caller left"
+		c.outcome = outcomeLeft
 		panic(http.ErrAbortHandler)
 	case !c.mayHaveRun:
 		c.refuse(http.StatusServiceUnavailable, retryUnserved, reason)
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -130,7 +130,7 @@
 	}
 	c.writer.WriteHeader(a.exchange.Response.StatusCode)
 	if _, err := c.writer.Write(body); err != nil {
-		c.outcome = "caller left"
+		c.outcome = outcomeLeft
 	}
 }
 
--- a/internal/node/gateway/residency.go
+++ b/internal/node/gateway/residency.go
@@ -36,6 +36,8 @@
 		c.refuseMissing(ctx, expected)
 		return nil, false
 	}
+	g.Log.Info().Str("event", "request.waits").Str("request", c.wire.ID).Str("model", c.wire.Model).Str("adapter", c.wire.Adapter).
+		Dur("expected", expected).Dur("limit", limit).Msg("waiting for a load")
 	began := time.Now()
 	defer func() { g.Metrics.Waited(time.Since(began)) }()
 	if expected < adapterWait {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -227,7 +227,7 @@
 		err = http.NewResponseController(c.writer).Flush()
 	}
 	if err != nil {
-		c.outcome = "caller left"
+		c.outcome = outcomeLeft
 		return false
 	}
 	if event.ID != "" {
@@ -242,7 +242,7 @@
 	c.gateway.Log.Info().Str("event", "stream.broke_off").Str("request", c.wire.ID).Str("upstream", string(a.flight.upstream.ID)).
 		Str("last_event", c.lastEvent).AnErr("cause", cause).Err(err).Dur("took", time.Since(a.flight.began)).Msg("stream broke off")
 	if c.hasLeft() {
-		c.outcome = "caller left"
+		c.outcome = outcomeLeft
 		panic(http.ErrAbortHandler)
 	}
 	a.flight.failed()
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -106,7 +106,7 @@
 		return nil, false
 	}
 	f := &flight{tracker: t, upstream: choice.Upstream, service: c.service, rank: need.Rank, chain: chain, expected: choice.Expected, began: now,
-		ahead: choice.Load.UnreadUpTo(need.Rank), running: choice.Load.Running}
+		ahead: choice.Load.UnreadUpTo(need.Rank), running: choice.Load.Running, slow: choice.Pace.Slow}
 	if c.route.Kind == fleet.KindStream {
 		f.tokens = max(need.Tokens-choice.Cached, 1)
 	}
@@ -134,6 +134,7 @@
 	expected time.Duration
 	ahead    int // unread tokens of others at the start
 	running  int // requests in flight at the start
+	slow     float64
 	began    time.Time
 	started  bool // the first byte of the answer has come
 	open     bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 
 // New returns a node that is ready to run. lines takes its log.
 func New(s Settings, lines *logging.Bounded) (*Node, error) {
-	n := &Node{settings: s, lines: lines, started: time.Now(), log: logging.NewOver(lines, s.Log, "node", s.Instance.ID)}
+	n := &Node{settings: s, lines: lines, started: time.Now(), log: logging.NewOver(lines, s.Log, "node", s.Instance.ID, s.Instance.Zone)}
 	n.bounds.Store(&s.Bounds)
 	n.metrics = telemetry.New(lines.Dropped)
 	store, err := storeclient.New(s.Store)
--- a/internal/node/telemetry/telemetry.go
+++ b/internal/node/telemetry/telemetry.go
@@ -33,7 +33,7 @@
 // secondsBuckets cover a millisecond to the longest time-out of a route.
 var secondsBuckets = []float64{0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16}
 
-const namespace = "savoryweir"
+const namespace = "savoryweir_node"
 
 // New returns metrics that are registered in a registry of their own. dropped
 // tells how many log lines were left out.
--- a/internal/reference/advice.go
+++ b/internal/reference/advice.go
@@ -9,6 +9,22 @@
 // Advices returns the advice for each metric of the system.
 func Advices() []Advice {
 	return []Advice{
+		{"savoryweir_node_requests_total", "`refused` or `failed` rising: `refusals_total` and `sends_total` tell why; OPERATIONS leads from one request to its cause."},
+		{"savoryweir_node_refusals_total", "`overloaded`: more work than the engines read; `no engine holds the model`: look at `orders_total` and `holds_orders`; `no upstream`: look at `upstreams`."},
+		{"savoryweir_node_sends_total", "`lost`: upstreams break off, look at the events `request.send_failed` by upstream; `not run`: full upstreams or models that have just moved."},
+		{"savoryweir_node_first_byte_seconds", "Rises before refusals do: look at the work of each model in the event `placement.state`."},
+		{"savoryweir_node_event_gap_seconds", "Long gaps: engines with too many prompts to read, or a link that loses packets."},
+		{"savoryweir_node_residency_wait_seconds", "Above 0.1 for adapters: more adapters are in use than the engines have slots for."},
+		{"savoryweir_node_store_call_seconds", "Results other than `ok`: the store. The count over all instances must stay below the store's rates."},
+		{"savoryweir_node_orders_total", "`unknown`: engines do not answer; `conflict`: another holder gave orders, or an order was carried out late."},
+		{"savoryweir_node_upstream_connections_total", "Near the number of requests: upstreams close connections, or answers are not whole."},
+		{"savoryweir_node_config_version", "Must be the same at all instances within seconds; an instance that is behind does not reach the store."},
+		{"savoryweir_node_upstreams", "Lower than at other instances: this instance does not reach the store and hears nobody who does."},
+		{"savoryweir_node_peers", "Lower than the number of instances less one: datagrams do not arrive; look at the mesh port."},
+		{"savoryweir_node_retries_left", "At 0 failures are passed on; look for the upstream that causes the repeats."},
+		{"savoryweir_node_requests_in_flight", "Grows without end: upstreams hang. While stopping it must fall to zero."},
+		{"savoryweir_node_holds_orders", "The sum over all instances must be 1; 0 for more than ten seconds: nobody reaches the store."},
+		{"savoryweir_node_log_lines_dropped_total", "More lines than the reader takes; lines of refused and failed requests are the last to go."},
 		{"savoryweir_entry_requests_total", "Compare instances: the balancer should send each a like share."},
 		{"savoryweir_entry_failures_total", "The label `code` tells the cause; look at the time line of one request with it."},
 		{"savoryweir_entry_retries_total", "Look at `upstream_faults_total` for the upstream that causes them; at the budget, `[upstreams] retry-share`, failures rise instead."},
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -17,6 +17,8 @@
 	"savoryweir/internal/control"
 	"savoryweir/internal/ctl"
 	"savoryweir/internal/entry"
+	"savoryweir/internal/node"
+	"savoryweir/internal/node/telemetry"
 	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/reference"
 	"savoryweir/internal/settings"
@@ -26,6 +28,7 @@
 const (
 	entryName   = "savoryweir-entry"
 	controlName = "savoryweir-control"
+	nodeName    = "savoryweir-node"
 	ctlName     = "savoryweirctl"
 	anyPort     = "127.0.0.1:0"
 )
@@ -49,6 +52,7 @@
 	programs := []reference.Program{
 		describe(t, entryName, &entry.Settings{}),
 		describe(t, controlName, &control.Settings{}),
+		describe(t, nodeName, &node.Settings{}),
 		describe(t, ctlName, &ctl.CommandLine{}),
 	}
 	golden.Assert(t, reference.SettingsPage(programs), page(t, "SETTINGS.md"))
@@ -58,6 +62,7 @@
 	parts := []reference.Part{
 		{Process: entryName, Metrics: metricsOf(t, newEntry(t))},
 		{Process: controlName, Metrics: metricsOf(t, newControl(t))},
+		{Process: nodeName, Metrics: metricsOf(t, telemetry.New(func() uint64 { return 0 }).Registry)},
 	}
 	text, err := reference.MetricsPage(parts, reference.Advices())
 	assert.NilError(t, err)
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -1,6 +1,7 @@
 package objectapi
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -96,11 +97,12 @@
 }
 
 func (s *server) list(w http.ResponseWriter, r *http.Request, kind object.Kind, after object.Name) {
-	if kind == object.KindInstances {
-		s.instances(w, r)
-		return
-	}
 	found, version, err := s.store.ListAt(r.Context(), kind)
+	if err == nil && kind == object.KindInstances {
+		var listed []object.Object
+		listed, err = s.instances(r.Context())
+		found = append(found, listed...)
+	}
 	if err != nil {
 		writeError(w, err)
 		return
@@ -110,22 +112,21 @@
 	writeBody(w)(platform.EncodePage(platform.Page{Objects: found[:min(pageLength, len(found))], More: more, Revision: version}))
 }
 
-func (s *server) instances(w http.ResponseWriter, r *http.Request) {
-	list, err := s.store.Instances(r.Context())
+// instances returns the instances that tests have listed, as objects.
+func (s *server) instances(ctx context.Context) ([]object.Object, error) {
+	list, err := s.store.Instances(ctx)
 	if err != nil {
-		writeError(w, err)
-		return
+		return nil, err
 	}
-	var page platform.Page
+	var objects []object.Object
 	for _, i := range list {
 		data, err := json.Marshal(i)
 		if err != nil {
-			writeError(w, err)
-			return
+			return nil, err
 		}
-		page.Objects = append(page.Objects, object.Object{Kind: object.KindInstances, Name: object.Name(i.ID), Data: data})
+		objects = append(objects, object.Object{Kind: object.KindInstances, Name: object.Name(i.ID), Data: data})
 	}
-	writeBody(w)(platform.EncodePage(page))
+	return objects, nil
 }
 
 func writeObject(w http.ResponseWriter, o object.Object, err error) {
