Mesh: one relay, versions that follow without a gap, reports by availability zone

Change: relayed changes follow the last change of their kind; only the first of the two that follow the store tells; reports to other zones are rarer, the own zone is preferred by 15 ms.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -48,8 +48,8 @@
 	// the same view do not all choose the same upstream.
 	spread = 0.1
 	// otherZoneCost is added for an upstream in another availability zone: it
-	// stands for the price of the bytes between zones.
-	otherZoneCost = 2 * time.Millisecond
+	// stands for the price of the bytes between zones, and for what is known later.
+	otherZoneCost = 15 * time.Millisecond
 	// laterRankWeight is the share with which less urgent prompts count: they are
 	// not read first, but share the batch.
 	laterRankWeight = 0.2
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -39,15 +39,22 @@
 	log         zerolog.Logger
 	conn        *net.UDPConn
 	instance    string
+	zone        string
 	incarnation int64
 	handler     Handler
 
 	mu       sync.Mutex // guards all below
 	sequence uint64
-	peers    map[string]netip.AddrPort // by instance
+	peers    map[string]peer // by instance
 	heard    map[string]heard
 }
 
+// peer is another instance.
+type peer struct {
+	address netip.AddrPort
+	zone    string // empty until it was heard of
+}
+
 type heard struct {
 	at          time.Time
 	incarnation int64
@@ -55,14 +62,14 @@
 }
 
 // Listen opens the port of an instance.
-func Listen(log zerolog.Logger, address netip.AddrPort, instance string, handler Handler) (*Mesh, error) {
+func Listen(log zerolog.Logger, address netip.AddrPort, instance, zone string, handler Handler) (*Mesh, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, errs.Wrap(err, "listen for datagrams", errs.Self)
 	}
 	return &Mesh{
-		log: log, conn: conn, instance: instance, incarnation: time.Now().UnixMilli(), handler: handler,
-		peers: make(map[string]netip.AddrPort), heard: make(map[string]heard),
+		log: log, conn: conn, instance: instance, zone: zone, incarnation: time.Now().UnixMilli(), handler: handler,
+		peers: make(map[string]peer), heard: make(map[string]heard),
 	}, nil
 }
 
@@ -72,7 +79,7 @@
 	defer m.mu.Unlock()
 	for instance, address := range peers {
 		if instance != m.instance {
-			m.peers[instance] = address
+			m.peers[instance] = peer{address: address, zone: m.peers[instance].zone}
 		}
 	}
 }
@@ -97,6 +104,21 @@
 	return len(m.peers)
 }
 
+// Near returns how many other instances are known in the own availability zone,
+// and in others.
+func (m *Mesh) Near() (near, far int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.zone == m.zone {
+			near++
+		} else {
+			far++
+		}
+	}
+	return near, far
+}
+
 // Alive returns how many other instances were heard of lately.
 func (m *Mesh) Alive(now time.Time) int {
 	m.mu.Lock()
@@ -119,13 +141,26 @@
 }
 
 // Broadcast sends a message to all other instances.
-func (m *Mesh) Broadcast(message *pb.FleetMessage) { m.send(message, "") }
+func (m *Mesh) Broadcast(message *pb.FleetMessage) {
+	m.send(message, func(string, peer) bool { return true })
+}
+
+// SendNear sends a message to the instances of the own availability zone, or to
+// those of the others.
+func (m *Mesh) SendNear(message *pb.FleetMessage, near bool) {
+	m.send(message, func(_ string, p peer) bool { return (p.zone == m.zone) == near })
+}
 
 // SendTo sends a message to one instance, or to all if it is not known.
-func (m *Mesh) SendTo(instance string, message *pb.FleetMessage) { m.send(message, instance) }
+func (m *Mesh) SendTo(instance string, message *pb.FleetMessage) {
+	m.mu.Lock()
+	_, known := m.peers[instance]
+	m.mu.Unlock()
+	m.send(message, func(name string, _ peer) bool { return !known || name == instance })
+}
 
-func (m *Mesh) send(message *pb.FleetMessage, only string) {
-	data, targets, err := m.prepare(message, only)
+func (m *Mesh) send(message *pb.FleetMessage, to func(instance string, p peer) bool) {
+	data, targets, err := m.prepare(message, to)
 	if err != nil {
 		m.log.Error().Err(err).Str("event", "mesh.failed").Msg("datagram was not encoded")
 		return
@@ -137,21 +172,20 @@
 	}
 }
 
-func (m *Mesh) prepare(message *pb.FleetMessage, only string) ([]byte, []netip.AddrPort, error) {
+func (m *Mesh) prepare(message *pb.FleetMessage, to func(instance string, p peer) bool) ([]byte, []netip.AddrPort, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
-	message.Instance, message.Incarnation, message.Sequence = m.instance, m.incarnation, m.sequence
+	message.Instance, message.Incarnation, message.Sequence, message.Zone = m.instance, m.incarnation, m.sequence, m.zone
 	data, err := proto.Marshal(message)
 	if err != nil {
 		return nil, nil, err
 	}
-	if target, ok := m.peers[only]; ok {
-		return data, []netip.AddrPort{target}, nil
-	}
 	var targets []netip.AddrPort
-	for _, target := range m.peers {
-		targets = append(targets, target)
+	for instance, p := range m.peers {
+		if to(instance, p) {
+			targets = append(targets, p.address)
+		}
 	}
 	return data, targets, nil
 }
@@ -195,7 +229,7 @@
 		message.Incarnation == last.incarnation && message.Sequence <= last.sequence {
 		return false
 	}
-	m.peers[message.Instance] = from // also of instances that are not listed yet
+	m.peers[message.Instance] = peer{address: from, zone: message.Zone} // also of instances that are not listed yet
 	m.heard[message.Instance] = heard{at: time.Now(), incarnation: message.Incarnation, sequence: message.Sequence}
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,7 @@
 		return nil, errs.Wrap(err, "read address", errs.Self)
 	}
 	port := netip.AddrPortFrom(address, uint16(s.Mesh.Port))
-	if n.mesh, err = mesh.Listen(logging.For(n.log, "mesh"), port, s.Instance.ID, n.reports); err != nil {
+	if n.mesh, err = mesh.Listen(logging.For(n.log, "mesh"), port, s.Instance.ID, s.Instance.Zone, n.reports); err != nil {
 		return nil, err
 	}
 	n.build()
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -20,7 +20,7 @@
 	watchers = 2
 	// relaySilence is the silence after which an instance no longer counts as one
 	// that follows the store: it reports at least each half second.
-	relaySilence = 1500 * time.Millisecond
+	relaySilence = 2200 * time.Millisecond
 	// maxRelayBytes bounds the changes told in one datagram; what is larger the
 	// others ask the store for.
 	maxRelayBytes = 32 << 10
@@ -65,6 +65,9 @@
 
 // relay tells the other instances changes that this one has seen in the store.
 func (r *reporter) relay(c storewatch.Changes) {
+	if rank, _ := r.watcherRank(time.Now()); rank > 0 {
+		return // the one before tells it, this one takes over if it falls silent
+	}
 	message := &pb.RelayedChanges{Kind: string(platform.KindEngines), After: uint64(c.After), Next: uint64(c.Next)}
 	size := 0
 	for _, e := range c.Events {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -18,9 +18,12 @@
 	// reportInterval is the shortest time between two reports of loads: the time
 	// in which an engine reads one long prompt.
 	reportInterval = 100 * time.Millisecond
-	// reportPerPeer stretches the interval with the number of instances, so that
-	// the datagrams received a second stay below 200 an instance.
-	reportPerPeer = 5 * time.Millisecond
+	// nearPerPeer and farPerPeer stretch the intervals with the number of instances
+	// in the own availability zone and in others, so that the datagrams received a
+	// second stay below 200 an instance and the priced bytes between zones do not
+	// grow with the square of the fleet.
+	nearPerPeer = 10 * time.Millisecond
+	farPerPeer  = 15 * time.Millisecond
 	// reportIdle is the time between reports that tell nothing new.
 	reportIdle = time.Second
 	// demandEvery is the number of reports that come with one report of demand.
@@ -92,33 +95,60 @@
 }
 
 func (r *reporter) run(ctx context.Context) {
-	var last map[fleet.UpstreamID]loads.Load
-	var told seen
-	var sentAt time.Time
-	for number := 0; ; number++ {
-		interval := min(max(reportInterval, reportPerPeer*time.Duration(r.node.mesh.Known())), maxInterval)
-		if !pause(ctx, interval) {
-			return
-		}
+	near, far := &pacer{}, &pacer{}
+	for number := 0; pause(ctx, reportInterval); number++ {
 		r.feedOwnDemand(number)
-		own := r.node.tracker.Own()
-		fence, holds := r.node.holder.MayAct()
-		newest := r.newest()
-		if maps.Equal(own, last) && newest == told && time.Since(sentAt) < reportIdle/2 {
-			continue
-		}
-		last, told, sentAt = own, newest, time.Now()
-		message := &pb.FleetMessage{
-			Loads: encodeLoads(own), NewestConfig: uint64(newest.config), NewestUpstream: uint64(newest.upstream),
-			Relaying: r.isRelay(time.Now()),
+		nearPeers, farPeers := r.node.mesh.Near()
+		report, now := r.report(), time.Now()
+		if near.isDue(now, report, nearPerPeer*time.Duration(nearPeers)) {
+			r.node.mesh.SendNear(report.message(), true)
 		}
-		if holds {
-			message.Holding = &pb.Holding{Fence: uint64(fence)}
+		if far.isDue(now, report, farPerPeer*time.Duration(farPeers)) {
+			r.node.mesh.SendNear(report.message(), false)
 		}
-		r.node.mesh.Broadcast(message)
 	}
 }
 
+// report is what an instance tells of itself.
+type report struct {
+	loads    map[fleet.UpstreamID]loads.Load
+	newest   seen
+	fence    uint64 // zero if it holds no lease
+	relaying bool
+}
+
+func (r *reporter) report() report {
+	fence, _ := r.node.holder.MayAct()
+	return report{loads: r.node.tracker.Own(), newest: r.newest(), fence: uint64(fence), relaying: r.isRelay(time.Now())}
+}
+
+func (r report) message() *pb.FleetMessage {
+	m := &pb.FleetMessage{
+		Loads: encodeLoads(r.loads), NewestConfig: uint64(r.newest.config), NewestUpstream: uint64(r.newest.upstream), Relaying: r.relaying,
+	}
+	if r.fence != 0 {
+		m.Holding = &pb.Holding{Fence: r.fence}
+	}
+	return m
+}
+
+// pacer decides when a report is sent.
+type pacer struct {
+	last   report
+	sentAt time.Time
+}
+
+// isDue reports whether a report is to be sent: soon if it tells news, else rarely.
+func (p *pacer) isDue(now time.Time, r report, interval time.Duration) bool {
+	since := now.Sub(p.sentAt)
+	news := !maps.Equal(r.loads, p.last.loads) || r.newest != p.last.newest || r.relaying != p.last.relaying
+	if since < min(interval, maxInterval) || !news && since < reportIdle/2 {
+		return false
+	}
+	p.last, p.sentAt = r, now
+	return true
+}
+
 // seen are the newest versions of objects that an instance has seen in the store.
 type seen struct{ config, upstream object.Version }
 
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -81,7 +81,8 @@
 	told     *ring.Ring[Changes]
 	progress progress
 
-	version    object.Version // zero when a list is needed
+	version    object.Version // up to which all is known, zero when a list is needed
+	changed    object.Version // at the last change; nothing has changed from there to version
 	failures   int
 	silent     bool      // the last watch was not answered
 	lostAt     time.Time // of the first failure in a row
@@ -105,6 +106,9 @@
 
 // Told takes changes that another instance has seen in the store.
 func (f *Follower) Told(c Changes) {
+	if f.settings.Watches() {
+		return // it sees them itself
+	}
 	if !f.told.Offer(c) {
 		f.log.Info().Str("event", "store.told_dropped").Msg("changes told by another instance were dropped")
 	}
@@ -149,6 +153,7 @@
 		return err
 	}
 	f.succeeded()
+	f.changed = version
 	f.advance(version, objects...)
 	f.sink.Replace(objects, f.complete())
 	f.log.Debug().Str("event", "store.listed").Uint64("version", uint64(version)).Int("objects", len(objects)).Msg("objects listed")
@@ -218,8 +223,9 @@
 	}
 	f.sink.Apply(c.Events, f.complete())
 	if relay != nil {
-		relay(c)
+		relay(Changes{After: f.changed, Next: c.Next, Events: c.Events})
 	}
+	f.changed = f.version
 }
 
 func (f *Follower) advance(version object.Version, objects ...object.Object) {
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -172,6 +172,8 @@
 		before := store.Counts().Reads()
 		for i := range 20 {
 			put(t, store, "a", string(rune('b'+i)))
+			_, err := store.Create(t.Context(), "other", object.Name(rune('b'+i)), []byte("x")) // versions rise without changes of the kind
+			assert.NilError(t, err)
 			time.Sleep(100 * time.Millisecond)
 		}
 		assert.Equal(t, listener.sink.get("a"), "u")
