Steering: a plan for hundreds of engines takes milliseconds

Change: what a move changes at other engines is worked out once for each model; models are indexed; plans are 10 ms apart at least.

--- a/internal/coordination/steering/adapters.go
+++ b/internal/coordination/steering/adapters.go
@@ -99,7 +99,7 @@
 	if st.used || !st.models[key.Model] || !st.Upstream.Holds(key.Model, "") || st.Upstream.Holds(key.Model, key.Adapter) {
 		return false
 	}
-	m := p.Class.Model(key.Model)
+	m := p.byName[key.Model]
 	return m != nil && st.free >= m.AdapterMB
 }
 
--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -117,7 +118,7 @@
 func (p *planner) loadMissing(m *fleet.Model) {
 	best, found := move{}, false
 	for i := range p.states {
-		for _, mv := range p.moves(i, m) {
+		for mv := range p.moves(i, m) {
 			if mv.evict != "" && p.resident[mv.evict] < 2 && p.Work[mv.evict] >= p.Work[m.Name] {
 				continue // it would only change which model is missing
 			}
@@ -151,44 +152,48 @@
 	return after
 }
 
-// moves returns the ways to load a model on an engine.
-func (p *planner) moves(i int, m *fleet.Model) []move {
-	st := &p.states[i]
-	if st.used || st.moving || st.models[m.Name] || st.Upstream.Holds(m.Name, "") || st.Loading != "" {
-		return nil
-	}
-	disk := st.hasOwnCopy(m.Name)
-	if !disk && p.Loads <= 0 {
-		return nil
-	}
-	if st.free-p.reserveMB() >= m.WeightsMB {
-		return []move{{engine: i, disk: disk}}
-	}
-	var list []move
-	for other := range st.models {
-		size := p.Class.Model(other)
-		if size != nil && !st.Fresh[other] && st.Upstream.Holds(other, "") && st.free-p.reserveMB()+size.WeightsMB >= m.WeightsMB {
-			list = append(list, move{engine: i, evict: other, disk: disk})
+// moves yields the ways to load a model on an engine.
+func (p *planner) moves(i int, m *fleet.Model) iter.Seq[move] {
+	return func(yield func(move) bool) {
+		st := &p.states[i]
+		if st.used || st.moving || st.Loading != "" || st.models[m.Name] || st.Upstream.Holds(m.Name, "") {
+			return
+		}
+		disk := st.hasOwnCopy(m.Name)
+		if !disk && p.Loads <= 0 {
+			return
+		}
+		p.weighed++
+		free := st.free - p.reserveMB
+		if free >= m.WeightsMB {
+			yield(move{engine: i, disk: disk})
+			return
+		}
+		for _, r := range st.Upstream.Models {
+			size := p.byName[r.Model]
+			if size == nil || st.Fresh[r.Model] || !st.models[r.Model] || free+size.WeightsMB < m.WeightsMB {
+				continue
+			}
+			if !yield(move{engine: i, evict: r.Model, disk: disk}) {
+				return
+			}
 		}
 	}
-	return list
 }
 
-// addReplica performs the move that lowers the imbalance most, if one is worth it.
+// addReplica performs the move that lowers the cost most, if one is worth it.
 func (p *planner) addReplica() bool {
-	loads := make([]float64, len(p.states))
-	for i := range p.states {
-		loads[i] = p.load(i)
-	}
+	w := p.weigh()
 	var best move
 	var bestModel *fleet.Model
 	for _, m := range p.busiest() {
+		relief := w.relief(m.Name)
 		for i := range p.states {
-			for _, mv := range p.moves(i, m) {
+			for mv := range p.moves(i, m) {
 				if mv.evict != "" && p.resident[mv.evict] < 2 {
 					continue
 				}
-				mv.gain = p.gain(loads, mv, m) - gainFromStore
+				mv.gain = relief + w.target(mv, m.Name) - w.burden(mv) - gainFromStore
 				if mv.disk {
 					mv.gain += gainFromStore - gainFromDisk
 				}
@@ -205,6 +210,71 @@
 	return true
 }
 
+// weights are the utilizations from which one move is chosen. What a move changes
+// at other engines depends on the models alone and is worked out once for each, so
+// that a plan for hundreds of engines stays cheap.
+type weights struct {
+	p       *planner
+	loads   []float64
+	holders map[string][]int   // engines that hold or load a model
+	burdens map[string]float64 // cost to all holders of a model when one of them is lost
+}
+
+func (p *planner) weigh() *weights {
+	w := &weights{p: p, loads: make([]float64, len(p.states)), holders: make(map[string][]int), burdens: make(map[string]float64)}
+	for i := range p.states {
+		w.loads[i] = p.load(i)
+		for m := range p.states[i].models {
+			w.holders[m] = append(w.holders[m], i)
+		}
+	}
+	return w
+}
+
+// relief returns by how much a further replica lowers the cost of a model's holders.
+func (w *weights) relief(model string) float64 {
+	r := float64(w.p.replica[model])
+	less := w.p.work(model) * (1/r - 1/(r+1))
+	sum := 0.0
+	for _, i := range w.holders[model] {
+		sum += cost(w.loads[i]) - cost(w.loads[i]-less)
+	}
+	return sum
+}
+
+// target returns by how much a move lowers the cost of the engine itself.
+func (w *weights) target(mv move, model string) float64 {
+	before := w.loads[mv.engine]
+	after := before + w.p.work(model)/float64(w.p.replica[model]+1)
+	if mv.evict != "" {
+		after -= w.p.work(mv.evict) / float64(w.p.replica[mv.evict])
+	}
+	return cost(before) - cost(after)
+}
+
+// burden returns the cost that an eviction adds at the other holders of the model.
+func (w *weights) burden(mv move) float64 {
+	if mv.evict == "" {
+		return 0
+	}
+	more := w.more(mv.evict)
+	sum, ok := w.burdens[mv.evict]
+	if !ok {
+		for _, i := range w.holders[mv.evict] {
+			sum += cost(w.loads[i]+more) - cost(w.loads[i])
+		}
+		w.burdens[mv.evict] = sum
+	}
+	own := w.loads[mv.engine]
+	return sum - (cost(own+more) - cost(own))
+}
+
+// more returns the work that each other holder of a model gets when one is lost.
+func (w *weights) more(model string) float64 {
+	r := float64(w.p.replica[model])
+	return w.p.work(model) * (1/(r-1) - 1/r)
+}
+
 // busiest returns the models with the most work for each replica.
 func (p *planner) busiest() []*fleet.Model {
 	var list []*fleet.Model
@@ -218,34 +288,6 @@
 	return list[:min(len(list), busiestConsidered)]
 }
 
-// gain returns by how much a move lowers the cost over all engines.
-func (p *planner) gain(loads []float64, mv move, m *fleet.Model) float64 {
-	r := float64(p.replica[m.Name])
-	less := p.work(m.Name)/r - p.work(m.Name)/(r+1)
-	evicted, more := 0.0, 0.0
-	if mv.evict != "" {
-		e := float64(p.replica[mv.evict])
-		evicted = p.work(mv.evict) / e
-		more = p.work(mv.evict)/(e-1) - evicted
-	}
-	sum := 0.0
-	for i := range p.states {
-		after := loads[i]
-		if i == mv.engine {
-			after += p.work(m.Name)/(r+1) - evicted
-		} else {
-			if p.states[i].models[m.Name] {
-				after -= less
-			}
-			if mv.evict != "" && p.states[i].models[mv.evict] {
-				after += more
-			}
-		}
-		sum += cost(loads[i]) - cost(after)
-	}
-	return sum
-}
-
 // perform gives the load, or the unload that makes room for it; the load follows
 // in a later plan, when the room is there.
 func (p *planner) perform(mv move, m *fleet.Model, why Reason) {
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -81,6 +81,9 @@
 	resident    map[string]int     // engines that hold the model now and take requests
 	adapterWork map[string]float64 // utilization by the adapters of a model
 	actions     []Action
+	byName      map[string]*fleet.Model
+	reserveMB   float64 // kept free for adapters
+	weighed     int     // engines weighed for a load
 }
 
 type engineState struct {
@@ -92,7 +95,11 @@
 }
 
 func newPlanner(s Snapshot) *planner {
-	p := &planner{Snapshot: s, replica: make(map[string]int), resident: make(map[string]int)}
+	p := &planner{
+		Snapshot: s, replica: make(map[string]int), resident: make(map[string]int),
+		byName: make(map[string]*fleet.Model, len(s.Class.Models)),
+	}
+	p.indexModels()
 	for _, e := range s.Engines {
 		p.states = append(p.states, p.state(e))
 	}
@@ -111,13 +118,13 @@
 func (p *planner) state(e Engine) engineState {
 	st := engineState{Engine: e, models: make(map[string]bool), free: p.Class.WeightsMB, used: !e.Ready, moving: e.Moving}
 	add := func(name string) {
-		if m := p.Class.Model(name); m != nil {
+		if m := p.byName[name]; m != nil {
 			st.free -= m.WeightsMB
 		}
 	}
 	for _, r := range e.Upstream.Models {
 		add(r.Model)
-		if m := p.Class.Model(r.Model); m != nil {
+		if m := p.byName[r.Model]; m != nil {
 			st.free -= m.AdapterMB * float64(len(r.Adapters))
 		}
 		if !e.Retired[r.Model] {
@@ -131,13 +138,16 @@
 	return st
 }
 
-// reserveMB keeps room for the adapters that an engine may load besides.
-func (p *planner) reserveMB() float64 {
-	most := 0.0
-	for _, m := range p.Class.Models {
-		most = max(most, m.AdapterMB)
+// indexModels makes models known by name, and finds the room to keep for the
+// adapters that an engine may load besides its models.
+func (p *planner) indexModels() {
+	largest := 0.0
+	for i := range p.Class.Models {
+		m := &p.Class.Models[i]
+		p.byName[m.Name] = m
+		largest = max(largest, m.AdapterMB)
 	}
-	return most * float64(p.Class.AdapterSlots)
+	p.reserveMB = largest * float64(p.Class.AdapterSlots)
 }
 
 func (p *planner) act(i int, a Action) {
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -268,3 +268,34 @@
 	after, _ := d.Rates(now, "s")
 	assert.Equal(t, before["m0"], after["m0"])
 }
+
+// targetSnapshot has the engines and models of the target, with demand on all models.
+func targetSnapshot() Snapshot {
+	const engines, models = 710, 770
+	s := Snapshot{Class: testClass(models), Capacity: 20000, Loads: 5, Work: map[string]float64{}, Adapters: map[AdapterKey]float64{}}
+	for i := range engines {
+		s.Engines = append(s.Engines, engine(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", i%models), fmt.Sprintf("m%d", (i*7+1)%models), fmt.Sprintf("m%d", (i*13+5)%models)))
+	}
+	for m := range models {
+		s.Work[fmt.Sprintf("m%d", m)] = 4e6 / float64(m+3)
+	}
+	return s
+}
+
+func BenchmarkPlanForTheTargetSize(b *testing.B) {
+	s := targetSnapshot()
+	for b.Loop() {
+		Plan(s)
+	}
+}
+
+// TestBoundWeighedEnginesOfOnePlan bounds what a plan for the target's size looks at:
+// each engine once for each busy model that is weighed and each load that is planned.
+func TestBoundWeighedEnginesOfOnePlan(t *testing.T) {
+	s := targetSnapshot()
+	p := newPlanner(s)
+	missing := len(p.missing())
+	p.placeModels()
+	most := len(s.Engines) * (missing + busiestConsidered*(s.Loads+1))
+	assert.Assert(t, p.weighed <= most, "%d engines weighed", p.weighed)
+}
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -21,6 +21,10 @@
 // in which demand moves between models.
 const planInterval = 250 * time.Millisecond
 
+// planPause is kept between two plans, so that orders that end in quick succession
+// bring one plan only.
+const planPause = 10 * time.Millisecond
+
 // wantMemory is how long a model or adapter that a request waits for counts as
 // wanted after the last asking.
 const wantMemory = 500 * time.Millisecond
@@ -126,6 +130,7 @@
 			return
 		}
 		s.round(ctx)
+		pause(ctx, planPause)
 	}
 }
 
