Store: a silent watch makes way at once; three instances follow the store

Cause: the others went on to rely on an instance whose watches the store left unanswered; it counted as sound until the second one. Change: the first unanswered watch ends the telling; one instance tells, two stand by with rarer watches; the silence that counts follows the interval of reports.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,6 +131,7 @@
 	// Pauses gather changes in quick succession into one answer of the store.
 	configPause   = 100 * time.Millisecond
 	upstreamPause = 150 * time.Millisecond
+	standbyPause  = 400 * time.Millisecond
 	// A store that does not answer is called ten times a second by all instances
 	// together, and by each within these bounds.
 	retryPerInstance = 100 * time.Millisecond
@@ -150,6 +151,15 @@
 	return min(time.Duration(of)*pollEvery, maxWatch)
 }
 
+// watchPause returns the pause between two watches: longer for an instance that
+// only stands by for the one that tells the others.
+func (n *Node) watchPause(pause time.Duration) time.Duration {
+	if rank, _ := n.reports.watcherRank(time.Now()); rank > 0 {
+		return max(pause, standbyPause)
+	}
+	return pause
+}
+
 // storeRetry returns the pause before an instance calls a store again that does
 // not answer. Whoever is answered first tells the others.
 func (n *Node) storeRetry() time.Duration {
@@ -160,7 +170,7 @@
 	var f *storewatch.Follower
 	var last object.Version
 	s := storewatch.Settings{
-		Kind: kind, Pause: pause, Retry: n.storeRetry,
+		Kind: kind, Retry: n.storeRetry, Pause: func() time.Duration { return n.watchPause(pause) },
 		Wait:    func() time.Duration { return n.watchTurn(f.Newest(), &last) },
 		Watches: func() bool { return n.reports.watches(time.Now()) },
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -216,7 +216,7 @@
 		}
 		return n
 	}
-	eventually(t, "two that follow the store", func() bool { return watching() == watchers })
+	eventually(t, "those that follow the store", func() bool { return watching() == watchers })
 	c.configure(t, 2, "a", "b")
 	for _, i := range all {
 		eventually(t, "the new configuration", func() bool { return i.node.gateway.Config().Version == 2 })
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -17,10 +17,12 @@
 // calls to the store do not grow with the fleet. Each instance decides by itself:
 // it follows the store if fewer than watchers instances before it by name do.
 const (
-	watchers = 2
-	// relaySilence is the silence after which an instance no longer counts as one
-	// that follows the store: it reports at least each half second.
-	relaySilence = 2200 * time.Millisecond
+	// watchers is the number of instances that follow the store: one tells, two
+	// stand by, as half of a fleet may be lost at once.
+	watchers = 3
+	// relaySilence is the least silence after which an instance no longer counts as
+	// one that follows the store: two reports without news, and a lost one.
+	relaySilence = 1200 * time.Millisecond
 	// maxRelayBytes bounds the changes told in one datagram; what is larger the
 	// others ask the store for.
 	maxRelayBytes = 32 << 10
@@ -35,11 +37,13 @@
 // watcherRank returns the place of this instance among those that follow the store,
 // and how many instances begin watches by turns.
 func (r *reporter) watcherRank(now time.Time) (rank, of int) {
+	_, far := r.node.mesh.Near()
+	silence := max(relaySilence, 5*farPerPeer*time.Duration(far)/2)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	own := r.node.settings.Instance.ID
 	for instance, at := range r.relays {
-		if now.Sub(at) < relaySilence && instance < own {
+		if now.Sub(at) < silence && instance < own {
 			rank++
 		}
 	}
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -42,9 +42,9 @@
 	// Wait returns the longest wait of the next watch; a watch that has gone silent
 	// is noticed no later than this.
 	Wait func() time.Duration
-	// Pause is kept between two watches, so that changes in quick succession come
-	// with one call.
-	Pause time.Duration
+	// Pause returns the pause before the next watch, so that changes in quick
+	// succession come with one call.
+	Pause func() time.Duration
 	// Watches reports whether this instance watches the store itself.
 	Watches func() bool
 	// Relay is given what this instance has seen in the store; nil if nobody is told.
@@ -136,7 +136,7 @@
 		if err := f.watch(watching, f.settings.Wait()); err != nil {
 			return err
 		}
-		sleep(ctx, f.settings.Pause)
+		sleep(ctx, f.settings.Pause())
 		return nil
 	case f.progress.isBehind(time.Now()):
 		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Msg("others have seen newer objects, asking the store")
@@ -170,6 +170,7 @@
 		return nil
 	case errors.Is(err, object.ErrSilent) && !f.silent:
 		f.silent = true // once: a store that stays silent is lost
+		f.progress.setHealthy(false)
 		f.log.Info().Str("event", "store.silent").Uint64("version", uint64(f.version)).Msg("watch was not answered, beginning it again")
 		return nil
 	case errors.Is(err, object.ErrHistoryGone):
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -61,7 +61,7 @@
 func start(ctx context.Context, source Source, store *objectapi.Memory, relay func(Changes), watches bool) *fixture {
 	f := &fixture{store: store, sink: &recorder{}, watches: watches}
 	f.follower = New(Settings{
-		Kind: kind, Wait: func() time.Duration { return time.Second }, Pause: 10 * time.Millisecond, Relay: relay,
+		Kind: kind, Wait: func() time.Duration { return time.Second }, Pause: func() time.Duration { return 10 * time.Millisecond }, Relay: relay,
 		Watches: func() bool { return f.watches }, Retry: func() time.Duration { return 300 * time.Millisecond },
 	}, source, f.sink, zerolog.Nop())
 	go f.follower.Run(ctx)
@@ -152,7 +152,9 @@
 		f := start(ctx, source, store, nil, true)
 		time.Sleep(100 * time.Millisecond)
 		source.setDeaf(true)
-		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, f.follower.Healthy())
+		time.Sleep(2500 * time.Millisecond) // the watch that has begun, and one that is deaf
+		assert.Assert(t, !f.follower.Healthy(), "others go on to rely on a watch that is not answered")
 		version := put(t, store, "a", "2")
 		f.follower.Compare(time.Now(), version)
 		source.setDeaf(false)
