Store: what is behind catches up undisturbed, and what others tell counts meanwhile

An instance that the store turns away ignored what others told. Change: catching up is a call of its own that nothing breaks off, a list where the gap is large; a watch is silent only until its answer begins; told changes count while the store is away.

--- a/internal/node/storewatch/progress.go
+++ b/internal/node/storewatch/progress.go
@@ -66,10 +66,24 @@
 	}
 	if p.interrupt != nil && now.Sub(p.behind) > behindDelay {
 		p.interrupt(errBehind)
-		p.behind = now // the next watch has its own time
 	}
 }
 
+// gap returns by how many versions others are ahead.
+func (p *progress) gap() object.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.theirs, p.version) - p.version
+}
+
+// asked records that the store is being asked for what is missing; if something
+// still is, it is asked again after a while.
+func (p *progress) asked(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.behind = now
+}
+
 func (p *progress) isBehind(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -26,7 +26,8 @@
 	// Replace takes all objects of the kind. Objects may be missing until complete,
 	// as they lapsed while the store was away; the zero time says that none does.
 	Replace(objects []object.Object, complete time.Time)
-	// Apply takes changes in their order.
+	// Apply takes changes. What is older than what is known by the version of the
+	// object changes nothing.
 	Apply(events []object.Event, complete time.Time)
 }
 
@@ -65,6 +66,9 @@
 	// store itself: a datagram's way, an answer of the store and a pause between
 	// two watches.
 	behindDelay = 300 * time.Millisecond
+	// listGap is the number of changes from which on a list is shorter than the
+	// changes: the objects of a large fleet.
+	listGap = 200
 	// listenInterval is the time between two looks at whether this instance is
 	// behind or has to watch itself.
 	listenInterval = 100 * time.Millisecond
@@ -106,7 +110,7 @@
 
 // Told takes changes that another instance has seen in the store.
 func (f *Follower) Told(c Changes) {
-	if f.settings.Watches() {
+	if f.settings.Watches() && f.Healthy() {
 		return // it sees them itself
 	}
 	if !f.told.Offer(c) {
@@ -130,6 +134,8 @@
 	switch {
 	case f.version == 0:
 		return f.list(ctx)
+	case f.progress.isBehind(time.Now()):
+		return f.catchUp(ctx)
 	case f.settings.Watches() || f.failures > 0:
 		watching, done := f.progress.begin(ctx)
 		defer done()
@@ -138,15 +144,25 @@
 		}
 		sleep(ctx, f.settings.Pause())
 		return nil
-	case f.progress.isBehind(time.Now()):
-		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Msg("others have seen newer objects, asking the store")
-		return f.watch(ctx, 0) // answered at once
 	default:
 		f.listen(ctx)
 		return nil
 	}
 }
 
+// catchUp asks the store for what others have seen. Nothing breaks this call off:
+// over a slow link the answer takes longer than the time after which an instance
+// counts as behind.
+func (f *Follower) catchUp(ctx context.Context) error {
+	gap := f.progress.gap()
+	f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Uint64("by", uint64(gap)).Msg("others have seen newer objects, asking the store")
+	f.progress.asked(time.Now())
+	if gap > listGap {
+		return f.list(ctx)
+	}
+	return f.watch(ctx, 0) // answered at once
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	objects, version, err := f.source.ListAt(ctx, f.settings.Kind)
 	if err != nil {
@@ -166,8 +182,7 @@
 	events, next, err := f.source.WatchSince(ctx, f.settings.Kind, f.version, wait)
 	switch {
 	case err != nil && errors.Is(context.Cause(ctx), errBehind):
-		f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Msg("watch was silent, beginning it again")
-		return nil
+		return nil // what is missing is asked for next
 	case errors.Is(err, object.ErrSilent) && !f.silent:
 		f.silent = true // once: a store that stays silent is lost
 		f.progress.setHealthy(false)
@@ -187,18 +202,38 @@
 }
 
 // listen waits for changes told by other instances.
-func (f *Follower) listen(ctx context.Context) {
-	timer := time.NewTimer(listenInterval)
+func (f *Follower) listen(ctx context.Context) { f.rest(ctx, listenInterval) }
+
+// rest passes a time in which the store is not called, and takes what other
+// instances tell meanwhile.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
-	select {
-	case c := <-f.told.C():
-		if c.After > f.version {
-			return // some are missing: the comparison of versions tells so
+	for {
+		select {
+		case c := <-f.told.C():
+			f.takeTold(c)
+			if f.progress.isBehind(time.Now()) {
+				return
+			}
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
 		}
-		c.Events = newer(c.Events, f.version)
+	}
+}
+
+// takeTold takes changes of another instance. Where changes before them are missing
+// they count, too, but the store is asked for all since the last version known.
+func (f *Follower) takeTold(c Changes) {
+	c.Events = newer(c.Events, f.version)
+	if c.After <= f.version {
 		f.take(c, nil)
-	case <-timer.C:
-	case <-ctx.Done():
+		return
+	}
+	if len(c.Events) > 0 {
+		f.sink.Apply(c.Events, f.complete())
 	}
 }
 
@@ -267,7 +302,7 @@
 	}
 	f.failures++
 	wait := f.settings.Retry()
-	sleep(ctx, wait/2+rand.N(wait))
+	f.rest(ctx, wait/2+rand.N(wait))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -201,6 +201,67 @@
 	})
 }
 
+// slowSource answers the call that catches up only after a second, as a slow link does.
+type slowSource struct {
+	*objectapi.Memory
+	calls int
+}
+
+func (s *slowSource) WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
+	if wait == 0 {
+		s.calls++
+		timer := time.NewTimer(time.Second)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, after, object.ErrUnavailable
+		}
+	}
+	return s.Memory.WatchSince(ctx, kind, after, wait)
+}
+
+func TestAnAnswerOverASlowLinkIsNotBrokenOff(t *testing.T) {
+	for _, watches := range []bool{true, false} {
+		run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+			source := &slowSource{Memory: store}
+			put(t, store, "a", "1")
+			f := start(ctx, source, store, nil, watches)
+			time.Sleep(100 * time.Millisecond)
+			store.DropHistory()
+			for range 30 {
+				f.follower.Compare(time.Now(), 5) // others are ahead all the while
+				time.Sleep(100 * time.Millisecond)
+			}
+			for range 4 {
+				put(t, store, "b", time.Now().String())
+				time.Sleep(time.Millisecond)
+			}
+			for range 30 {
+				f.follower.Compare(time.Now(), 5)
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.Assert(t, f.sink.get("b") != "", "the change is never learnt")
+			assert.Assert(t, source.calls < 8, "%d calls", source.calls)
+		})
+	}
+}
+
+func TestChangesThatOthersTellCountWhileTheStoreIsAway(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		cut := objectapi.NewLink(store)
+		put(t, store, "a", "1")
+		f := start(ctx, cut, store, nil, true)
+		start(ctx, store, store, f.follower.Told, true)
+		time.Sleep(100 * time.Millisecond)
+		cut.SetFaults(objectapi.LinkFaults{Cut: true})
+		time.Sleep(2 * time.Second)
+		put(t, store, "a", "2")
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, f.sink.get("a"), "2")
+	})
+}
+
 func TestEntriesAreAwaitedOnlyAfterALongAbsence(t *testing.T) {
 	for _, c := range []struct {
 		away    time.Duration
--- a/internal/standin/objectapi/link.go
+++ b/internal/standin/objectapi/link.go
@@ -169,3 +169,23 @@
 	}
 	return l.store.Instances(ctx)
 }
+
+// ListAt returns the objects of a kind with the store's version.
+func (l *Link) ListAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return l.store.ListAt(ctx, kind)
+}
+
+// WatchSince waits for changes after a version. A cut ends the wait.
+func (l *Link) WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, after, err
+	}
+	events, next, err := l.store.WatchSince(ctx, kind, after, wait)
+	if passed := l.pass(ctx); passed != nil {
+		return nil, after, passed
+	}
+	return events, next, err
+}
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
@@ -236,11 +237,7 @@
 
 // do performs one call and maps its outcome to the errors of package object.
 func (c *Client) do(ctx context.Context, k call) ([]byte, error) {
-	limit := c.timeout
-	if k.watches {
-		limit = k.extra + watchSlack
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.extra)
 	defer cancel()
 	started := time.Now()
 	body, err := c.send(ctx, k)
@@ -255,11 +252,18 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, silent := context.WithCancelCause(ctx)
+	defer silent(nil)
+	if k.watches && k.extra > 0 {
+		head := time.AfterFunc(k.extra+watchSlack, func() { silent(object.ErrSilent) })
+		defer head.Stop()
+		request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { head.Stop() }}))
+	}
 	response, err := c.http.Do(request)
+	if err != nil && errors.Is(context.Cause(ctx), object.ErrSilent) {
+		return nil, errors.Join(object.ErrSilent, err)
+	}
 	if err != nil {
-		if k.watches && errors.Is(err, context.DeadlineExceeded) {
-			return nil, errors.Join(object.ErrSilent, err)
-		}
 		return nil, lostAnswer(k, err)
 	}
 	defer func() { _ = response.Body.Close() }()
