--- a/internal/node/gateway/plain_test.go
+++ b/internal/node/gateway/plain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -254,3 +255,39 @@
 	}
 	assert.Equal(t, leaving.count(), 0)
 }
+
+// TestAnUpstreamThatIsDarkCostsLittle takes an address from which no answer comes,
+// as of a machine without power: the accept queue of a listener that is full.
+func TestAnUpstreamThatIsDarkCostsLittle(t *testing.T) {
+	dark := fullListener(t)
+	sound := startUpstream(t, "u2", answerWith(200, "booked"))
+	h := newHarness(t, sound)
+	h.registry.Put(fleet.Upstream{ID: "u1", Service: "s", Zone: "z", Address: dark})
+	h.registry.Put(fleet.Upstream{ID: "u2", Service: "s", Zone: "far", Address: sound.listener.Addr().String()})
+	began := time.Now()
+	got := h.do(t, "POST", "/order/1", "x", "Deadline-Ms", "900")
+	assert.Equal(t, got.status, 200)
+	assert.Assert(t, time.Since(began) > 100*time.Millisecond, "the dark upstream was not asked first")
+}
+
+// fullListener returns the address of a listener that answers no opening packet.
+func fullListener(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, syscall.Listen(fd, 0))
+	bound, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
+	for range 4 {
+		conn, err := net.DialTimeout("tcp4", address, 100*time.Millisecond)
+		if err != nil {
+			return address // the queue is full
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Skip("the queue of the listener can't be filled on this kernel")
+	return ""
+}
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// DialTimeout is the longest wait for a connection: two lost opening packets
-	// on a regional link.
-	DialTimeout = time.Second
+	// DialTimeout is the longest wait for a connection: many round trips between
+	// zones. A lost opening packet is sent again only after a second; by then
+	// another upstream has answered.
+	DialTimeout = 250 * time.Millisecond
 	// maxIdlePerUpstream is above the requests that one instance usually has in
 	// flight at one upstream.
 	maxIdlePerUpstream = 16
