Dispatch: an instance of a large fleet looks at a random part of the engines; the newest configuration is listed

Cause: eighty instances know each other's loads after half a second; all that look at all engines send to the same one meanwhile. Change: above ten instances the candidates are a random part by the size of the fleet; catching up on the configuration lists its newest version.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 	n.store = store
 	n.store.Observe(n.observeStore)
 	n.registry = registry.New(logging.For(n.log, "registry"), time.Now)
-	n.tracker = gateway.NewTracker(time.Now, newRandom())
+	n.tracker = gateway.NewTracker(time.Now, n.instances, newRandom())
 	n.pool = upstreamconn.NewPool(n.metrics.Connections.Inc)
 	n.reports = newReporter(n)
 	address, err := netip.ParseAddr(s.Instance.Address)
@@ -93,8 +93,8 @@
 		Ask: n.reports.ask, Count: n.reports.count, TellBreak: n.reports.tellBreak,
 	})
 	leases := steward.LeaseSettings(n.settings.Bounds.TurnGap)
-	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n}, false)
-	n.followUpstreams = n.follow(platform.KindEngines, upstreamPause, upstreamSink{n}, true)
+	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n}, configListGap, nil)
+	n.followUpstreams = n.follow(platform.KindEngines, upstreamPause, upstreamSink{n}, upstreamListGap, n.reports.relay)
 	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, leases, n.settings.Instance.ID, uuid.NewString())
 	n.steward = steward.New(steward.Options{
 		Instance: n.settings.Instance.ID, Log: logging.For(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
@@ -132,6 +132,11 @@
 	configPause   = 100 * time.Millisecond
 	upstreamPause = 150 * time.Millisecond
 	standbyPause  = 400 * time.Millisecond
+	// configListGap is zero: there is one object, which may have hundreds of
+	// kilobytes, and only its newest version counts.
+	configListGap = 0
+	// upstreamListGap is about the number of entries in a large fleet.
+	upstreamListGap = 200
 	// A store that does not answer is called ten times a second by all instances
 	// together, and by each within these bounds.
 	retryPerInstance = 100 * time.Millisecond
@@ -166,17 +171,14 @@
 	return min(max(time.Duration(n.instances())*retryPerInstance, retryFloor), retryCeiling)
 }
 
-func (n *Node) follow(kind object.Kind, pause time.Duration, sink storewatch.Sink, relay bool) *storewatch.Follower {
+func (n *Node) follow(kind object.Kind, pause time.Duration, sink storewatch.Sink, listGap object.Version, relay func(storewatch.Changes)) *storewatch.Follower {
 	var f *storewatch.Follower
 	var last object.Version
 	s := storewatch.Settings{
-		Kind: kind, Retry: n.storeRetry, Pause: func() time.Duration { return n.watchPause(pause) },
+		Kind: kind, Retry: n.storeRetry, ListGap: listGap, Relay: relay, Pause: func() time.Duration { return n.watchPause(pause) },
 		Wait:    func() time.Duration { return n.watchTurn(f.Newest(), &last) },
 		Watches: func() bool { return n.reports.watches(time.Now()) },
 	}
-	if relay {
-		s.Relay = n.reports.relay
-	}
 	f = storewatch.New(s, n.store, sink, logging.For(n.log, "store"))
 	return f
 }
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -50,6 +50,9 @@
 	Watches func() bool
 	// Relay is given what this instance has seen in the store; nil if nobody is told.
 	Relay func(Changes)
+	// ListGap is the number of versions from which on a list is shorter than the
+	// changes since.
+	ListGap object.Version
 	// Retry returns the pause before the next call to a store that does not answer.
 	Retry func() time.Duration
 }
@@ -66,9 +69,6 @@
 	// store itself: a datagram's way, an answer of the store and a pause between
 	// two watches.
 	behindDelay = 300 * time.Millisecond
-	// listGap is the number of changes from which on a list is shorter than the
-	// changes: the objects of a large fleet.
-	listGap = 200
 	// listenInterval is the time between two looks at whether this instance is
 	// behind or has to watch itself.
 	listenInterval = 100 * time.Millisecond
@@ -157,7 +157,7 @@
 	gap := f.progress.gap()
 	f.log.Info().Str("event", "store.behind").Uint64("version", uint64(f.version)).Uint64("by", uint64(gap)).Msg("others have seen newer objects, asking the store")
 	f.progress.asked(time.Now())
-	if gap > listGap {
+	if gap > f.settings.ListGap {
 		return f.list(ctx)
 	}
 	return f.watch(ctx, 0) // answered at once
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -61,7 +61,7 @@
 func start(ctx context.Context, source Source, store *objectapi.Memory, relay func(Changes), watches bool) *fixture {
 	f := &fixture{store: store, sink: &recorder{}, watches: watches}
 	f.follower = New(Settings{
-		Kind: kind, Wait: func() time.Duration { return time.Second }, Pause: func() time.Duration { return 10 * time.Millisecond }, Relay: relay,
+		Kind: kind, ListGap: 100, Wait: func() time.Duration { return time.Second }, Pause: func() time.Duration { return 10 * time.Millisecond }, Relay: relay,
 		Watches: func() bool { return f.watches }, Retry: func() time.Duration { return 300 * time.Millisecond },
 	}, source, f.sink, zerolog.Nop())
 	go f.follower.Run(ctx)
@@ -201,6 +201,27 @@
 	})
 }
 
+func TestWhereOnlyTheNewestCountsItIsListed(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		put(t, store, "a", "1")
+		f := start(ctx, store, store, nil, false)
+		f.follower.settings.ListGap = 0
+		time.Sleep(100 * time.Millisecond)
+		for i := range 30 {
+			put(t, store, "a", string(rune('b'+i)))
+		}
+		before := store.Counts()
+		for range 10 {
+			f.follower.Compare(time.Now(), 31)
+			time.Sleep(100 * time.Millisecond)
+		}
+		after := store.Counts()
+		assert.Equal(t, f.sink.get("a"), string(rune('b'+29)))
+		assert.Equal(t, after.Lists-before.Lists, uint64(1))
+		assert.Equal(t, after.Watches, before.Watches)
+	})
+}
+
 // slowSource answers the call that catches up only after a second, as a slow link does.
 type slowSource struct {
 	*objectapi.Memory
