--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"savoryweir/internal/node/steward"
 	"savoryweir/internal/node/storewatch"
 	"savoryweir/internal/node/telemetry"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/object"
 	"savoryweir/internal/transport/boottime"
@@ -229,7 +230,7 @@
 )
 
 func (n *Node) tidy(ctx context.Context) {
-	for pause(ctx, tidyInterval) {
+	for pause.For(ctx, tidyInterval) {
 		n.registry.Expire()
 		n.pool.Sweep()
 		view := n.registry.View()
@@ -255,7 +256,7 @@
 			<-ctx.Done()
 			return
 		}
-		pause(ctx, registerRetry/2+rand.N(registerRetry))
+		pause.For(ctx, registerRetry/2+rand.N(registerRetry))
 	}
 }
 
@@ -274,18 +275,6 @@
 	return err == nil
 }
 
-// pause waits. It reports false once ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (n *Node) operationsAddress() string {
 	return netip.AddrPortFrom(netip.MustParseAddr(n.settings.Instance.Address), uint16(n.settings.Operations.Port)).String()
 }
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -9,6 +9,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/node/storewatch"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/object"
 	"savoryweir/platform"
 )
@@ -109,7 +110,7 @@
 // listInstances tells the mesh which other instances there are. An instance that
 // starts lists the others; these learn of it by its reports.
 func (n *Node) listInstances(ctx context.Context) {
-	for wait := time.Duration(0); pause(ctx, wait); {
+	for wait := time.Duration(0); pause.For(ctx, wait); {
 		if err := n.listInstancesOnce(ctx); err != nil {
 			n.log.Info().Err(err).Str("event", "instances.unread").Msg("instances were not listed")
 			wait = n.storeRetry()
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"savoryweir/internal/pause"
 	"savoryweir/internal/settings"
 )
 
@@ -19,7 +20,7 @@
 		return
 	}
 	last := n.settingsChanged()
-	for pause(ctx, settingsInterval) {
+	for pause.For(ctx, settingsInterval) {
 		if changed := n.settingsChanged(); changed != last {
 			last = changed
 			n.reloadSettings()
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -9,6 +9,7 @@
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/steering"
 	"savoryweir/internal/node/registry"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/loads"
 	"savoryweir/internal/state/object"
@@ -96,7 +97,7 @@
 
 func (r *reporter) run(ctx context.Context) {
 	near, far := &pacer{}, &pacer{}
-	for number := 0; pause(ctx, reportInterval); number++ {
+	for number := 0; pause.For(ctx, reportInterval); number++ {
 		r.feedOwnDemand(number)
 		nearPeers, farPeers := r.node.mesh.Near()
 		report, now := r.report(), time.Now()
--- a/internal/node/steward/holder.go
+++ b/internal/node/steward/holder.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"savoryweir/internal/coordination/lease"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/object"
 )
 
@@ -94,7 +95,7 @@
 	for ctx.Err() == nil {
 		now, ok := h.now()
 		if !ok {
-			pause(ctx, storeRetry)
+			pause.For(ctx, storeRetry)
 			continue
 		}
 		var step lease.Step
@@ -102,7 +103,7 @@
 		h.with(func(l *lease.Lease) { step, until = l.Next(now) })
 		switch step {
 		case lease.StepWait:
-			pause(ctx, min(until-now, time.Second)+rand.N(50*time.Millisecond))
+			pause.For(ctx, min(until-now, time.Second)+rand.N(50*time.Millisecond))
 		case lease.StepRead:
 			h.read(ctx, now)
 		default:
@@ -124,7 +125,7 @@
 	}
 	if err != nil {
 		h.log.Debug().Err(err).Str("event", "lease.unread").Msg("lease was not read")
-		pause(ctx, storeRetry/2+rand.N(storeRetry))
+		pause.For(ctx, storeRetry/2+rand.N(storeRetry))
 		return
 	}
 	record.Version = o.Version
@@ -147,7 +148,7 @@
 	default:
 		h.log.Info().Err(err).Str("event", "lease.doubt").Uint64("expected", uint64(expected)).Msg("lease was not written")
 		h.with(func(l *lease.Lease) { l.Doubt() })
-		pause(ctx, storeRetry/2+rand.N(storeRetry))
+		pause.For(ctx, storeRetry/2+rand.N(storeRetry))
 	}
 }
 
@@ -201,12 +202,3 @@
 	_, err := h.put(ctx, record, expected)
 	h.log.Info().Err(err).Str("event", "lease.released").Msg("lease of orders released")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(max(d, time.Millisecond))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/steward/orders.go
+++ b/internal/node/steward/orders.go
@@ -8,6 +8,7 @@
 
 	"savoryweir/internal/coordination/steering"
 	"savoryweir/internal/node/registry"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
 	"savoryweir/platform"
@@ -35,9 +36,9 @@
 	if !a.Load {
 		s.announce(item, false)
 		if a.Adapter != "" {
-			pause(ctx, adapterRetireWait)
+			pause.For(ctx, adapterRetireWait)
 		} else {
-			pause(ctx, retireWait)
+			pause.For(ctx, retireWait)
 		}
 	}
 	result := platform.OrderUnknown
@@ -45,7 +46,7 @@
 		result = s.order(ctx, u, a)
 	}
 	if result == platform.OrderAccepted && a.Load && a.Adapter != "" {
-		pause(ctx, adapterReady)
+		pause.For(ctx, adapterReady)
 	}
 	s.mu.Lock()
 	l := s.lanes[u.ID]
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -11,6 +11,7 @@
 	"savoryweir/internal/coordination/steering"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/node/telemetry"
+	"savoryweir/internal/pause"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
 )
@@ -130,7 +131,7 @@
 			return
 		}
 		s.round(ctx)
-		pause(ctx, planPause)
+		pause.For(ctx, planPause)
 	}
 }
 
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"savoryweir/internal/pause"
 	"savoryweir/internal/ring"
 	"savoryweir/internal/state/object"
 )
@@ -142,7 +143,7 @@
 		if err := f.watch(watching, f.settings.Wait()); err != nil {
 			return err
 		}
-		sleep(ctx, f.settings.Pause())
+		pause.For(ctx, f.settings.Pause())
 		return nil
 	default:
 		f.listen(ctx)
@@ -304,15 +305,3 @@
 	wait := f.settings.Retry()
 	f.rest(ctx, wait/2+rand.N(wait))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
