--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -225,7 +225,9 @@
 	for model, rate := range work {
 		states = append(states, modelState{Model: model, Tokens: int(rate), Replicas: replicas[model]})
 	}
-	slices.SortFunc(states, func(a, b modelState) int { return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Model, b.Model)) })
+	slices.SortFunc(states, func(a, b modelState) int {
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Model, b.Model))
+	})
 	return states[:min(len(states), busiestLogged)]
 }
 
