Store: an object is touched by its status, as a write that changes nothing makes no version

Change: object.Writer has Touch, which changes the status; the bundle store uses it. Unused fields of the configuration are gone; the turns of watches follow the settings' bounds; models on an engine's own disk are waited for and loaded there first.

--- a/internal/control/claims/cluster_test.go
+++ b/internal/control/claims/cluster_test.go
@@ -317,6 +317,11 @@
 	return v, s.call(func(l *objectapi.Link) error { v, err = l.Update(ctx, kind, name, data, expected); return err })
 }
 
+func (s *frozenStore) Touch(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) (v object.Version, err error) {
+	s.node.cluster.written.Add(int64(len(data)))
+	return v, s.call(func(l *objectapi.Link) error { v, err = l.Touch(ctx, kind, name, expected); return err })
+}
+
 func (s *frozenStore) Delete(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) error {
 	return s.call(func(l *objectapi.Link) error { return l.Delete(ctx, kind, name, expected) })
 }
--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -16,6 +16,9 @@
 	// demand moves on, and counts against the ceiling of all engines.
 	gainFromStore = 0.12
 	gainFromDisk  = 0.08
+	// missingFromStore is the utilization that a load from the weight store is put
+	// behind one from disk where requests wait for a model: it takes five times as long.
+	missingFromStore = 0.5
 	// busyFrom is the utilization beyond which requests wait noticeably for one
 	// another, and busyWeight how much more it counts from there on.
 	busyFrom   = 0.5
@@ -147,7 +150,7 @@
 		after += p.work(mv.evict) / float64(max(p.replica[mv.evict]-1, 1))
 	}
 	if !mv.disk {
-		after += gainFromStore
+		after += missingFromStore
 	}
 	return after
 }
@@ -159,7 +162,7 @@
 		if st.used || st.moving || st.Loading != "" || st.models[m.Name] || st.Upstream.Holds(m.Name, "") {
 			return
 		}
-		disk := st.hasOwnCopy(m.Name)
+		disk := st.Upstream.HasOwnCopy(m.Name)
 		if !disk && p.Loads <= 0 {
 			return
 		}
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -5,7 +5,6 @@
 package steering
 
 import (
-	"slices"
 	"time"
 
 	"savoryweir/internal/state/fleet"
@@ -172,7 +171,7 @@
 			continue
 		}
 		st.moving = true // reserved for the model that is coming
-		disk := st.hasOwnCopy(st.Loading)
+		disk := st.Upstream.HasOwnCopy(st.Loading)
 		if st.free < 0 || !disk && p.Loads <= 0 {
 			continue
 		}
@@ -191,8 +190,3 @@
 	}
 	return ""
 }
-
-// hasOwnCopy reports whether the engine loads a model from its own disk or memory.
-func (st *engineState) hasOwnCopy(model string) bool {
-	return slices.Contains(st.Upstream.OnDisk, model) || slices.Contains(st.Upstream.InMemory, model)
-}
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -17,7 +17,7 @@
 )
 
 func testClass(models int) *fleet.EngineClass {
-	class := &fleet.EngineClass{Slots: 64, WeightsMB: 230000, AdapterSlots: 3, LoadsPerSecond: 2}
+	class := &fleet.EngineClass{WeightsMB: 230000, AdapterSlots: 3, LoadsPerSecond: 2}
 	for i := range models {
 		class.Models = append(class.Models, fleet.Model{
 			Name: fmt.Sprintf("m%d", i), WeightsMB: testWeights, Adapters: 6, AdapterMB: testAdapter,
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -177,7 +177,7 @@
 		Count:     func(string, string, string, int) {},
 		TellBreak: func(uint64, fleet.UpstreamID) {},
 	})
-	class := &fleet.EngineClass{Slots: 64, Models: []fleet.Model{{Name: testModel, LoadTime: 10 * time.Second, Adapters: 3}}}
+	class := &fleet.EngineClass{Models: []fleet.Model{{Name: testModel, LoadTime: 10 * time.Second, Adapters: 3}}}
 	h.gateway.Apply(&fleet.Config{
 		Version: 1, Routes: testRoutes(), Services: map[string]*fleet.Service{"s": {Name: "s", Engines: class}},
 		Limits: fleet.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 16 << 10},
--- a/internal/node/gateway/residency.go
+++ b/internal/node/gateway/residency.go
@@ -78,7 +78,14 @@
 	if model == nil {
 		return 0
 	}
-	return time.Duration(loadShare * float64(model.LoadTime))
+	load := model.LoadTime
+	for _, u := range c.gateway.Registry.View().All(c.service) {
+		if !u.Draining && u.HasOwnCopy(c.wire.Model) {
+			load = min(load, model.DiskTime)
+			break
+		}
+	}
+	return time.Duration(loadShare*float64(load)) + askAgain
 }
 
 func (c *call) refuseMissing(ctx context.Context, expected time.Duration) {
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -132,14 +132,6 @@
 	return alive
 }
 
-// LastHeard returns when an instance was last heard of.
-func (m *Mesh) LastHeard(instance string) (time.Time, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	h, ok := m.heard[instance]
-	return h.at, ok
-}
-
 // Broadcast sends a message to all other instances.
 func (m *Mesh) Broadcast(message *pb.FleetMessage) {
 	m.send(message, func(string, peer) bool { return true })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,11 +122,9 @@
 func (n *Node) instances() int { return n.mesh.Known() + 1 }
 
 const (
-	// pollEvery is the time within which some instance begins a new watch of each
-	// kind, and tells the others what it finds: it bounds how long watches that
-	// have all gone silent hide a change, well below the two seconds within which
-	// a configuration has to be in force.
-	pollEvery = 500 * time.Millisecond
+	// pollShare is the part of the time within which a change must be in force that a
+	// silent watch may take; the rest is for the other instances to learn of it.
+	pollShare = 4
 	// maxWatch bounds a watch.
 	maxWatch = 25 * time.Second
 	// Pauses gather changes in quick succession into one answer of the store.
@@ -145,6 +143,14 @@
 	retryCeiling     = 3 * time.Second
 )
 
+// pollEvery returns the time within which some instance begins a new watch of each
+// kind, and tells the others what it finds: it bounds how long watches that have all
+// gone silent hide a change.
+func (n *Node) pollEvery() time.Duration {
+	b := n.bounds.Load()
+	return min(b.ConfigApply, b.Drain) / pollShare
+}
+
 // watchTurn returns the wait of a watch, so that the watches of the instances that
 // watch end one after the other, though they begin together after a change: first
 // by the rank of this instance, then the time of a whole round.
@@ -152,9 +158,9 @@
 	rank, of := n.reports.watcherRank(time.Now())
 	if newest != *last {
 		*last = newest
-		return min(time.Duration(rank+1)*pollEvery, maxWatch)
+		return min(time.Duration(rank+1)*n.pollEvery(), maxWatch)
 	}
-	return min(time.Duration(of)*pollEvery, maxWatch)
+	return min(time.Duration(of)*n.pollEvery(), maxWatch)
 }
 
 // watchPause returns the pause between two watches: longer for an instance that
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"savoryweir/internal/errs"
-	"savoryweir/internal/logging"
 	"savoryweir/internal/transport/operations"
 	"savoryweir/platform"
 )
@@ -164,6 +163,3 @@
 		return false
 	}
 }
-
-// Lines returns the writer of the node's log, for the caller to run.
-func (n *Node) Lines() *logging.Bounded { return n.lines }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -47,6 +47,7 @@
 type BoundSettings struct {
 	Grace       time.Duration `help:"Time from SIGTERM to SIGKILL." default:"8s" min:"100ms" max:"10m"`
 	ConfigApply time.Duration `help:"Time within which an acknowledged configuration is in force." default:"2s" min:"10ms" max:"10m"`
+	Drain       time.Duration `help:"Time within which an upstream that leaves gets no more requests." default:"2s" min:"10ms" max:"10m"`
 	RetryRatio  float64       `help:"Repeats of requests as a share of requests." default:"0.1" min:"0" max:"10"`
 	RetryWindow time.Duration `help:"Sliding window over which repeats are counted." default:"10s" min:"100ms" max:"10m"`
 	RetrySlack  float64       `help:"Repeats in a window beyond the share, over all instances." default:"0" min:"0" max:"1000000"`
--- a/internal/standin/objectapi/link.go
+++ b/internal/standin/objectapi/link.go
@@ -146,6 +146,11 @@
 	})
 }
 
+// Touch implements object.Writer.
+func (l *Link) Touch(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) (object.Version, error) {
+	return l.do(ctx, func(ctx context.Context) (object.Version, error) { return l.store.Touch(ctx, kind, name, expected) })
+}
+
 // Delete implements object.Writer.
 func (l *Link) Delete(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) error {
 	_, err := l.do(ctx, func(ctx context.Context) (object.Version, error) {
--- a/internal/standin/objectapi/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -140,6 +140,30 @@
 	return m.write(ctx, func(c *Counts) { c.Updates++ }, key{kind, name}, expected, data)
 }
 
+// Touch implements object.Writer.
+func (m *Memory) Touch(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) (object.Version, error) {
+	loseAnswer, err := m.admitWrite(ctx, func(c *Counts) { c.Updates++ })
+	if err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := key{kind, name}
+	o, ok := m.objects[k]
+	if !ok {
+		return 0, answer(loseAnswer, object.ErrNotFound)
+	}
+	if o.Version != expected {
+		m.counts.Conflicts++
+		return 0, answer(loseAnswer, object.ErrConflict)
+	}
+	m.version++
+	o.Version = m.version
+	m.objects[k] = o
+	m.publish(object.Event{Object: o})
+	return o.Version, answer(loseAnswer, nil)
+}
+
 // Delete implements object.Writer.
 func (m *Memory) Delete(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) error {
 	loseAnswer, err := m.admitWrite(ctx, func(c *Counts) { c.Deletes++ })
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -21,6 +21,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ObjectPattern, s.get)
 	mux.HandleFunc("PUT "+platform.ObjectPattern, s.put)
+	mux.HandleFunc("PUT "+platform.StatusPattern, s.touch)
 	mux.HandleFunc("DELETE "+platform.ObjectPattern, s.remove)
 	mux.HandleFunc("GET "+platform.KindPattern, s.listOrWatch)
 	mux.HandleFunc("POST "+platform.KindPattern, s.create)
@@ -64,6 +65,15 @@
 	writeObject(w, o, err)
 }
 
+func (s *server) touch(w http.ResponseWriter, r *http.Request) {
+	o, err := readObject(w, r)
+	if err == nil {
+		_, o.Name = target(r)
+		o.Version, err = s.store.Touch(r.Context(), o.Kind, o.Name, o.Version)
+	}
+	writeObject(w, o, err)
+}
+
 func (s *server) remove(w http.ResponseWriter, r *http.Request) {
 	query, err := platform.ParseQuery(r.URL.Query())
 	if err != nil {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 )
 
@@ -51,15 +52,12 @@
 	WeightsMB float64
 	LoadTime  time.Duration // from the weight store
 	DiskTime  time.Duration // from the engine's own disk
-	HostTime  time.Duration // from the engine's own memory
 	Adapters  int
 	AdapterMB float64
 }
 
 // EngineClass describes the model engines of a service.
 type EngineClass struct {
-	Slots          int // requests in a batch
-	KVTokens       int // tokens that the memory holds
 	WeightsMB      float64
 	AdapterSlots   int
 	LoadsPerSecond float64 // ceiling over all engines, from the weight store
@@ -78,10 +76,8 @@
 
 // Service is a group of upstreams that serve the same requests.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int // of one upstream, from all instances together
-	Engines        *EngineClass
+	Name    string
+	Engines *EngineClass
 }
 
 // Limits bound what callers may send.
@@ -116,12 +112,10 @@
 	Service  string
 	Address  string
 	Zone     string
-	Slots    int
 	Draining bool
-	TimeLeft time.Duration // until it is gone, zero if unknown
-	Entry    uint64        // version of its entry in the store
-	Orders   uint64        // orders accepted since its start, known from its reports only
-	Busy     bool          // an order is in progress
+	Entry    uint64 // version of its entry in the store
+	Orders   uint64 // orders accepted since its start, known from its reports only
+	Busy     bool   // an order is in progress
 	Models   []Resident
 	Coming   []string // adapters on their way, MODEL/NAME
 	InMemory []string // models that load from the engine's own memory
@@ -146,6 +140,11 @@
 	return false
 }
 
+// HasOwnCopy reports whether the engine loads a model from its own disk or memory.
+func (u *Upstream) HasOwnCopy(model string) bool {
+	return slices.Contains(u.OnDisk, model) || slices.Contains(u.InMemory, model)
+}
+
 // EnginesOrNil returns the engine class of a service, nil for plain and unknown services.
 func (s *Service) EnginesOrNil() *EngineClass {
 	if s == nil {
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -94,6 +94,9 @@
 	Create(ctx context.Context, kind Kind, name Name, data []byte) (Version, error)
 	// Update replaces the object if its version is expected, else returns ErrConflict.
 	Update(ctx context.Context, kind Kind, name Name, data []byte, expected Version) (Version, error)
+	// Touch raises the version of the object if it is expected, else returns
+	// ErrConflict. Its data stays. An update that changes nothing raises no version.
+	Touch(ctx context.Context, kind Kind, name Name, expected Version) (Version, error)
 	// Delete removes the object if its version is expected, else returns ErrConflict.
 	Delete(ctx context.Context, kind Kind, name Name, expected Version) error
 }
--- a/internal/transport/bundlestore/bundlestore.go
+++ b/internal/transport/bundlestore/bundlestore.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// PutSections writes sections. One that exists already is written again, which
-// raises its version: so an approval under way keeps it from being deleted, see
+// PutSections writes sections. One that exists already is touched, which raises its
+// version: so an approval under way keeps it from being deleted, see
 // package retention. The content never changes.
 func (s *Store) PutSections(ctx context.Context, sections []bundlefile.Section) error {
 	for _, section := range sections {
@@ -130,7 +130,7 @@
 // version of one that exists.
 func (s *Store) putImmutable(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
 	mayPass := func(err error) bool { return isTransient(err) || isOvertaken(err) }
-	return repeat(ctx, mayPass, func() error { return s.createOrRewrite(ctx, kind, name, data) })
+	return repeat(ctx, mayPass, func() error { return s.createOrTouch(ctx, kind, name, data) })
 }
 
 // repeat writes again, after a longer wait each time, while the error may pass.
@@ -148,7 +148,7 @@
 	}
 }
 
-func (s *Store) createOrRewrite(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
+func (s *Store) createOrTouch(ctx context.Context, kind object.Kind, name object.Name, data []byte) error {
 	_, err := s.objects.Create(ctx, kind, name, data)
 	if !errors.Is(err, object.ErrConflict) {
 		return err
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.objects.Update(ctx, kind, name, data, found.Version)
+	_, err = s.objects.Touch(ctx, kind, name, found.Version)
 	return err
 }
 
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -15,6 +15,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"savoryweir/internal/errs"
 	"savoryweir/internal/state/object"
 	"savoryweir/internal/transport/tlsconf"
@@ -206,6 +208,16 @@
 		object.Object{Kind: kind, Name: name, Version: expected, Data: data})
 }
 
+// Touch implements object.Writer. It changes the object's status.
+func (c *Client) Touch(ctx context.Context, kind object.Kind, name object.Name, expected object.Version) (object.Version, error) {
+	const step errs.Step = "touch object"
+	body, err := platform.EncodeTouch(name, expected, uuid.NewString())
+	if err != nil {
+		return 0, errs.Wrap(err, step, peer)
+	}
+	return c.written(ctx, kind, call{step: step, method: http.MethodPut, path: platform.StatusPath(kind, name), body: body, limit: maxObjectBytes})
+}
+
 func (c *Client) write(ctx context.Context, k call, o object.Object) (object.Version, error) {
 	if len(o.Data) > object.MaxSizeBytes {
 		return 0, errs.Wrap(object.ErrTooLarge, k.step, peer)
@@ -215,11 +227,16 @@
 		return 0, errs.Wrap(err, k.step, peer)
 	}
 	k.body, k.limit = body, maxObjectBytes
+	return c.written(ctx, o.Kind, k)
+}
+
+// written performs a write and returns the version that it made.
+func (c *Client) written(ctx context.Context, kind object.Kind, k call) (object.Version, error) {
 	answer, err := c.do(ctx, k)
 	if err != nil {
 		return 0, err
 	}
-	written, err := platform.DecodeObject(o.Kind, answer)
+	written, err := platform.DecodeObject(kind, answer)
 	if err != nil {
 		return 0, errs.Wrap(errors.Join(object.ErrOutcomeUnknown, err), k.step, peer)
 	}
