--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,11 +28,12 @@
 	store    *objectapi.Memory
 	storeURL string
 	upstream *httptest.Server
+	logs     io.Writer
 }
 
 func startCluster(t *testing.T, serve http.HandlerFunc) *cluster {
 	t.Helper()
-	c := &cluster{store: objectapi.New(time.Now, objectapi.Limits{})}
+	c := &cluster{store: objectapi.New(time.Now, objectapi.Limits{}), logs: io.Discard}
 	server := httptest.NewServer(objectapi.Handler(c.store))
 	t.Cleanup(server.Close)
 	c.storeURL = server.URL
@@ -89,8 +90,10 @@
 	var s Settings
 	_, err := settings.Parse(settings.Program{Name: "test"}, &s, []string{"--settings=" + i.file})
 	assert.NilError(t, err)
-	i.node, err = New(s, logging.NewBounded(io.Discard))
+	lines := logging.NewBounded(c.logs)
+	i.node, err = New(s, lines)
 	assert.NilError(t, err)
+	go lines.Run(t.Context().Done())
 	go func() { i.ended <- i.node.Run(i.signals) }()
 	return i
 }
@@ -236,6 +239,29 @@
 	}
 }
 
+// stuckReader takes no line of the log until the test ends.
+type stuckReader struct{ ended <-chan struct{} }
+
+func (r stuckReader) Write(p []byte) (int, error) {
+	<-r.ended
+	return len(p), nil
+}
+
+func TestAStuckReaderOfTheLogCostsCallersNothing(t *testing.T) {
+	c := startCluster(t, answerSealed)
+	c.logs = stuckReader{t.Context().Done()}
+	c.configure(t, 1, "a")
+	i := c.start(t, "i1")
+	defer i.stop(t)
+	eventually(t, "an answer", func() bool { status, _ := i.ask("/a/1"); return status == 200 })
+	for range 1500 {
+		status, body := i.ask("/a/1")
+		assert.Equal(t, status, 200)
+		assert.Equal(t, body, "ran")
+	}
+	assert.Assert(t, i.node.lines.Dropped() > 0)
+}
+
 func TestEntriesOfInstancesAreReadable(t *testing.T) {
 	data, err := json.Marshal(object.Instance{ID: "i1", Address: "10.0.0.1:7380", Zone: "z", Role: object.RoleSavoryweir})
 	assert.NilError(t, err)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -92,9 +92,9 @@
 }
 
 var (
-	errStopping = errors.New("instance is stopping")
-	errNoConfig = errors.New("no configuration yet")
-	errNoPeers  = errors.New("no upstreams known yet")
+	errStopping    = errors.New("instance is stopping")
+	errNoConfig    = errors.New("no configuration yet")
+	errNoUpstreams = errors.New("no upstreams known yet")
 )
 
 // notReady returns why callers should not be sent here, or nil.
@@ -105,7 +105,7 @@
 	case n.gateway.Config() == nil:
 		return errNoConfig
 	case n.registry.View().Count() == 0:
-		return errNoPeers
+		return errNoUpstreams
 	default:
 		return nil
 	}
