--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 	leases := steward.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.followConfig = n.follow(platform.KindConfig, configPause, configSink{n}, configListGap, nil)
 	n.followUpstreams = n.follow(platform.KindEngines, upstreamPause, upstreamSink{n}, upstreamListGap, n.reports.relay)
-	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, leases, n.settings.Instance.ID, uuid.NewString())
+	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, n.storeRetry, leases, n.settings.Instance.ID, uuid.NewString())
 	n.steward = steward.New(steward.Options{
 		Instance: n.settings.Instance.ID, Log: logging.For(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
 		Pool: n.pool, Holder: n.holder, Config: n.gateway.Config, Announce: n.reports.announce, Capacity: n.tracker.Capacity,
@@ -140,7 +140,7 @@
 	// together, and by each within these bounds.
 	retryPerInstance = 100 * time.Millisecond
 	retryFloor       = 300 * time.Millisecond
-	retryCeiling     = 3 * time.Second
+	retryCeiling     = 2 * time.Second
 )
 
 // pollEvery returns the time within which some instance begins a new watch of each
--- a/internal/node/steward/holder.go
+++ b/internal/node/steward/holder.go
@@ -26,8 +26,9 @@
 const (
 	leaseKind object.Kind = "savoryweir-leases"
 	leaseName object.Name = "orders"
-	// storeRetry bounds the calls for the lease while the store fails.
-	storeRetry = 300 * time.Millisecond
+	// renewRetry is the pause before a holder tries again to renew its lease, so that
+	// it has several tries before the lease ends.
+	renewRetry = 300 * time.Millisecond
 )
 
 // LeaseSettings returns the times of the lease of orders. turnGap is the time
@@ -46,14 +47,17 @@
 	store Store
 	log   zerolog.Logger
 	clock func() (time.Duration, error)
+	// retry returns the pause before an instance without the lease reads it again
+	// from a store that does not answer.
+	retry func() time.Duration
 
 	lease  *lease.Lease
 	locked chan struct{} // a mutex for lease that Run can hold without blocking long
 }
 
 // NewHolder returns a holder for an instance. nonce names the process.
-func NewHolder(store Store, log zerolog.Logger, clock func() (time.Duration, error), s lease.Settings, instance, nonce string) *Holder {
-	return &Holder{store: store, log: log, clock: clock, lease: lease.New(s, instance, nonce), locked: make(chan struct{}, 1)}
+func NewHolder(store Store, log zerolog.Logger, clock func() (time.Duration, error), retry func() time.Duration, s lease.Settings, instance, nonce string) *Holder {
+	return &Holder{store: store, log: log, clock: clock, retry: retry, lease: lease.New(s, instance, nonce), locked: make(chan struct{}, 1)}
 }
 
 func (h *Holder) with(f func(l *lease.Lease)) {
@@ -95,7 +99,7 @@
 	for ctx.Err() == nil {
 		now, ok := h.now()
 		if !ok {
-			pause.For(ctx, storeRetry)
+			pause.For(ctx, renewRetry)
 			continue
 		}
 		var step lease.Step
@@ -125,7 +129,8 @@
 	}
 	if err != nil {
 		h.log.Debug().Err(err).Str("event", "lease.unread").Msg("lease was not read")
-		pause.For(ctx, storeRetry/2+rand.N(storeRetry))
+		wait := h.retry()
+		pause.For(ctx, wait/2+rand.N(wait))
 		return
 	}
 	record.Version = o.Version
@@ -148,7 +153,11 @@
 	default:
 		h.log.Info().Err(err).Str("event", "lease.doubt").Uint64("expected", uint64(expected)).Msg("lease was not written")
 		h.with(func(l *lease.Lease) { l.Doubt() })
-		pause.For(ctx, storeRetry/2+rand.N(storeRetry))
+		wait := h.retry()
+		if step == lease.StepRenew {
+			wait = renewRetry
+		}
+		pause.For(ctx, wait/2+rand.N(wait))
 	}
 }
 
--- a/internal/node/steward/holder_test.go
+++ b/internal/node/steward/holder_test.go
@@ -17,7 +17,8 @@
 func newTestHolder(store Store, instance string) *Holder {
 	began := time.Now().Add(-time.Hour)
 	clock := func() (time.Duration, error) { return time.Since(began), nil }
-	return NewHolder(store, zerolog.Nop(), clock, LeaseSettings(3*time.Second), instance, instance+"-process")
+	retry := func() time.Duration { return 300 * time.Millisecond }
+	return NewHolder(store, zerolog.Nop(), clock, retry, LeaseSettings(3*time.Second), instance, instance+"-process")
 }
 
 func TestARenewedLeaseIsNotTakenByAnInstanceThatHearsNothing(t *testing.T) {
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -70,6 +70,9 @@
 	// store itself: a datagram's way, an answer of the store and a pause between
 	// two watches.
 	behindDelay = 300 * time.Millisecond
+	// behindRetry is the least time between two calls to a store that did not
+	// answer, though it answers others.
+	behindRetry = time.Second
 	// listenInterval is the time between two looks at whether this instance is
 	// behind or has to watch itself.
 	listenInterval = 100 * time.Millisecond
@@ -214,9 +217,6 @@
 		select {
 		case c := <-f.told.C():
 			f.takeTold(c)
-			if f.progress.isBehind(time.Now()) {
-				return
-			}
 		case <-timer.C:
 			return
 		case <-ctx.Done():
@@ -225,6 +225,18 @@
 	}
 }
 
+// restUnlessBehind rests until the next call to a store that did not answer. If
+// others have seen something newer meanwhile, the store is back, at least for them:
+// then the rest is short.
+func (f *Follower) restUnlessBehind(ctx context.Context, d time.Duration) {
+	for rested := time.Duration(0); rested < d && ctx.Err() == nil; rested += listenInterval {
+		if rested >= behindRetry && f.progress.isBehind(time.Now()) {
+			return
+		}
+		f.rest(ctx, min(listenInterval, d-rested))
+	}
+}
+
 // takeTold takes changes of another instance. Where changes before them are missing
 // they count, too, but the store is asked for all since the last version known.
 func (f *Follower) takeTold(c Changes) {
@@ -303,5 +315,5 @@
 	}
 	f.failures++
 	wait := f.settings.Retry()
-	f.rest(ctx, wait/2+rand.N(wait))
+	f.restUnlessBehind(ctx, wait/2+rand.N(wait))
 }
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -283,6 +283,28 @@
 	})
 }
 
+func TestTheStoresReturnIsLearntFromOthers(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		cut := objectapi.NewLink(store)
+		put(t, store, "a", "1")
+		f := start(ctx, cut, store, nil, false)
+		f.follower.settings.Retry = func() time.Duration { return 20 * time.Second } // of a very large fleet
+		time.Sleep(100 * time.Millisecond)
+		cut.SetFaults(objectapi.LinkFaults{Cut: true})
+		version := put(t, store, "a", "2")
+		for range 5 {
+			f.follower.Compare(time.Now(), version)
+			time.Sleep(200 * time.Millisecond)
+		}
+		cut.SetFaults(objectapi.LinkFaults{})
+		for range 12 {
+			f.follower.Compare(time.Now(), version)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, f.sink.get("a"), "2")
+	})
+}
+
 func TestEntriesAreAwaitedOnlyAfterALongAbsence(t *testing.T) {
 	for _, c := range []struct {
 		away    time.Duration
