Test of the entry's time line waits for the last event

Cause: the event request.finished is recorded after the end of the answer has gone to the caller (server.go); the test read the time line at once and failed once in a whole run beside heavy load (load average 22) with the last event missing. Change: the test waits until the third event is there, then compares all of them as before.

--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -149,6 +149,15 @@
 	one := startEngine(t, "e1")
 	e := startEntry(t, &sharedView{data: viewOf(one)}, nil, nil)
 	e.stream(t, "r1", "hello", 2)
+	// The last event is recorded just after the caller has the end of its answer.
+	eventually(t, "the end of the request", func() bool { return len(kindsOf(t, e, "r1")) >= 3 })
+	want := []timeline.Kind{timeline.KindRequestReceived, timeline.KindRequestRouted, timeline.KindRequestFinished}
+	assert.DeepEqual(t, kindsOf(t, e, "r1"), want)
+}
+
+// kindsOf returns the kinds of a request's events in the entry's time line.
+func kindsOf(t *testing.T, e *testEntry, request string) []timeline.Kind {
+	t.Helper()
 	response, err := client.Get(e.operations + "/timeline")
 	assert.NilError(t, err)
 	defer response.Body.Close()
@@ -156,12 +165,12 @@
 	for decoder := json.NewDecoder(response.Body); decoder.More(); {
 		var event timeline.Event
 		assert.NilError(t, decoder.Decode(&event))
-		if event.Request == "r1" {
+		if event.Request == request {
 			assert.Equal(t, event.Generation, uint64(7))
 			kinds = append(kinds, event.Kind)
 		}
 	}
-	assert.DeepEqual(t, kinds, []timeline.Kind{timeline.KindRequestReceived, timeline.KindRequestRouted, timeline.KindRequestFinished})
+	return kinds
 }
 
 // Any header and body gets an answer with a status of 4xx or better, and no panic.
