--- a/internal/ctl/session_test.go
+++ b/internal/ctl/session_test.go
@@ -138,7 +138,8 @@
 	}()
 	next := objectapi.Handler(s.memory)
 	s.store.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPut && strings.Contains(r.URL.Path, string(approvalfile.KindPointer)) {
+		isWrite := r.Method == http.MethodPut || r.Method == http.MethodPost // an update or a create
+		if isWrite && strings.Contains(r.URL.Path, string(approvalfile.KindPointer)) {
 			arrived <- struct{}{}
 			<-release
 		}
