Gateway: small things said once and plainly; no change of behaviour

Ruled out: the accept loops of two test packages (gateway, steward) stand twice; left, as each scripts its upstream in another way.

--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -65,7 +65,7 @@
 	defer f.end()
 	if a.exchange.Response.ContentLength > heldAnswerBytes {
 		f.answered()
-		c.copyAnswer(a)
+		c.copyAnswerFrom(a, a.exchange)
 		return false, ""
 	}
 	body, err := io.ReadAll(io.LimitReader(a.exchange, heldAnswerBytes+1))
@@ -81,7 +81,7 @@
 		return false, ""
 	}
 	f.answered()
-	if c.worthRepeat(a) && c.mayRepeatFailed(a) {
+	if c.worthRepeat(a) && c.mayRepeatFailed() {
 		return true, "upstream failed"
 	}
 	c.passOn(a, body)
@@ -107,11 +107,8 @@
 
 // mayRepeatFailed reports whether a failed answer is asked for again. The failure
 // is passed on where it is not.
-func (c *call) mayRepeatFailed(a attempt) bool {
-	if c.sends >= c.route.MaxAttempts || len(c.untried(c.gateway.Registry.View().Usable(c.service, "", ""))) == 0 {
-		return false
-	}
-	return true
+func (c *call) mayRepeatFailed() bool {
+	return c.sends < c.route.MaxAttempts && len(c.untried(c.gateway.Registry.View().Usable(c.service, "", ""))) > 0
 }
 
 func (c *call) logBroken(a attempt, err error) {
@@ -134,8 +131,6 @@
 	}
 }
 
-func (c *call) copyAnswer(a attempt) { c.copyAnswerFrom(a, a.exchange) }
-
 // copyAnswerFrom passes on an answer that is too long to be held. One that breaks
 // off ends the caller's connection, so that it does not look complete.
 func (c *call) copyAnswerFrom(a attempt, from io.Reader) {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -249,9 +249,6 @@
 	if cause == nil {
 		c.brokeOff(a.flight.upstream.ID, err)
 	}
-	if !c.route.IsRepeatable() {
-		c.mayHaveRun = true
-	}
 	return true, "stream broke off"
 }
 
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -193,13 +193,12 @@
 	t.speeds[f.service] = s
 }
 
-// failed records that the upstream did not serve the request, and returns for how
-// long it is avoided.
-func (f *flight) failed() time.Duration {
+// failed records that the upstream did not serve the request.
+func (f *flight) failed() {
 	t := f.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.paces.Failed(t.now(), f.upstream.ID)
+	t.paces.Failed(t.now(), f.upstream.ID)
 }
 
 // end closes the flight.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -269,7 +270,7 @@
 // isListed reports whether the entry stands in the store, writing it if need be.
 func (n *Node) isListed(ctx context.Context, name object.Name, data []byte) bool {
 	_, err := n.store.Create(ctx, object.KindInstances, name, data)
-	if object.IsConflict(err) {
+	if errors.Is(err, object.ErrConflict) {
 		var found object.Object
 		if found, err = n.store.Get(ctx, object.KindInstances, name); err == nil && string(found.Data) != string(data) {
 			_, err = n.store.Update(ctx, object.KindInstances, name, data, found.Version)
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -117,9 +117,6 @@
 	Instances(ctx context.Context) ([]Instance, error)
 }
 
-// IsConflict reports whether a write found another version than it expected.
-func IsConflict(err error) bool { return errors.Is(err, ErrConflict) }
-
 // ErrorName returns a short name of an operation's failure, for metrics.
 func ErrorName(err error) string {
 	names := []struct {
