Dispatch: reading speed is learnt by the size of a model's weights

Cause: models of one service are read at speeds that differ threefold, but one speed was learnt for all. Engines of fast models seemed full, were refused for, and got replicas that they did not need. Ruled out: a speed for each model (a few samples each in a minute at 83 instances). Change: loads are told as reading time, no longer as tokens; speeds are kept by service and size of weights.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -30,15 +30,19 @@
 
 // Speed describes how fast the upstreams of a service work.
 type Speed struct {
-	TokensPerMs float64       // prompt tokens read in a millisecond
+	TokensPerMs float64       // prompt tokens of the model read in a millisecond
 	Step        time.Duration // fixed part of an answer
 	PerRunning  time.Duration // added by each request in flight
 }
 
+// Reading returns the time that an engine takes to read prompt tokens.
+func (s Speed) Reading(tokens int) time.Duration {
+	return time.Duration(float64(max(tokens, 0)) / s.TokensPerMs * float64(time.Millisecond))
+}
+
 // Expected returns the foreseen time to the first byte of the answer.
 func (n Need) Expected(c Candidate) time.Duration {
-	unread := c.Load.UnreadUpTo(n.Rank) + max(n.Tokens-c.Cached, 0)
-	read := time.Duration(float64(unread) / n.Speed.TokensPerMs * float64(time.Millisecond))
+	read := c.Load.UnreadUpTo(n.Rank) + n.Speed.Reading(n.Tokens-c.Cached)
 	base := read + n.Speed.Step + time.Duration(c.Load.Running)*n.Speed.PerRunning
 	return time.Duration(float64(base) * c.Pace.Slow)
 }
@@ -84,7 +88,7 @@
 func (n Need) score(c Candidate) float64 {
 	score := float64(n.Expected(c))
 	later := c.Load.UnreadUpTo(loads.Ranks-1) - c.Load.UnreadUpTo(n.Rank)
-	score += laterRankWeight * float64(later) / n.Speed.TokensPerMs * float64(time.Millisecond) * c.Pace.Slow
+	score += laterRankWeight * float64(later) * c.Pace.Slow
 	if !c.SameZone {
 		score += float64(otherZoneCost)
 	}
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -16,7 +16,7 @@
 func candidate(id string, unread, running int) Candidate {
 	return Candidate{
 		Upstream: &fleet.Upstream{ID: fleet.UpstreamID(id)}, Pace: loads.Pace{Slow: 1}, SameZone: true,
-		Load: loads.Load{Unread: [loads.Ranks]int{1: unread}, Running: running},
+		Load: loads.Load{Unread: [loads.Ranks]time.Duration{1: speed.Reading(unread)}, Running: running},
 	}
 }
 
--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -38,7 +38,7 @@
 
 // work returns the part of an engine's capacity that a model's requests need.
 func (p *planner) work(model string) float64 {
-	return max(p.Work[model]/max(p.Capacity, 1), p.adapterWork[model], idleWork)
+	return max(p.Work[model]/max(p.Capacity[model], 1), p.adapterWork[model], idleWork)
 }
 
 // addAdapterWork counts the adapter slots that a model's requests occupy.
--- a/internal/coordination/steering/steering.go
+++ b/internal/coordination/steering/steering.go
@@ -35,7 +35,7 @@
 	Adapters map[AdapterKey]float64 // requests a second
 	Wanted   map[AdapterKey]bool    // requests wait for these; an empty adapter names the model
 	Loads    int                    // loads from the weight store that may begin now
-	Capacity float64                // prompt tokens that an engine reads in a second
+	Capacity map[string]float64     // prompt tokens that an engine reads in a second, by model
 }
 
 // Action is one order to an engine.
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -27,6 +27,15 @@
 	return class
 }
 
+// testCapacity is the reading speed of an engine for each model of testClass.
+func testCapacity(models int) map[string]float64 {
+	capacity := make(map[string]float64)
+	for i := range models {
+		capacity[fmt.Sprintf("m%d", i)] = 20000
+	}
+	return capacity
+}
+
 func engine(id string, models ...string) Engine {
 	u := &fleet.Upstream{ID: fleet.UpstreamID(id)}
 	for _, m := range models {
@@ -37,7 +46,7 @@
 
 func TestABusyModelGetsAReplicaInPlaceOfASpareOne(t *testing.T) {
 	actions := Plan(Snapshot{
-		Class: testClass(4), Capacity: 20000, Loads: 5,
+		Class: testClass(4), Capacity: testCapacity(4), Loads: 5,
 		Engines: []Engine{engine("e1", "m0", "m1", "m2"), engine("e2", "m1", "m2", "m3"), engine("e3", "m1", "m2", "m3")},
 		Work:    map[string]float64{"m0": 30000, "m1": 500, "m2": 500, "m3": 500},
 	})
@@ -49,7 +58,7 @@
 
 func TestIdleEnginesAreLeftAlone(t *testing.T) {
 	actions := Plan(Snapshot{
-		Class: testClass(4), Capacity: 20000, Loads: 5,
+		Class: testClass(4), Capacity: testCapacity(4), Loads: 5,
 		Engines: []Engine{engine("e1", "m0", "m1", "m2"), engine("e2", "m1", "m2", "m3")},
 		Work:    map[string]float64{"m0": 2000, "m1": 500},
 	})
@@ -60,7 +69,7 @@
 	coming := engine("e2", "m1", "m2")
 	coming.Loading, coming.Moving = "m3", true
 	actions := Plan(Snapshot{
-		Class: testClass(4), Capacity: 20000, Loads: 5,
+		Class: testClass(4), Capacity: testCapacity(4), Loads: 5,
 		Engines: []Engine{engine("e1", "m3", "m1", "m2"), coming, engine("e3", "m0", "m1", "m2")},
 		Work:    map[string]float64{"m0": 60000, "m3": 100},
 	})
@@ -71,7 +80,7 @@
 
 func TestAWantedModelIsLoadedBeforeOneThatNobodyAsksFor(t *testing.T) {
 	actions := Plan(Snapshot{
-		Class: testClass(3), Capacity: 20000, Loads: 1,
+		Class: testClass(3), Capacity: testCapacity(3), Loads: 1,
 		Engines: []Engine{engine("e1", "m0")},
 		Wanted:  map[AdapterKey]bool{{Model: "m2"}: true},
 	})
@@ -83,7 +92,7 @@
 func TestLoadsFromTheEnginesOwnDiskNeedNoAllowance(t *testing.T) {
 	e := engine("e1", "m0")
 	e.Upstream.OnDisk = []string{"m2"}
-	snapshot := Snapshot{Class: testClass(3), Capacity: 20000, Engines: []Engine{e}, Wanted: map[AdapterKey]bool{{Model: "m1"}: true, {Model: "m2"}: true}}
+	snapshot := Snapshot{Class: testClass(3), Capacity: testCapacity(3), Engines: []Engine{e}, Wanted: map[AdapterKey]bool{{Model: "m1"}: true, {Model: "m2"}: true}}
 	actions := Plan(snapshot)
 	assert.Equal(t, len(actions), 1)
 	assert.Equal(t, actions[0].Model, "m2")
@@ -94,7 +103,7 @@
 	e := engine("e1")
 	e.Upstream.Models = []fleet.Resident{{Model: "m0", Adapters: []string{"a1", "a2", "a3"}}}
 	actions := Plan(Snapshot{
-		Class: testClass(1), Capacity: 20000, Engines: []Engine{e},
+		Class: testClass(1), Capacity: testCapacity(1), Engines: []Engine{e},
 		Adapters: map[AdapterKey]float64{{"m0", "a1"}: 2, {"m0", "a2"}: 0.1, {"m0", "a3"}: 1},
 		Wanted:   map[AdapterKey]bool{{"m0", "a4"}: true},
 	})
@@ -181,7 +190,7 @@
 			w.engines = append(w.engines, &e)
 		}
 		for range 6 {
-			s := Snapshot{Class: w.class, Capacity: 20000, Work: map[string]float64{}, Adapters: map[AdapterKey]float64{}, Wanted: map[AdapterKey]bool{}}
+			s := Snapshot{Class: w.class, Capacity: testCapacity(len(w.class.Models)), Work: map[string]float64{}, Adapters: map[AdapterKey]float64{}, Wanted: map[AdapterKey]bool{}}
 			s.Loads = rapid.IntRange(0, 10).Draw(t, "loads")
 			for m := range models {
 				name := fmt.Sprintf("m%d", m)
@@ -272,7 +281,7 @@
 // targetSnapshot has the engines and models of the target, with demand on all models.
 func targetSnapshot() Snapshot {
 	const engines, models = 710, 770
-	s := Snapshot{Class: testClass(models), Capacity: 20000, Loads: 5, Work: map[string]float64{}, Adapters: map[AdapterKey]float64{}}
+	s := Snapshot{Class: testClass(models), Capacity: testCapacity(models), Loads: 5, Work: map[string]float64{}, Adapters: map[AdapterKey]float64{}}
 	for i := range engines {
 		s.Engines = append(s.Engines, engine(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", i%models), fmt.Sprintf("m%d", (i*7+1)%models), fmt.Sprintf("m%d", (i*13+5)%models)))
 	}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"savoryweir/internal/coordination/dispatch"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/platform"
 )
@@ -99,6 +100,18 @@
 	return body, errors.Join(err, control.SetReadDeadline(time.Time{}))
 }
 
+// modelClass returns the class of the request's model.
+func (c *call) modelClass() dispatch.ModelClass {
+	class := dispatch.ModelClass{Service: c.service}
+	if c.engines == nil {
+		return class
+	}
+	if m := c.engines.Model(c.wire.Model); m != nil {
+		class.WeightsMB = m.WeightsMB
+	}
+	return class
+}
+
 // hasLeft reports whether the caller has closed its connection.
 func (c *call) hasLeft() bool { return c.request.Context().Err() != nil }
 
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -96,7 +96,7 @@
 		p := c.patience()
 		if verdict := dispatch.Admit(f.expected, p); !verdict.Admit {
 			g.Log.Info().Str("event", "request.shed").Str("request", c.wire.ID).Str("route", c.route.Name).
-				Str("upstream", string(f.upstream.ID)).Str("model", c.wire.Model).Dur("expected", f.expected).Int("unread_tokens", f.ahead).Int("running", f.running).
+				Str("upstream", string(f.upstream.ID)).Str("model", c.wire.Model).Dur("expected", f.expected).Dur("unread", f.ahead).Int("running", f.running).
 				Dur("target", p.Target).Dur("left", p.Left).Dur("retry_after", verdict.RetryAfter).Msg("request refused")
 			c.refuse(http.StatusServiceUnavailable, verdict.RetryAfter, "overloaded")
 			return nil, false
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -12,22 +12,9 @@
 	"savoryweir/platform"
 )
 
-const (
-	// defaultTokensPerMs and defaultStep hold until requests were measured; they
-	// are those of the engines that the platform's pages describe.
-	defaultTokensPerMs = 20.0
-	defaultStep        = 10 * time.Millisecond
-	// learnWeight is the weight of one request in the measured speed of a service:
-	// a few dozen requests replace the default.
-	learnWeight = 0.05
-	// learnTokens is the least work from which a reading speed is learnt; below it
-	// the fixed part of a step prevails.
-	learnTokens                    = 500
-	minTokensPerMs, maxTokensPerMs = 1.0, 200.0
-	// loadFreshness is the age beyond which another instance's loads count no
-	// more: three of its slowest reports.
-	loadFreshness = 3 * time.Second
-)
+// loadFreshness is the age beyond which another instance's loads count no more:
+// three of its slowest reports.
+const loadFreshness = 3 * time.Second
 
 // Tracker keeps what upstreams have in flight and how they answer. It is safe for
 // concurrent use.
@@ -38,7 +25,7 @@
 	random *rand.Rand
 	book   *loads.Book
 	paces  *loads.Paces
-	speeds map[string]dispatch.Speed // by service
+	speeds *dispatch.Speeds
 	cached *prefixes.Cache
 }
 
@@ -46,7 +33,7 @@
 func NewTracker(now func() time.Time, random *rand.Rand) *Tracker {
 	return &Tracker{
 		now: now, random: random, book: loads.NewBook(loadFreshness), paces: loads.NewPaces(),
-		speeds: make(map[string]dispatch.Speed), cached: prefixes.New(),
+		speeds: dispatch.NewSpeeds(), cached: prefixes.New(),
 	}
 }
 
@@ -72,19 +59,12 @@
 	t.cached.Keep(listed)
 }
 
-// Capacity returns the prompt tokens that an engine of a service reads in a second.
-func (t *Tracker) Capacity(service string) float64 {
+// ReadingSpeed returns the prompt tokens that an engine of a service reads in a
+// second, for models with weights of a size.
+func (t *Tracker) ReadingSpeed(service string, weightsMB float64) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.speed(service).TokensPerMs * 1000
-}
-
-func (t *Tracker) speed(service string) dispatch.Speed {
-	s, ok := t.speeds[service]
-	if !ok {
-		return dispatch.Speed{TokensPerMs: defaultTokensPerMs, Step: defaultStep, PerRunning: defaultStep / 10}
-	}
-	return s
+	return t.speeds.Of(dispatch.ModelClass{Service: service, WeightsMB: weightsMB}).TokensPerMs * 1000
 }
 
 // choose picks an upstream out of those given and opens a flight on it.
@@ -92,7 +72,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	need := dispatch.Need{Tokens: c.wire.PromptTokens, Rank: loads.RankOf(c.route.Priority), Speed: t.speed(c.service)}
+	class := c.modelClass()
+	need := dispatch.Need{Tokens: c.wire.PromptTokens, Rank: loads.RankOf(c.route.Priority), Speed: t.speeds.Of(class)}
 	chain := prefixChain(c.wire)
 	candidates := make([]dispatch.Candidate, 0, len(from))
 	for _, u := range from {
@@ -105,10 +86,11 @@
 	if !ok {
 		return nil, false
 	}
-	f := &flight{tracker: t, upstream: choice.Upstream, service: c.service, rank: need.Rank, chain: chain, expected: choice.Expected, began: now,
+	f := &flight{tracker: t, upstream: choice.Upstream, class: class, rank: need.Rank, chain: chain, expected: choice.Expected, began: now,
 		ahead: choice.Load.UnreadUpTo(need.Rank), running: choice.Load.Running, slow: choice.Pace.Slow}
 	if c.route.Kind == fleet.KindStream {
 		f.tokens = max(need.Tokens-choice.Cached, 1)
+		f.reading = max(need.Speed.Reading(f.tokens), time.Microsecond)
 	}
 	return f, true
 }
@@ -127,13 +109,14 @@
 type flight struct {
 	tracker  *Tracker
 	upstream *fleet.Upstream
-	service  string
+	class    dispatch.ModelClass
 	rank     int
-	tokens   int // prompt tokens counted as unread, zero for plain services
+	tokens   int           // prompt tokens to read, zero for plain services
+	reading  time.Duration // counted as unread, zero for plain services
 	chain    []prefixes.Part
 	expected time.Duration
-	ahead    int // unread tokens of others at the start
-	running  int // requests in flight at the start
+	ahead    time.Duration // reading time of others at the start
+	running  int           // requests in flight at the start
 	slow     float64
 	began    time.Time
 	started  bool // the first byte of the answer has come
@@ -147,8 +130,8 @@
 	defer t.mu.Unlock()
 	f.began, f.open = t.now(), true
 	t.book.Change(f.upstream.ID, func(l *loads.Load) {
-		if f.tokens > 0 {
-			l.Unread[f.rank] += f.tokens
+		if f.reading > 0 {
+			l.Unread[f.rank] += f.reading
 		} else {
 			l.Running++
 		}
@@ -168,9 +151,9 @@
 	f.started = true
 	t.paces.Answered(now, f.upstream.ID, took, f.expected)
 	t.learn(f, took)
-	if f.tokens > 0 {
+	if f.reading > 0 {
 		t.book.Change(f.upstream.ID, func(l *loads.Load) {
-			l.Unread[f.rank] -= f.tokens
+			l.Unread[f.rank] -= f.reading
 			l.Running++
 		})
 		t.cached.Add(f.upstream.ID, f.chain)
@@ -179,18 +162,11 @@
 
 // learn adjusts the speed of a service by one measured request.
 func (t *Tracker) learn(f *flight, took time.Duration) {
-	s := t.speed(f.service)
-	ms := float64(took) / float64(time.Millisecond)
-	switch tokens := float64(f.ahead + f.tokens); {
-	case f.tokens == 0:
-		own := took / time.Duration(1+f.running/10)
-		s.Step += time.Duration(learnWeight * float64(own-s.Step))
-		s.PerRunning = s.Step / 10
-	case tokens >= learnTokens:
-		measured := min(max(tokens/max(ms, 1), minTokensPerMs), maxTokensPerMs)
-		s.TokensPerMs += learnWeight * (measured - s.TokensPerMs)
+	if f.reading > 0 {
+		t.speeds.LearnPrompt(f.class, dispatch.Prompt{Tokens: f.tokens, Ahead: f.ahead, Took: took})
+		return
 	}
-	t.speeds[f.service] = s
+	t.speeds.LearnPlain(f.class.Service, f.running, took)
 }
 
 // failed records that the upstream did not serve the request.
@@ -211,8 +187,8 @@
 	}
 	f.open = false
 	t.book.Change(f.upstream.ID, func(l *loads.Load) {
-		if f.tokens > 0 && !f.started {
-			l.Unread[f.rank] -= f.tokens
+		if f.reading > 0 && !f.started {
+			l.Unread[f.rank] -= f.reading
 		} else {
 			l.Running--
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, n.storeRetry, leases, n.settings.Instance.ID, uuid.NewString())
 	n.steward = steward.New(steward.Options{
 		Instance: n.settings.Instance.ID, Log: logging.For(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
-		Pool: n.pool, Holder: n.holder, Config: n.gateway.Config, Announce: n.reports.announce, Capacity: n.tracker.Capacity,
+		Pool: n.pool, Holder: n.holder, Config: n.gateway.Config, Announce: n.reports.announce, ReadingSpeed: n.tracker.ReadingSpeed,
 		LoadWindow: func() time.Duration { return n.bounds.Load().LoadWindow },
 	})
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -227,8 +227,8 @@
 	var list []*pb.FleetLoad
 	for id, l := range own {
 		load := &pb.FleetLoad{Upstream: string(id), Running: uint32(max(l.Running, 0))}
-		for _, tokens := range l.Unread {
-			load.UnreadTokens = append(load.UnreadTokens, uint32(max(tokens, 0)))
+		for _, reading := range l.Unread {
+			load.UnreadMicros = append(load.UnreadMicros, uint32(max(reading, 0)/time.Microsecond))
 		}
 		list = append(list, load)
 	}
@@ -239,8 +239,8 @@
 	decoded := make(map[fleet.UpstreamID]loads.Load, len(list))
 	for _, l := range list {
 		load := loads.Load{Running: int(l.Running)}
-		for i := 0; i < min(len(l.UnreadTokens), loads.Ranks); i++ {
-			load.Unread[i] = int(l.UnreadTokens[i])
+		for i := 0; i < min(len(l.UnreadMicros), loads.Ranks); i++ {
+			load.Unread[i] = time.Duration(l.UnreadMicros[i]) * time.Microsecond
 		}
 		decoded[fleet.UpstreamID(l.Upstream)] = load
 	}
--- a/internal/node/steward/orders_test.go
+++ b/internal/node/steward/orders_test.go
@@ -118,7 +118,7 @@
 		Config: func() *fleet.Config {
 			return &fleet.Config{Services: map[string]*fleet.Service{"s": {Name: "s", Engines: class}}}
 		},
-		LoadWindow: func() time.Duration { return 5 * time.Second }, Capacity: func(string) float64 { return 20000 },
+		LoadWindow: func() time.Duration { return 5 * time.Second }, ReadingSpeed: func(string, float64) float64 { return 20000 },
 		Announce: func(registry.Item, bool) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -46,8 +46,9 @@
 	Config   func() *fleet.Config
 	// LoadWindow is the sliding window of the ceiling on loads.
 	LoadWindow func() time.Duration
-	// Capacity returns the prompt tokens that an engine of a service reads in a second.
-	Capacity func(service string) float64
+	// ReadingSpeed returns the prompt tokens that an engine of a service reads in a
+	// second, for models with weights of a size.
+	ReadingSpeed func(service string, weightsMB float64) float64
 	// Announce tells the other instances what an order has changed.
 	Announce func(item registry.Item, present bool)
 }
@@ -62,7 +63,7 @@
 	holder     *Holder
 	config     func() *fleet.Config
 	loadWindow func() time.Duration
-	capacity   func(service string) float64
+	reads      func(service string, weightsMB float64) float64
 	tell       func(item registry.Item, present bool)
 	woken      chan struct{}
 
@@ -80,7 +81,7 @@
 func New(o Options) *Steward {
 	return &Steward{
 		instance: o.Instance, log: o.Log, metrics: o.Metrics, registry: o.Registry, pool: o.Pool, holder: o.Holder,
-		config: o.Config, loadWindow: o.LoadWindow, capacity: o.Capacity, tell: o.Announce, woken: make(chan struct{}, 1),
+		config: o.Config, loadWindow: o.LoadWindow, reads: o.ReadingSpeed, tell: o.Announce, woken: make(chan struct{}, 1),
 		demand: steering.NewDemand(), wants: make(map[steering.DemandKey]time.Time),
 		lanes: make(map[fleet.UpstreamID]*lane), loads: make(map[string][]time.Time),
 		reported: make(map[string]time.Time),
@@ -173,7 +174,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.refresh(ctx, service, now)
-	snapshot := steering.Snapshot{Class: class, Wanted: s.wanted(service, now), Loads: s.loadsLeft(service, class, now), Capacity: s.capacity(service)}
+	snapshot := steering.Snapshot{Class: class, Wanted: s.wanted(service, now), Loads: s.loadsLeft(service, class, now), Capacity: s.capacities(service, class)}
 	snapshot.Work, snapshot.Adapters = s.demand.Rates(now, service)
 	for _, u := range s.registry.View().All(service) {
 		if l := s.lanes[u.ID]; l != nil && !l.upstream.Draining {
@@ -206,8 +207,17 @@
 		}
 	}
 	s.log.Info().Str("event", "placement.state").Str("service", service).Int("engines", len(snapshot.Engines)).Int("ready", ready).
-		Int("loads_left", snapshot.Loads).Float64("capacity", snapshot.Capacity).Int("models", len(replicas)).
-		Interface("busiest", busiest(snapshot.Work, replicas)).Int("wanted", len(snapshot.Wanted)).Msg("placement of models")
+		Int("loads_left", snapshot.Loads).Int("models", len(replicas)).
+		Interface("busiest", busiest(snapshot, replicas)).Int("wanted", len(snapshot.Wanted)).Msg("placement of models")
+}
+
+// capacities returns the prompt tokens that an engine reads in a second, by model.
+func (s *Steward) capacities(service string, class *fleet.EngineClass) map[string]float64 {
+	capacities := make(map[string]float64, len(class.Models))
+	for _, m := range class.Models {
+		capacities[m.Name] = s.reads(service, m.WeightsMB)
+	}
+	return capacities
 }
 
 // busiestLogged bounds the models that a line on the placement names.
@@ -217,13 +227,14 @@
 type modelState struct {
 	Model    string `json:"model"`
 	Tokens   int    `json:"tokens_per_second"`
+	Capacity int    `json:"capacity"` // tokens that one engine reads in a second
 	Replicas int    `json:"replicas"`
 }
 
-func busiest(work map[string]float64, replicas map[string]int) []modelState {
-	states := make([]modelState, 0, len(work))
-	for model, rate := range work {
-		states = append(states, modelState{Model: model, Tokens: int(rate), Replicas: replicas[model]})
+func busiest(snapshot steering.Snapshot, replicas map[string]int) []modelState {
+	states := make([]modelState, 0, len(snapshot.Work))
+	for model, rate := range snapshot.Work {
+		states = append(states, modelState{Model: model, Tokens: int(rate), Capacity: int(snapshot.Capacity[model]), Replicas: replicas[model]})
 	}
 	slices.SortFunc(states, func(a, b modelState) int {
 		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Model, b.Model))
--- a/internal/state/loads/loads.go
+++ b/internal/state/loads/loads.go
@@ -17,8 +17,11 @@
 
 // Load is the work in flight at one upstream.
 type Load struct {
-	Unread  [Ranks]int // prompt tokens sent whose first event has not come, by rank
-	Running int        // requests in flight whose first event has come, and all of plain services
+	// Unread is the time that reading the prompts takes whose first event has not
+	// come, by rank. It is a time and not a number of tokens, as the models that
+	// share an engine are not read at the same speed.
+	Unread  [Ranks]time.Duration
+	Running int // requests in flight whose first event has come, and all of plain services
 }
 
 // Add adds other to l.
@@ -32,9 +35,9 @@
 // IsZero reports whether nothing is in flight.
 func (l Load) IsZero() bool { return l == Load{} }
 
-// UnreadUpTo returns the unread tokens that are served no later than rank.
-func (l Load) UnreadUpTo(rank int) int {
-	sum := 0
+// UnreadUpTo returns the reading time of the prompts that are served no later than rank.
+func (l Load) UnreadUpTo(rank int) time.Duration {
+	var sum time.Duration
 	for i := 0; i <= rank; i++ {
 		sum += l.Unread[i]
 	}
