Steering: what a missing model displaces is weighed by its cost; idle models may leave

Change: a missing model displaces what costs least over all holders; the last replica of a model that nobody asks for may leave an engine that keeps its own copy; models that nobody asks for take only idle room.

--- a/internal/coordination/steering/models.go
+++ b/internal/coordination/steering/models.go
@@ -16,8 +16,8 @@
 	// demand moves on, and counts against the ceiling of all engines.
 	gainFromStore = 0.12
 	gainFromDisk  = 0.08
-	// missingFromStore is the utilization that a load from the weight store is put
-	// behind one from disk where requests wait for a model: it takes five times as long.
+	// missingFromStore is the cost by which a load from the weight store is put behind
+	// one from disk where requests wait for a model: it takes five times as long.
 	missingFromStore = 0.5
 	// busyFrom is the utilization beyond which requests wait noticeably for one
 	// another, and busyWeight how much more it counts from there on.
@@ -29,6 +29,15 @@
 	// idleWork is the utilization that a model without requests counts with, so
 	// that replicas of idle models are not all given up.
 	idleWork = 0.0005
+	// idleBelow is the utilization up to which a model counts as not asked for: that
+	// of one request about ten seconds ago.
+	idleBelow = 0.005
+	// absenceCost is the cost of giving up the last replica of an idle model, in
+	// squared utilization: the next request for it waits for a load from disk.
+	absenceCost = 0.2
+	// absenceWeight is the cost of the utilization that finds its model absent: each
+	// of its requests waits for about a second, several targets.
+	absenceWeight = 4.0
 	// adapterTime is how long a request occupies an adapter slot: a long answer.
 	adapterTime = 2 * time.Second
 	// fullSlots is the utilization that an engine counts with when all its adapter
@@ -71,18 +80,39 @@
 	missing := p.missing()
 	for _, m := range missing {
 		if p.isAskedFor(m) {
-			p.loadMissing(m)
+			p.loadMissing(m, p.isWorse)
 		}
 	}
 	for p.addReplica() {
 	}
 	for _, m := range missing {
 		if !p.isAskedFor(m) && p.Loads > p.reservedLoads() {
-			p.loadMissing(m)
+			p.loadMissing(m, p.isDisturbing)
 		}
 	}
 }
 
+// isWorse reports whether a load only changes which model is missing.
+func (p *planner) isWorse(mv move, m *fleet.Model) bool {
+	return mv.evict != "" && p.resident[mv.evict] < 2 && p.Work[mv.evict] >= p.Work[m.Name]
+}
+
+// isDisturbing reports whether the load of a model that nobody asks for takes the
+// room of one that is in use, or of one while it could be back within a second.
+func (p *planner) isDisturbing(mv move, m *fleet.Model) bool {
+	return mv.evict != "" && (p.resident[mv.evict] < 2 || p.work(mv.evict) > idleBelow || p.isAtHand(m.Name))
+}
+
+// isAtHand reports whether some engine loads a model from its own copy.
+func (p *planner) isAtHand(model string) bool {
+	for i := range p.states {
+		if p.states[i].Upstream.HasOwnCopy(model) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *planner) isAskedFor(m *fleet.Model) bool {
 	return p.Work[m.Name] > 0 || p.Wanted[AdapterKey{Model: m.Name}]
 }
@@ -118,14 +148,19 @@
 	gain   float64
 }
 
-func (p *planner) loadMissing(m *fleet.Model) {
+// loadMissing loads a model that no engine holds by the best move that is not ruled out.
+func (p *planner) loadMissing(m *fleet.Model, isRuledOut func(move, *fleet.Model) bool) {
 	best, found := move{}, false
+	w := p.weigh()
 	for i := range p.states {
 		for mv := range p.moves(i, m) {
-			if mv.evict != "" && p.resident[mv.evict] < 2 && p.Work[mv.evict] >= p.Work[m.Name] {
-				continue // it would only change which model is missing
+			if isRuledOut(mv, m) {
+				continue
+			}
+			mv.gain = w.target(mv, m.Name) - w.burden(mv)
+			if !mv.disk {
+				mv.gain -= missingFromStore
 			}
-			mv.gain = -p.loadAfter(mv, m)
 			if !found || mv.gain > best.gain {
 				best, found = mv, true
 			}
@@ -141,20 +176,6 @@
 	p.perform(best, m, reason)
 }
 
-// loadAfter returns the work that an engine has after a move; it prefers moves
-// that evict nothing, spare replicas to last ones, and loads from disk.
-func (p *planner) loadAfter(mv move, m *fleet.Model) float64 {
-	after := p.load(mv.engine) + p.work(m.Name)/float64(p.replica[m.Name]+1)
-	if mv.evict != "" {
-		after -= p.work(mv.evict) / float64(max(p.replica[mv.evict], 1))
-		after += p.work(mv.evict) / float64(max(p.replica[mv.evict]-1, 1))
-	}
-	if !mv.disk {
-		after += missingFromStore
-	}
-	return after
-}
-
 // moves yields the ways to load a model on an engine.
 func (p *planner) moves(i int, m *fleet.Model) iter.Seq[move] {
 	return func(yield func(move) bool) {
@@ -193,7 +214,7 @@
 		relief := w.relief(m.Name)
 		for i := range p.states {
 			for mv := range p.moves(i, m) {
-				if mv.evict != "" && p.resident[mv.evict] < 2 {
+				if mv.evict != "" && p.resident[mv.evict] < 2 && !p.mayBeAbsent(mv.engine, mv.evict) {
 					continue
 				}
 				mv.gain = relief + w.target(mv, m.Name) - w.burden(mv) - gainFromStore
@@ -213,6 +234,13 @@
 	return true
 }
 
+// mayBeAbsent reports whether the last replica of a model may leave an engine: nobody
+// has asked for the model lately, and the engine brings it back from its own copy
+// within about a second.
+func (p *planner) mayBeAbsent(engine int, model string) bool {
+	return p.work(model) <= idleBelow && !p.Wanted[AdapterKey{Model: model}] && p.states[engine].Upstream.HasOwnCopy(model)
+}
+
 // weights are the utilizations from which one move is chosen. What a move changes
 // at other engines depends on the models alone and is worked out once for each, so
 // that a plan for hundreds of engines stays cheap.
@@ -250,7 +278,7 @@
 	before := w.loads[mv.engine]
 	after := before + w.p.work(model)/float64(w.p.replica[model]+1)
 	if mv.evict != "" {
-		after -= w.p.work(mv.evict) / float64(w.p.replica[mv.evict])
+		after -= w.p.work(mv.evict) / float64(max(w.p.replica[mv.evict], 1))
 	}
 	return cost(before) - cost(after)
 }
@@ -260,6 +288,9 @@
 	if mv.evict == "" {
 		return 0
 	}
+	if w.p.replica[mv.evict] < 2 {
+		return absenceCost + absenceWeight*w.p.work(mv.evict)
+	}
 	more := w.more(mv.evict)
 	sum, ok := w.burdens[mv.evict]
 	if !ok {
