Fault soak of our own; tests of what a missing model displaces

Change: internal/bench/soak runs savoryweir-node processes, a stand-in of the platform's upstreams and of its store, proxies on the loopback interface and callers on kept connections; a seed gives a plan of overlapping faults (26 kinds: signals, pauses, kills, links that are delayed, reset, held one way or silenced, store and upstream failures, settings, configurations, crashing requests); 15 promises are checked from what callers and upstreams see. Starting processes moved from the fleet bench to internal/bench/process.

--- a/internal/bench/fleet/entry.go
+++ b/internal/bench/fleet/entry.go
@@ -6,13 +6,14 @@
 	"path/filepath"
 	"time"
 
+	"savoryweir/internal/bench/process"
 	"savoryweir/internal/protocol/timelinefile"
 	"savoryweir/internal/state/timeline"
 )
 
 // Entry is one entry process, beside the control process of the same instance.
 type Entry struct {
-	child
+	process.Process
 	callers    string
 	operations string
 }
@@ -42,7 +43,7 @@
 		"--instance-id=" + p.ID, "--instance-zone=" + p.Zone, "--log-level=" + logLevel,
 		"--callers-address=" + e.callers, "--operations-address=" + e.operations, "--view-control=" + p.Local,
 	}, extra...)
-	return e, e.start(filepath.Join(f.binaries, "savoryweir-entry"), arguments)
+	return e, e.Start(filepath.Join(f.binaries, "savoryweir-entry"), arguments)
 }
 
 // URL returns the address for callers.
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"savoryweir/internal/bench/process"
 	"savoryweir/internal/protocol/approvalfile"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/bundle"
@@ -48,7 +49,7 @@
 
 // Process is one control process.
 type Process struct {
-	child
+	process.Process
 	ID         string
 	Zone       string
 	peers      string
@@ -153,7 +154,7 @@
 		"--local-address=" + p.Local, "--operations-address=" + p.operations,
 		"--store-url=" + f.server.URL, "--bundles-trusted-keys=" + f.trustedKeys(),
 	}, extra...)
-	return p.child.start(filepath.Join(f.binaries, "savoryweir-control"), arguments)
+	return p.Start(filepath.Join(f.binaries, "savoryweir-control"), arguments)
 }
 
 // PeerAddress returns the address for other instances.
--- /dev/null
+++ b/internal/bench/soak/callers.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"savoryweir/internal/standin/upstream"
+)
+
+const (
+	host = "desk.example"
+	// callerDeadline is how long callers wait, and the timeout of all routes.
+	callerDeadline = 3 * time.Second
+	// answerSlack is how much later than the timeout the final answer may come.
+	answerSlack = 500 * time.Millisecond
+	// callerPatience is when a caller that got no final answer leaves.
+	callerPatience = callerDeadline + 2*answerSlack
+	// kept is the mean number of requests that a caller sends to one instance.
+	kept     = 25
+	thinking = 40 * time.Millisecond // mean pause of a caller between two requests
+)
+
+// caller sends one request after the other on kept connections.
+type caller struct {
+	cluster *cluster
+	random  *rand.Rand
+	name    string
+	at      *instance
+	client  *http.Client
+	number  int
+}
+
+func newCaller(c *cluster, number int) *caller {
+	return &caller{cluster: c, random: rand.New(rand.NewPCG(c.options.Seed, uint64(100+number))), name: fmt.Sprintf("c%d", number)}
+}
+
+func (c *caller) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(c.random.ExpFloat64() * float64(thinking))):
+		}
+		c.moveOn()
+		if c.at != nil {
+			c.send(c.draw())
+		}
+	}
+}
+
+// moveOn changes the instance from time to time. Else the caller goes on using its
+// open connection, also when the instance has left the turn.
+func (c *caller) moveOn() {
+	if c.at != nil && c.random.IntN(kept) > 0 {
+		return
+	}
+	c.leave()
+	var ready []*instance
+	for _, i := range c.cluster.instances {
+		if i.takesCallers() {
+			ready = append(ready, i)
+		}
+	}
+	if len(ready) == 0 {
+		return
+	}
+	c.at = ready[c.random.IntN(len(ready))]
+	c.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}}
+}
+
+func (c *caller) leave() {
+	if c.client != nil {
+		c.client.CloseIdleConnections()
+	}
+	c.at, c.client = nil, nil
+}
+
+// question is what a caller asks.
+type question struct {
+	method, path, body string
+	service, model     string
+	repeatable         bool
+	events             int // zero for plain services
+}
+
+func (c *caller) draw() question {
+	c.number++
+	id := fmt.Sprintf("%s-%d", c.name, c.number)
+	switch point := c.random.Float64(); {
+	case point < 0.25:
+		return question{method: http.MethodPost, path: "/book/" + id, body: "order " + id, service: plainService}
+	case point < 0.45:
+		return question{method: http.MethodGet, path: "/status/" + id, service: plainService, repeatable: true}
+	case point < 0.55:
+		return question{method: http.MethodGet, path: fmt.Sprintf("/extra%d/%s", c.random.IntN(extraRoutes), id), service: plainService, repeatable: true}
+	case point < 0.85:
+		return question{method: http.MethodPost, path: "/tag/" + id, body: id, service: engineService, model: c.model(), repeatable: true, events: 2 + c.random.IntN(12)}
+	default:
+		return question{method: http.MethodPost, path: "/notes/" + id, body: id, service: engineService, model: c.model(), events: 2 + c.random.IntN(30)}
+	}
+}
+
+// model draws a model, few of them often, and now and then an adapter of it.
+func (c *caller) model() string {
+	m := min(c.random.IntN(models), c.random.IntN(models))
+	if c.random.IntN(4) == 0 {
+		return fmt.Sprintf("m%d/a%d", m, 1+c.random.IntN(adapters))
+	}
+	return fmt.Sprintf("m%d", m)
+}
+
+// send asks one question and judges the answer.
+func (c *caller) send(q question) {
+	s := &sent{
+		id: fmt.Sprintf("%s-%s-%d", c.name, "r", c.number), service: q.service, instance: c.at.number, repeatable: q.repeatable,
+		fingerprint: upstream.Fingerprint(q.method, q.path, []byte(q.body)), path: q.path, at: time.Now(),
+	}
+	c.cluster.ledger.Sent(s)
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	status, served, err := c.ask(ctx, q, s)
+	c.cluster.ledger.Ended(s, status, served, err)
+	if late := s.ended.Sub(s.at); late > callerDeadline+answerSlack && c.cluster.disturbances.isCalm(s.instance, s.at, s.ended) {
+		c.cluster.ledger.violate(PromiseInTime, s.at, "request %s (%s) at i%d took %v: %v", s.id, q.path, s.instance, late, err)
+	}
+	if err != nil {
+		c.leave()
+	}
+}
+
+// ask returns the status, whether the request was served, and the error of an answer
+// that did not come whole.
+func (c *caller) ask(ctx context.Context, q question, s *sent) (int, bool, error) {
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+c.at.callers.Address()+q.path, strings.NewReader(q.body))
+	if err != nil {
+		return 0, false, err
+	}
+	r.GetBody = nil // the client sends nothing twice by itself
+	r.Host = host
+	r.Header.Set("Request-Id", s.id)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
+	if q.model != "" {
+		r.Header.Set("Model", q.model)
+		r.Header.Set("Token-Count", fmt.Sprintf("200,%d", q.events))
+		r.Header.Set("Prompt-Prefix", "a1:50,"+fmt.Sprintf("%x:150", c.number))
+	}
+	response, err := c.client.Do(r)
+	if err != nil {
+		return 0, false, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.Close {
+		defer c.leave()
+	}
+	isServed := response.StatusCode == http.StatusOK
+	if isServed && (response.Header.Get("Request-Id") != s.id || response.Header.Get("Response-Seal") != "seal-"+s.id) {
+		c.cluster.ledger.violate(PromiseWhole, s.at, "request %s got the answer of %q", s.id, response.Header.Get("Request-Id"))
+	}
+	if isServed && q.events > 0 {
+		err = c.readStream(response.Body, q, s)
+		return response.StatusCode, err == nil, err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err == nil && isServed && string(body) != upstream.Answer(s.id, s.fingerprint) {
+		c.cluster.ledger.violate(PromiseWhole, s.at, "request %s got the body %.80q", s.id, body)
+	}
+	return response.StatusCode, isServed && err == nil, err
+}
+
+var errEarlyEnd = errors.New("the stream ended early")
+
+// readStream checks that events come in order and that the end is the end.
+func (c *caller) readStream(from io.Reader, q question, s *sent) error {
+	reader := bufio.NewReader(from)
+	for next := 1; ; next++ {
+		want := upstream.Event(s.id, next)
+		got := make([]byte, len(want))
+		_, err := io.ReadFull(reader, got)
+		switch {
+		case err == io.EOF && next == q.events+1:
+			return nil
+		case err == io.EOF:
+			c.cluster.ledger.violate(PromiseOrder, s.at, "request %s ended as complete after %d of %d events", s.id, next-1, q.events)
+			return errEarlyEnd
+		case err != nil:
+			return err
+		case string(got) != want:
+			c.cluster.ledger.violate(PromiseOrder, s.at, "request %s got %q instead of event %d", s.id, got, next)
+			return errEarlyEnd
+		}
+	}
+}
+
+// poison asks again and again what crashes its upstream.
+func (c *caller) poison(stop <-chan struct{}) {
+	q := question{method: http.MethodGet, path: fmt.Sprintf("/status%s/%s", upstream.PoisonPath, c.name), service: plainService, repeatable: true}
+	for range poisonTries {
+		c.number++
+		c.leave()
+		c.moveOn()
+		if c.at != nil {
+			c.send(q)
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(poisonPause):
+		}
+	}
+}
+
+const (
+	poisonTries = 16
+	poisonPause = 400 * time.Millisecond
+)
--- /dev/null
+++ b/internal/bench/soak/cluster.go
@@ -0,0 +1,317 @@
+// Package soak runs real savoryweir-node processes against stand-ins of the store and
+// of upstreams, disturbs them from outside by a random plan, and checks from what
+// callers and upstreams see that the system keeps its promises. One seed gives one
+// plan; the processes run in real time, so that a run is not repeated exactly.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/standin/upstream"
+	"savoryweir/internal/state/object"
+	"savoryweir/platform"
+)
+
+const (
+	plainService  = "desk"
+	engineService = "tagger"
+	models        = 7
+	adapters      = 3
+	extraRoutes   = 4
+	places        = 3 // models that fit into an engine
+	modelMB       = 1000
+	weightsMB     = places*modelMB + 500
+	heartbeat     = 500 * time.Millisecond
+	loadTime      = 600 * time.Millisecond
+	diskTime      = 150 * time.Millisecond
+	loadsPerS     = 4
+	plainSlots    = 16
+	engineSlots   = 32
+	plainWork     = 12 * time.Millisecond
+	eventWork     = 15 * time.Millisecond
+)
+
+// Options describe a run.
+type Options struct {
+	Seed      uint64
+	Program   string        // savoryweir-node
+	Folder    string        // for settings and logs
+	Faulted   time.Duration // length of the part with faults
+	Faults    int
+	Instances int
+	Engines   int
+	Plain     int
+	Callers   int
+	Progress  func(format string, arguments ...any)
+}
+
+// DefaultOptions are those of a usual run.
+func DefaultOptions(seed uint64) Options {
+	return Options{
+		Seed: seed, Faulted: 12 * time.Second, Faults: 14, Instances: 4, Engines: 4, Plain: 3, Callers: 12,
+		Progress: func(string, ...any) {},
+	}
+}
+
+// Report is what a run showed.
+type Report struct {
+	Plan       []Fault
+	Requests   int
+	Served     int
+	Violations []Violation
+}
+
+// configuration is one version that the operator has sent.
+type configuration struct {
+	prefixes           []string
+	sent, acknowledged time.Time
+}
+
+// cluster is everything that runs.
+type cluster struct {
+	options      Options
+	ledger       *ledger
+	disturbances *disturbances
+	store        *objectapi.Memory
+	server       *httptest.Server
+	instances    []*instance
+	upstreams    []*station
+
+	mu             sync.Mutex // guards all below
+	configurations []configuration
+	extras         [extraRoutes]bool
+	left           map[string]time.Time // when upstreams began to leave, by identifier
+}
+
+// station is an upstream with its proxy, the address of which changes with each start.
+type station struct {
+	*upstream.Upstream
+	engine bool
+	mu     sync.Mutex
+	link   *Proxy
+}
+
+func (s *station) via(address string) (string, error) {
+	p, err := NewProxy("127.0.0.1:0", address)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil {
+		_ = s.link.Close()
+	}
+	s.link = p
+	return p.Address(), nil
+}
+
+func (s *station) proxy() *Proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.link
+}
+
+// Run plays one seed.
+func Run(o Options) (Report, error) {
+	c := &cluster{options: o, ledger: newLedger(), disturbances: &disturbances{}, store: objectapi.New(time.Now, objectapi.Limits{}), left: make(map[string]time.Time)}
+	c.server = httptest.NewServer(objectapi.Handler(c.store))
+	defer c.server.Close()
+	stop := make(chan struct{})
+	var traffic sync.WaitGroup
+	defer c.stopInstances()
+	if err := errors.Join(c.startUpstreams(stop), c.configure(), c.startInstances(stop), c.awaitReady()); err != nil {
+		close(stop)
+		return Report{}, err
+	}
+	for n := range o.Callers {
+		traffic.Go(func() { newCaller(c, n).run(stop) })
+	}
+	c.ledger.began = time.Now()
+	plan := NewPlan(o.Seed, o.Faults, o.Faulted)
+	c.play(plan, stop)
+	lifted := time.Now()
+	time.Sleep(recoveryBound + recoveryLook)
+	close(stop)
+	traffic.Wait()
+	c.judge(lifted)
+	report := Report{Plan: plan, Violations: c.ledger.found()}
+	requests, _, _ := c.ledger.all()
+	for _, s := range requests {
+		report.Requests++
+		if s.served {
+			report.Served++
+		}
+	}
+	return report, nil
+}
+
+const (
+	// recoveryLook is how long requests are counted once service must be back.
+	recoveryLook = 2 * time.Second
+	startBound   = 15 * time.Second
+)
+
+func (c *cluster) startUpstreams(stop <-chan struct{}) error {
+	for n := range c.options.Engines + c.options.Plain {
+		s := &station{engine: n < c.options.Engines}
+		config := upstream.Config{Name: fmt.Sprintf("p%d", n), Service: plainService, Zone: fmt.Sprintf("z%d", n%zones), Slots: plainSlots, Work: plainWork}
+		if s.engine {
+			config.Name, config.Service, config.Slots, config.Work = fmt.Sprintf("e%d", n), engineService, engineSlots, eventWork
+			config.Places, config.LoadTime = places, loadTime
+			for m := range 2 {
+				config.Models = append(config.Models, fmt.Sprintf("m%d", (2*n+m)%models))
+			}
+		}
+		s.Upstream = upstream.New(config, c.store, c.ledger, c.options.Seed+uint64(n), s.via)
+		if err := s.Start(); err != nil {
+			return err
+		}
+		c.upstreams = append(c.upstreams, s)
+		go s.beat(stop)
+	}
+	return nil
+}
+
+// beat writes the entry at each heartbeat.
+func (s *station) beat(stop <-chan struct{}) {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.Register()
+		case <-stop:
+			return
+		}
+	}
+}
+
+func (c *cluster) startInstances(stop <-chan struct{}) error {
+	for n := range c.options.Instances {
+		i, err := newInstance(n, c.options.Program, c.options.Folder, c.server.Listener.Addr().String(), c.ledger, c.disturbances)
+		if err != nil {
+			return err
+		}
+		c.instances = append(c.instances, i)
+		if err := i.start(); err != nil {
+			return err
+		}
+		go i.watchReady(stop)
+	}
+	return nil
+}
+
+func (c *cluster) stopInstances() {
+	for _, i := range c.instances {
+		i.close()
+	}
+	for _, s := range c.upstreams {
+		s.Crash()
+		_ = s.proxy().Close()
+	}
+}
+
+var errNotReady = errors.New("the instances did not become ready")
+
+func (c *cluster) awaitReady() error {
+	for end := time.Now().Add(startBound); time.Now().Before(end); time.Sleep(pollEvery) {
+		ready := 0
+		for _, i := range c.instances {
+			if i.takesCallers() {
+				ready++
+			}
+		}
+		if ready == len(c.instances) {
+			return nil
+		}
+	}
+	return errNotReady
+}
+
+// configure sends the next version of the configuration to the store.
+func (c *cluster) configure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := configuration{prefixes: []string{"/book/", "/status/", "/tag/", "/notes/"}, sent: time.Now()}
+	for n, present := range c.extras {
+		if present {
+			next.prefixes = append(next.prefixes, fmt.Sprintf("/extra%d/", n))
+		}
+	}
+	data, err := json.Marshal(c.document(next.prefixes))
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	if len(c.configurations) == 0 {
+		_, err = c.store.Create(ctx, platform.KindConfig, platform.NameConfig, data)
+	} else {
+		var old object.Object
+		if old, err = c.store.Get(ctx, platform.KindConfig, platform.NameConfig); err == nil {
+			_, err = c.store.Update(ctx, platform.KindConfig, old.Name, data, old.Version)
+		}
+	}
+	next.acknowledged = time.Now()
+	if err != nil && !errors.Is(err, object.ErrOutcomeUnknown) {
+		return err // a store that is away takes no configuration
+	}
+	c.configurations = append(c.configurations, next)
+	return nil
+}
+
+func (c *cluster) history() []configuration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.configurations
+}
+
+func (c *cluster) departures() map[string]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
+// document is a configuration as the operator writes it.
+func (c *cluster) document(prefixes []string) map[string]any {
+	timeout := callerDeadline.Milliseconds()
+	var routes []map[string]any
+	for _, prefix := range prefixes {
+		route := map[string]any{
+			"name": "r" + prefix, "host": host, "pathPrefix": prefix, "kind": "safe", "timeoutMs": timeout, "targetLatencyMs": 200,
+			"priority": 1, "service": plainService, "maxAttempts": 2,
+		}
+		switch prefix {
+		case "/book/":
+			route["kind"], route["maxAttempts"] = "unsafe", 1
+		case "/tag/":
+			route["kind"], route["service"], route["resumable"], route["gapAimMs"] = "stream", engineService, true, 300
+		case "/notes/":
+			route["kind"], route["service"], route["gapAimMs"] = "stream", engineService, 300
+		}
+		routes = append(routes, route)
+	}
+	var list []map[string]any
+	for m := range models {
+		list = append(list, map[string]any{
+			"name": fmt.Sprintf("m%d", m), "weightsMb": modelMB, "loadTimeS": loadTime.Seconds(), "diskS": diskTime.Seconds(),
+			"adapters": adapters, "adapterMb": 20,
+		})
+	}
+	return map[string]any{
+		"version": 10 + 3*len(c.configurations), "routes": routes,
+		"services": []map[string]any{
+			{"name": plainService, "healthPath": "/health", "maxConns": 200},
+			{"name": engineService, "healthPath": "/health", "maxConns": 200, "engine": map[string]any{
+				"weightsMb": weightsMB, "adapterSlots": 4, "loadsPerS": loadsPerS, "models": list,
+			}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/disturbances.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// stable is the time without a fault after which a promise with a time bound holds again.
+const stable = 3 * time.Second
+
+// everywhere is the subject of faults that concern all instances.
+const everywhere = -1
+
+// plannedness tells planned work from faults.
+type plannedness bool
+
+const (
+	planned   plannedness = true
+	unplanned plannedness = false
+)
+
+type span struct {
+	subject  int
+	kind     plannedness
+	from, to time.Time // to is zero while it lasts
+}
+
+// disturbances remembers when instances were disturbed. It is safe for concurrent use.
+type disturbances struct {
+	mu    sync.Mutex
+	spans []span
+}
+
+func (d *disturbances) begin(subject int, kind plannedness) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.spans = append(d.spans, span{subject: subject, kind: kind, from: time.Now()})
+}
+
+// end ends the first disturbance of the kind that lasts.
+func (d *disturbances) end(subject int, kind plannedness) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.spans {
+		s := &d.spans[i]
+		if s.subject == subject && s.kind == kind && s.to.IsZero() {
+			s.to = time.Now()
+			return
+		}
+	}
+}
+
+// touched reports whether an instance was disturbed since a time.
+func (d *disturbances) touched(subject int, since time.Time, kind plannedness) bool {
+	return d.between(subject, since, time.Now(), kind)
+}
+
+// between reports whether an instance was disturbed in a span of time.
+func (d *disturbances) between(subject int, from, to time.Time, kind plannedness) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.spans {
+		concerns := s.subject == subject || s.subject == everywhere || subject == everywhere
+		if concerns && s.kind == kind && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// own reports whether an instance itself was killed or paused in a span of time.
+func (d *disturbances) own(subject int, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.spans {
+		if s.subject == subject && s.kind == unplanned && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// isCalm reports whether neither faults nor planned work touched an instance in a
+// span of time nor in the stable time before it.
+func (d *disturbances) isCalm(subject int, from, to time.Time) bool {
+	from = from.Add(-stable)
+	return !d.between(subject, from, to, unplanned) && !d.between(subject, from, to, planned)
+}
--- /dev/null
+++ b/internal/bench/soak/faults.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"sync"
+	"syscall"
+	"time"
+
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/standin/upstream"
+)
+
+// play causes the faults of a plan at their times and returns when all have ended.
+func (c *cluster) play(plan []Fault, stop <-chan struct{}) {
+	began := time.Now()
+	var group sync.WaitGroup
+	for n, f := range plan {
+		time.Sleep(time.Until(began.Add(f.At)))
+		c.options.Progress("seed %d: %s", c.options.Seed, f)
+		group.Go(func() { c.cause(f, n, stop) })
+	}
+	group.Wait()
+}
+
+// cause brings about one fault and lifts it.
+func (c *cluster) cause(f Fault, number int, stop <-chan struct{}) {
+	i := c.instances[f.Target%len(c.instances)]
+	switch f.Kind {
+	case KindTerm:
+		i.terminate()
+	case KindKill:
+		i.kill()
+	case KindKillAll:
+		for _, each := range c.instances {
+			each.kill()
+		}
+	case KindPause:
+		i.pause(f.Lasts)
+	case KindReload:
+		c.reload(i, f)
+	case KindConfig:
+		c.mu.Lock()
+		c.extras[f.Target%extraRoutes] = !c.extras[f.Target%extraRoutes]
+		c.mu.Unlock()
+		if err := c.configure(); err != nil {
+			c.options.Progress("seed %d: the store took no configuration: %v", c.options.Seed, err)
+		}
+	case KindPoison:
+		newCaller(c, poisonCallers+number).poison(stop)
+	case KindCallersReset:
+		c.disturb(i.number, 0, i.callers.Reset, func() {})
+	case KindCallersDelay:
+		c.harm(i.number, i.callers, Link{Delay: linkDelay}, f.Lasts)
+	case KindStoreCut:
+		c.harm(i.number, i.store, heldLink(f.Share), f.Lasts)
+	case KindStoreRefused:
+		c.disturb(i.number, f.Lasts, func() { i.store.Set(Link{Refuse: true}); i.store.Reset() }, func() { i.store.Set(Link{}) })
+	case KindStoreSilent:
+		c.disturb(i.number, 0, i.store.Silence, func() {})
+	case KindStoreDown:
+		c.disturbStore(objectapi.Faults{Outage: true}, f.Lasts)
+	case KindStoreSlow:
+		c.disturbStore(objectapi.Faults{Delay: time.Duration(f.Share * float64(storeDelay))}, f.Lasts)
+	case KindStoreLost:
+		c.disturbStore(objectapi.Faults{LoseAnswers: 1 + int(f.Share*lostAnswers)}, time.Second)
+	case KindStoreForgets:
+		c.disturb(everywhere, 0, c.store.DropHistory, func() {})
+	default:
+		c.causeAtUpstream(f)
+	}
+}
+
+const (
+	poisonCallers = 1000 // numbers of callers that send crashing requests begin here
+	linkDelay     = 150 * time.Millisecond
+	storeDelay    = 1500 * time.Millisecond
+	lostAnswers   = 6
+	// greyShare is the largest share of requests that a grey upstream fails.
+	greyShare = 0.6
+)
+
+func (c *cluster) causeAtUpstream(f Fault) {
+	s := c.upstreams[f.Target%len(c.upstreams)]
+	switch f.Kind {
+	case KindUpstreamCut:
+		c.harm(everywhere, s.proxy(), heldLink(f.Share), f.Lasts)
+	case KindUpstreamReset:
+		c.disturb(everywhere, 0, s.proxy().Reset, func() {})
+	case KindUpstreamSilent:
+		c.disturb(everywhere, 0, s.proxy().Silence, func() {})
+	case KindUpstreamDelay:
+		c.harm(everywhere, s.proxy(), Link{Delay: linkDelay}, f.Lasts)
+	case KindUpstreamCrash:
+		c.disturb(everywhere, f.Lasts, func() { s.Crash() }, func() { s.Lapse(); c.restart(s) })
+	case KindUpstreamLeaves:
+		c.drain(s, f.Lasts)
+	case KindUpstreamGrey:
+		c.disturb(everywhere, f.Lasts, func() { s.SetFaults(upstream.Faults{FailShare: greyShare * f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
+	case KindAnswersLost:
+		c.disturb(everywhere, f.Lasts, func() { s.SetFaults(upstream.Faults{LoseShare: greyShare * f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
+	case KindOrdersLate:
+		c.disturb(everywhere, f.Lasts, func() { s.SetFaults(upstream.Faults{LateShare: f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
+	case KindEntryLapses:
+		c.disturb(everywhere, f.Lasts, s.Lapse, s.Register)
+	}
+}
+
+// disturb causes a fault for a time, or for a moment, and remembers it.
+func (c *cluster) disturb(subject int, lasts time.Duration, cause, lift func()) {
+	c.disturbances.begin(subject, unplanned)
+	defer c.disturbances.end(subject, unplanned)
+	cause()
+	time.Sleep(lasts)
+	lift()
+}
+
+func (c *cluster) disturbStore(f objectapi.Faults, lasts time.Duration) {
+	c.disturb(everywhere, lasts, func() { c.store.SetFaults(f) }, func() { c.store.SetFaults(objectapi.Faults{}) })
+}
+
+func (c *cluster) harm(subject int, p *Proxy, l Link, lasts time.Duration) {
+	c.disturb(subject, lasts, func() { p.Set(l) }, func() { p.Set(Link{}) })
+}
+
+// heldLink holds one direction or both, by the strength of a fault.
+func heldLink(share float64) Link {
+	return Link{HoldToServer: share < 2.0/3, HoldToClient: share > 1.0/3}
+}
+
+// reload changes the settings of an instance, and tells it so half of the time.
+func (c *cluster) reload(i *instance, f Fault) {
+	c.disturbances.begin(i.number, planned)
+	defer c.disturbances.end(i.number, planned)
+	if err := i.configure(retrySlack + f.Target%2); err != nil {
+		c.ledger.violate(PromiseAlive, time.Now(), "the settings of i%d were not written: %v", i.number, err)
+	}
+	if f.Share < 0.5 {
+		i.signal(syscall.SIGHUP, false)
+	}
+}
+
+// restart starts an upstream anew; the run goes on without one that does not start.
+func (c *cluster) restart(s *station) {
+	if err := s.Start(); err != nil {
+		c.options.Progress("seed %d: an upstream did not start again: %v", c.options.Seed, err)
+	}
+}
+
+// drain lets an upstream leave as planned: it tells so, serves on, ends and comes back.
+func (c *cluster) drain(s *station, lasts time.Duration) {
+	id := s.ID()
+	s.Drain()
+	c.mu.Lock()
+	c.left[id] = time.Now()
+	c.mu.Unlock()
+	time.Sleep(drainBound + lasts)
+	if s.ID() != id {
+		return // it has crashed meanwhile and is back
+	}
+	c.disturb(everywhere, 0, func() { s.Crash() }, func() { s.Lapse(); c.restart(s) })
+}
--- a/internal/coordination/steering/steering_test.go
+++ b/internal/coordination/steering/steering_test.go
@@ -308,3 +308,56 @@
 	most := len(s.Engines) * (missing + busiestConsidered*(s.Loads+1))
 	assert.Assert(t, p.weighed <= most, "%d engines weighed", p.weighed)
 }
+
+// A model that is missing must not take the place of the one that refuses most, though
+// the engine that loses it would have the least work of its own afterwards.
+func TestAMissingModelDisplacesNoReplicaOfTheBusiestOne(t *testing.T) {
+	actions := Plan(Snapshot{
+		Class: testClass(7), Capacity: testCapacity(7), Loads: 5,
+		Engines: []Engine{engine("e1", "m0", "m1", "m2"), engine("e2", "m0", "m3", "m5"), engine("e3", "m0", "m3", "m6")},
+		Work:    map[string]float64{"m0": 48000, "m1": 600, "m2": 600, "m4": 400, "m5": 10000, "m6": 10000},
+		Wanted:  map[AdapterKey]bool{{Model: "m4"}: true},
+	})
+	var made bool
+	for _, a := range actions {
+		assert.Assert(t, a.Load || a.Model != "m0", "%+v", a)
+		made = made || a.For == "m4"
+	}
+	assert.Assert(t, made, "no room is made for the missing model: %+v", actions)
+}
+
+func onDisk(e Engine, models ...string) Engine {
+	e.Upstream.OnDisk = models
+	return e
+}
+
+func TestTheLastReplicaOfAnIdleModelMakesRoomForABusyOne(t *testing.T) {
+	s := Snapshot{
+		Class: testClass(6), Capacity: testCapacity(6), Loads: 5,
+		Engines: []Engine{engine("e1", "m0", "m1", "m2"), onDisk(engine("e2", "m3", "m4", "m5"), "m4")},
+		Work:    map[string]float64{"m0": 30000, "m1": 500, "m2": 500, "m3": 500, "m5": 500},
+	}
+	actions := Plan(s)
+	assert.Equal(t, len(actions), 1, "%+v", actions)
+	assert.Equal(t, actions[0], Action{Upstream: "e2", Model: "m4", For: "m0", Reason: ReasonRoom})
+
+	s.Engines[1] = engine("e2", "m3", "m4", "m5")
+	assert.Equal(t, len(Plan(s)), 0, "a model without a copy at hand stays")
+	s.Engines[1] = onDisk(engine("e2", "m3", "m4", "m5"), "m4")
+	s.Work["m0"] = 9000
+	assert.Equal(t, len(Plan(s)), 0, "it stays while the busy model has room")
+}
+
+func TestAModelThatLeftComesBackWhenItIsAskedFor(t *testing.T) {
+	s := Snapshot{
+		Class: testClass(5), Capacity: testCapacity(5), Loads: 0,
+		Engines: []Engine{onDisk(engine("e1", "m0", "m1", "m2"), "m4"), onDisk(engine("e2", "m0", "m1", "m3"), "m3")},
+		Work:    map[string]float64{"m0": 30000, "m1": 5000, "m2": 4000},
+	}
+	assert.Equal(t, len(Plan(s)), 0, "nobody asks for it, and it could be back within a second")
+	s.Wanted = map[AdapterKey]bool{{Model: "m4"}: true}
+	actions := Plan(s)
+	assert.Equal(t, len(actions), 1, "%+v", actions)
+	assert.Equal(t, actions[0].For, "m4")
+	assert.Equal(t, string(actions[0].Upstream), "e1", "the engine with a copy of its own")
+}
--- /dev/null
+++ b/internal/standin/upstream/serve.go
@@ -0,0 +1,182 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PoisonPath is a part of the path of requests that crash whatever runs them.
+const PoisonPath = "/poison"
+
+// handler serves one incarnation.
+func (u *Upstream) handler(id string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/report", u.report)
+	mux.HandleFunc("POST /v1/order", func(w http.ResponseWriter, r *http.Request) { u.order(w, r, id) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { u.serve(w, r, id) })
+	return mux
+}
+
+// Fingerprint names method, path and body of a request.
+func Fingerprint(method, path string, body []byte) string {
+	d := xxhash.New()
+	_, _ = d.WriteString(method + "\x00" + path + "\x00")
+	_, _ = d.Write(body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// Answer is the body with which a plain request is answered.
+func Answer(request, fingerprint string) string { return request + " ran as " + fingerprint + "\n" }
+
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request, id string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the connection is gone
+	}
+	request := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", request)
+	w.Header().Set("Instance-Id", id)
+	if refused := u.admit(w, r, id); refused {
+		return
+	}
+	defer u.leave()
+	run := Run{Request: request, Upstream: id, Service: u.config.Service, Fingerprint: Fingerprint(r.Method, r.URL.Path, body), Began: time.Now()}
+	u.journal.Ran(run)
+	if strings.Contains(r.URL.Path, PoisonPath) {
+		go u.restart()
+		panic(http.ErrAbortHandler)
+	}
+	fails, loses := u.fate()
+	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
+	defer cancel()
+	w.Header().Set("Response-Seal", "seal-"+request)
+	if len(u.config.Models) > 0 {
+		u.stream(ctx, w, r, loses)
+		return
+	}
+	if !wait(ctx, u.config.Work) || loses {
+		panic(http.ErrAbortHandler)
+	}
+	if fails {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(w, Answer(request, run.Fingerprint))
+}
+
+// admit refuses what the upstream does not run. It reports whether it has answered.
+func (u *Upstream) admit(w http.ResponseWriter, r *http.Request, id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
+	switch {
+	case r.Header.Get("Expect-Instance") != id || model != "" && !u.holds(model, adapter):
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.Header.Get("Request-Id") == "":
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+	case u.running >= u.config.Slots:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		u.running++
+		return false
+	}
+	return true
+}
+
+func (u *Upstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running = max(u.running-1, 0)
+}
+
+func (u *Upstream) fate() (fails, loses bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.random.Float64() < u.faults.FailShare, u.random.Float64() < u.faults.LoseShare
+}
+
+// restart is what a request does that crashes its upstream.
+func (u *Upstream) restart() {
+	if !u.Crash() {
+		return // it is down already
+	}
+	u.Lapse()
+	time.Sleep(crashedFor)
+	_ = u.Start() // the port is chosen anew; without one the upstream stays away
+}
+
+const crashedFor = 500 * time.Millisecond
+
+// Event is one event of a stream.
+func Event(request string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", number, request, number)
+}
+
+// stream answers by as many events as the request has output tokens. One that loses
+// its answer breaks off within an event.
+func (u *Upstream) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, loses bool) {
+	_, most, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
+	last, err := strconv.Atoi(most)
+	if err != nil {
+		last = 1
+	}
+	next := 1
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		next = after + 1
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for ; next <= last; next++ {
+		if !wait(ctx, u.config.Work) {
+			panic(http.ErrAbortHandler)
+		}
+		event := Event(r.Header.Get("Request-Id"), next)
+		if loses && next >= last/2 {
+			_, _ = io.WriteString(w, event[:len(event)/2])
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, event)
+		_ = control.Flush() // a caller that is gone ends the context
+	}
+}
+
+func deadline(r *http.Request) time.Duration {
+	ms, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// wait reports whether the work was done before ctx ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// holds reports whether a model and adapter are resident. The caller holds u.mu.
+func (u *Upstream) holds(model, adapter string) bool {
+	i := u.find(model)
+	return i >= 0 && (adapter == "" || slices.Contains(u.models[i].Adapters, adapter))
+}
+
+func (u *Upstream) find(model string) int {
+	return slices.IndexFunc(u.models, func(r resident) bool { return r.Name == model })
+}
