--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Plain     int           `help:"Plain upstreams." default:"3"`
 	Callers   int           `help:"Callers." default:"12"`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
+	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
 }
 
@@ -90,7 +91,7 @@
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
 	report, err := soak.Run(o)
-	if err == nil && len(report.Violations) == 0 {
+	if err == nil && len(report.Violations) == 0 && !f.KeepAll {
 		err = os.RemoveAll(folder)
 	}
 	return report, folder, err
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -15,11 +15,17 @@
 	"savoryweir/internal/standin/upstream"
 )
 
-// regressions are the seeds that ever broke a promise, each with its cause.
-var regressions = []struct {
+// regression is a seed that broke a promise once.
+type regression struct {
 	seed  uint64
 	cause string
-}{}
+}
+
+var regressions = []regression{
+	{105, ghostEntry}, {130, ghostEntry}, {140, ghostEntry},
+}
+
+const ghostEntry = "the entry of a crashed engine outlived it (its removal met a store that was away), and its models stayed with it for good"
 
 // fresh is the seed that CI plays besides the regressions.
 const fresh = 1
@@ -34,14 +40,11 @@
 
 func TestPromisesHoldUnderFaultsFromOutside(t *testing.T) {
 	program := build(t)
-	seeds := []uint64{fresh}
-	for _, r := range regressions {
-		seeds = append(seeds, r.seed)
-	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+	for _, r := range append(regressions, regression{fresh, "none: the short run of CI"}) {
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
-			o := DefaultOptions(seed)
+			t.Logf("failed once for this cause: %s", r.cause)
+			o := DefaultOptions(r.seed)
 			o.Program, o.Folder = program, t.TempDir()
 			report, err := Run(o)
 			assert.NilError(t, err)
@@ -144,7 +147,11 @@
 		promise Promise
 		see     func(*cluster)
 	}{
-		{PromiseOnce, func(c *cluster) { c.ledger.Sent(request("a", false)); c.ledger.Ran(run("a", 0)); c.ledger.Ran(run("a", 0)) }},
+		{PromiseOnce, func(c *cluster) {
+			c.ledger.Sent(request("a", false))
+			c.ledger.Ran(run("a", 0))
+			c.ledger.Ran(run("a", 0))
+		}},
 		{PromiseUnchanged, func(c *cluster) { c.ledger.Ran(run("nobody's", 0)) }},
 		{PromiseNotRun, func(c *cluster) {
 			s := request("a", false)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -17,14 +17,16 @@
 	Upstream *fleet.Upstream
 	Load     loads.Load
 	Pace     loads.Pace
-	Cached   int  // prompt tokens that the engine is likely to hold
-	SameZone bool // as this instance
+	Cached   int     // prompt tokens that the engine is likely to hold
+	Fails    float64 // share of requests that it fails, by what all instances tell
+	SameZone bool    // as this instance
 }
 
 // Need is what a request asks of an upstream.
 type Need struct {
 	Tokens int // prompt tokens
 	Rank   int
+	Once   bool // it may not be repeated
 	Speed  Speed
 }
 
@@ -57,6 +59,9 @@
 	// laterRankWeight is the share with which less urgent prompts count: they are
 	// not read first, but share the batch.
 	laterRankWeight = 0.2
+	// leastSuccess bounds the share of successes from below, so that an upstream that
+	// fails all requests is still tried where there is no other.
+	leastSuccess = 0.02
 )
 
 // Choice is the upstream chosen for a request.
@@ -85,6 +90,16 @@
 	return Choice{Candidate: candidates[best], Expected: n.Expected(candidates[best])}, true
 }
 
+// tries weighs the share of requests that an upstream fails. A request that may be
+// repeated takes that much longer on average; for one that runs once a failure is final.
+func (n Need) tries(fails float64) float64 {
+	succeeds := max(1-fails, leastSuccess)
+	if n.Once {
+		return 1 / (succeeds * succeeds * succeeds)
+	}
+	return 1 / succeeds
+}
+
 func (n Need) score(c Candidate) float64 {
 	score := float64(n.Expected(c))
 	later := c.Load.UnreadUpTo(loads.Ranks-1) - c.Load.UnreadUpTo(n.Rank)
@@ -92,5 +107,5 @@
 	if !c.SameZone {
 		score += float64(otherZoneCost)
 	}
-	return score
+	return score * n.tries(c.Fails)
 }
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -65,6 +65,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.due, errDue)
 	defer cancel()
+	defer context.AfterFunc(c.gateway.ending, cancel)()
 	if c.route.Kind == fleet.KindStream {
 		c.serveStream(ctx)
 		return
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -47,12 +47,13 @@
 
 // brokeOff records that an upstream ended the connection while it may have run the
 // request. Other failures are no sign of a crash.
-func (c *call) brokeOff(id fleet.UpstreamID, err error) {
+func (c *call) brokeOff(f *flight, err error) {
 	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	if !ended {
 		return
 	}
-	fingerprint := c.fingerprint()
+	f.erred()
+	id, fingerprint := f.upstream.ID, c.fingerprint()
 	c.gateway.LearnBreak(fingerprint, id)
 	c.gateway.TellBreak(fingerprint, id)
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -53,6 +54,8 @@
 	inFlight atomic.Int64
 	crashes  *crashGuard
 	leaving  atomic.Bool
+	ending   context.Context // ends when the process has to answer what is left
+	end      context.CancelFunc
 
 	mu      sync.Mutex // guards budgets
 	budgets map[string]*retry.Window
@@ -60,7 +63,8 @@
 
 // New returns a gateway without a configuration: it refuses all requests.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, budgets: make(map[string]*retry.Window), crashes: newCrashGuard()}
+	ending, end := context.WithCancel(context.Background())
+	return &Gateway{Options: o, budgets: make(map[string]*retry.Window), crashes: newCrashGuard(), ending: ending, end: end}
 }
 
 // Apply puts a configuration in force for the requests that arrive from now on.
@@ -80,6 +84,9 @@
 // Leave refuses all requests that arrive from now on.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
+// End gives up on all requests in flight: each gets its final answer now.
+func (g *Gateway) End() { g.end() }
+
 // InFlight returns how many requests of callers are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -21,6 +21,7 @@
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/node/telemetry"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/state/loads"
 	"savoryweir/internal/transport/upstreamconn"
 )
 
@@ -232,6 +233,12 @@
 }
 
 // eventually waits for a condition that other goroutines bring about.
+// inFlight returns what the gateway has in flight at each upstream.
+func (h *harness) inFlight() map[fleet.UpstreamID]loads.Load {
+	own, _ := h.gateway.Tracker.Own()
+	return own
+}
+
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
--- a/internal/node/gateway/plain.go
+++ b/internal/node/gateway/plain.go
@@ -73,14 +73,18 @@
 	case err != nil:
 		f.failed()
 		c.logBroken(a, err)
-		c.brokeOff(f.upstream.ID, err)
+		c.brokeOff(f, err)
 		return true, "answer broke off"
 	case len(body) > heldAnswerBytes:
 		f.answered()
 		c.copyAnswerFrom(a, io.MultiReader(bytes.NewReader(body), a.exchange))
 		return false, ""
 	}
-	f.answered()
+	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
+		f.erred()
+	} else {
+		f.answered()
+	}
 	if c.worthRepeat(a) && c.mayRepeatFailed() {
 		return true, "upstream failed"
 	}
--- a/internal/node/gateway/plain_test.go
+++ b/internal/node/gateway/plain_test.go
@@ -291,3 +291,20 @@
 	t.Skip("the queue of the listener can't be filled on this kernel")
 	return ""
 }
+
+// An upstream that fails at once looks idle. Requests that run once get its failures as
+// their answers, so that it must be left by what it answers.
+func TestAnUpstreamThatFailsQuicklyIsLeft(t *testing.T) {
+	failing := startUpstream(t, "u1", answerWith(500, "broken"))
+	sound := startUpstream(t, "u2", func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		time.Sleep(2 * time.Millisecond)
+		return answerWith(200, "ok")(u, r, body, conn)
+	})
+	h := newHarness(t, failing, sound)
+	const requests = 60
+	for range requests {
+		h.do(t, "POST", "/order/1", "x")
+	}
+	assert.Assert(t, failing.count() <= requests/6, "%d of %d requests went to the upstream that fails", failing.count(), requests)
+	assert.Equal(t, failing.count()+sound.count(), requests)
+}
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -119,6 +119,7 @@
 	case failureDial:
 		c.dials++
 		a.flight.failed()
+		a.flight.erred()
 		g.Pool.Forget(a.flight.upstream.Address)
 	case failureNotRun:
 		c.sends++
@@ -128,7 +129,7 @@
 		c.mayHaveRun = true
 		if !c.hasLeft() {
 			a.flight.failed()
-			c.brokeOff(a.flight.upstream.ID, a.err)
+			c.brokeOff(a.flight, a.err)
 		}
 	case failureNone:
 		c.sends++
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -169,6 +169,7 @@
 // failedStream handles an engine's own failure.
 func (c *call) failedStream(a attempt) (bool, string) {
 	body, err := io.ReadAll(io.LimitReader(a.exchange, heldAnswerBytes))
+	a.flight.erred()
 	if !c.firstByteAt.IsZero() || err != nil || c.worthRepeat(a) && c.sends < c.route.MaxAttempts {
 		a.flight.failed()
 		return true, "engine failed"
@@ -247,7 +248,7 @@
 	}
 	a.flight.failed()
 	if cause == nil {
-		c.brokeOff(a.flight.upstream.ID, err)
+		c.brokeOff(a.flight, err)
 	}
 	return true, "stream broke off"
 }
--- a/internal/node/gateway/stream_test.go
+++ b/internal/node/gateway/stream_test.go
@@ -121,7 +121,7 @@
 	case <-time.After(450 * time.Millisecond):
 		t.Fatal("the engine still works half a second after its caller has left")
 	}
-	eventually(t, "the end of the flight", func() bool { return len(h.gateway.Tracker.Own()) == 0 })
+	eventually(t, "the end of the flight", func() bool { return len(h.inFlight()) == 0 })
 }
 
 func TestAnEngineThatFallsSilentIsLeft(t *testing.T) {
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -25,6 +25,8 @@
 	random *rand.Rand
 	book   *loads.Book
 	paces  *loads.Paces
+	sound  *loads.Soundness
+	born   map[fleet.UpstreamID]time.Time // incarnations that the above is about
 	speeds *dispatch.Speeds
 	cached *prefixes.Cache
 }
@@ -33,30 +35,39 @@
 func NewTracker(now func() time.Time, random *rand.Rand) *Tracker {
 	return &Tracker{
 		now: now, random: random, book: loads.NewBook(loadFreshness), paces: loads.NewPaces(),
+		sound: loads.NewSoundness(loadFreshness), born: make(map[fleet.UpstreamID]time.Time),
 		speeds: dispatch.NewSpeeds(), cached: prefixes.New(),
 	}
 }
 
-// Learn records what another instance has in flight.
-func (t *Tracker) Learn(instance string, l map[fleet.UpstreamID]loads.Load) {
+// Learn records what another instance has in flight, and how upstreams served it.
+func (t *Tracker) Learn(instance string, l map[fleet.UpstreamID]loads.Load, outcomes map[fleet.UpstreamID]loads.Tally) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.book.Learn(t.now(), instance, l)
+	now := t.now()
+	t.book.Learn(now, instance, l)
+	t.sound.Learn(now, instance, outcomes)
 }
 
-// Own returns what this instance has in flight.
-func (t *Tracker) Own() map[fleet.UpstreamID]loads.Load {
+// Own returns what this instance has in flight, and how upstreams served it.
+func (t *Tracker) Own() (map[fleet.UpstreamID]loads.Load, map[fleet.UpstreamID]loads.Tally) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.book.Own()
+	return t.book.Own(), t.sound.Own(t.now())
 }
 
-// Keep forgets upstreams that are not listed.
-func (t *Tracker) Keep(listed func(fleet.UpstreamID) bool) {
+// Keep forgets all but the incarnations that are listed.
+func (t *Tracker) Keep(listed func(fleet.UpstreamID) (born time.Time, ok bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.paces.Keep(listed)
-	t.cached.Keep(listed)
+	for id, born := range t.born {
+		if now, ok := listed(id); !ok || !now.Equal(born) {
+			t.sound.Forget(id)
+			t.paces.Forget(id)
+			t.cached.Forget(id)
+			delete(t.born, id)
+		}
+	}
 }
 
 // ReadingSpeed returns the prompt tokens that an engine of a service reads in a
@@ -67,19 +78,27 @@
 	return t.speeds.Of(dispatch.ModelClass{Service: service, WeightsMB: weightsMB}).TokensPerMs * 1000
 }
 
+// FailShare returns the share of requests that an upstream fails.
+func (t *Tracker) FailShare(id fleet.UpstreamID) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sound.FailShare(t.now(), id)
+}
+
 // choose picks an upstream out of those given and opens a flight on it.
 func (t *Tracker) choose(c *call, from []*fleet.Upstream, zone string) (*flight, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	class := c.modelClass()
-	need := dispatch.Need{Tokens: c.wire.PromptTokens, Rank: loads.RankOf(c.route.Priority), Speed: t.speeds.Of(class)}
+	need := dispatch.Need{Tokens: c.wire.PromptTokens, Rank: loads.RankOf(c.route.Priority), Once: !c.route.IsRepeatable(), Speed: t.speeds.Of(class)}
 	chain := prefixChain(c.wire)
 	candidates := make([]dispatch.Candidate, 0, len(from))
 	for _, u := range from {
+		t.meet(u)
 		candidates = append(candidates, dispatch.Candidate{
 			Upstream: u, Load: t.book.Total(now, u.ID), Pace: t.paces.Get(now, u.ID),
-			Cached: t.cached.Held(u.ID, chain), SameZone: u.Zone == zone,
+			Cached: t.cached.Held(u.ID, chain), Fails: t.sound.FailShare(now, u.ID), SameZone: u.Zone == zone,
 		})
 	}
 	choice, ok := dispatch.Choose(now, candidates, need, t.random)
@@ -95,6 +114,20 @@
 	return f, true
 }
 
+// meet drops what is known of an earlier incarnation of an upstream.
+func (t *Tracker) meet(u *fleet.Upstream) {
+	born, known := t.born[u.ID]
+	if known && born.Equal(u.Born) {
+		return
+	}
+	t.born[u.ID] = u.Born
+	if known {
+		t.sound.Forget(u.ID)
+		t.paces.Forget(u.ID)
+		t.cached.Forget(u.ID)
+	}
+}
+
 func prefixChain(r platform.Request) []prefixes.Part {
 	chain := make([]prefixes.Part, 0, len(r.Parts))
 	seed := prefixes.Seed(r.Model, r.Adapter)
@@ -149,6 +182,7 @@
 	now := t.now()
 	took := now.Sub(f.began)
 	f.started = true
+	t.sound.Note(now, f.upstream.ID, true)
 	t.paces.Answered(now, f.upstream.ID, took, f.expected)
 	t.learn(f, took)
 	if f.reading > 0 {
@@ -177,6 +211,17 @@
 	t.paces.Failed(t.now(), f.upstream.ID)
 }
 
+// erred records a failure of the upstream's own: an answer that says so, or a connection
+// that it refused or ended. It is not avoided for one, as that may be the request's
+// doing. Answers that are late are no such failures: overload would spread from one
+// upstream to the next.
+func (f *flight) erred() {
+	t := f.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sound.Note(t.now(), f.upstream.ID, false)
+}
+
 // end closes the flight.
 func (f *flight) end() {
 	t := f.tracker
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 	n.holder = steward.NewHolder(n.store, logging.For(n.log, "lease"), boottime.Now, n.storeRetry, leases, n.settings.Instance.ID, uuid.NewString())
 	n.steward = steward.New(steward.Options{
 		Instance: n.settings.Instance.ID, Log: logging.For(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
-		Pool: n.pool, Holder: n.holder, Config: n.gateway.Config, Announce: n.reports.announce, ReadingSpeed: n.tracker.ReadingSpeed,
+		Pool: n.pool, Holder: n.holder, Config: n.gateway.Config, Announce: n.reports.announce, ReadingSpeed: n.tracker.ReadingSpeed, FailShare: n.tracker.FailShare,
 		LoadWindow: func() time.Duration { return n.bounds.Load().LoadWindow },
 	})
 }
@@ -241,7 +241,12 @@
 		n.registry.Expire()
 		n.pool.Sweep()
 		view := n.registry.View()
-		n.tracker.Keep(func(id fleet.UpstreamID) bool { return view.Get(id) != nil })
+		n.tracker.Keep(func(id fleet.UpstreamID) (time.Time, bool) {
+			if u := view.Get(id); u != nil {
+				return u.Born, true
+			}
+			return time.Time{}, false
+		})
 		n.metrics.Upstreams.Set(float64(view.Count()))
 		n.metrics.Peers.Set(float64(n.mesh.Alive(time.Now())))
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -183,6 +183,32 @@
 	assert.NilError(t, <-i.ended)
 }
 
+// A request that is still unanswered when the grace time ends gets a final answer, so
+// that its caller knows where it stands.
+func TestTheEndOfTheGraceTimeAnswersWhatIsLeft(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
+	arrived := make(chan struct{}, 1)
+	c := startCluster(t, func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		select {
+		case <-ended:
+		case <-r.Context().Done():
+		}
+	})
+	c.configure(t, 1, "a")
+	i := c.start(t, "i1")
+	eventually(t, "readiness", func() bool { return i.node.notReady() == nil })
+	answered := make(chan int, 1)
+	go func() { status, _ := i.ask("/a/1"); answered <- status }()
+	<-arrived
+	began := time.Now()
+	i.signals <- syscall.SIGTERM
+	assert.NilError(t, <-i.ended)
+	assert.Equal(t, <-answered, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < 2*time.Second, "within the grace time")
+}
+
 func TestSettingsApplyWithAndWithoutASignal(t *testing.T) {
 	c := startCluster(t, answerSealed)
 	i := c.start(t, "i1")
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -113,6 +113,7 @@
 // report is what an instance tells of itself.
 type report struct {
 	loads    map[fleet.UpstreamID]loads.Load
+	outcomes map[fleet.UpstreamID]loads.Tally
 	newest   seen
 	fence    uint64 // zero if it holds no lease
 	relaying bool
@@ -120,12 +121,13 @@
 
 func (r *reporter) report() report {
 	fence, _ := r.node.holder.MayAct()
-	return report{loads: r.node.tracker.Own(), newest: r.newest(), fence: uint64(fence), relaying: r.isRelay(time.Now())}
+	inFlight, outcomes := r.node.tracker.Own()
+	return report{loads: inFlight, outcomes: outcomes, newest: r.newest(), fence: uint64(fence), relaying: r.isRelay(time.Now())}
 }
 
 func (r report) message() *pb.FleetMessage {
 	m := &pb.FleetMessage{
-		Loads: encodeLoads(r.loads), NewestConfig: uint64(r.newest.config), NewestUpstream: uint64(r.newest.upstream), Relaying: r.relaying,
+		Loads: encodeLoads(r.loads, r.outcomes), NewestConfig: uint64(r.newest.config), NewestUpstream: uint64(r.newest.upstream), Relaying: r.relaying,
 	}
 	if r.fence != 0 {
 		m.Holding = &pb.Holding{Fence: r.fence}
@@ -192,7 +194,7 @@
 		r.mu.Unlock()
 	}
 	if m.NewestUpstream > 0 { // a report of loads; other messages carry none
-		r.node.tracker.Learn(m.Instance, decodeLoads(m.Loads))
+		r.node.tracker.Learn(m.Instance, decodeLoads(m.Loads), decodeOutcomes(m.Loads))
 	}
 	if len(m.Demands) > 0 {
 		r.node.steward.Learn(m.Instance, m.Incarnation, decodeDemands(m.Demands))
@@ -223,10 +225,21 @@
 	}
 }
 
-func encodeLoads(own map[fleet.UpstreamID]loads.Load) []*pb.FleetLoad {
-	var list []*pb.FleetLoad
+// tallyUnit is the weight of an outcome in a report, of which reports tell whole ones.
+const tallyUnit = 0.0625
+
+func encodeLoads(own map[fleet.UpstreamID]loads.Load, outcomes map[fleet.UpstreamID]loads.Tally) []*pb.FleetLoad {
+	list := make([]*pb.FleetLoad, 0, len(outcomes))
+	for id, t := range outcomes {
+		if _, ok := own[id]; !ok {
+			list = append(list, &pb.FleetLoad{Upstream: string(id), Answered: tallyUnits(t.Answered), Failed: tallyUnits(t.Failed)})
+		}
+	}
 	for id, l := range own {
-		load := &pb.FleetLoad{Upstream: string(id), Running: uint32(max(l.Running, 0))}
+		load := &pb.FleetLoad{
+			Upstream: string(id), Running: uint32(max(l.Running, 0)),
+			Answered: tallyUnits(outcomes[id].Answered), Failed: tallyUnits(outcomes[id].Failed),
+		}
 		for _, reading := range l.Unread {
 			load.UnreadMicros = append(load.UnreadMicros, uint32(max(reading, 0)/time.Microsecond))
 		}
@@ -242,7 +255,21 @@
 		for i := 0; i < min(len(l.UnreadMicros), loads.Ranks); i++ {
 			load.Unread[i] = time.Duration(l.UnreadMicros[i]) * time.Microsecond
 		}
-		decoded[fleet.UpstreamID(l.Upstream)] = load
+		if !load.IsZero() {
+			decoded[fleet.UpstreamID(l.Upstream)] = load
+		}
+	}
+	return decoded
+}
+
+func tallyUnits(weight float64) uint32 { return uint32(weight/tallyUnit + 0.5) }
+
+func decodeOutcomes(list []*pb.FleetLoad) map[fleet.UpstreamID]loads.Tally {
+	decoded := make(map[fleet.UpstreamID]loads.Tally, len(list))
+	for _, l := range list {
+		if l.Answered > 0 || l.Failed > 0 {
+			decoded[fleet.UpstreamID(l.Upstream)] = loads.Tally{Answered: tallyUnit * float64(l.Answered), Failed: tallyUnit * float64(l.Failed)}
+		}
 	}
 	return decoded
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -64,7 +64,7 @@
 	n.awaitStop(signals)
 	n.drain(callers)
 	cancel()
-	stopped := waitFor(&group, graceMargin)
+	stopped := waitFor(&group, graceMargin/4)
 	n.log.Info().Str("event", "stop").Int64("in_flight", n.gateway.InFlight()).Bool("duties_ended", stopped).Msg("instance stops")
 	return errors.Join(readiness.Close(), callers.close())
 }
@@ -145,7 +145,14 @@
 	if err := callers.refuse(); err != nil {
 		n.log.Warn().Err(err).Str("event", "listener.failed").Msg("callers' port was not closed")
 	}
-	for n.gateway.InFlight() > 0 && time.Since(began) < grace-graceMargin {
+	n.awaitRequests(began.Add(grace - graceMargin))
+	n.gateway.End()
+	n.awaitRequests(began.Add(grace - graceMargin/2))
+}
+
+// awaitRequests waits until no request is in flight, at the latest until a time.
+func (n *Node) awaitRequests(until time.Time) {
+	for n.gateway.InFlight() > 0 && time.Now().Before(until) {
 		time.Sleep(drainStep)
 	}
 }
--- a/internal/node/steward/lanes.go
+++ b/internal/node/steward/lanes.go
@@ -15,6 +15,9 @@
 	confirmed bool             // the state was read from the engine in this term
 	inFlight  bool             // an order or report is under way
 	waitUntil time.Time        // no order before this time
+	lostSince time.Time        // since when the engine does not report; zero if it does
+	checkedAt time.Time        // last report asked for
+	orderedAt time.Time        // last order that was counted
 	loading   string           // model that is coming, or for which room is made
 	pending   *steering.Action // order for a model that is being carried out
 	doneBy    time.Time        // when the pending order should be done
@@ -37,6 +40,21 @@
 // time of a load from the weight store.
 const minResidence = 8 * time.Second
 
+const (
+	// lostAfter is how long an engine that does not report counts all the same: a crashed
+	// one is mostly back within this time and loads from its own copies.
+	lostAfter = 2500 * time.Millisecond
+	// doubtShare is the share of requests that an engine fails from which it is asked for
+	// its state, at most once in doubtEvery.
+	doubtShare = 0.5
+	doubtEvery = time.Second
+)
+
+// isLost reports whether an engine is taken to be gone, though its entry stands.
+func (l *lane) isLost(now time.Time) bool {
+	return !l.lostSince.IsZero() && now.Sub(l.lostSince) > lostAfter
+}
+
 // merge takes what has changed in the engine's entry in the store.
 func (l *lane) merge(entry *fleet.Upstream) {
 	if entry.Entry <= l.upstream.Entry || l.inFlight {
--- a/internal/node/steward/orders.go
+++ b/internal/node/steward/orders.go
@@ -28,6 +28,9 @@
 	// the other instances: twice its load time at full speed.
 	adapterReady   = 20 * time.Millisecond
 	maxReportBytes = 1 << 20
+	// reportLag is the age of a report at the most, some hundred milliseconds by the
+	// platform's pages, and the way of the order and the report.
+	reportLag = time.Second
 )
 
 // carryOut performs one action on a lane whose inFlight is set.
@@ -72,8 +75,9 @@
 	now := time.Now()
 	switch result {
 	case platform.OrderAccepted, platform.OrderHolds:
-		if result == platform.OrderAccepted || a.Adapter != "" {
+		if result == platform.OrderAccepted || a.Adapter != "" && !a.Load { // adapters are unloaded at once
 			l.upstream.Orders++
+			l.orderedAt = now
 		}
 	case platform.OrderUnknown, platform.OrderConflict, platform.OrderRefused:
 		l.confirmed = false // read the engine's state before the next order
@@ -175,23 +179,28 @@
 	l.inFlight = false
 	if err != nil || !read.Born.Equal(u.Born) {
 		l.waitUntil = time.Now().Add(orderBackoff)
+		l.confirmed = false
+		if l.lostSince.IsZero() {
+			l.lostSince = time.Now()
+		}
 		s.log.Info().Str("event", "report.failed").Str("upstream", string(u.ID)).Int("status", status).Err(err).Msg("engine did not report")
 		return
 	}
-	s.takeReport(l, read)
+	l.lostSince = time.Time{}
+	s.takeReport(l, read, time.Now())
 }
 
 // takeReport adopts an engine's report. A report is some hundred milliseconds old:
 // one that lacks orders of this term is read again. The caller holds s.mu.
-func (s *Steward) takeReport(l *lane, read fleet.Upstream) {
-	if read.Orders < l.upstream.Orders {
-		l.waitUntil = time.Now().Add(orderBackoff / 2)
+func (s *Steward) takeReport(l *lane, read fleet.Upstream, now time.Time) {
+	if read.Orders < l.upstream.Orders && now.Sub(l.orderedAt) < reportLag {
+		l.waitUntil = now.Add(orderBackoff / 2)
 		return
 	}
 	l.upstream, l.confirmed = read, true
 	l.notice()
 	if read.Busy {
-		l.waitUntil = time.Now().Add(orderBackoff)
+		l.waitUntil = now.Add(orderBackoff)
 		l.doneBy = l.waitUntil
 		return
 	}
--- a/internal/node/steward/orders_test.go
+++ b/internal/node/steward/orders_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
+	"savoryweir/platform"
 )
 
 // testEngine takes orders. It leaves the first ones unanswered, as engines that
@@ -106,12 +108,17 @@
 }
 
 // startSteward returns a steward that holds the lease, with one engine.
-func startSteward(t *testing.T, e *testEngine) *Steward {
+func startSteward(t *testing.T, e *testEngine, others ...fleet.Upstream) *Steward {
 	t.Helper()
 	holder := newTestHolder(objectapi.New(time.Now, objectapi.Limits{}), "i1")
 	reg := registry.New(zerolog.Nop(), time.Now)
 	reg.Put(fleet.Upstream{ID: "e1", Service: "s", Entry: 1, Address: e.listener.Addr().String(), Models: []fleet.Resident{{Model: "m0"}}})
-	class := &fleet.EngineClass{WeightsMB: 100, AdapterSlots: 4, LoadsPerSecond: 2, Models: []fleet.Model{{Name: "m0", WeightsMB: 50, AdapterMB: 1, Adapters: 4}}}
+	for _, u := range others {
+		reg.Put(u)
+	}
+	class := &fleet.EngineClass{WeightsMB: 100, AdapterSlots: 4, LoadsPerSecond: 2, Models: []fleet.Model{
+		{Name: "m0", WeightsMB: 50, AdapterMB: 1, Adapters: 4}, {Name: "m1", WeightsMB: 30},
+	}}
 	s := New(Options{
 		Instance: "i1", Log: zerolog.Nop(), Metrics: telemetry.New(func() uint64 { return 0 }), Registry: reg,
 		Pool: upstreamconn.NewPool(func() {}), Holder: holder,
@@ -119,7 +126,8 @@
 			return &fleet.Config{Services: map[string]*fleet.Service{"s": {Name: "s", Engines: class}}}
 		},
 		LoadWindow: func() time.Duration { return 5 * time.Second }, ReadingSpeed: func(string, float64) float64 { return 20000 },
-		Announce: func(registry.Item, bool) {},
+		FailShare: func(id fleet.UpstreamID) float64 { return map[fleet.UpstreamID]float64{"gone": 1}[id] },
+		Announce:  func(registry.Item, bool) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -152,6 +160,45 @@
 	}
 }
 
+// The entry of a crashed engine may outlive it. Its models are loaded elsewhere.
+func TestAModelOfAnEngineThatIsGoneIsLoadedElsewhere(t *testing.T) {
+	e := startEngine(t, 0)
+	gone := startEngine(t, 0)
+	assert.NilError(t, gone.listener.Close())
+	s := startSteward(t, e, fleet.Upstream{ID: "gone", Service: "s", Entry: 1, Address: gone.listener.Addr().String(), Models: []fleet.Resident{{Model: "m1"}}})
+	loaded := func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return slices.Contains(e.accepted, "m1/")
+	}
+	for end := time.Now().Add(12 * time.Second); !loaded(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the model stays with the engine that is gone")
+		s.Learn("i1", 1, map[steering.DemandKey]steering.Counts{{Service: "s", Model: "m1"}: {Requests: uint64(time.Now().UnixMilli()), Tokens: uint64(time.Now().UnixMilli())}})
+	}
+}
+
+// A count of orders that is too high, for whatever reason, must not keep the engine's
+// reports from being believed for good.
+func TestAReportIsBelievedOnceItMustTellOfTheLastOrder(t *testing.T) {
+	now := time.Now()
+	s := &Steward{}
+	l := &lane{upstream: fleet.Upstream{Orders: 3}, orderedAt: now, retired: map[string]time.Time{}, loaded: map[string]time.Time{}}
+	s.takeReport(l, fleet.Upstream{Orders: 2}, now.Add(100*time.Millisecond))
+	assert.Assert(t, !l.confirmed, "the report may be older than the order")
+	s.takeReport(l, fleet.Upstream{Orders: 2}, now.Add(reportLag+time.Millisecond))
+	assert.Assert(t, l.confirmed)
+	assert.Equal(t, l.upstream.Orders, uint64(2))
+}
+
+func TestAnAdapterThatIsThereAlreadyCountsNoOrder(t *testing.T) {
+	s := &Steward{}
+	l := &lane{upstream: fleet.Upstream{Orders: 3, Models: []fleet.Resident{{Model: "m0"}}}, retired: map[string]time.Time{}, loaded: map[string]time.Time{}}
+	s.settle(l, &fleet.EngineClass{}, steering.Action{Load: true, Model: "m0", Adapter: "a1"}, platform.OrderHolds)
+	assert.Equal(t, l.upstream.Orders, uint64(3))
+	s.settle(l, &fleet.EngineClass{}, steering.Action{Model: "m0", Adapter: "a1"}, platform.OrderHolds)
+	assert.Equal(t, l.upstream.Orders, uint64(4), "an adapter is unloaded at once")
+}
+
 func TestEntriesDoNotUndoWhatOrdersHaveChanged(t *testing.T) {
 	l := &lane{
 		upstream:  fleet.Upstream{Entry: 5, Orders: 3, Models: []fleet.Resident{{Model: "m0", Adapters: []string{"a1"}}}},
--- a/internal/node/steward/steward.go
+++ b/internal/node/steward/steward.go
@@ -49,6 +49,8 @@
 	// ReadingSpeed returns the prompt tokens that an engine of a service reads in a
 	// second, for models with weights of a size.
 	ReadingSpeed func(service string, weightsMB float64) float64
+	// FailShare returns the share of requests that an upstream fails.
+	FailShare func(fleet.UpstreamID) float64
 	// Announce tells the other instances what an order has changed.
 	Announce func(item registry.Item, present bool)
 }
@@ -64,6 +66,7 @@
 	config     func() *fleet.Config
 	loadWindow func() time.Duration
 	reads      func(service string, weightsMB float64) float64
+	fails      func(fleet.UpstreamID) float64
 	tell       func(item registry.Item, present bool)
 	woken      chan struct{}
 
@@ -81,7 +84,7 @@
 func New(o Options) *Steward {
 	return &Steward{
 		instance: o.Instance, log: o.Log, metrics: o.Metrics, registry: o.Registry, pool: o.Pool, holder: o.Holder,
-		config: o.Config, loadWindow: o.LoadWindow, reads: o.ReadingSpeed, tell: o.Announce, woken: make(chan struct{}, 1),
+		config: o.Config, loadWindow: o.LoadWindow, reads: o.ReadingSpeed, fails: o.FailShare, tell: o.Announce, woken: make(chan struct{}, 1),
 		demand: steering.NewDemand(), wants: make(map[steering.DemandKey]time.Time),
 		lanes: make(map[fleet.UpstreamID]*lane), loads: make(map[string][]time.Time),
 		reported: make(map[string]time.Time),
@@ -177,7 +180,7 @@
 	snapshot := steering.Snapshot{Class: class, Wanted: s.wanted(service, now), Loads: s.loadsLeft(service, class, now), Capacity: s.capacities(service, class)}
 	snapshot.Work, snapshot.Adapters = s.demand.Rates(now, service)
 	for _, u := range s.registry.View().All(service) {
-		if l := s.lanes[u.ID]; l != nil && !l.upstream.Draining {
+		if l := s.lanes[u.ID]; l != nil && !l.upstream.Draining && !l.isLost(now) {
 			snapshot.Engines = append(snapshot.Engines, l.snapshot(now))
 		}
 	}
@@ -277,8 +280,9 @@
 		}
 		l.merge(u)
 		overdue := (l.upstream.Busy || l.pending != nil) && now.After(l.doneBy)
-		if !l.inFlight && !u.Draining && now.After(l.waitUntil) && (!l.confirmed || overdue) {
-			l.inFlight = true
+		doubtful := now.Sub(l.checkedAt) > doubtEvery && s.fails(u.ID) > doubtShare
+		if !l.inFlight && !u.Draining && now.After(l.waitUntil) && (!l.confirmed || overdue || doubtful) {
+			l.inFlight, l.checkedAt = true, now
 			go s.askReport(ctx, l.upstream)
 		}
 	}
--- a/internal/standin/upstream/orders.go
+++ b/internal/standin/upstream/orders.go
@@ -105,19 +105,18 @@
 		return http.StatusMisdirectedRequest
 	}
 	u.orders++
+	if !load {
+		u.models = slices.Clone(u.models)
+		u.models[i].Adapters = slices.DeleteFunc(slices.Clone(u.models[i].Adapters), func(a string) bool { return a == o.Adapter })
+		return http.StatusOK // unloaded at once
+	}
 	time.AfterFunc(adapterTime, func() {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		i := u.find(o.Model)
-		if u.id != id || i < 0 {
-			return
-		}
-		u.models = slices.Clone(u.models)
-		adapters := slices.DeleteFunc(slices.Clone(u.models[i].Adapters), func(a string) bool { return a == o.Adapter })
-		if load {
-			adapters = append(adapters, o.Adapter)
+		if i := u.find(o.Model); u.id == id && i >= 0 {
+			u.models = slices.Clone(u.models)
+			u.models[i].Adapters = append(slices.Clone(u.models[i].Adapters), o.Adapter)
 		}
-		u.models[i].Adapters = adapters
 	})
 	return http.StatusAccepted
 }
--- a/internal/state/loads/loads_test.go
+++ b/internal/state/loads/loads_test.go
@@ -43,6 +43,8 @@
 	assert.Equal(t, p.Failed(now, "u"), avoidMost)
 	p.Answered(now, "u", time.Millisecond, time.Millisecond)
 	assert.Assert(t, !now.Before(p.Get(now, "u").AvoidUntil))
-	p.Keep(func(fleet.UpstreamID) bool { return false })
+	p.Forget("u")
+	p.Forget("slow")
+	p.Forget("usual")
 	assert.Equal(t, len(p.by), 0)
 }
--- a/internal/state/loads/pace.go
+++ b/internal/state/loads/pace.go
@@ -84,11 +84,5 @@
 	return avoid
 }
 
-// Keep forgets all upstreams that are not listed.
-func (p *Paces) Keep(listed func(fleet.UpstreamID) bool) {
-	for id := range p.by {
-		if !listed(id) {
-			delete(p.by, id)
-		}
-	}
-}
+// Forget drops what is known of an upstream.
+func (p *Paces) Forget(id fleet.UpstreamID) { delete(p.by, id) }
--- a/internal/state/prefixes/prefixes.go
+++ b/internal/state/prefixes/prefixes.go
@@ -69,11 +69,5 @@
 	}
 }
 
-// Keep forgets upstreams that are not listed.
-func (c *Cache) Keep(listed func(fleet.UpstreamID) bool) {
-	for id := range c.by {
-		if !listed(id) {
-			delete(c.by, id)
-		}
-	}
-}
+// Forget drops what is known of an upstream.
+func (c *Cache) Forget(id fleet.UpstreamID) { delete(c.by, id) }
