--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,34 +53,43 @@
 	inTurn  bool // takes callers
 }
 
-func freePort(network string) (int, error) {
-	if network == "udp4" {
-		conn, err := net.ListenUDP(network, &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+// Ports of instances lie below those that the system gives to outgoing connections, as an
+// instance that is started again must find its ports free.
+const firstPort, lastPort = 10000, 30000
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+
+var errNoPort = errors.New("no port is free")
+
+// freePort returns a port that is free for TCP and UDP and that it has not returned before.
+func freePort() (int, error) {
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1)-firstPort)%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp4", address)
 		if err != nil {
-			return 0, err
+			continue
 		}
-		defer func() { _ = conn.Close() }()
-		return conn.LocalAddr().(*net.UDPAddr).Port, nil
-	}
-	l, err := net.Listen(network, "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+		conn, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			_ = listener.Close()
+			continue
+		}
+		return port, errors.Join(listener.Close(), conn.Close())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errNoPort
 }
 
 func newInstance(number int, program, folder, store string, judge *ledger, d *disturbances) (*instance, error) {
 	i := &instance{number: number, program: program, settings: filepath.Join(folder, fmt.Sprintf("i%d.ini", number)), judge: judge, disturbances: d}
 	var err error
-	for _, port := range []*int{&i.ready, &i.ops, &i.inner} {
-		if *port, err = freePort("tcp4"); err != nil {
+	for _, port := range []*int{&i.ready, &i.ops, &i.inner, &i.mesh} {
+		if *port, err = freePort(); err != nil {
 			return nil, err
 		}
 	}
-	if i.mesh, err = freePort("udp4"); err != nil {
-		return nil, err
-	}
 	if i.callers, err = NewProxy("127.0.0.1:0", fmt.Sprintf("127.0.0.1:%d", i.inner)); err != nil {
 		return nil, err
 	}
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -106,7 +106,7 @@
 		return nil, false
 	}
 	f := &flight{tracker: t, upstream: choice.Upstream, class: class, rank: need.Rank, chain: chain, expected: choice.Expected, began: now,
-		ahead: choice.Load.UnreadUpTo(need.Rank), running: choice.Load.Running, slow: choice.Pace.Slow}
+		ahead: choice.Load.UnreadUpTo(need.Rank), running: choice.Load.Running, slow: choice.Pace.Slow, fails: choice.Fails}
 	if c.route.Kind == fleet.KindStream {
 		f.tokens = max(need.Tokens-choice.Cached, 1)
 		f.reading = max(need.Speed.Reading(f.tokens), time.Microsecond)
@@ -151,6 +151,7 @@
 	ahead    time.Duration // reading time of others at the start
 	running  int           // requests in flight at the start
 	slow     float64
+	fails    float64 // share of requests that the upstream fails
 	began    time.Time
 	started  bool // the first byte of the answer has come
 	open     bool
--- a/internal/node/steward/orders.go
+++ b/internal/node/steward/orders.go
@@ -186,7 +186,10 @@
 		s.log.Info().Str("event", "report.failed").Str("upstream", string(u.ID)).Int("status", status).Err(err).Msg("engine did not report")
 		return
 	}
-	l.lostSince = time.Time{}
+	if !l.lostSince.IsZero() {
+		s.log.Info().Str("event", "report.regained").Str("upstream", string(u.ID)).Dur("away", time.Since(l.lostSince)).Msg("engine reports again")
+		l.lostSince = time.Time{}
+	}
 	s.takeReport(l, read, time.Now())
 }
 
