Loads: one average for each upstream; outcomes are told of upstreams that fail

Change: one average for each upstream over all reports in place of one for each instance and upstream; instances tell outcomes of upstreams only that failed somebody's requests.

--- a/internal/state/loads/loads.go
+++ b/internal/state/loads/loads.go
@@ -47,40 +47,47 @@
 
 // remote is what another instance has told.
 type remote struct {
-	loads map[fleet.UpstreamID]Load // by its last report
-	mean  map[fleet.UpstreamID]meanLoad
+	loads map[fleet.UpstreamID]Load
 	heard time.Time
 }
 
-// meanLoad is the moving average of a load over the reports of an instance.
+// meanLoad is a load as a sum of shares.
 type meanLoad struct {
 	unread  [Ranks]float64
 	running float64
 }
 
 const (
-	// meanTime is the time constant of the average of another instance's loads: some
-	// of its slowest reports.
+	// meanTime is the time constant of the average load of an upstream: some of the
+	// slowest reports.
 	meanTime = 1500 * time.Millisecond
 	// trustTime is the age at which a report counts for a third of the estimate. Prompts
 	// are read within about that time, so that an older report tells little of the
-	// present; what an instance has in flight on average is the better guess then, and
-	// keeps all others from sending to the same upstream that was idle once.
+	// present; what an upstream has in flight on average is the better guess then, and
+	// keeps all instances from sending to the same upstream that was idle once.
 	trustTime = 200 * time.Millisecond
 	// leastReading and leastRunning are the loads below which an average is forgotten.
 	leastReading = float64(time.Millisecond)
 	leastRunning = 0.05
-	// estimateEvery is how long an estimate of the loads of all others is used: a step of
-	// an engine's batch. Working it out takes a look at the reports of all instances.
+	// estimateEvery is how long what was worked out of the reports of all others is used: a
+	// step of an engine's batch.
 	estimateEvery = 30 * time.Millisecond
 )
 
-// add moves the average towards a reported load.
-func (m meanLoad) add(l Load, weight float64) meanLoad {
+// scaled returns a share of a load.
+func scaled(l Load, share float64) meanLoad {
+	m := meanLoad{running: share * float64(l.Running)}
 	for i := range m.unread {
-		m.unread[i] += weight * (float64(l.Unread[i]) - m.unread[i])
+		m.unread[i] = share * float64(l.Unread[i])
 	}
-	m.running += weight * (float64(l.Running) - m.running)
+	return m
+}
+
+func (m meanLoad) scaled(share float64) meanLoad {
+	for i := range m.unread {
+		m.unread[i] *= share
+	}
+	m.running *= share
 	return m
 }
 
@@ -114,13 +121,14 @@
 	freshness time.Duration // age beyond which another instance's report counts no more
 	own       map[fleet.UpstreamID]Load
 	remote    map[string]remote
+	mean      map[fleet.UpstreamID]meanLoad // moving average over the reports of all others
 	others    map[fleet.UpstreamID]meanLoad // estimate of the loads of all others
 	othersAt  time.Time
 }
 
 // NewBook returns an empty book.
 func NewBook(freshness time.Duration) *Book {
-	return &Book{freshness: freshness, own: make(map[fleet.UpstreamID]Load), remote: make(map[string]remote)}
+	return &Book{freshness: freshness, own: make(map[fleet.UpstreamID]Load), remote: make(map[string]remote), mean: make(map[fleet.UpstreamID]meanLoad)}
 }
 
 // Change adds delta to the own load of an upstream.
@@ -137,43 +145,30 @@
 // Own returns a copy of the own loads.
 func (b *Book) Own() map[fleet.UpstreamID]Load { return maps.Clone(b.own) }
 
-// Learn takes a report of what another instance has in flight.
+// Learn replaces what another instance has in flight.
 func (b *Book) Learn(now time.Time, instance string, l map[fleet.UpstreamID]Load) {
-	r, known := b.remote[instance]
-	if !known {
-		r.mean = make(map[fleet.UpstreamID]meanLoad, len(l))
-	}
-	weight := 1 - math.Exp(-float64(now.Sub(r.heard))/float64(meanTime))
-	for id, m := range r.mean {
-		r.mean[id] = m.add(l[id], weight)
-		if _, told := l[id]; !told && r.mean[id].isNothing() {
-			delete(r.mean, id)
-		}
-	}
-	for id, load := range l {
-		if _, ok := r.mean[id]; !ok {
-			r.mean[id] = meanLoad{}.add(load, weight)
-		}
-	}
-	r.loads, r.heard = l, now
-	b.remote[instance] = r
+	b.remote[instance] = remote{loads: l, heard: now}
 }
 
 // Total returns the load of an upstream over all instances.
 func (b *Book) Total(now time.Time, id fleet.UpstreamID) Load {
-	if now.Sub(b.othersAt) >= estimateEvery {
-		b.estimate(now)
-	}
+	b.refresh(now)
 	total := b.own[id]
 	total.Add(b.others[id].load())
 	return total
 }
 
-// estimate works out the loads of all others: of each instance, its last report as far
-// as that is fresh, and its average for the rest.
-func (b *Book) estimate(now time.Time) {
+// refresh estimates the loads of all others, unless that was done a moment ago: each
+// report counts as far as it is fresh, and the average load for the rest.
+func (b *Book) refresh(now time.Time) {
+	since := now.Sub(b.othersAt)
+	if since < estimateEvery {
+		return
+	}
 	b.othersAt = now
-	b.others = make(map[fleet.UpstreamID]meanLoad, len(b.others))
+	latest := make(map[fleet.UpstreamID]meanLoad, len(b.mean))
+	b.others = make(map[fleet.UpstreamID]meanLoad, len(b.mean))
+	trusted := 0.0
 	for name, r := range b.remote {
 		age := now.Sub(r.heard)
 		if age > b.freshness {
@@ -181,8 +176,36 @@
 			continue
 		}
 		trust := math.Exp(-float64(age) / float64(trustTime))
-		for id, m := range r.mean {
-			b.others[id] = b.others[id].plus(m.add(r.loads[id], trust))
+		trusted += trust
+		for id, l := range r.loads {
+			latest[id] = latest[id].plus(scaled(l, 1))
+			b.others[id] = b.others[id].plus(scaled(l, trust))
+		}
+	}
+	if len(b.remote) == 0 {
+		clear(b.mean)
+		return
+	}
+	b.average(latest, 1-math.Exp(-float64(since)/float64(meanTime)))
+	untrusted := 1 - trusted/float64(len(b.remote))
+	for id, m := range b.mean {
+		b.others[id] = b.others[id].plus(m.scaled(untrusted))
+	}
+}
+
+// average moves the average towards the latest reports.
+func (b *Book) average(latest map[fleet.UpstreamID]meanLoad, weight float64) {
+	for id, m := range b.mean {
+		m = m.scaled(1 - weight).plus(latest[id].scaled(weight))
+		if _, told := latest[id]; !told && m.isNothing() {
+			delete(b.mean, id)
+			continue
+		}
+		b.mean[id] = m
+	}
+	for id, l := range latest {
+		if _, ok := b.mean[id]; !ok {
+			b.mean[id] = l.scaled(weight)
 		}
 	}
 }
--- a/internal/state/loads/loads_test.go
+++ b/internal/state/loads/loads_test.go
@@ -23,6 +23,26 @@
 	assert.Equal(t, len(b.Own()), 0)
 }
 
+// With reports that are much older than a prompt takes to be read, an upstream that was
+// idle in its last report is not taken for idle.
+func TestAnOldReportCountsLessThanTheAverage(t *testing.T) {
+	const busy = 100 * time.Millisecond
+	now := time.Unix(100, 0)
+	b := NewBook(3 * time.Second)
+	total := func() time.Duration { return b.Total(now, "u").UnreadUpTo(0) }
+	for range 20 {
+		b.Learn(now, "i1", map[fleet.UpstreamID]Load{"u": {Unread: [Ranks]time.Duration{0: busy}}})
+		now = now.Add(500 * time.Millisecond)
+		assert.Assert(t, total() <= busy+time.Millisecond)
+	}
+	b.Learn(now, "i1", nil)
+	now = now.Add(estimateEvery)
+	assert.Assert(t, total() < busy/4, "a fresh report counts: %v", total())
+	now = now.Add(700 * time.Millisecond)
+	assert.Assert(t, total() > busy/4, "what the upstream has on average counts: %v", total())
+	assert.Assert(t, total() < busy)
+}
+
 func TestPace(t *testing.T) {
 	now := time.Unix(100, 0)
 	p := NewPaces()
--- a/internal/state/loads/soundness.go
+++ b/internal/state/loads/soundness.go
@@ -78,16 +78,21 @@
 	s.own[id] = datedTally{Tally: t, at: now}
 }
 
-// Own returns the tallies of this instance.
+// Own returns what this instance tells the others: its tallies of the upstreams that
+// failed requests of any instance. Of those that fail none there is nothing to tell,
+// which keeps the reports of a large fleet short.
 func (s *Soundness) Own(now time.Time) map[fleet.UpstreamID]Tally {
-	own := make(map[fleet.UpstreamID]Tally, len(s.own))
+	s.refresh(now)
+	own := make(map[fleet.UpstreamID]Tally)
 	for id, d := range s.own {
 		t := d.decayed(now)
 		if t.weight() < leastTally {
 			delete(s.own, id)
 			continue
 		}
-		own[id] = t
+		if t.Failed+s.others[id].Failed >= leastTally {
+			own[id] = t
+		}
 	}
 	return own
 }
@@ -99,15 +104,16 @@
 
 // FailShare returns the share of requests that an upstream fails, over all instances.
 func (s *Soundness) FailShare(now time.Time, id fleet.UpstreamID) float64 {
-	if now.Sub(s.othersAt) >= estimateEvery {
-		s.sum(now)
-	}
+	s.refresh(now)
 	total := s.own[id].decayed(now).add(s.others[id])
 	return total.Failed / (total.weight() + assumedAnswers)
 }
 
-// sum adds up the tallies of all others.
-func (s *Soundness) sum(now time.Time) {
+// refresh adds up the tallies of all others, unless that was done a moment ago.
+func (s *Soundness) refresh(now time.Time) {
+	if now.Sub(s.othersAt) < estimateEvery {
+		return
+	}
 	s.othersAt = now
 	s.others = make(map[fleet.UpstreamID]Tally, len(s.others))
 	for name, r := range s.remote {
--- a/internal/state/loads/soundness_test.go
+++ b/internal/state/loads/soundness_test.go
@@ -14,12 +14,24 @@
 	const instances = 80
 	now := time.Unix(100, 0)
 	here := NewSoundness(3 * time.Second)
-	for n := range instances {
-		there := NewSoundness(3 * time.Second)
-		there.Note(now, "failing", false)
-		there.Note(now, "usual", n%7 != 0) // one in seven fails
-		there.Note(now, "usual", true)
-		here.Learn(now, fmt.Sprint(n), there.Own(now))
+	others := make([]*Soundness, instances)
+	for n := range others {
+		others[n] = NewSoundness(3 * time.Second)
+		others[n].Note(now, "failing", false)
+		others[n].Note(now, "usual", n%7 != 0) // one in seven fails
+		others[n].Note(now, "usual", true)
+	}
+	for range 2 { // those that saw no failure tell of their answers once they hear of one
+		now = now.Add(100 * time.Millisecond)
+		for n, there := range others {
+			told := there.Own(now)
+			here.Learn(now, fmt.Sprint(n), told)
+			for _, other := range others {
+				if other != there {
+					other.Learn(now, fmt.Sprint(n), told)
+				}
+			}
+		}
 	}
 	assert.Assert(t, here.FailShare(now, "failing") > 0.95)
 	assert.Assert(t, here.FailShare(now, "usual") < 0.1)
@@ -52,6 +64,9 @@
 		for range 12 {
 			there.Note(now, "u", true)
 		}
+		assert.Equal(t, len(there.Own(now)), 0, "nothing to tell until a failure is known")
+		there.Learn(now, "cut", cut.Own(now))
+		now = now.Add(estimateEvery)
 		here.Learn(now, fmt.Sprint(n), there.Own(now))
 	}
 	assert.Assert(t, here.FailShare(now, "u") < 0.3)
