Soak: what callers and operators write stands in stand-ins

Change: headers of callers and documents of operators are written by internal/standin/upstream and internal/standin/operator.

--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -145,13 +145,8 @@
 	}
 	r.GetBody = nil // the client sends nothing twice by itself
 	r.Host = host
-	r.Header.Set("Request-Id", s.id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
-	if q.model != "" {
-		r.Header.Set("Model", q.model)
-		r.Header.Set("Token-Count", fmt.Sprintf("200,%d", q.events))
-		r.Header.Set("Prompt-Prefix", "a1:50,"+fmt.Sprintf("%x:150", c.number))
-	}
+	call := upstream.Call{Request: s.id, Deadline: callerDeadline, Model: q.model, Events: q.events, Own: uint64(c.number)}
+	call.Stamp(r.Header)
 	response, err := c.client.Do(r)
 	if err != nil {
 		return 0, false, err
@@ -161,8 +156,8 @@
 		defer c.leave()
 	}
 	isServed := response.StatusCode == http.StatusOK
-	if isServed && (response.Header.Get("Request-Id") != s.id || response.Header.Get("Response-Seal") != "seal-"+s.id) {
-		c.cluster.ledger.violate(PromiseWhole, s.at, "request %s got the answer of %q", s.id, response.Header.Get("Request-Id"))
+	if isServed && !call.IsAnswered(response.Header) {
+		c.cluster.ledger.violate(PromiseWhole, s.at, "request %s got an answer with the headers %v", s.id, response.Header)
 	}
 	if isServed && q.events > 0 {
 		err = c.readStream(response.Body, q, s)
--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http/httptest"
@@ -14,6 +13,7 @@
 	"time"
 
 	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/standin/operator"
 	"savoryweir/internal/standin/upstream"
 	"savoryweir/internal/state/object"
 	"savoryweir/platform"
@@ -31,6 +31,10 @@
 	heartbeat     = 500 * time.Millisecond
 	loadTime      = 600 * time.Millisecond
 	diskTime      = 150 * time.Millisecond
+	adapterMB     = 20
+	adapterSlots  = 4
+	routeTarget   = 200 * time.Millisecond
+	routeGap      = 300 * time.Millisecond
 	loadsPerS     = 4
 	plainSlots    = 16
 	engineSlots   = 32
@@ -249,7 +253,7 @@
 			next.prefixes = append(next.prefixes, fmt.Sprintf("/extra%d/", n))
 		}
 	}
-	data, err := json.Marshal(c.document(next.prefixes))
+	data, err := c.document(next.prefixes).Encode()
 	if err != nil {
 		return err
 	}
@@ -282,40 +286,32 @@
 	return c.left
 }
 
-// document is a configuration as the operator writes it.
-func (c *cluster) document(prefixes []string) map[string]any {
-	timeout := callerDeadline.Milliseconds()
-	var routes []map[string]any
+// document is the next configuration as the operator writes it.
+func (c *cluster) document(prefixes []string) operator.Document {
+	d := operator.Document{Version: 10 + 3*len(c.configurations)}
 	for _, prefix := range prefixes {
-		route := map[string]any{
-			"name": "r" + prefix, "host": host, "pathPrefix": prefix, "kind": "safe", "timeoutMs": timeout, "targetLatencyMs": 200,
-			"priority": 1, "service": plainService, "maxAttempts": 2,
-		}
-		switch prefix {
-		case "/book/":
-			route["kind"], route["maxAttempts"] = "unsafe", 1
-		case "/tag/":
-			route["kind"], route["service"], route["resumable"], route["gapAimMs"] = "stream", engineService, true, 300
-		case "/notes/":
-			route["kind"], route["service"], route["gapAimMs"] = "stream", engineService, 300
-		}
-		routes = append(routes, route)
+		d.Routes = append(d.Routes, routeOf(prefix))
 	}
-	var list []map[string]any
+	engines := operator.Engines{Service: engineService, WeightsMB: weightsMB, AdapterSlots: adapterSlots, LoadsPerS: loadsPerS}
 	for m := range models {
-		list = append(list, map[string]any{
-			"name": fmt.Sprintf("m%d", m), "weightsMb": modelMB, "loadTimeS": loadTime.Seconds(), "diskS": diskTime.Seconds(),
-			"adapters": adapters, "adapterMb": 20,
+		engines.Models = append(engines.Models, operator.Model{
+			Name: fmt.Sprintf("m%d", m), WeightsMB: modelMB, Load: loadTime, FromDisk: diskTime, Adapters: adapters, AdapterMB: adapterMB,
 		})
 	}
-	return map[string]any{
-		"version": 10 + 3*len(c.configurations), "routes": routes,
-		"services": []map[string]any{
-			{"name": plainService, "healthPath": "/health", "maxConns": 200},
-			{"name": engineService, "healthPath": "/health", "maxConns": 200, "engine": map[string]any{
-				"weightsMb": weightsMB, "adapterSlots": 4, "loadsPerS": loadsPerS, "models": list,
-			}},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	d.Plain, d.Engines = []string{plainService}, []operator.Engines{engines}
+	return d
+}
+
+// routeOf returns the route of a prefix; the routes that come and go are safe ones.
+func routeOf(prefix string) operator.Route {
+	r := operator.Route{Prefix: prefix, Host: host, Kind: "safe", Service: plainService, Attempts: 2, Timeout: callerDeadline, Target: routeTarget}
+	switch prefix {
+	case "/book/":
+		r.Kind, r.Attempts = "unsafe", 1
+	case "/tag/":
+		r.Kind, r.Service, r.Resumable, r.Gap = "stream", engineService, true, routeGap
+	case "/notes/":
+		r.Kind, r.Service, r.Gap = "stream", engineService, routeGap
 	}
+	return r
 }
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -59,7 +59,7 @@
 	fails, loses := u.fate()
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
-	w.Header().Set("Response-Seal", "seal-"+request)
+	w.Header().Set("Response-Seal", seal(request))
 	if len(u.config.Models) > 0 {
 		u.stream(ctx, w, r, loses)
 		return
