Gateway: one way to forget an incarnation; a counter that nothing read is gone

Cause: read of the whole change: Tracker.Keep and meet dropped the same three things each by itself; the soak counted starts of instances for nobody. Change: Tracker.forget serves both; the counter is removed. No change of behaviour. Ran: formatter and linters, tests of gateway, loads and of the soak's checks: ok.

--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -49,7 +49,6 @@
 	process *process.Process
 	ending  bool // by a signal of the soak
 	closed  bool // no more starts
-	turns   int  // starts so far
 	inTurn  bool // takes callers
 }
 
@@ -140,7 +139,6 @@
 		return err
 	}
 	i.process, i.ending = p, false
-	i.turns++
 	go i.await(p)
 	return nil
 }
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -62,14 +62,19 @@
 	defer t.mu.Unlock()
 	for id, born := range t.born {
 		if now, ok := listed(id); !ok || !now.Equal(born) {
-			t.sound.Forget(id)
-			t.paces.Forget(id)
-			t.cached.Forget(id)
-			delete(t.born, id)
+			t.forget(id)
 		}
 	}
 }
 
+// forget drops what is known of an incarnation. The caller holds t.mu.
+func (t *Tracker) forget(id fleet.UpstreamID) {
+	t.sound.Forget(id)
+	t.paces.Forget(id)
+	t.cached.Forget(id)
+	delete(t.born, id)
+}
+
 // ReadingSpeed returns the prompt tokens that an engine of a service reads in a
 // second, for models with weights of a size.
 func (t *Tracker) ReadingSpeed(service string, weightsMB float64) float64 {
@@ -120,12 +125,10 @@
 	if known && born.Equal(u.Born) {
 		return
 	}
-	t.born[u.ID] = u.Born
 	if known {
-		t.sound.Forget(u.ID)
-		t.paces.Forget(u.ID)
-		t.cached.Forget(u.ID)
+		t.forget(u.ID)
 	}
+	t.born[u.ID] = u.Born
 }
 
 func prefixChain(r platform.Request) []prefixes.Part {
