--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -7,6 +7,11 @@
 // the lease only after the version has not changed for Lifetime, and acts only HandoverGap
 // later. The version of the write that acquired the lease is the fencing token; it
 // increases from holder to holder.
+//
+// In a new era the store lacks its latest writes, so it may have no record of the present
+// holder, or the record of an earlier one. A holder that learns of a new era gives up the
+// lease. A successor relies on a record only if it was written and applied in the same
+// era; otherwise it waits as long as for a holder that renewed the lease just now.
 package lease
 
 import (
@@ -30,10 +35,21 @@
 	Released bool   `json:"released"`
 	// Writes counts the holder's writes, so that each write changes the object. The store
 	// makes no new version for a write without changes, so the holder would look gone.
-	Writes  uint64         `json:"writes"`
+	Writes uint64     `json:"writes"`
+	Era    object.Era `json:"era,omitempty"` // newest era that the holder knew of when it sent the write
+	// Acted tells that the holder was allowed to act when it sent the write. Until then the
+	// holder before it may have acted last.
+	Acted   bool           `json:"acted"`
 	Version object.Version `json:"-"`
 }
 
+// isOfEra reports whether the record was sent and applied in the given era. A record from
+// before, or one whose write arrived after the store's change to the era, does not tell who
+// held the lease last.
+func (r Record) isOfEra(era object.Era) bool {
+	return r.Era == era && r.Version.Era() == era
+}
+
 // Step is the next operation on the lease.
 type Step uint8
 
@@ -62,6 +78,7 @@
 	sentAt         time.Duration  // time at which the last successful write was sent
 	mayActFrom     time.Duration  // time before which this instance must not act
 	writes         uint64
+	era            object.Era // newest known era of the store; zero if it does not report eras
 }
 
 // New returns the lease of an instance that has not read the record yet. nonce identifies
@@ -73,6 +90,15 @@
 // ObserveHolder records a sign of life from another instance that acts as holder.
 func (l *Lease) ObserveHolder(now time.Duration) { l.hasSeenHolder, l.holderSeenAt = true, now }
 
+// ObserveEra records the newest known era of the store. If it is new, this instance gives up
+// the lease and reads the record again.
+func (l *Lease) ObserveEra(era object.Era) {
+	if era > l.era {
+		l.era = era
+		l.RecordLost()
+	}
+}
+
 // MayAct returns the fencing token and true if the instance may act now.
 func (l *Lease) MayAct(now time.Duration) (object.Version, bool) {
 	if l.fencingToken == 0 || now < l.mayActFrom || now >= l.sentAt+l.settings.Lifetime-l.settings.ExpiryMargin {
@@ -113,11 +139,11 @@
 	return l.record.Version == 0 || l.record.Released || l.record.Holder == l.instance
 }
 
-// RecordRead records the result of a read that was sent at requestedAt. A record with version
-// zero means that the store has none.
-func (l *Lease) RecordRead(requestedAt time.Duration, r Record) {
+// RecordRead records the result of a read that was sent at requestedAt and answered at now. A
+// record with version zero means that the store has none.
+func (l *Lease) RecordRead(requestedAt, now time.Duration, r Record) {
 	if r.Nonce == l.nonce && !r.Released && r.Version != 0 {
-		l.adopt(r)
+		l.adopt(now, r)
 		return
 	}
 	if r.Version != l.record.Version || l.unchangedSince == 0 {
@@ -128,31 +154,39 @@
 
 // adopt accepts a record that this process wrote in an earlier write whose response was
 // lost. The instance holds the lease from then on, but acts only after a renewal.
-func (l *Lease) adopt(r Record) {
+func (l *Lease) adopt(now time.Duration, r Record) {
 	previous := l.record
 	l.hasRecord, l.record = true, r
 	if l.fencingToken == 0 {
 		l.fencingToken = r.Version
-		l.mayActFrom = l.earliestActionTime(previous)
+		l.mayActFrom = l.earliestActionTime(now, previous)
+		if !r.isOfEra(l.era) {
+			l.mayActFrom = now + l.settings.Lifetime + l.settings.HandoverGap
+		}
 		l.sentAt = 0
 	}
 }
 
-// RecordWrite records the successful write of a step. sentAt is when the write was sent and
-// version is the version that it created.
-func (l *Lease) RecordWrite(step Step, sentAt time.Duration, version object.Version) {
-	if step == StepAcquire {
-		l.mayActFrom = l.earliestActionTime(l.record)
+// RecordWrite records the successful write of a record, which was sent at sentAt and answered
+// at now. version is the version that it created. ObserveEra must have been called with the
+// version's era before. If this instance no longer holds the lease, because the write renewed
+// a lease of an earlier era, the write counts as an acquisition.
+func (l *Lease) RecordWrite(sentAt, now time.Duration, written Record, version object.Version) {
+	if l.fencingToken == 0 {
+		l.mayActFrom = l.earliestActionTime(now, l.record)
 		l.fencingToken = version
 	}
 	l.hasRecord, l.sentAt, l.unchangedSince = true, sentAt, sentAt
-	l.record = Record{Holder: l.instance, Nonce: l.nonce, Version: version}
+	l.record = written
+	l.record.Version = version
 }
 
 // earliestActionTime returns the time from which this instance may act if it acquires the lease
-// after the former record.
-func (l *Lease) earliestActionTime(former Record) time.Duration {
+// after the former record and learns so at now.
+func (l *Lease) earliestActionTime(now time.Duration, former Record) time.Duration {
 	switch {
+	case l.era > 0 && !former.isOfEra(l.era), former.Version != 0 && !former.Acted:
+		return now + l.settings.Lifetime + l.settings.HandoverGap
 	case former.Version == 0 || former.Holder == l.instance:
 		return 0
 	case former.Released:
@@ -174,10 +208,12 @@
 	}
 }
 
-// NextRecord returns the record for the next write by this instance and counts the write.
-func (l *Lease) NextRecord() Record {
+// NextRecord returns the record for a write that this instance sends at now, and counts the
+// write.
+func (l *Lease) NextRecord(now time.Duration) Record {
 	l.writes++
-	return Record{Holder: l.instance, Nonce: l.nonce, Writes: l.writes}
+	acted := l.fencingToken != 0 && now >= l.mayActFrom
+	return Record{Holder: l.instance, Nonce: l.nonce, Writes: l.writes, Era: l.era, Acted: acted}
 }
 
 // ExpectedVersion returns the version that the next write must find in the store. Zero means
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -48,6 +48,14 @@
 	// BroadcastCrash tells the other instances that an upstream closed the connection
 	// while processing a request.
 	BroadcastCrash func(fingerprint uint64, upstream fleet.UpstreamID)
+	// BroadcastLeaving tells the other instances that an upstream has said that it is
+	// leaving.
+	BroadcastLeaving func(*fleet.Upstream)
+	// BroadcastPause tells the other instances that an upstream refused a request and
+	// asked this instance for a pause.
+	BroadcastPause func(u *fleet.Upstream, d time.Duration)
+	// BootTime returns the time of a clock that includes suspended time.
+	BootTime func() time.Duration
 	// RecordDemand records a request for a model or adapter with its expected work in
 	// tokens.
 	RecordDemand func(service, model, adapter string, tokens int)
@@ -59,6 +67,7 @@
 	active          atomic.Pointer[activeConfig]
 	inFlight        atomic.Int64
 	crashGuard      *crashGuard
+	pauses          *pauses
 	refusesNew      atomic.Bool
 	inFlightContext context.Context // canceled by CancelInFlight
 	cancelInFlight  context.CancelFunc
@@ -71,7 +80,7 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), inFlightContext: ctx, cancelInFlight: cancel}
+	return &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
 }
 
 // ApplyConfig puts a configuration in force for the requests that arrive after the call.
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,8 @@
 	registry     *registry.Registry
 	server       *httptest.Server
 	loadRequests chan string
+	notices      chan string  // what the gateway tells the other instances of upstreams
+	bootTime     atomic.Int64 // nanoseconds
 }
 
 const testModel = "m1"
@@ -175,7 +178,7 @@
 // model and the adapter a1 loaded.
 func newHarness(t *testing.T, upstreams ...*testUpstream) *harness {
 	t.Helper()
-	h := &harness{registry: registry.New(zerolog.Nop(), time.Now), loadRequests: make(chan string, 64)}
+	h := &harness{registry: registry.New(zerolog.Nop(), time.Now), loadRequests: make(chan string, 64), notices: make(chan string, 64)}
 	h.gateway = New(Options{
 		Zone: "z", Log: zerolog.Nop(), Metrics: telemetry.New(func() uint64 { return 0 }), Registry: h.registry,
 		Tracker: NewUpstreamTracker(time.Now, rand.New(rand.NewPCG(1, 2))), Pool: upstreamconn.NewPool(func() {}),
@@ -186,6 +189,13 @@
 		RequestLoad:    func(_, model, adapter string) { h.loadRequests <- model + "/" + adapter },
 		RecordDemand:   func(string, string, string, int) {},
 		BroadcastCrash: func(uint64, fleet.UpstreamID) {},
+		BootTime:       func() time.Duration { return time.Duration(h.bootTime.Load()) },
+		BroadcastLeaving: func(u *fleet.Upstream) {
+			h.notices <- "leaving " + string(u.ID)
+		},
+		BroadcastPause: func(u *fleet.Upstream, d time.Duration) {
+			h.notices <- fmt.Sprintf("pause %s %v", u.ID, d)
+		},
 	})
 	class := &fleet.EngineClass{Models: []fleet.Model{{Name: testModel, LoadTime: 10 * time.Second, Adapters: 3}}}
 	h.gateway.ApplyConfig(&fleet.Config{
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -48,7 +48,7 @@
 	})
 	tracked.start()
 	g.Log.Info().Str("event", "request.sent").Str("request", c.params.ID).Str("upstream", string(tracked.upstream.ID)).
-		Uint64("config", c.configVersion).Uint64("entry", tracked.upstream.EntryVersion).Str("model", c.params.Model).Str("adapter", c.params.Adapter).
+		Uint64("config", c.configVersion).Stringer("entry", tracked.upstream.EntryVersion).Str("model", c.params.Model).Str("adapter", c.params.Adapter).
 		Dur("expected", tracked.expectedTTFB).Dur("unread", tracked.pendingPrefillAhead).Int("running", tracked.runningAtStart).Float64("slow", tracked.slowdown).Float64("fails", tracked.failureRate).
 		Str("resume_after", resumeAfter).Dur("left", left).Msg("sending request to upstream")
 	exchange, err := g.Pool.Do(ctx, upstreamconn.Request{
@@ -59,6 +59,7 @@
 	if err != nil {
 		a.failure = c.classifyError(ctx, err)
 	} else {
+		g.ObserveResponse(tracked.upstream, exchange.Response.StatusCode, exchange.Response.Header)
 		a.response = platform.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header)
 		a.failure = c.checkResponse(&a)
 	}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -87,9 +87,14 @@
 	if !ok {
 		return nil, false
 	}
-	candidates := c.untried(usable)
+	available, wait := g.pauses.available(usable)
+	if wait > 0 {
+		c.refusePaused(wait)
+		return nil, false
+	}
+	candidates := c.untried(available)
 	if len(candidates) == 0 {
-		candidates = usable
+		candidates = available
 	}
 	tracked, ok := g.Tracker.choose(c, candidates, g.Zone)
 	if !ok {
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -51,6 +51,14 @@
 	t.failures.SetRemote(now, instance, outcomes)
 }
 
+// RecordPeerPause records that an upstream asked another instance for a pause. The upstream is
+// avoided for that time, but not excluded.
+func (t *UpstreamTracker) RecordPeerPause(id fleet.UpstreamID, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.responsiveness.AvoidFor(t.now(), id, d)
+}
+
 // LocalStats returns the statistics of this instance: its requests in flight and their
 // recent outcomes, by upstream.
 func (t *UpstreamTracker) LocalStats() (map[fleet.UpstreamID]loads.Load, map[fleet.UpstreamID]loads.OutcomeCounts) {
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -27,8 +27,12 @@
 // serveUnary serves a request that has a single response instead of a stream of events.
 func (c *call) serveUnary(ctx context.Context) {
 	for {
-		tracked, ok := c.chooseUnaryUpstream()
-		if !ok {
+		tracked, wait := c.chooseUnaryUpstream()
+		switch {
+		case wait > 0:
+			c.refusePaused(wait)
+			return
+		case tracked == nil:
 			c.respondUnserved(ctx, "no upstream")
 			return
 		}
@@ -44,15 +48,20 @@
 }
 
 // chooseUnaryUpstream chooses an upstream that the request has not been sent to. If there
-// is none, a repeatable request may go to the same upstream again.
-func (c *call) chooseUnaryUpstream() (*trackedRequest, bool) {
+// is none, a repeatable request may go to the same upstream again. It returns nil if no
+// upstream is known, and the time until one is available if all have asked for a pause.
+func (c *call) chooseUnaryUpstream() (*trackedRequest, time.Duration) {
 	g := c.gateway
-	usable := g.Registry.View().Usable(c.service, "", "")
+	usable, wait := g.pauses.available(g.Registry.View().Usable(c.service, "", ""))
+	if wait > 0 {
+		return nil, wait
+	}
 	candidates := c.untried(usable)
 	if len(candidates) == 0 && c.route.IsRepeatable() {
 		candidates = usable
 	}
-	return g.Tracker.choose(c, candidates, g.Zone)
+	tracked, _ := g.Tracker.choose(c, candidates, g.Zone)
+	return tracked, 0
 }
 
 // attemptUnary sends the request once. It returns true and the reason if the request has
@@ -117,7 +126,8 @@
 // canRetryFailedResponse reports whether an attempt and an untried upstream are left. If
 // not, the failed response is forwarded to the caller.
 func (c *call) canRetryFailedResponse() bool {
-	return c.attempts < c.route.MaxAttempts && len(c.untried(c.gateway.Registry.View().Usable(c.service, "", ""))) > 0
+	available, _ := c.gateway.pauses.available(c.gateway.Registry.View().Usable(c.service, "", ""))
+	return c.attempts < c.route.MaxAttempts && len(c.untried(available)) > 0
 }
 
 // logBrokenResponse logs that the response body of an upstream was incomplete.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,7 @@
 		Zone: n.settings.Instance.Zone, Log: logging.WithComponent(n.log, "gateway"), Metrics: n.metrics,
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, RetrySettings: n.retrySettings, InstanceCount: n.instanceCount,
 		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastCrash: n.reporter.broadcastCrash,
+		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, BootTime: n.bootTime,
 	})
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
@@ -103,10 +104,22 @@
 	n.reconciler = reconciler.New(reconciler.Options{
 		Instance: n.settings.Instance.ID, Log: logging.WithComponent(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
 		Pool: n.pool, Leases: n.leaseManager, Config: n.gateway.Config, Announce: n.reporter.announceResidency, PrefillTokensPerSecond: n.tracker.PrefillTokensPerSecond, FailureRatio: n.tracker.FailureRate,
+		IsPaused: n.gateway.IsPaused, ObserveResponse: n.gateway.ObserveResponse,
 		LoadWindow: func() time.Duration { return n.bounds.Load().LoadWindow },
 	})
 }
 
+// bootTime returns the time of a clock that includes suspended time. If the clock can't be
+// read, it returns the time since the process started.
+func (n *Node) bootTime() time.Duration {
+	now, err := boottime.Now()
+	if err != nil {
+		n.log.Error().Err(err).Str("event", "clock.failed").Msg("failed to read the boot-time clock; suspended time is not counted")
+		return time.Since(n.startedAt)
+	}
+	return now
+}
+
 // recordStoreCall records the duration and the result of a call to the store.
 func (n *Node) recordStoreCall(step errs.Step, duration time.Duration, err error) {
 	result := "ok"
@@ -146,7 +159,10 @@
 	// instance waits between the minimum and the maximum delay.
 	storeRetryDelayPerInstance = 100 * time.Millisecond
 	minStoreRetryDelay         = 300 * time.Millisecond
-	maxStoreRetryDelay         = 2 * time.Second
+	// storeRewriteDelayPerInstance spreads the writes with which all instances restore their
+	// entries after the store came back from an older copy: a hundred per second.
+	storeRewriteDelayPerInstance = 10 * time.Millisecond
+	maxStoreRetryDelay           = 2 * time.Second
 )
 
 // pollInterval returns the time within which some instance starts a new watch of each kind
@@ -187,7 +203,7 @@
 }
 
 // newInformer returns an informer that tracks the objects of one kind in the store.
-func (n *Node) newInformer(kind object.Kind, pause time.Duration, sink storewatch.Sink, relistGap object.Version, relay func(storewatch.Changes)) *storewatch.Informer {
+func (n *Node) newInformer(kind object.Kind, pause time.Duration, sink storewatch.Sink, relistGap uint64, relay func(storewatch.Changes)) *storewatch.Informer {
 	var informer *storewatch.Informer
 	var lastVersion object.Version
 	s := storewatch.Settings{
@@ -278,28 +294,31 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if n.ensureEntry(ctx, object.Name(entry.ID), data) {
-			<-ctx.Done()
-			return
+		version, err := n.ensureEntry(ctx, object.Name(entry.ID), data)
+		if err != nil {
+			n.log.Info().Err(err).Str("event", "register.failed").Msg("failed to write the store entry of this instance; it will be retried")
+			pause.For(ctx, registerRetryDelay/2+rand.N(registerRetryDelay))
+			continue
+		}
+		if n.store.AwaitEraAfter(ctx, version.Era()) { // the store may have lost the entry
+			n.log.Info().Str("event", "register.again").Uint64("era", uint64(n.store.Era())).Msg("the store came back from an older copy; writing the entry of this instance again")
+			pause.For(ctx, rand.N(time.Duration(n.instanceCount())*storeRewriteDelayPerInstance))
 		}
-		pause.For(ctx, registerRetryDelay/2+rand.N(registerRetryDelay))
 	}
 }
 
 // ensureEntry creates the store entry of this instance, or updates an entry with other
-// content. It reports whether the store holds the entry.
-func (n *Node) ensureEntry(ctx context.Context, name object.Name, data []byte) bool {
-	_, err := n.store.Create(ctx, object.KindInstances, name, data)
-	if errors.Is(err, object.ErrConflict) {
-		var found object.Object
-		if found, err = n.store.Get(ctx, object.KindInstances, name); err == nil && string(found.Data) != string(data) {
-			_, err = n.store.Update(ctx, object.KindInstances, name, data, found.Version)
-		}
+// content. It returns the version of the entry.
+func (n *Node) ensureEntry(ctx context.Context, name object.Name, data []byte) (object.Version, error) {
+	version, err := n.store.Create(ctx, object.KindInstances, name, data)
+	if !errors.Is(err, object.ErrConflict) {
+		return version, err
 	}
-	if err != nil {
-		n.log.Info().Err(err).Str("event", "register.failed").Msg("failed to write the store entry of this instance; it will be retried")
+	found, err := n.store.Get(ctx, object.KindInstances, name)
+	if err != nil || string(found.Data) == string(data) {
+		return found.Version, err
 	}
-	return err == nil
+	return n.store.Update(ctx, object.KindInstances, name, data, found.Version)
 }
 
 func (n *Node) operationsAddress() string {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -304,3 +304,32 @@
 	assert.NilError(t, json.Unmarshal(data, &back))
 	assert.Equal(t, back.Address, "10.0.0.1:7380")
 }
+
+// The store comes back from a copy made before the instance registered, with an older
+// configuration and without an upstream. What it lost is written again, by the instance, the
+// operator and the upstream; until then the instance serves as before.
+func TestInstanceRegistersAgainAndKeepsServingAfterStoreComesBackFromOlderCopy(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	c.applyConfig(t, 1, "a")
+	c.store.Restore(c.store.Backup()) // begins the first era
+	backup := c.store.Backup()
+	c.applyConfig(t, 2, "a", "b")
+	i := c.startInstance(t, "i1")
+	defer i.terminate(t)
+	registered := func() bool {
+		_, err := c.store.Get(t.Context(), object.KindInstances, "i1")
+		return err == nil
+	}
+	eventually(t, "the entry of the instance", registered)
+	eventually(t, "a response on the new route", func() bool { status, _ := i.send("/b/1"); return status == 200 })
+	c.store.SetFaults(objectapi.Faults{Outage: true})
+	time.Sleep(500 * time.Millisecond)
+	c.store.Restore(backup)
+	assert.Assert(t, !registered())
+	c.store.SetFaults(objectapi.Faults{})
+	eventually(t, "the entry of the instance, written again", registered)
+	status, _ := i.send("/b/1")
+	assert.Equal(t, status, 200, "the older configuration replaced the one in force")
+	c.applyConfig(t, 3, "a", "c")
+	eventually(t, "a response on the route of the new era", func() bool { status, _ := i.send("/c/1"); return status == 200 })
+}
--- a/internal/node/reconciler/engine.go
+++ b/internal/node/reconciler/engine.go
@@ -66,6 +66,9 @@
 	if entry.EntryVersion <= e.upstream.EntryVersion || e.inFlight {
 		return
 	}
+	if entry.EntryVersion.Era() != e.upstream.EntryVersion.Era() {
+		e.confirmed = false // the entry may be of an older copy of the store, so the engine is asked
+	}
 	models := entry.Models
 	if e.confirmed {
 		models = mergeAdapters(entry.Models, e.upstream.Models)
--- /dev/null
+++ b/internal/node/reconciler/leaseera_test.go
@@ -0,0 +1,268 @@
+package reconciler
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/standin/objectapi"
+	"savoryweir/internal/state/object"
+)
+
+// freezer suspends a process: what passes through it waits until the process is thawed.
+type freezer struct {
+	mu     sync.Mutex
+	thawed chan struct{} // closed unless frozen
+}
+
+func newFreezer() *freezer {
+	f := &freezer{thawed: make(chan struct{})}
+	close(f.thawed)
+	return f
+}
+
+func (f *freezer) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.thawed = make(chan struct{})
+}
+
+func (f *freezer) thaw() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.thawed)
+}
+
+func (f *freezer) pass() {
+	f.mu.Lock()
+	thawed := f.thawed
+	f.mu.Unlock()
+	<-thawed
+}
+
+// frozenStore is a path to the store whose client may be suspended before a call is sent and
+// before its answer is seen.
+type frozenStore struct {
+	*objectapi.Link
+	*freezer
+}
+
+func (s frozenStore) Get(ctx context.Context, kind object.Kind, name object.Name) (object.Object, error) {
+	s.pass()
+	defer s.pass()
+	return s.Link.Get(ctx, kind, name)
+}
+
+func (s frozenStore) Create(ctx context.Context, kind object.Kind, name object.Name, data []byte) (object.Version, error) {
+	s.pass()
+	defer s.pass()
+	return s.Link.Create(ctx, kind, name, data)
+}
+
+func (s frozenStore) Update(ctx context.Context, kind object.Kind, name object.Name, data []byte, expected object.Version) (object.Version, error) {
+	s.pass()
+	defer s.pass()
+	return s.Link.Update(ctx, kind, name, data, expected)
+}
+
+// contender is an instance that competes for the lease.
+type contender struct {
+	name    string
+	manager *LeaseManager
+	link    *objectapi.Link
+	freezer *freezer
+	frozen  bool
+	stop    context.CancelFunc
+}
+
+// leaseModel plays faults against contenders and checks who may act.
+type leaseModel struct {
+	t          *testing.T
+	random     *rand.Rand
+	store      *objectapi.Memory
+	contenders []*contender
+	backups    []objectapi.Backup
+	processes  int
+
+	lastHolder string
+	lastToken  object.Version
+	lastActAt  time.Time
+	acts       int
+	terms      int
+}
+
+func (m *leaseModel) start(ctx context.Context, index int) {
+	m.processes++
+	ctx, stop := context.WithCancel(ctx)
+	freezer, link := newFreezer(), objectapi.NewLink(m.store)
+	boot := time.Now().Add(-time.Hour)
+	clock := func() (time.Duration, error) {
+		freezer.pass()
+		return time.Since(boot), nil // goes on while the process is frozen
+	}
+	retry := func() time.Duration { return 300 * time.Millisecond }
+	name := string(rune('a' + index))
+	manager := NewLeaseManager(frozenStore{link, freezer}, zerolog.Nop(), clock, retry, LeaseSettings(3*time.Second), name, fmt.Sprintf("process-%d", m.processes))
+	m.contenders[index] = &contender{name: name, manager: manager, link: link, freezer: freezer, stop: stop}
+	go manager.Run(ctx)
+}
+
+const turnGap = 3 * time.Second // what the platform requires between the orders of two holders
+
+// observe lets each contender that is not frozen act if it may.
+func (m *leaseModel) observe() {
+	for _, c := range m.contenders {
+		if c == nil || c.frozen {
+			continue
+		}
+		token, mayAct := c.manager.FencingToken()
+		if !mayAct {
+			continue
+		}
+		m.acts++
+		now := time.Now()
+		if c.name != m.lastHolder || token != m.lastToken {
+			m.terms++
+			assert.Assert(m.t, token > m.lastToken, "token %v of %s after token %v of %s", token, c.name, m.lastToken, m.lastHolder)
+		}
+		if m.lastHolder != "" && c.name != m.lastHolder {
+			assert.Assert(m.t, now.Sub(m.lastActAt) >= turnGap, "%s acts %v after %s", c.name, now.Sub(m.lastActAt), m.lastHolder)
+		}
+		m.lastHolder, m.lastToken, m.lastActAt = c.name, token, now
+	}
+}
+
+// disturb applies one random fault, or ends one.
+func (m *leaseModel) disturb(ctx context.Context) {
+	index := m.random.IntN(len(m.contenders))
+	c := m.contenders[index]
+	switch m.random.IntN(9) {
+	case 0:
+		c.link.SetFaults(objectapi.LinkFaults{Cut: true})
+	case 1:
+		c.link.SetFaults(objectapi.LinkFaults{LoseAnswers: 2})
+	case 2:
+		c.link.SetFaults(objectapi.LinkFaults{LateWrites: 2, LateBy: time.Duration(m.random.IntN(5000)) * time.Millisecond})
+	case 3, 4:
+		c.link.SetFaults(objectapi.LinkFaults{})
+	case 5:
+		if c == nil || c.frozen {
+			c.freezer.thaw()
+		} else {
+			c.freezer.freeze()
+		}
+		c.frozen = !c.frozen
+	case 6:
+		m.backups = append(m.backups, m.store.Backup())
+	case 7:
+		if len(m.backups) > 0 {
+			backup := m.backups[max(0, len(m.backups)-1-m.random.IntN(2))]
+			m.store.SetFaults(objectapi.Faults{Outage: true})
+			m.run(time.Duration(m.random.IntN(2500)) * time.Millisecond)
+			m.store.Restore(backup)
+			m.backups = nil
+			m.store.SetFaults(objectapi.Faults{})
+		}
+	case 8:
+		if !c.frozen {
+			c.stop()
+			synctest.Wait()
+			m.start(ctx, index)
+		}
+	}
+}
+
+// run observes the contenders for d.
+func (m *leaseModel) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		m.observe()
+	}
+}
+
+// end stops all contenders, also those that are frozen.
+func (m *leaseModel) end(cancel context.CancelFunc) {
+	cancel()
+	for _, c := range m.contenders {
+		if c != nil && c.frozen {
+			c.freezer.thaw()
+		}
+	}
+	synctest.Wait()
+}
+
+// heal ends all faults and expects a holder within the time of a takeover.
+func (m *leaseModel) heal() {
+	for _, c := range m.contenders {
+		c.link.SetFaults(objectapi.LinkFaults{})
+		if c.frozen {
+			c.freezer.thaw()
+			c.frozen = false
+		}
+	}
+	m.run(15 * time.Second)
+	assert.Assert(m.t, time.Since(m.lastActAt) < time.Second, "no instance holds the lease after all faults have ended")
+}
+
+// The store may come back from an older copy at any moment, with the record of an earlier
+// holder, of a released lease or none, and gives out the revisions of lost records again.
+// Holders may be frozen or cut off across the change, writes may arrive late, and several
+// successors race. At no moment may two instances act within the turn gap, and fencing tokens
+// must rise.
+func TestOneHolderActsWhenStoreComesBackFromOlderCopies(t *testing.T) {
+	const seeds, steps = 120, 60
+	acts, terms := 0, 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			defer func() {
+				if t.Failed() {
+					t.Logf("seed %d", seed)
+				}
+			}()
+			m := &leaseModel{t: t, random: rand.New(rand.NewPCG(seed, 1)), store: objectapi.New(time.Now, objectapi.Limits{}), contenders: make([]*contender, 3)}
+			m.store.Restore(m.store.Backup()) // begins the first era
+			ctx, cancel := context.WithCancel(t.Context())
+			defer m.end(cancel)
+			for index := range m.contenders {
+				m.start(ctx, index)
+			}
+			for range steps {
+				m.disturb(ctx)
+				m.run(time.Duration(100+m.random.IntN(3000)) * time.Millisecond)
+			}
+			m.heal()
+			acts, terms = acts+m.acts, terms+m.terms
+		})
+	}
+	assert.Assert(t, terms > 2*seeds && acts > 1000*seeds/10, "the faults leave %d acts in %d terms, too few to show anything", acts, terms)
+}
+
+// After a change of era the copy may name an instance as holder that has lost the lease since
+// to another one, which still acts.
+func TestFormerHolderInCopyWaitsForLaterHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &leaseModel{t: t, random: rand.New(rand.NewPCG(1, 1)), store: objectapi.New(time.Now, objectapi.Limits{}), contenders: make([]*contender, 2)}
+		m.store.Restore(m.store.Backup())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer m.end(cancel)
+		m.start(ctx, 0)
+		m.run(8 * time.Second)
+		backup := m.store.Backup() // a holds the lease
+		m.start(ctx, 1)
+		m.contenders[0].link.SetFaults(objectapi.LinkFaults{Cut: true})
+		m.run(8 * time.Second)
+		assert.Equal(t, m.lastHolder, "b")
+		m.contenders[1].link.SetFaults(objectapi.LinkFaults{Cut: true}) // b acts until its lease ends
+		m.store.Restore(backup)
+		m.contenders[0].link.SetFaults(objectapi.LinkFaults{})
+		m.contenders[0].stop()
+		m.start(ctx, 0) // a new process of the instance that the copy names as holder
+		m.heal()
+	})
+}
--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -22,6 +22,8 @@
 type LeaseStore interface {
 	object.Reader
 	object.Writer
+	// Era returns the newest era known of the store.
+	Era() object.Era
 }
 
 const (
@@ -63,10 +65,16 @@
 	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
 }
 
-// withLease calls f while it holds the lock of the lease.
+// withLease calls f while it holds the lock of the lease, which knows the newest era of the
+// store by then.
 func (m *LeaseManager) withLease(f func(l *lease.Lease)) {
 	m.leaseLock <- struct{}{}
 	defer func() { <-m.leaseLock }()
+	heldBefore := m.lease.Holds()
+	m.lease.ObserveEra(m.store.Era())
+	if heldBefore && !m.lease.Holds() {
+		m.log.Warn().Str("event", "lease.lost").Uint64("era", uint64(m.store.Era())).Msg("lease given up; the store came back from an older copy")
+	}
 	f(m.lease)
 }
 
@@ -126,13 +134,16 @@
 func (m *LeaseManager) readRecord(ctx context.Context, requestedAt time.Duration) {
 	o, err := m.store.Get(ctx, leaseKind, leaseName)
 	if errors.Is(err, object.ErrNotFound) {
-		m.withLease(func(l *lease.Lease) { l.RecordRead(requestedAt, lease.Record{}) })
+		m.recordRead(requestedAt, lease.Record{})
 		return
 	}
 	var record lease.Record
 	if err == nil {
 		err = json.Unmarshal(o.Data, &record)
 	}
+	if err == nil && o.Version.Era() != m.store.Era() {
+		err = errOutdatedRecord
+	}
 	if err != nil {
 		m.log.Debug().Err(err).Str("event", "lease.unread").Msg("failed to read the lease record")
 		delay := m.retryDelay()
@@ -140,24 +151,42 @@
 		return
 	}
 	record.Version = o.Version
-	m.withLease(func(l *lease.Lease) { l.RecordRead(requestedAt, record) })
+	m.recordRead(requestedAt, record)
+}
+
+// errOutdatedRecord reports that the store is known to have come back from an older copy
+// since it answered a read.
+var errOutdatedRecord = errors.New("lease record is of an earlier era of the store")
+
+// recordRead records the result of a read that has just been answered, unless the store is
+// known to have come back from an older copy since.
+func (m *LeaseManager) recordRead(requestedAt time.Duration, record lease.Record) {
+	now, ok := m.now()
+	if !ok {
+		return
+	}
+	m.withLease(func(l *lease.Lease) {
+		if record.Version == 0 || record.Version.Era() == m.store.Era() {
+			l.RecordRead(requestedAt, now, record)
+		}
+	})
 }
 
 func (m *LeaseManager) writeRecord(ctx context.Context, step lease.Step, sentAt time.Duration) {
 	var record lease.Record
 	var expected object.Version
-	m.withLease(func(l *lease.Lease) { record, expected = l.NextRecord(), l.ExpectedVersion() })
+	m.withLease(func(l *lease.Lease) { record, expected = l.NextRecord(sentAt), l.ExpectedVersion() })
 	version, err := m.putRecord(ctx, record, expected)
 	switch {
 	case err == nil:
-		m.withLease(func(l *lease.Lease) { l.RecordWrite(step, sentAt, version) })
+		m.recordWrite(sentAt, record, version)
 		if step == lease.StepAcquire {
-			m.log.Info().Str("event", "lease.taken").Uint64("fence", uint64(version)).Uint64("former", uint64(expected)).Msg("lease acquired")
+			m.log.Info().Str("event", "lease.taken").Stringer("fence", version).Stringer("former", expected).Msg("lease acquired")
 		}
 	case errors.Is(err, object.ErrConflict) || errors.Is(err, object.ErrNotFound):
 		m.resolveConflict(ctx)
 	default:
-		m.log.Info().Err(err).Str("event", "lease.doubt").Uint64("expected", uint64(expected)).Msg("lease write failed or its outcome is unknown")
+		m.log.Info().Err(err).Str("event", "lease.doubt").Stringer("expected", expected).Msg("lease write failed or its outcome is unknown")
 		m.withLease(func(l *lease.Lease) { l.RecordUncertainWrite() })
 		delay := m.retryDelay()
 		if step == lease.StepRenew {
@@ -167,6 +196,20 @@
 	}
 }
 
+// recordWrite records a successful write that has just been answered, unless the store is
+// known to have lost it since.
+func (m *LeaseManager) recordWrite(sentAt time.Duration, record lease.Record, version object.Version) {
+	now, ok := m.now()
+	if !ok {
+		return
+	}
+	m.withLease(func(l *lease.Lease) {
+		if version.Era() == m.store.Era() {
+			l.RecordWrite(sentAt, now, record, version)
+		}
+	})
+}
+
 // putRecord writes the record if the stored version is still the expected one; zero
 // means that no record must exist.
 func (m *LeaseManager) putRecord(ctx context.Context, record lease.Record, expected object.Version) (object.Version, error) {
@@ -204,12 +247,16 @@
 // release marks the lease as released, so that the next holder need not wait for it
 // to expire.
 func (m *LeaseManager) release() {
+	now, ok := m.now()
+	if !ok {
+		return
+	}
 	var record lease.Record
 	var expected object.Version
 	held := false
 	m.withLease(func(l *lease.Lease) {
 		held = l.Holds()
-		record, expected = l.NextRecord(), l.ExpectedVersion()
+		record, expected = l.NextRecord(now), l.ExpectedVersion()
 		l.RecordLost()
 	})
 	if !held {
--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -105,11 +105,17 @@
 	return true
 }
 
-// sendOrder sends one order if this instance still holds the lease. Without the lease
-// it returns OrderRejected.
+// isLeaving reports whether an engine is known to be leaving by now.
+func (r *Reconciler) isLeaving(u fleet.Upstream) bool {
+	current := r.registry.View().Get(u.ID)
+	return current != nil && current.StartedAt.Equal(u.StartedAt) && current.Draining
+}
+
+// sendOrder sends one order if this instance still holds the lease and the engine is not
+// leaving. Otherwise it returns OrderRejected.
 func (r *Reconciler) sendOrder(ctx context.Context, u fleet.Upstream, a rebalance.Action) platform.OrderResult {
 	fence, ok := r.leases.FencingToken()
-	if !ok {
+	if !ok || r.isLeaving(u) {
 		return platform.OrderRejected
 	}
 	body, err := platform.EncodeOrder(platform.Order{
@@ -129,7 +135,7 @@
 	}
 	r.log.Info().Str("event", "order.sent").Str("upstream", string(u.ID)).Bool("load", a.Load).Str("model", a.Model).
 		Str("adapter", a.Adapter).Str("reason", string(a.Reason)).Bool("own_copy", a.FromDisk).Uint64("expect", u.AcceptedOrders).
-		Uint64("fence", uint64(fence)).Int("status", status).Err(err).Dur("took", time.Since(start)).Msg("sent an order to the engine")
+		Stringer("fence", fence).Int("status", status).Err(err).Dur("took", time.Since(start)).Msg("sent an order to the engine")
 	r.metrics.CountOrder(operationName(a), resultName(result))
 	return result
 }
@@ -162,6 +168,7 @@
 		return 0, nil, err
 	}
 	defer x.Close()
+	r.observeResponse(&u, x.Response.StatusCode, x.Response.Header)
 	body, err := io.ReadAll(io.LimitReader(x, maxReportBytes))
 	return x.Response.StatusCode, body, err
 }
--- a/internal/node/reconciler/orders_test.go
+++ b/internal/node/reconciler/orders_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"savoryweir/internal/node/telemetry"
 	"savoryweir/internal/standin/objectapi"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/state/object"
 	"savoryweir/internal/transport/upstreamconn"
 	"savoryweir/platform"
 )
@@ -35,6 +37,10 @@
 	accepted []string
 	expects  []uint64
 	fences   []uint64
+	requests int // orders and report requests
+
+	paused  atomic.Bool // the engine has asked for a pause
+	leaving atomic.Bool // the engine says in its responses that it is leaving
 }
 
 func startEngine(t *testing.T, silent int) *testEngine {
@@ -72,13 +78,24 @@
 			_, _ = reader.ReadByte() // returns when the client closes the connection
 			return
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(answer), answer)
+		head := ""
+		if e.leaving.Load() {
+			head = "Server-Leaving: 1\r\n"
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, head, len(answer), answer)
 	}
 }
 
+func (e *testEngine) requestCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests
+}
+
 func (e *testEngine) handle(r *http.Request, body []byte) (status int, answer string, silent bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.requests++
 	if r.Method == http.MethodGet {
 		return 200, fmt.Sprintf(`{"seq":%d,"busy":false,"models":[{"name":"m0","adapters":[]}]}`, len(e.accepted)), false
 	}
@@ -128,7 +145,13 @@
 		},
 		LoadWindow: func() time.Duration { return 5 * time.Second }, PrefillTokensPerSecond: func(string, float64) float64 { return 20000 },
 		FailureRatio: func(id fleet.UpstreamID) float64 { return map[fleet.UpstreamID]float64{"crashed": 1}[id] },
-		Announce:     func(registry.ResidentKey, bool) {},
+		IsPaused:     func(u *fleet.Upstream) bool { return e.paused.Load() && u.ID == "e1" },
+		ObserveResponse: func(u *fleet.Upstream, _ int, h http.Header) {
+			if h.Get("Server-Leaving") == "1" {
+				reg.MarkLeaving(u.ID, u.StartedAt)
+			}
+		},
+		Announce: func(registry.ResidentKey, bool) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -237,3 +260,55 @@
 	engine = e.snapshot(now)
 	assert.Assert(t, !engine.HasModelOrder && engine.LoadingModel == "")
 }
+
+// assertNoOrders asserts that an engine gets no orders and reports for a second although a
+// request waits for an adapter.
+func assertNoOrders(t *testing.T, e *testEngine, r *Reconciler) {
+	t.Helper()
+	before := e.requestCount()
+	for range 50 {
+		r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"})
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, e.requestCount(), before)
+}
+
+func TestPausedEngineGetsNoOrdersUntilPauseEnds(t *testing.T) {
+	e := startEngine(t, 0)
+	e.paused.Store(true)
+	r := startReconciler(t, e)
+	time.Sleep(300 * time.Millisecond)
+	assertNoOrders(t, e, r)
+	e.paused.Store(false)
+	for end := time.Now().Add(8 * time.Second); len(r.registry.View().Usable("s", "m0", "a2")) == 0; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the adapter is not loaded after the pause")
+		r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"})
+	}
+}
+
+// The report of an engine may be the first answer that says that the engine is leaving.
+func TestLeavingEngineGetsNoOrders(t *testing.T) {
+	e := startEngine(t, 0)
+	e.leaving.Store(true)
+	r := startReconciler(t, e)
+	for end := time.Now().Add(8 * time.Second); !r.registry.View().Get("e1").Draining; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the engine's report was not read")
+	}
+	assertNoOrders(t, e, r)
+}
+
+// An entry of an older copy of the store may list fewer models than the engine holds. Orders
+// based on it could exceed the engine's memory, so the engine is asked first.
+func TestEntryOfNewEraIsConfirmedByReport(t *testing.T) {
+	version := func(era object.Era, revision uint64) object.Version {
+		v, err := object.NewVersion(era, object.RevisionOf(revision))
+		assert.NilError(t, err)
+		return v
+	}
+	e := &engineState{upstream: fleet.Upstream{EntryVersion: version(1, 900)}, confirmed: true, drainingModels: map[string]time.Time{}}
+	e.mergeEntry(&fleet.Upstream{EntryVersion: version(1, 901)})
+	assert.Assert(t, e.confirmed)
+	e.mergeEntry(&fleet.Upstream{EntryVersion: version(2, 850)})
+	assert.Equal(t, e.upstream.EntryVersion, version(2, 850))
+	assert.Assert(t, !e.confirmed)
+}
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -52,6 +53,11 @@
 	PrefillTokensPerSecond func(service string, weightsMB float64) float64
 	// FailureRatio returns the share of requests that fail at an upstream.
 	FailureRatio func(fleet.UpstreamID) float64
+	// IsPaused reports whether an upstream has asked this instance to send nothing now.
+	IsPaused func(*fleet.Upstream) bool
+	// ObserveResponse records what the head of an engine's response says about the
+	// engine itself.
+	ObserveResponse func(u *fleet.Upstream, status int, h http.Header)
 	// Announce tells the other instances that a model or adapter has become present
 	// at an upstream, or is about to be unloaded there.
 	Announce func(key registry.ResidentKey, present bool)
@@ -69,6 +75,8 @@
 	loadWindow             func() time.Duration
 	prefillTokensPerSecond func(service string, weightsMB float64) float64
 	failureRatio           func(fleet.UpstreamID) float64
+	isPaused               func(*fleet.Upstream) bool
+	observeResponse        func(u *fleet.Upstream, status int, h http.Header)
 	announceToPeers        func(key registry.ResidentKey, present bool)
 	wakeups                chan struct{}
 
@@ -86,7 +94,7 @@
 func New(o Options) *Reconciler {
 	return &Reconciler{
 		instance: o.Instance, log: o.Log, metrics: o.Metrics, registry: o.Registry, pool: o.Pool, leases: o.Leases,
-		config: o.Config, loadWindow: o.LoadWindow, prefillTokensPerSecond: o.PrefillTokensPerSecond, failureRatio: o.FailureRatio, announceToPeers: o.Announce, wakeups: make(chan struct{}, 1),
+		config: o.Config, loadWindow: o.LoadWindow, prefillTokensPerSecond: o.PrefillTokensPerSecond, failureRatio: o.FailureRatio, isPaused: o.IsPaused, observeResponse: o.ObserveResponse, announceToPeers: o.Announce, wakeups: make(chan struct{}, 1),
 		demand: rebalance.NewDemandTracker(), wants: make(map[rebalance.DemandKey]time.Time),
 		engines: make(map[fleet.UpstreamID]*engineState), loadStarts: make(map[string][]time.Time),
 		lastLoggedAt: make(map[string]time.Time),
@@ -150,7 +158,7 @@
 func (r *Reconciler) reconcile(ctx context.Context) {
 	fence, holdsLease := r.leases.FencingToken()
 	if holdsLease != r.holdsLease {
-		r.log.Info().Str("event", "orders.term").Bool("holds", holdsLease).Uint64("fence", uint64(fence)).Msg("permission to send orders changed")
+		r.log.Info().Str("event", "orders.term").Bool("holds", holdsLease).Stringer("fence", fence).Msg("permission to send orders changed")
 		r.startTerm(holdsLease)
 	}
 	config := r.config()
@@ -188,8 +196,10 @@
 	snapshot := rebalance.Snapshot{Class: class, HasWaitingRequests: r.wanted(service, now), StoreLoadBudget: r.storeLoadBudget(service, class, now), PrefillRates: r.prefillRates(service, class)}
 	snapshot.TokenRates, snapshot.AdapterRates = r.demand.Rates(now, service)
 	for _, u := range r.registry.View().ByService(service) {
-		if e := r.engines[u.ID]; e != nil && !e.upstream.Draining && !e.isUnreachable(now) {
-			snapshot.Engines = append(snapshot.Engines, e.snapshot(now))
+		if e := r.engines[u.ID]; e != nil && !u.Draining && !e.upstream.Draining && !e.isUnreachable(now) {
+			engine := e.snapshot(now)
+			engine.AcceptsOrders = engine.AcceptsOrders && !r.isPaused(u)
+			snapshot.Engines = append(snapshot.Engines, engine)
 		}
 	}
 	r.logPlacement(service, snapshot, now)
@@ -295,7 +305,7 @@
 		e.mergeEntry(u)
 		isOverdue := (e.upstream.OrderInProgress || e.pending != nil) && now.After(e.pendingDeadline)
 		isSuspect := now.Sub(e.reportRequestedAt) > suspectCheckInterval && r.failureRatio(u.ID) > suspectFailureRatio
-		if !e.inFlight && !u.Draining && now.After(e.backoffUntil) && (!e.confirmed || isOverdue || isSuspect) {
+		if !e.inFlight && !u.Draining && !r.isPaused(u) && now.After(e.backoffUntil) && (!e.confirmed || isOverdue || isSuspect) {
 			e.inFlight, e.reportRequestedAt = true, now
 			go r.fetchReportAndWake(ctx, e.upstream)
 		}
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/state/object"
 )
 
 const (
@@ -24,6 +25,13 @@
 	// unloadingOverrideTTL is how long an announced unload takes precedence over the
 	// entry: the unload waits for the longest streams of the model to end.
 	unloadingOverrideTTL = 20 * time.Second
+	// confirmationTimeout is how long an entry that was removed before the store came back
+	// from an older copy counts as draining: longer than the three heartbeats after which
+	// the entry of an upstream that is gone is removed again.
+	confirmationTimeout = 5 * time.Second
+	// departureRetention is how long departures are remembered: longer than an older copy
+	// of the store may be behind, and longer than upstreams serve after they were removed.
+	departureRetention = 2 * time.Minute
 )
 
 // ResidentKey identifies a model, or an adapter of a model, on an upstream.
@@ -42,6 +50,16 @@
 type entry struct {
 	upstream     fleet.Upstream
 	missingUntil time.Time // set while a lapsed entry may still return; zero otherwise
+	// unconfirmedUntil is set for an entry that was removed in an earlier era of the store.
+	// Until then it counts as draining, unless the upstream writes it again.
+	unconfirmedUntil time.Time
+}
+
+// departure records that an upstream incarnation has left or is leaving.
+type departure struct {
+	startedAt time.Time // start of the incarnation
+	at        time.Time
+	drained   bool // it was draining or has said that it is leaving
 }
 
 // View is a consistent, immutable snapshot of the registry.
@@ -59,6 +77,8 @@
 
 	mu        sync.Mutex // guards all fields below
 	entries   map[fleet.UpstreamID]entry
+	departed  map[fleet.UpstreamID]departure
+	era       object.Era // era of the latest list
 	overrides map[ResidentKey]override
 	view      atomic.Pointer[View]
 	changed   chan struct{} // closed and replaced on each change
@@ -67,7 +87,7 @@
 // New returns an empty registry.
 func New(log zerolog.Logger, now func() time.Time) *Registry {
 	r := &Registry{
-		log: log, now: now, entries: make(map[fleet.UpstreamID]entry),
+		log: log, now: now, entries: make(map[fleet.UpstreamID]entry), departed: make(map[fleet.UpstreamID]departure),
 		overrides: make(map[ResidentKey]override), changed: make(chan struct{}),
 	}
 	r.view.Store(&View{})
@@ -90,9 +110,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[fleet.UpstreamID]bool, len(list))
+	isCopy := r.enterEra(list)
 	for _, u := range list {
 		listed[u.ID] = true
-		r.put(u)
+		r.put(u, isCopy)
 	}
 	for id := range r.entries {
 		if !listed[id] {
@@ -107,16 +128,39 @@
 func (r *Registry) Put(u fleet.Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.put(u)
+	r.put(u, false)
 	r.publish()
 }
 
-func (r *Registry) put(u fleet.Upstream) {
+// enterEra reports whether a list is the first of a later era of the store, so that its
+// entries may be older than what is known. The caller holds r.mu.
+func (r *Registry) enterEra(list []fleet.Upstream) bool {
+	before := r.era
+	for _, u := range list {
+		r.era = max(r.era, u.EntryVersion.Era())
+	}
+	return r.era > before
+}
+
+// put adds or updates an entry. isCopy means that the entry may be older than what is known.
+// The caller holds r.mu.
+func (r *Registry) put(u fleet.Upstream, isCopy bool) {
 	known, exists := r.entries[u.ID]
 	if exists && known.upstream.EntryVersion > u.EntryVersion {
 		return
 	}
 	restarted := exists && !known.upstream.StartedAt.Equal(u.StartedAt)
+	if exists && !restarted && known.upstream.Draining {
+		u.Draining = true // an incarnation that is leaving stays so, even if an older copy of its entry says otherwise
+	}
+	added := entry{upstream: u}
+	if exists && !restarted && known.upstream.EntryVersion == u.EntryVersion {
+		added.unconfirmedUntil = known.unconfirmedUntil
+	}
+	if !exists {
+		added = r.recallDeparture(added, isCopy)
+		u = added.upstream
+	}
 	if restarted {
 		r.removeOverrides(u.ID)
 	}
@@ -124,13 +168,52 @@
 		r.log.Info().Str("event", "upstream.seen").Str("upstream", string(u.ID)).Str("service", u.Service).
 			Str("address", u.Address).Bool("draining", u.Draining).Bool("restarted", restarted).Time("born", u.StartedAt).Msg("upstream added or changed")
 	}
-	r.entries[u.ID] = entry{upstream: u}
+	r.entries[u.ID] = added
+}
+
+// recallDeparture returns a new entry, marked if its upstream incarnation is known to have
+// left. After the store has come back from an older copy, it may list upstreams that are gone.
+func (r *Registry) recallDeparture(e entry, isCopy bool) entry {
+	d, ok := r.departed[e.upstream.ID]
+	if !ok || !d.startedAt.Equal(e.upstream.StartedAt) {
+		return e
+	}
+	if d.drained {
+		e.upstream.Draining = true
+	} else if isCopy {
+		e.unconfirmedUntil = r.now().Add(confirmationTimeout)
+	}
+	return e
+}
+
+// MarkLeaving records that an upstream incarnation has said that it is leaving, and reports
+// whether this was not known before. The incarnation counts as draining from then on, whatever
+// its entry says.
+func (r *Registry) MarkLeaving(id fleet.UpstreamID, startedAt time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, exists := r.entries[id]
+	if exists && e.upstream.StartedAt.Equal(startedAt) {
+		if e.upstream.Draining {
+			return false
+		}
+		e.upstream.Draining = true
+		r.entries[id] = e
+		r.publish()
+		return true
+	}
+	if exists && startedAt.Before(e.upstream.StartedAt) {
+		return false // an earlier incarnation
+	}
+	known := r.departed[id]
+	r.departed[id] = departure{startedAt: startedAt, at: r.now(), drained: true}
+	return !known.drained || !known.startedAt.Equal(startedAt)
 }
 
 // Remove records that an entry was deleted at a version of the store. The upstream stays
 // in use until completeAt, because entries may lapse while the store is unavailable. A
 // draining upstream is removed immediately.
-func (r *Registry) Remove(id fleet.UpstreamID, version uint64, completeAt time.Time) {
+func (r *Registry) Remove(id fleet.UpstreamID, version object.Version, completeAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.entries[id].upstream.EntryVersion > version {
@@ -154,6 +237,7 @@
 	}
 	delete(r.entries, id)
 	r.removeOverrides(id)
+	r.departed[id] = departure{startedAt: e.upstream.StartedAt, at: r.now(), drained: e.upstream.Draining}
 	r.log.Info().Str("event", "upstream.gone").Str("upstream", string(id)).Msg("upstream removed")
 }
 
@@ -177,6 +261,16 @@
 			r.remove(id, time.Time{})
 			hasChanged = true
 		}
+		if !e.unconfirmedUntil.IsZero() && now.After(e.unconfirmedUntil) {
+			e.unconfirmedUntil = time.Time{}
+			r.entries[id] = e
+			hasChanged = true
+		}
+	}
+	for id, d := range r.departed {
+		if now.Sub(d.at) > departureRetention {
+			delete(r.departed, id)
+		}
 	}
 	for key, o := range r.overrides {
 		if now.After(o.expiresAt) {
@@ -216,6 +310,7 @@
 	}
 	for id, e := range r.entries {
 		u := e.upstream
+		u.Draining = u.Draining || !e.unconfirmedUntil.IsZero()
 		v.byID[id] = &u
 		v.byService[u.Service] = append(v.byService[u.Service], &u)
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -99,6 +99,33 @@
 	r.node.mesh.Broadcast(&pb.FleetMessage{Breaks: []*pb.RequestBreak{{Fingerprint: fingerprint, Upstream: string(upstream)}}})
 }
 
+// broadcastLeaving informs the other instances that an upstream has said that it is leaving.
+func (r *reporter) broadcastLeaving(u *fleet.Upstream) {
+	r.broadcastNotice(u, &pb.UpstreamNotice{Leaving: true})
+}
+
+// broadcastPause informs the other instances that an upstream has asked this one for a pause.
+func (r *reporter) broadcastPause(u *fleet.Upstream, d time.Duration) {
+	r.broadcastNotice(u, &pb.UpstreamNotice{PauseMillis: uint64(d.Milliseconds())})
+}
+
+func (r *reporter) broadcastNotice(u *fleet.Upstream, notice *pb.UpstreamNotice) {
+	notice.Upstream, notice.StartedAt = string(u.ID), u.StartedAt.UnixMilli()
+	r.node.mesh.Broadcast(&pb.FleetMessage{Notices: []*pb.UpstreamNotice{notice}})
+}
+
+// receiveNotice records what an upstream has said to another instance. A pause concerns that
+// instance alone, so it is only a hint here.
+func (r *reporter) receiveNotice(notice *pb.UpstreamNotice) {
+	id := fleet.UpstreamID(notice.Upstream)
+	if notice.Leaving && r.node.registry.MarkLeaving(id, time.UnixMilli(notice.StartedAt)) {
+		r.node.log.Info().Str("event", "upstream.leaving").Str("upstream", notice.Upstream).Msg("upstream has told another instance that it is leaving; no more requests are sent to it")
+	}
+	if notice.PauseMillis > 0 {
+		r.node.tracker.RecordPeerPause(id, time.Duration(notice.PauseMillis)*time.Millisecond)
+	}
+}
+
 // run sends reports until ctx ends.
 func (r *reporter) run(ctx context.Context) {
 	sameZone, otherZones := &reportPacer{}, &reportPacer{}
@@ -211,6 +238,7 @@
 		r.node.reconciler.RecordDemand(m.Instance, m.Incarnation, decodeDemands(m.Demands))
 	}
 	r.recordWatcher(m)
+	r.node.store.ObserveEra(max(object.Version(m.NewestConfig), object.Version(m.NewestUpstream)).Era())
 	if m.NewestConfig > 0 {
 		r.node.configInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestConfig))
 	}
@@ -226,6 +254,9 @@
 	for _, b := range m.Breaks {
 		r.node.gateway.RecordCrash(b.Fingerprint, fleet.UpstreamID(b.Upstream))
 	}
+	for _, notice := range m.Notices {
+		r.receiveNotice(notice)
+	}
 	for _, c := range m.Changes {
 		item := registry.ResidentKey{Upstream: fleet.UpstreamID(c.Upstream), Model: c.Model, Adapter: c.Adapter}
 		if c.Present {
--- a/internal/node/sinks.go
+++ b/internal/node/sinks.go
@@ -34,7 +34,7 @@
 	}
 	config, err := platform.DecodeConfig(o.Data)
 	if err != nil {
-		s.node.log.Error().Err(err).Str("event", "config.unread").Uint64("revision", uint64(o.Version)).Msg("failed to decode the configuration; the previous one stays in force")
+		s.node.log.Error().Err(err).Str("event", "config.unread").Stringer("revision", o.Version).Msg("failed to decode the configuration; the previous one stays in force")
 		return
 	}
 	previous := uint64(0)
@@ -46,7 +46,7 @@
 	}
 	s.node.gateway.ApplyConfig(config)
 	s.node.log.Info().Str("event", "config.applied").Uint64("version", config.Version).Uint64("before", previous).
-		Uint64("revision", uint64(o.Version)).Int("routes", len(config.Routes)).Msg("configuration applied")
+		Stringer("revision", o.Version).Int("routes", len(config.Routes)).Msg("configuration applied")
 }
 
 // upstreamSink updates the registry with the upstreams in the store.
@@ -67,20 +67,20 @@
 func (s upstreamSink) Apply(events []object.Event, completeAt time.Time) {
 	for _, e := range events {
 		if e.Deleted {
-			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), uint64(e.Object.Version), completeAt)
+			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), e.Object.Version, completeAt)
 			continue
 		}
 		if u, ok := s.decode(e.Object); ok {
 			s.node.registry.Put(u)
 		} else {
-			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), uint64(e.Object.Version), time.Time{})
+			s.node.registry.Remove(fleet.UpstreamID(e.Object.Name), e.Object.Version, time.Time{})
 		}
 	}
 }
 
 // decode returns the upstream in a store entry, and whether the entry describes one.
 func (s upstreamSink) decode(o object.Object) (fleet.Upstream, bool) {
-	u, err := platform.DecodeUpstream(string(o.Name), uint64(o.Version), o.Data)
+	u, err := platform.DecodeUpstream(string(o.Name), o.Version, o.Data)
 	if err != nil {
 		s.node.log.Info().Err(err).Str("event", "upstream.foreign").Str("upstream", string(o.Name)).Msg("store entry does not describe an upstream; it is not used")
 		return u, false
--- a/internal/node/storewatch/progress.go
+++ b/internal/node/storewatch/progress.go
@@ -72,11 +72,12 @@
 	}
 }
 
-// lag returns the number of versions by which other instances are ahead.
-func (p *progress) lag() object.Version {
+// lag returns the number of changes by which other instances are ahead, math.MaxUint64 if
+// they are in a later era of the store.
+func (p *progress) lag() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.peerVersion, p.version) - p.version
+	return p.peerVersion.ChangesSince(p.version)
 }
 
 // recordCatchUp records that the store is being asked for the missing changes. If some
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -54,9 +54,9 @@
 	// RelayChanges receives the changes that this instance has seen in the store, to send
 	// them to other instances. It is nil if they are not relayed.
 	RelayChanges func(Changes)
-	// RelistGap is the number of missing versions above which a list of all objects is
+	// RelistGap is the number of missing changes above which a list of all objects is
 	// shorter than the changes.
-	RelistGap object.Version
+	RelistGap uint64
 	// RetryDelay returns the mean delay before the next call to a store that does not
 	// respond.
 	RetryDelay func() time.Duration
@@ -93,7 +93,8 @@
 	peerChanges *queue.Queue[Changes]
 	progress    progress
 
-	version           object.Version // version up to which all changes are known; zero if a list is needed
+	version           object.Version // version up to which all changes are known
+	needsList         bool           // all objects must be listed, because changes after version are missing
 	lastChangeVersion object.Version // version after the last change; there are no changes between it and version
 	failures          int            // consecutive failed calls
 	watchUnanswered   bool           // the last watch was not answered
@@ -105,7 +106,7 @@
 func New(s Settings, source Source, sink Sink, log zerolog.Logger) *Informer {
 	return &Informer{
 		settings: s, source: source, sink: sink, log: log.With().Str("kind", string(s.Kind)).Logger(),
-		peerChanges: queue.New[Changes](maxQueuedChanges),
+		peerChanges: queue.New[Changes](maxQueuedChanges), needsList: true,
 	}
 }
 
@@ -144,7 +145,7 @@
 // step makes the next call to the store or, if none is due, applies relayed changes.
 func (i *Informer) step(ctx context.Context) error {
 	switch {
-	case i.version == 0:
+	case i.needsList:
 		return i.list(ctx)
 	case i.progress.isBehind(time.Now()):
 		return i.catchUp(ctx)
@@ -166,7 +167,7 @@
 // not cancel this call: over a slow link the response takes longer than catchUpDelay.
 func (i *Informer) catchUp(ctx context.Context) error {
 	lag := i.progress.lag()
-	i.log.Info().Str("event", "store.behind").Uint64("version", uint64(i.version)).Uint64("by", uint64(lag)).Msg("other instances have seen newer objects; requesting the missing changes")
+	i.log.Info().Str("event", "store.behind").Stringer("version", i.version).Uint64("by", lag).Msg("other instances have seen newer objects; requesting the missing changes")
 	i.progress.recordCatchUp(time.Now())
 	if lag > i.settings.RelistGap {
 		return i.list(ctx)
@@ -180,10 +181,12 @@
 		return err
 	}
 	i.recordSuccess()
+	i.recordEra(version)
 	i.lastChangeVersion = version
+	i.needsList = false
 	i.advance(version, objects...)
 	i.sink.Replace(objects, i.completeAt())
-	i.log.Debug().Str("event", "store.listed").Uint64("version", uint64(version)).Int("objects", len(objects)).Msg("listed all objects")
+	i.log.Debug().Str("event", "store.listed").Stringer("version", version).Int("objects", len(objects)).Msg("listed all objects")
 	return nil
 }
 
@@ -197,17 +200,21 @@
 	case errors.Is(err, object.ErrWatchUnanswered) && !i.watchUnanswered:
 		i.watchUnanswered = true // tolerated once; a second unanswered watch counts as a failure of the store
 		i.progress.setHealthy(false)
-		i.log.Info().Str("event", "store.silent").Uint64("version", uint64(i.version)).Msg("the store did not answer the watch; starting it again")
+		i.log.Info().Str("event", "store.silent").Stringer("version", i.version).Msg("the store did not answer the watch; starting it again")
 		return nil
 	case errors.Is(err, object.ErrHistoryGone):
-		i.log.Info().Str("event", "store.history_gone").Uint64("version", uint64(i.version)).Msg("the store no longer has the history since this version; listing all objects")
-		i.version = 0
+		i.log.Info().Str("event", "store.history_gone").Stringer("version", i.version).Msg("the store no longer has the history since this version; listing all objects")
+		i.needsList = true
 		return nil
 	case err != nil:
 		return err
 	}
 	i.recordSuccess()
 	i.watchUnanswered = false
+	if next.Era() != i.version.Era() {
+		i.needsList = true // the revision that the watch began from may stand for other changes now
+		return nil
+	}
 	i.applyChanges(Changes{After: i.version, Next: next, Events: events}, i.settings.RelayChanges)
 	return nil
 }
@@ -250,7 +257,7 @@
 // the store is asked for all changes since.
 func (i *Informer) applyPeerChanges(c Changes) {
 	c.Events = eventsAfter(c.Events, i.version)
-	if c.After <= i.version {
+	if c.After <= i.version && c.Next.Era() == i.version.Era() {
 		i.applyChanges(c, nil)
 		return
 	}
@@ -293,6 +300,17 @@
 	i.progress.advance(version, objects)
 }
 
+// recordEra notes that the store has come back from an older copy if the version of a list is
+// of a later era than the changes known before. Upstreams that the copy lacks write their
+// entries again, so the list may be incomplete like one after an outage.
+func (i *Informer) recordEra(listed object.Version) {
+	if i.version == 0 || listed.Era() == i.version.Era() {
+		return
+	}
+	i.outageEnd = time.Now()
+	i.log.Warn().Str("event", "store.era").Stringer("version", listed).Stringer("before", i.version).Msg("the store came back from an older copy; all objects were listed again")
+}
+
 // completeAt returns the time until which objects may be missing that lapsed during an
 // outage of the store; zero if none are.
 func (i *Informer) completeAt() time.Time {
@@ -324,7 +342,7 @@
 	i.progress.setHealthy(false)
 	if i.failures == 0 {
 		i.outageStart = time.Now()
-		i.log.Warn().Err(err).Str("event", "store.lost").Uint64("version", uint64(i.version)).Msg("the store does not respond")
+		i.log.Warn().Err(err).Str("event", "store.lost").Stringer("version", i.version).Msg("the store does not respond")
 	}
 	i.failures++
 	delay := i.settings.RetryDelay()
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -336,3 +336,97 @@
 		})
 	}
 }
+
+// lostChangesFixture is a store with an informer that has seen a change that a backup lacks.
+func lostChangesFixture(t *testing.T, ctx context.Context, store *objectapi.Memory, watches bool) (*fixture, objectapi.Backup) {
+	t.Helper()
+	put(t, store, "kept", "1")
+	put(t, store, "changed", "old")
+	backup := store.Backup()
+	put(t, store, "changed", "new")
+	put(t, store, "lost", "1")
+	f := start(ctx, objectapi.NewLink(store), store, nil, watches)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, f.sink.get("lost"), "1")
+	return f, backup
+}
+
+// In a new era the store gives out the revisions of the lost changes again, so that the
+// revision from which an informer watches exists with other content and no 410 comes.
+func TestObjectsAreListedAgainAfterNewEra(t *testing.T) {
+	for name, rewrite := range map[string]int{"revision is gone": 0, "revision exists with other content": 2, "revisions are far ahead": 50} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+				f, backup := lostChangesFixture(t, ctx, store, true)
+				store.SetFaults(objectapi.Faults{Outage: true})
+				time.Sleep(300 * time.Millisecond)
+				store.Restore(backup)
+				store.SetFaults(objectapi.Faults{})
+				for i := range rewrite {
+					put(t, store, object.Name(rune('a'+i)), "2")
+				}
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, f.sink.get("changed"), "old")
+				assert.Equal(t, f.sink.get("lost"), "")
+				if rewrite > 0 {
+					assert.Equal(t, f.sink.get("a"), "2")
+				}
+				assert.Equal(t, f.informer.NewestVersion().Era(), object.Era(1))
+				put(t, store, "later", "3")
+				time.Sleep(500 * time.Millisecond)
+				assert.Equal(t, f.sink.get("later"), "3")
+			})
+		})
+	}
+}
+
+func TestListOfNewEraMayBeIncomplete(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		f, backup := lostChangesFixture(t, ctx, store, true)
+		store.Restore(backup)
+		time.Sleep(1200 * time.Millisecond)
+		assert.Equal(t, f.sink.get("changed"), "old")
+		f.sink.mu.Lock()
+		defer f.sink.mu.Unlock()
+		assert.Assert(t, !f.sink.completeAt.IsZero(), "upstreams that the copy lacks would be dropped at once")
+	})
+}
+
+// An instance that does not watch the store learns of a new era from the others, and lists
+// within the time that one lost watch takes.
+func TestListenerFindsOutAboutNewEraFromPeers(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		listener, backup := lostChangesFixture(t, ctx, store, false)
+		watcher := start(ctx, objectapi.NewLink(store), store, listener.informer.ReceiveChanges, true)
+		time.Sleep(100 * time.Millisecond)
+		store.Restore(backup)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			listener.informer.ObservePeerVersion(time.Now(), watcher.informer.NewestVersion())
+		}
+		assert.Equal(t, listener.sink.get("changed"), "old")
+		assert.Equal(t, listener.sink.get("lost"), "")
+		put(t, store, "later", "3")
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, listener.sink.get("later"), "3", "relayed changes of the new era must be applied")
+	})
+}
+
+// A relay of the earlier era that arrives late must not undo what was listed in the new one.
+func TestLateRelayOfEarlierEraIsIgnored(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		f, backup := lostChangesFixture(t, ctx, store, false)
+		lost, err := store.Get(ctx, kind, "lost")
+		assert.NilError(t, err)
+		late := Changes{After: lost.Version - 1, Next: lost.Version, Events: []object.Event{{Object: lost}}}
+		store.Restore(backup)
+		f.informer.ObservePeerVersion(time.Now(), 1<<62)
+		time.Sleep(400 * time.Millisecond)
+		f.informer.ObservePeerVersion(time.Now(), 1<<62)
+		time.Sleep(400 * time.Millisecond)
+		assert.Equal(t, f.sink.get("lost"), "")
+		f.informer.ReceiveChanges(late)
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, f.sink.get("lost"), "")
+	})
+}
--- a/internal/standin/objectapi/link.go
+++ b/internal/standin/objectapi/link.go
@@ -29,9 +29,10 @@
 type Link struct {
 	store *Memory
 
-	mu     sync.Mutex // guards faults and frozen
+	mu     sync.Mutex // guards all below
 	faults LinkFaults
 	frozen map[key]object.Object
+	era    object.Era // newest era that an answer over this path has shown
 }
 
 // NewLink returns a path to store without faults.
@@ -68,6 +69,21 @@
 	return wait(ctx, f.Delay)
 }
 
+// Era returns the newest era that an answer over this path has shown.
+func (l *Link) Era() object.Era {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era
+}
+
+// observeEra records the era of an answer that has just passed.
+func (l *Link) observeEra() {
+	era := l.store.Era()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era = max(l.era, era)
+}
+
 // takeWriteFault uses up one fault of a write.
 func (l *Link) takeWriteFault() (lose, late bool, lateBy time.Duration) {
 	l.mu.Lock()
@@ -101,6 +117,7 @@
 	if lose {
 		return 0, object.ErrOutcomeUnknown
 	}
+	l.observeEra()
 	return version, err
 }
 
@@ -113,6 +130,7 @@
 	stale, frozen := l.faults.Stale, l.frozen
 	l.mu.Unlock()
 	if !stale {
+		l.observeEra()
 		return l.store.Get(ctx, kind, name)
 	}
 	o, ok := frozen[key{kind, name}]
@@ -180,6 +198,7 @@
 	if err := l.pass(ctx); err != nil {
 		return nil, 0, err
 	}
+	l.observeEra()
 	return l.store.ListAt(ctx, kind)
 }
 
@@ -192,5 +211,6 @@
 	if passed := l.pass(ctx); passed != nil {
 		return nil, after, passed
 	}
+	l.observeEra()
 	return events, next, err
 }
--- a/internal/standin/objectapi/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -52,6 +52,7 @@
 
 	mu        sync.Mutex // guards all below
 	objects   map[key]object.Object
+	era       object.Era // number of times that the store was restored from a backup
 	version   object.Version
 	log       []object.Event
 	logStart  object.Version // every change after this version is in log
@@ -153,7 +154,7 @@
 	if !ok {
 		return 0, answer(loseAnswer, object.ErrNotFound)
 	}
-	if o.Version != expected {
+	if o.Version.Revision() != expected.Revision() {
 		m.counts.Conflicts++
 		return 0, answer(loseAnswer, object.ErrConflict)
 	}
@@ -177,7 +178,7 @@
 	if !ok {
 		return answer(loseAnswer, object.ErrNotFound)
 	}
-	if o.Version != expected {
+	if o.Version.Revision() != expected.Revision() {
 		m.counts.Conflicts++
 		return answer(loseAnswer, object.ErrConflict)
 	}
@@ -198,7 +199,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.objects[k].Version != expected {
+	if m.objects[k].Version.Revision() != expected.Revision() {
 		m.counts.Conflicts++
 		return 0, answer(loseAnswer, object.ErrConflict)
 	}
@@ -280,12 +281,13 @@
 	if m.faults.Outage {
 		return nil, after, nil, object.ErrUnavailable
 	}
-	if after < m.logStart {
+	since := m.inCurrentEra(after) // requests name bare revisions
+	if since < m.logStart || since > m.version {
 		return nil, after, nil, object.ErrHistoryGone
 	}
 	var events []object.Event
 	for _, e := range m.log {
-		if e.Object.Kind == kind && e.Object.Version > after {
+		if e.Object.Kind == kind && e.Object.Version > since {
 			events = append(events, object.Event{Object: clone(e.Object), Deleted: e.Deleted})
 		}
 	}
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -25,7 +25,43 @@
 	mux.HandleFunc("DELETE "+platform.ObjectPattern, s.remove)
 	mux.HandleFunc("GET "+platform.KindPattern, s.listOrWatch)
 	mux.HandleFunc("POST "+platform.KindPattern, s.create)
-	return mux
+	return s.withEra(mux)
+}
+
+// withEra sets the store's era in all answers once the store has come back from a copy:
+// the era of the content, or the current one in answers without content.
+func (s *server) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&eraWriter{ResponseWriter: w, store: s.store}, r)
+	})
+}
+
+// eraWriter sets the era as the head of an answer is written.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Memory
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *eraWriter) WriteHeader(status int) {
+	if w.Header().Get(platform.HeaderStoreEra) == "" {
+		setEra(w, w.store.Era())
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func setEra(w http.ResponseWriter, era object.Era) {
+	if era > 0 {
+		platform.EncodeStoreEra(w.Header(), era)
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *eraWriter) Write(data []byte) (int, error) {
+	if w.Header().Get(platform.HeaderStoreEra) == "" {
+		setEra(w, w.store.Era())
+	}
+	return w.ResponseWriter.Write(data)
 }
 
 type server struct{ store *Memory }
@@ -45,7 +81,7 @@
 	if err != nil {
 		return object.Object{}, object.ErrTooLarge
 	}
-	return platform.DecodeObject(object.Kind(r.PathValue("kind")), body)
+	return platform.DecodeObject(object.Kind(r.PathValue("kind")), 0, body)
 }
 
 func (s *server) create(w http.ResponseWriter, r *http.Request) {
@@ -81,7 +117,11 @@
 		return
 	}
 	kind, name := target(r)
-	if err := s.store.Delete(r.Context(), kind, name, query.ExpectedVersion); err != nil {
+	expected, err := object.NewVersion(s.store.Era(), query.ExpectedRevision)
+	if err == nil {
+		err = s.store.Delete(r.Context(), kind, name, expected)
+	}
+	if err != nil {
 		writeError(w, err)
 	}
 }
@@ -95,11 +135,17 @@
 	}
 	if query.IsWatch {
 		wait := min(query.Wait, platform.MaxWatchWait)
-		events, next, err := s.store.WatchSince(r.Context(), kind, query.WatchAfter, wait)
+		after, err := object.NewVersion(s.store.Era(), query.WatchAfter)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		events, next, err := s.store.WatchSince(r.Context(), kind, after, wait)
 		if err != nil {
 			writeError(w, err)
 			return
 		}
+		setEra(w, next.Era())
 		writeBody(w)(platform.EncodeEvents(events, next))
 		return
 	}
@@ -119,7 +165,8 @@
 	}
 	found = slices.DeleteFunc(found, func(o object.Object) bool { return o.Name <= after })
 	more := len(found) > pageLength
-	writeBody(w)(platform.EncodePage(platform.Page{Objects: found[:min(pageLength, len(found))], More: more, Revision: version}))
+	setEra(w, version.Era())
+	writeBody(w)(platform.EncodePage(platform.Page{Objects: found[:min(pageLength, len(found))], More: more, Version: version}))
 }
 
 // instances returns the instances that tests have listed, as objects.
@@ -144,6 +191,7 @@
 		writeError(w, err)
 		return
 	}
+	setEra(w, o.Version.Era())
 	writeBody(w)(platform.EncodeObject(o))
 }
 
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"savoryweir/internal/state/object"
 )
 
 // RouteKind determines whether the requests of a route may be retried and how
@@ -116,8 +118,8 @@
 	Address         string
 	Zone            string
 	Draining        bool
-	EntryVersion    uint64 // version of the upstream's entry in the store
-	AcceptedOrders  uint64 // orders accepted since the start; known only from the engine's own reports
+	EntryVersion    object.Version // version of the upstream's entry in the store
+	AcceptedOrders  uint64         // orders accepted since the start; known only from the engine's own reports
 	OrderInProgress bool
 	Models          []ResidentModel
 	LoadingAdapters []string // adapters that are being loaded, as MODEL/NAME
--- a/internal/state/loads/responsiveness.go
+++ b/internal/state/loads/responsiveness.go
@@ -95,5 +95,14 @@
 	return avoidance
 }
 
+// AvoidFor records that an upstream is to be avoided for d, but not longer than after
+// repeated failures.
+func (t *ResponsivenessTracker) AvoidFor(now time.Time, id fleet.UpstreamID, d time.Duration) {
+	entry := t.getOrCreate(id)
+	if until := now.Add(min(d, maxAvoidance)); until.After(entry.AvoidUntil) {
+		entry.AvoidUntil = until
+	}
+}
+
 // Forget drops the responsiveness of an upstream.
 func (t *ResponsivenessTracker) Forget(id fleet.UpstreamID) { delete(t.upstreams, id) }
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -14,10 +14,6 @@
 // Name identifies an object within its kind.
 type Name string
 
-// Version is the store version of an object's last write. It increases with each
-// write to the store. Zero means that the object does not exist.
-type Version uint64
-
 // MaxSizeBytes is the largest value that the store accepts.
 const MaxSizeBytes = 1 << 20
 
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -47,6 +48,7 @@
 	timeout time.Duration
 	http    *http.Client
 	observe Observer
+	eras    *eraTracker
 }
 
 // Observer is called after each call to the store with its step, duration and error.
@@ -76,7 +78,7 @@
 		}
 		transport.DialTLSContext = identity.WrapDial(keepalive.Dialer(s.Timeout).DialContext)
 	}
-	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: transport}}, nil
+	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: transport}, eras: newEraTracker()}, nil
 }
 
 // operation describes one HTTP call to the store.
@@ -99,11 +101,11 @@
 // Get implements object.Reader.
 func (c *Client) Get(ctx context.Context, kind object.Kind, name object.Name) (object.Object, error) {
 	const step errs.Step = "get object"
-	body, err := c.do(ctx, operation{step: step, method: http.MethodGet, path: platform.ObjectPath(kind, name), maxResponseBytes: maxObjectResponseBytes})
+	got, err := c.do(ctx, operation{step: step, method: http.MethodGet, path: platform.ObjectPath(kind, name), maxResponseBytes: maxObjectResponseBytes})
 	if err != nil {
 		return object.Object{}, err
 	}
-	o, err := platform.DecodeObject(kind, body)
+	o, err := platform.DecodeObject(kind, got.era, got.body)
 	return o, errs.Wrap(err, step, peer)
 }
 
@@ -123,18 +125,21 @@
 	var all []object.Object
 	var version object.Version
 	for after := object.Name(""); ; {
-		body, err := c.do(ctx, operation{
+		got, err := c.do(ctx, operation{
 			step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.ListQuery(after), maxResponseBytes: maxListResponseBytes,
 		})
 		if err != nil {
 			return nil, 0, err
 		}
-		page, err := platform.DecodePage(kind, body)
+		page, err := platform.DecodePage(kind, got.era, got.body)
 		if err != nil {
 			return nil, 0, errs.Wrap(err, step, peer)
 		}
 		if version == 0 {
-			version = page.Revision
+			version = page.Version
+		}
+		if page.Version.Era() != version.Era() {
+			return nil, 0, errs.Wrap(errors.Join(object.ErrUnavailable, errEraChanged), step, peer)
 		}
 		all = append(all, page.Objects...)
 		if !page.More || len(page.Objects) == 0 {
@@ -162,17 +167,19 @@
 }
 
 // WatchSince waits for changes after a version. It returns object.ErrHistoryGone if
-// the store no longer has these changes.
+// the store no longer has these changes. The store knows nothing of eras in a request: if
+// the version returned is of a later era than after, the events may have gaps, and all
+// objects must be listed again.
 func (c *Client) WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
 	const step errs.Step = "watch objects"
-	body, err := c.do(ctx, operation{
+	got, err := c.do(ctx, operation{
 		step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.WatchQuery(after, wait),
 		maxResponseBytes: maxListResponseBytes, isWatch: true, maxWait: wait,
 	})
 	if err != nil {
 		return nil, after, err
 	}
-	events, next, err := platform.DecodeEvents(kind, body)
+	events, next, err := platform.DecodeEvents(kind, got.era, got.body)
 	if err != nil {
 		return nil, after, errs.Wrap(err, step, peer)
 	}
@@ -235,11 +242,11 @@
 
 // doWrite performs a write and returns the version of the written object.
 func (c *Client) doWrite(ctx context.Context, kind object.Kind, op operation) (object.Version, error) {
-	response, err := c.do(ctx, op)
+	got, err := c.do(ctx, op)
 	if err != nil {
 		return 0, err
 	}
-	stored, err := platform.DecodeObject(kind, response)
+	stored, err := platform.DecodeObject(kind, got.era, got.body)
 	if err != nil {
 		return 0, errs.Wrap(errors.Join(object.ErrOutcomeUnknown, err), op.step, peer)
 	}
@@ -255,24 +262,30 @@
 	return err
 }
 
+// answer is a successful response of the store.
+type answer struct {
+	era  object.Era
+	body []byte
+}
+
 // do performs one call within its time limit, reports it to the observer and maps a
 // failure to the errors of package object.
-func (c *Client) do(ctx context.Context, op operation) ([]byte, error) {
+func (c *Client) do(ctx context.Context, op operation) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+op.maxWait)
 	defer cancel()
 	started := time.Now()
-	body, err := c.send(ctx, op)
+	got, err := c.send(ctx, op)
 	if c.observe != nil {
 		c.observe(op.step, time.Since(started), err)
 	}
-	return body, errs.Wrap(err, op.step, peer)
+	return got, errs.Wrap(err, op.step, peer)
 }
 
-// send performs one call and returns the body of a successful response.
-func (c *Client) send(ctx context.Context, op operation) ([]byte, error) {
+// send performs one call and returns the successful response.
+func (c *Client) send(ctx context.Context, op operation) (answer, error) {
 	request, err := c.newRequest(ctx, op)
 	if err != nil {
-		return nil, err
+		return answer{}, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -283,20 +296,43 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil && errors.Is(context.Cause(ctx), object.ErrWatchUnanswered) {
-		return nil, errors.Join(object.ErrWatchUnanswered, err)
+		return answer{}, errors.Join(object.ErrWatchUnanswered, err)
 	}
 	if err != nil {
-		return nil, transportError(op, err)
+		return answer{}, transportError(op, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, op.maxResponseBytes))
-	if err := statusError(op, response.StatusCode); err != nil {
-		return nil, err
+	statusErr := statusError(op, response.StatusCode)
+	if errors.Is(statusErr, object.ErrUnavailable) || errors.Is(statusErr, object.ErrThrottled) {
+		return answer{}, statusErr // the store did nothing, whatever its era
+	}
+	era, eraErr := c.responseEra(op, response.Header)
+	if err := cmp.Or(eraErr, statusErr); err != nil {
+		return answer{}, err
 	}
 	if err != nil {
-		return nil, transportError(op, err)
+		return answer{}, transportError(op, err)
+	}
+	return answer{era: era, body: body}, nil
+}
+
+// responseEra returns the era of a response and records it. It returns an error for a
+// response of an earlier era than is known, because what that response says no longer
+// holds.
+func (c *Client) responseEra(op operation, h http.Header) (object.Era, error) {
+	era, err := platform.DecodeStoreEra(h)
+	if err == nil && !c.eras.observe(era) {
+		err = errOldEra
+	}
+	switch {
+	case err == nil:
+		return era, nil
+	case op.isWrite():
+		return 0, errors.Join(object.ErrOutcomeUnknown, err)
+	default:
+		return 0, errors.Join(object.ErrUnavailable, err)
 	}
-	return body, nil
 }
 
 func (c *Client) newRequest(ctx context.Context, op operation) (*http.Request, error) {
