--- /dev/null
+++ b/internal/coordination/aggregation/aggregation.go
@@ -0,0 +1,117 @@
+// Package aggregation decides which instances aggregate the loads that the instances of a
+// large fleet report. If each instance reported to all others, the messages would grow with
+// the square of the fleet. Instead, the instances of an availability zone report to two of
+// them, the aggregators, which exchange sums with the aggregators of the other zones and send
+// each instance the sum over the whole fleet. All instances choose the aggregators on their
+// own, by hash, and pass over those that don't respond.
+package aggregation
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// AggregatorsPerZone is the number of aggregators of an availability zone. The second
+	// one holds the same reports, so that it takes over at once when the first one stops.
+	AggregatorsPerZone = 2
+	// responseTimeout is how long an aggregator may stay silent before it is passed over:
+	// longer than two messages at the pace of the second aggregator.
+	responseTimeout = 1500 * time.Millisecond
+	// suspicionPeriod is how long an unresponsive aggregator is passed over before it is
+	// tried again.
+	suspicionPeriod = 6 * time.Second
+	// takeoverTimeout is the silence of the first aggregator after which the second one
+	// leads: several messages at the pace of the first.
+	takeoverTimeout = 500 * time.Millisecond
+)
+
+// Candidate is an instance that may be an aggregator of its availability zone.
+type Candidate struct {
+	Instance string
+	HeardAt  time.Time // time of its latest message; zero if none was received
+}
+
+// Selector chooses the aggregators of one availability zone. It is not safe for concurrent
+// use.
+type Selector struct {
+	zone         string
+	self         string               // this instance, which is always responsive
+	selectedAt   map[string]time.Time // time since which an instance has been selected
+	suspectUntil map[string]time.Time
+}
+
+// NewSelector returns a selector for a zone. self is the instance that chooses.
+func NewSelector(zone, self string) *Selector {
+	return &Selector{zone: zone, self: self, selectedAt: make(map[string]time.Time), suspectUntil: make(map[string]time.Time)}
+}
+
+// Select returns the aggregators among the candidates, in the order of their rank.
+func (s *Selector) Select(now time.Time, candidates []Candidate) []Candidate {
+	ranked := s.rank(candidates)
+	var selected []Candidate
+	for _, c := range ranked {
+		if s.isUnresponsive(now, c) {
+			s.suspectUntil[c.Instance] = now.Add(suspicionPeriod)
+		}
+		if now.Before(s.suspectUntil[c.Instance]) {
+			continue
+		}
+		if selected = append(selected, c); len(selected) == AggregatorsPerZone {
+			break
+		}
+	}
+	selectedAt := make(map[string]time.Time, len(selected))
+	for _, c := range selected {
+		selectedAt[c.Instance] = now
+		if since, ok := s.selectedAt[c.Instance]; ok {
+			selectedAt[c.Instance] = since
+		}
+	}
+	s.selectedAt = selectedAt
+	return selected
+}
+
+// rank returns the candidates by descending hash, so that all instances rank them alike and
+// the zones' aggregators are spread over the instances.
+func (s *Selector) rank(candidates []Candidate) []Candidate {
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(s.weight(b.Instance), s.weight(a.Instance)), cmp.Compare(a.Instance, b.Instance))
+	})
+	return ranked
+}
+
+func (s *Selector) weight(instance string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(instance + "/" + s.zone))
+	return h.Sum64()
+}
+
+// isUnresponsive reports whether a selected instance has sent nothing for too long.
+func (s *Selector) isUnresponsive(now time.Time, c Candidate) bool {
+	since, selected := s.selectedAt[c.Instance]
+	if !selected || c.Instance == s.self {
+		return false
+	}
+	if c.HeardAt.After(since) {
+		since = c.HeardAt
+	}
+	return now.Sub(since) > responseTimeout
+}
+
+// Leads reports whether this instance leads among the selected aggregators: it is the first
+// one, or those before it are silent.
+func (s *Selector) Leads(now time.Time, selected []Candidate) bool {
+	for _, c := range selected {
+		if c.Instance == s.self {
+			return true
+		}
+		if now.Sub(c.HeardAt) < takeoverTimeout {
+			return false
+		}
+	}
+	return false
+}
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -101,12 +101,18 @@
 
 // MayAct returns the fencing token and true if the instance may act now.
 func (l *Lease) MayAct(now time.Duration) (object.Version, bool) {
-	if l.fencingToken == 0 || now < l.mayActFrom || now >= l.sentAt+l.settings.Lifetime-l.settings.ExpiryMargin {
+	if !l.IsValid(now) || now < l.mayActFrom {
 		return 0, false
 	}
 	return l.fencingToken, true
 }
 
+// IsValid reports whether the instance holds the lease and has renewed it in time, even if it
+// may not act yet.
+func (l *Lease) IsValid(now time.Duration) bool {
+	return l.fencingToken != 0 && now < l.sentAt+l.settings.Lifetime-l.settings.ExpiryMargin
+}
+
 // Holds reports whether the instance holds the lease, even if it may not act yet.
 func (l *Lease) Holds() bool { return l.fencingToken != 0 }
 
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -51,6 +51,15 @@
 	t.failures.SetRemote(now, instance, outcomes)
 }
 
+// RecordFleetStats replaces the statistics of all other instances by their sum.
+func (t *UpstreamTracker) RecordFleetStats(s loads.Stats) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	t.inFlight.ReplaceRemote(now, s.Loads)
+	t.failures.ReplaceRemote(now, s.Outcomes, s.Instances)
+}
+
 // RecordPeerPause records that an upstream asked another instance for a pause. The upstream is
 // avoided for that time, but not excluded.
 func (t *UpstreamTracker) RecordPeerPause(id fleet.UpstreamID, d time.Duration) {
@@ -59,6 +68,13 @@
 	t.responsiveness.AvoidFor(t.now(), id, d)
 }
 
+// EstimatedLoad returns the estimated load of an upstream over all instances.
+func (t *UpstreamTracker) EstimatedLoad(id fleet.UpstreamID) loads.Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inFlight.Total(t.now(), id)
+}
+
 // LocalStats returns the statistics of this instance: its requests in flight and their
 // recent outcomes, by upstream.
 func (t *UpstreamTracker) LocalStats() (map[fleet.UpstreamID]loads.Load, map[fleet.UpstreamID]loads.OutcomeCounts) {
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -74,20 +74,44 @@
 	}, nil
 }
 
-// AddPeers adds or updates the addresses of other instances.
-func (m *Mesh) AddPeers(peers map[string]netip.AddrPort) {
+// Listed is the entry of an instance in the platform's store.
+type Listed struct {
+	Address netip.AddrPort
+	Zone    string
+}
+
+// AddPeers adds or updates the addresses and availability zones of other instances.
+func (m *Mesh) AddPeers(listed map[string]Listed) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for instance, address := range peers {
+	for instance, l := range listed {
 		if instance != m.instance {
-			m.peers[instance] = peer{address: address, zone: m.peers[instance].zone}
+			m.peers[instance] = peer{address: l.Address, zone: l.Zone}
 		}
 	}
 }
 
+// Peer describes another instance.
+type Peer struct {
+	Instance string
+	Zone     string    // empty if not known
+	HeardAt  time.Time // time of its latest datagram; zero if none was received
+}
+
+// Peers returns the other instances known.
+func (m *Mesh) Peers() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Peer, 0, len(m.peers))
+	for instance, p := range m.peers {
+		list = append(list, Peer{Instance: instance, Zone: p.zone, HeardAt: m.received[instance].at})
+	}
+	return list
+}
+
 // RemoveSilentPeers removes the instances that are not listed and from which no datagram
 // was received since the given time.
-func (m *Mesh) RemoveSilentPeers(since time.Time, listed map[string]netip.AddrPort) {
+func (m *Mesh) RemoveSilentPeers(since time.Time, listed map[string]Listed) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for instance := range m.peers {
@@ -145,6 +169,16 @@
 	m.send(message, func(_ string, p peer) bool { return (p.zone == m.zone) == sameZone })
 }
 
+// Send sends a message to one instance. It does nothing if that one is not known.
+func (m *Mesh) Send(instance string, message *pb.FleetMessage) {
+	m.mu.Lock()
+	p, known := m.peers[instance]
+	m.mu.Unlock()
+	if known {
+		m.sendToAddresses(message, []netip.AddrPort{p.address})
+	}
+}
+
 // SendTo sends a message to one instance, or to all other instances if that one is not
 // known.
 func (m *Mesh) SendTo(instance string, message *pb.FleetMessage) {
@@ -156,7 +190,19 @@
 
 // send sends a message to the peers for which matches returns true.
 func (m *Mesh) send(message *pb.FleetMessage, matches func(instance string, p peer) bool) {
-	data, targets, err := m.encode(message, matches)
+	var targets []netip.AddrPort
+	m.mu.Lock()
+	for instance, p := range m.peers {
+		if matches(instance, p) {
+			targets = append(targets, p.address)
+		}
+	}
+	m.mu.Unlock()
+	m.sendToAddresses(message, targets)
+}
+
+func (m *Mesh) sendToAddresses(message *pb.FleetMessage, targets []netip.AddrPort) {
+	data, err := m.encode(message)
 	if err != nil {
 		m.log.Error().Err(err).Str("event", "mesh.failed").Msg("failed to encode a datagram")
 		return
@@ -168,24 +214,14 @@
 	}
 }
 
-// encode sets the sender and the next sequence number of a message, and returns
-// the encoded message and the addresses of the matching peers.
-func (m *Mesh) encode(message *pb.FleetMessage, matches func(instance string, p peer) bool) ([]byte, []netip.AddrPort, error) {
+// encode sets the sender and the next sequence number of a message, and returns the encoded
+// message.
+func (m *Mesh) encode(message *pb.FleetMessage) ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
 	message.Instance, message.Incarnation, message.Sequence, message.Zone = m.instance, m.incarnation, m.sequence, m.zone
-	data, err := proto.Marshal(message)
-	if err != nil {
-		return nil, nil, err
-	}
-	var targets []netip.AddrPort
-	for instance, p := range m.peers {
-		if matches(instance, p) {
-			targets = append(targets, p.address)
-		}
-	}
-	return data, targets, nil
+	return proto.Marshal(message)
 }
 
 // Run receives datagrams until ctx ends.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
 	n.upstreamInformer = n.newInformer(platform.KindUpstreams, upstreamWatchPause, upstreamSink{n}, upstreamRelistGap, n.reporter.relayChanges)
-	n.leaseManager = reconciler.NewLeaseManager(n.store, logging.WithComponent(n.log, "lease"), boottime.Now, n.storeRetryDelay, leases, n.settings.Instance.ID, uuid.NewString())
+	n.leaseManager = reconciler.NewLeaseManager(n.store, logging.WithComponent(n.log, "lease"), boottime.Now, n.storeRetryDelay, n.leaseContentionDelay, leases, n.settings.Instance.ID, uuid.NewString())
 	n.reconciler = reconciler.New(reconciler.Options{
 		Instance: n.settings.Instance.ID, Log: logging.WithComponent(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
 		Pool: n.pool, Leases: n.leaseManager, Config: n.gateway.Config, Announce: n.reporter.announceResidency, PrefillTokensPerSecond: n.tracker.PrefillTokensPerSecond, FailureRatio: n.tracker.FailureRate,
@@ -159,6 +159,11 @@
 	// instance waits between the minimum and the maximum delay.
 	storeRetryDelayPerInstance = 100 * time.Millisecond
 	minStoreRetryDelay         = 300 * time.Millisecond
+	// The delays before attempts to acquire the lease: about one attempt per two intervals of
+	// the report loop in a large fleet.
+	leaseContentionDelayPerInstance = 5 * time.Millisecond
+	minLeaseContentionDelay         = 50 * time.Millisecond
+	maxLeaseContentionDelay         = time.Second
 	// storeRewriteDelayPerInstance spreads the writes with which all instances restore their
 	// entries after the store came back from an older copy: a hundred per second.
 	storeRewriteDelayPerInstance = 10 * time.Millisecond
@@ -202,6 +207,12 @@
 	return min(max(time.Duration(n.instanceCount())*storeRetryDelayPerInstance, minStoreRetryDelay), maxStoreRetryDelay)
 }
 
+// leaseContentionDelay returns the longest random delay before this instance tries to acquire
+// the lease. The beacon of the first one to do so reaches the others meanwhile.
+func (n *Node) leaseContentionDelay() time.Duration {
+	return min(max(time.Duration(n.instanceCount())*leaseContentionDelayPerInstance, minLeaseContentionDelay), maxLeaseContentionDelay)
+}
+
 // newInformer returns an informer that tracks the objects of one kind in the store.
 func (n *Node) newInformer(kind object.Kind, pause time.Duration, sink storewatch.Sink, relistGap uint64, relay func(storewatch.Changes)) *storewatch.Informer {
 	var informer *storewatch.Informer
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -74,15 +75,42 @@
 	settingsFile   string
 }
 
+// freePort returns a port that is free for TCP and UDP.
 func freePort(t *testing.T) int {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	for {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		port := l.Addr().(*net.TCPAddr).Port
+		datagrams, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		_ = l.Close()
+		if err == nil {
+			_ = datagrams.Close()
+			return port
+		}
+	}
 }
 
 func (c *cluster) startInstance(t *testing.T, id string) *instance {
+	t.Helper()
+	return c.startInstanceWith(t, id, func(*Node) {})
+}
+
+// startInstanceWith calls prepare before the instance runs. Another process may take a port
+// between its choice and its use; the instance is then started again with other ports.
+func (c *cluster) startInstanceWith(t *testing.T, id string, prepare func(*Node)) *instance {
+	t.Helper()
+	for {
+		i, err := c.tryStartInstance(t, id, prepare)
+		if err == nil {
+			return i
+		}
+		assert.ErrorIs(t, err, syscall.EADDRINUSE)
+	}
+}
+
+// tryStartInstance starts an instance and waits until it listens for callers.
+func (c *cluster) tryStartInstance(t *testing.T, id string, prepare func(*Node)) (*instance, error) {
 	t.Helper()
 	i := &instance{signals: make(chan os.Signal, 4), runErr: make(chan error, 1), settingsFile: filepath.Join(t.TempDir(), "node.ini")}
 	i.callersAddress = fmt.Sprintf("127.0.0.1:%d", freePort(t))
@@ -91,11 +119,22 @@
 	_, err := settings.Parse(settings.Program{Name: "test"}, &s, []string{"--settings=" + i.settingsFile})
 	assert.NilError(t, err)
 	logWriter := logging.NewAsyncWriter(c.logs)
-	i.node, err = New(s, logWriter)
-	assert.NilError(t, err)
+	if i.node, err = New(s, logWriter); err != nil {
+		return nil, err
+	}
+	prepare(i.node)
 	go logWriter.Run(t.Context().Done())
 	go func() { i.runErr <- i.node.Run(i.signals) }()
-	return i
+	for {
+		select {
+		case err := <-i.runErr:
+			return nil, err
+		case <-time.After(5 * time.Millisecond):
+		}
+		if conn, err := net.Dial("tcp4", i.callersAddress); err == nil {
+			return i, conn.Close()
+		}
+	}
 }
 
 func (i *instance) writeSettings(t *testing.T, c *cluster, id, grace string) {
@@ -104,11 +143,19 @@
 	if i.node != nil {
 		port = i.node.settings.Mesh.Port
 	}
-	text := fmt.Sprintf("[instance]\nid = %s\nzone = z\naddress = 127.0.0.1\n[callers]\naddress = %s\n[ready]\naddress = 127.0.0.1:%d\n[mesh]\nport = %d\n[operations]\nport = %d\n[store]\nurl = %s\n[bounds]\ngrace = %s\n",
-		id, i.callersAddress, freePort(t), port, freePort(t), c.storeURL, grace)
+	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\naddress = 127.0.0.1\n[callers]\naddress = %s\n[ready]\naddress = 127.0.0.1:%d\n[mesh]\nport = %d\n[operations]\nport = %d\n[store]\nurl = %s\n[bounds]\ngrace = %s\n",
+		id, c.zoneOf(id), i.callersAddress, freePort(t), port, freePort(t), c.storeURL, grace)
 	assert.NilError(t, os.WriteFile(i.settingsFile, []byte(text), 0o600))
 }
 
+// zoneOf returns the availability zone of an instance, which may follow an @ in its ID.
+func (c *cluster) zoneOf(id string) string {
+	if _, zone, ok := strings.Cut(id, "@"); ok {
+		return zone
+	}
+	return "z"
+}
+
 func (i *instance) send(path string) (int, string) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+i.callersAddress+path, strings.NewReader("x"))
 	if err != nil {
@@ -129,6 +176,30 @@
 	return response.StatusCode, string(body)
 }
 
+// startLargeFleet starts eight instances in two availability zones, which aggregate their
+// loads, and waits until they know each other. They stop at the end of the test.
+func (c *cluster) startLargeFleet(t *testing.T) []*instance {
+	t.Helper()
+	c.applyConfig(t, 1, "a")
+	var all []*instance
+	for n := range 8 {
+		id := fmt.Sprintf("i%d@%s", n, []string{"y", "z"}[n%2])
+		all = append(all, c.startInstanceWith(t, id, func(n *Node) { n.reporter.aggregator.minPeers = 4 }))
+	}
+	t.Cleanup(func() {
+		for _, i := range all {
+			i.signals <- syscall.SIGTERM
+		}
+		for _, i := range all {
+			assert.Check(t, <-i.runErr)
+		}
+	})
+	for _, i := range all {
+		eventually(t, "all instances known", func() bool { return i.node.mesh.PeerCount() == len(all)-1 })
+	}
+	return all
+}
+
 func (i *instance) terminate(t *testing.T) {
 	t.Helper()
 	i.signals <- syscall.SIGTERM
@@ -333,3 +404,76 @@
 	c.applyConfig(t, 3, "a", "c")
 	eventually(t, "a response on the route of the new era", func() bool { status, _ := i.send("/c/1"); return status == 200 })
 }
+
+// In a large fleet instances report to the aggregators of their availability zone alone. The
+// loads of each instance must still reach all others, also after all aggregators of a zone
+// have stopped without notice, and no load may be counted twice.
+func TestLoadsReachAllInstancesThroughAggregators(t *testing.T) {
+	const inFlight = 3
+	release := make(chan struct{})
+	c := startCluster(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respondSealed(w, r)
+	})
+	all := c.startLargeFleet(t)
+	var answers sync.WaitGroup
+	defer answers.Wait()
+	defer close(release)
+	for _, i := range all[:2] { // one instance in each zone
+		for range inFlight {
+			answers.Go(func() {
+				for status := 0; status != http.StatusOK; {
+					status, _ = i.send("/a/1") // until the upstream answers; earlier tries end at their deadline
+				}
+			})
+		}
+	}
+	loadSeen := func(i *instance) int { return i.node.tracker.EstimatedLoad("u1").Running }
+	seesAll := func(i *instance) func() bool {
+		return func() bool { return loadSeen(i) == 2*inFlight }
+	}
+	for _, i := range all {
+		eventually(t, "the loads of both instances", seesAll(i))
+	}
+	var aggregators, others []*instance
+	for _, i := range all[2:] {
+		if len(i.node.reporter.aggregator.aggregate.Members(time.Now())) > 1 {
+			aggregators = append(aggregators, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	assert.Assert(t, len(aggregators) > 0 && len(others) > 0)
+	for _, i := range aggregators {
+		i.node.reporter.aggregator.mu.Lock() // the process hangs
+		defer i.node.reporter.aggregator.mu.Unlock()
+	}
+	time.Sleep(4 * time.Second) // longer than loads of the earlier aggregators are used
+	for _, i := range others {
+		eventually(t, "the loads of both instances through other aggregators", seesAll(i))
+		for range 50 {
+			assert.Assert(t, loadSeen(i) <= 2*inFlight, "%d requests are counted instead of %d", loadSeen(i), 2*inFlight)
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+// In a large fleet the link of one instance can't carry the changes of the store to each other
+// instance: aggregators forward them. A change must reach all instances, and only a few of
+// them may ask the store for it.
+func TestChangesReachAllInstancesThroughAggregators(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	all := c.startLargeFleet(t)
+	time.Sleep(assumedWatcherPeriod + time.Second) // the watchers have settled
+	before := c.store.Counts().Reads()
+	const changes = 30
+	for n := range changes {
+		c.put(t, platform.KindUpstreams, "u2", fmt.Sprintf(`{"service":"s","address":"127.0.0.1:9","zone":"z","slots":%d,"state":"ready","born":1}`, n+1))
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, i := range all {
+		eventually(t, "the new upstream at all instances", func() bool { return i.node.registry.View().Get("u2") != nil })
+	}
+	reads := c.store.Counts().Reads() - before - changes // put itself reads once per change
+	assert.Assert(t, reads < watcherCount*2*changes, "%d reads for %d changes at %d instances", reads, changes, len(all))
+}
--- a/internal/node/reconciler/leaseera_test.go
+++ b/internal/node/reconciler/leaseera_test.go
@@ -109,7 +109,7 @@
 	}
 	retry := func() time.Duration { return 300 * time.Millisecond }
 	name := string(rune('a' + index))
-	manager := NewLeaseManager(frozenStore{link, freezer}, zerolog.Nop(), clock, retry, LeaseSettings(3*time.Second), name, fmt.Sprintf("process-%d", m.processes))
+	manager := NewLeaseManager(frozenStore{link, freezer}, zerolog.Nop(), clock, retry, func() time.Duration { return 50 * time.Millisecond }, LeaseSettings(3*time.Second), name, fmt.Sprintf("process-%d", m.processes))
 	m.contenders[index] = &contender{name: name, manager: manager, link: link, freezer: freezer, stop: stop}
 	go manager.Run(ctx)
 }
--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -54,6 +54,9 @@
 	// retryDelay returns the delay before an instance without the lease calls a
 	// store again that did not respond.
 	retryDelay func() time.Duration
+	// contentionDelay returns the longest random delay before an instance tries to acquire
+	// the lease, so that not all instances of a large fleet try at the same time.
+	contentionDelay func() time.Duration
 
 	lease     *lease.Lease
 	leaseLock chan struct{} // serves as a mutex for lease; Run holds it only briefly
@@ -61,8 +64,8 @@
 
 // NewLeaseManager returns a lease manager for an instance. nonce identifies the
 // process.
-func NewLeaseManager(store LeaseStore, log zerolog.Logger, clock func() (time.Duration, error), retryDelay func() time.Duration, s lease.Settings, instance, nonce string) *LeaseManager {
-	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
+func NewLeaseManager(store LeaseStore, log zerolog.Logger, clock func() (time.Duration, error), retryDelay, contentionDelay func() time.Duration, s lease.Settings, instance, nonce string) *LeaseManager {
+	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, contentionDelay: contentionDelay, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
 }
 
 // withLease calls f while it holds the lock of the lease, which knows the newest era of the
@@ -101,6 +104,17 @@
 	return fence, ok
 }
 
+// HoldsLease reports whether this instance holds a valid lease, even if its turn to send
+// orders has not come yet.
+func (m *LeaseManager) HoldsLease() bool {
+	now, ok := m.now()
+	if !ok {
+		return false
+	}
+	m.withLease(func(l *lease.Lease) { ok = l.IsValid(now) })
+	return ok
+}
+
 // ObserveHolder records that another instance has just shown that it holds the lease.
 func (m *LeaseManager) ObserveHolder() {
 	if now, ok := m.now(); ok {
@@ -121,7 +135,7 @@
 		m.withLease(func(l *lease.Lease) { step, until = l.Next(now) })
 		switch step {
 		case lease.StepWait:
-			pause.For(ctx, min(until-now, time.Second)+rand.N(50*time.Millisecond))
+			pause.For(ctx, min(until-now, time.Second)+rand.N(m.contentionDelay()))
 		case lease.StepRead:
 			m.readRecord(ctx, now)
 		default:
--- a/internal/node/reconciler/leasemanager_test.go
+++ b/internal/node/reconciler/leasemanager_test.go
@@ -19,7 +19,7 @@
 	start := time.Now().Add(-time.Hour)
 	clock := func() (time.Duration, error) { return time.Since(start), nil }
 	retry := func() time.Duration { return 300 * time.Millisecond }
-	return NewLeaseManager(store, zerolog.Nop(), clock, retry, LeaseSettings(3*time.Second), instance, instance+"-process")
+	return NewLeaseManager(store, zerolog.Nop(), clock, retry, func() time.Duration { return 50 * time.Millisecond }, LeaseSettings(3*time.Second), instance, instance+"-process")
 }
 
 func TestRenewedLeaseIsNotTakenByInstanceWithoutPeerMessages(t *testing.T) {
--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -38,7 +38,7 @@
 func (r *Reconciler) executeAction(ctx context.Context, service string, class *fleet.EngineClass, u fleet.Upstream, a rebalance.Action) {
 	key := registry.ResidentKey{Upstream: u.ID, Model: a.Model, Adapter: a.Adapter}
 	if !a.Load {
-		r.announce(key, false)
+		r.announce(service, key, false)
 		if a.Adapter != "" {
 			pause.For(ctx, adapterUnloadDelay)
 		} else {
@@ -63,9 +63,9 @@
 	r.mu.Unlock()
 	switch {
 	case succeeded && a.Load && a.Adapter != "":
-		r.announce(key, true)
+		r.announce(service, key, true)
 	case !succeeded && !a.Load:
-		r.announce(key, true) // the model or adapter stays loaded
+		r.announce(service, key, true) // the model or adapter stays loaded
 	}
 	r.wake()
 }
--- a/internal/node/reconciler/orders_test.go
+++ b/internal/node/reconciler/orders_test.go
@@ -151,7 +151,7 @@
 				reg.MarkLeaving(u.ID, u.StartedAt)
 			}
 		},
-		Announce: func(registry.ResidentKey, bool) {},
+		Announce: func(registry.ResidentKey, bool, []string) {},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -170,7 +170,7 @@
 		end := time.Now().Add(8 * time.Second)
 		for !r.registry.View().Get("e1").Holds("m0", "a2") && len(r.registry.View().Usable("s", "m0", "a2")) == 0 {
 			assert.Assert(t, time.Now().Before(end), "the adapter is not loaded after %d lost responses", silent)
-			r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"})
+			r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"}, "i1")
 			time.Sleep(20 * time.Millisecond)
 		}
 		e.mu.Lock()
@@ -267,7 +267,7 @@
 	t.Helper()
 	before := e.requestCount()
 	for range 50 {
-		r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"})
+		r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"}, "i1")
 		time.Sleep(20 * time.Millisecond)
 	}
 	assert.Equal(t, e.requestCount(), before)
@@ -282,7 +282,7 @@
 	e.paused.Store(false)
 	for end := time.Now().Add(8 * time.Second); len(r.registry.View().Usable("s", "m0", "a2")) == 0; time.Sleep(20 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(end), "the adapter is not loaded after the pause")
-		r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"})
+		r.MarkWanted(rebalance.DemandKey{Service: "s", Model: "m0", Adapter: "a2"}, "i1")
 	}
 }
 
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -59,8 +59,9 @@
 	// engine itself.
 	ObserveResponse func(u *fleet.Upstream, status int, h http.Header)
 	// Announce tells the other instances that a model or adapter has become present
-	// at an upstream, or is about to be unloaded there.
-	Announce func(key registry.ResidentKey, present bool)
+	// at an upstream, or is about to be unloaded there. waiting are the instances whose
+	// requests wait for it.
+	Announce func(key registry.ResidentKey, present bool, waiting []string)
 }
 
 // Reconciler plans and sends orders while this instance holds the lease.
@@ -77,12 +78,12 @@
 	failureRatio           func(fleet.UpstreamID) float64
 	isPaused               func(*fleet.Upstream) bool
 	observeResponse        func(u *fleet.Upstream, status int, h http.Header)
-	announceToPeers        func(key registry.ResidentKey, present bool)
+	announceToPeers        func(key registry.ResidentKey, present bool, waiting []string)
 	wakeups                chan struct{}
 
 	mu           sync.Mutex // guards all fields below
 	demand       *rebalance.DemandTracker
-	wants        map[rebalance.DemandKey]time.Time // when a request last waited for a model or adapter
+	wants        map[rebalance.DemandKey]want
 	engines      map[fleet.UpstreamID]*engineState
 	loadStarts   map[string][]time.Time // start times of loads from the weight store, by service
 	lastLoggedAt map[string]time.Time   // time of the last log line about the placement, by service
@@ -95,7 +96,7 @@
 	return &Reconciler{
 		instance: o.Instance, log: o.Log, metrics: o.Metrics, registry: o.Registry, pool: o.Pool, leases: o.Leases,
 		config: o.Config, loadWindow: o.LoadWindow, prefillTokensPerSecond: o.PrefillTokensPerSecond, failureRatio: o.FailureRatio, isPaused: o.IsPaused, observeResponse: o.ObserveResponse, announceToPeers: o.Announce, wakeups: make(chan struct{}, 1),
-		demand: rebalance.NewDemandTracker(), wants: make(map[rebalance.DemandKey]time.Time),
+		demand: rebalance.NewDemandTracker(), wants: make(map[rebalance.DemandKey]want),
 		engines: make(map[fleet.UpstreamID]*engineState), loadStarts: make(map[string][]time.Time),
 		lastLoggedAt: make(map[string]time.Time),
 	}
@@ -109,11 +110,21 @@
 	r.demand.Observe(time.Now(), instance, incarnation, counts)
 }
 
-// MarkWanted records that a request waits for a model or adapter.
-func (r *Reconciler) MarkWanted(key rebalance.DemandKey) {
+// want records that requests wait for a model or adapter.
+type want struct {
+	at        time.Time // last report of such a request
+	instances []string  // instances that have reported one
+}
+
+// MarkWanted records that a request at an instance waits for a model or adapter.
+func (r *Reconciler) MarkWanted(key rebalance.DemandKey, instance string) {
 	r.mu.Lock()
-	_, known := r.wants[key]
-	r.wants[key] = time.Now()
+	w, known := r.wants[key]
+	w.at = time.Now()
+	if !slices.Contains(w.instances, instance) {
+		w.instances = append(w.instances, instance)
+	}
+	r.wants[key] = w
 	r.mu.Unlock()
 	if !known {
 		r.wake()
@@ -129,13 +140,16 @@
 }
 
 // announce updates the registry of this instance and tells the other instances.
-func (r *Reconciler) announce(key registry.ResidentKey, present bool) {
+func (r *Reconciler) announce(service string, key registry.ResidentKey, present bool) {
 	if present {
 		r.registry.MarkLoaded(key)
 	} else {
 		r.registry.MarkUnloading(key)
 	}
-	r.announceToPeers(key, present)
+	r.mu.Lock()
+	waiting := slices.Clone(r.wants[rebalance.DemandKey{Service: service, Model: key.Model, Adapter: key.Adapter}].instances)
+	r.mu.Unlock()
+	r.announceToPeers(key, present, waiting)
 }
 
 // Run plans and sends orders until ctx ends.
@@ -322,12 +336,12 @@
 // r.mu.
 func (r *Reconciler) wanted(service string, now time.Time) map[rebalance.AdapterKey]bool {
 	wanted := make(map[rebalance.AdapterKey]bool)
-	for key, at := range r.wants {
+	for key, w := range r.wants {
 		ttl := adapterWantTTL
 		if key.Adapter == "" {
 			ttl = modelWantTTL
 		}
-		if now.Sub(at) > ttl {
+		if now.Sub(w.at) > ttl {
 			delete(r.wants, key)
 			continue
 		}
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/node/mesh"
 	"savoryweir/internal/node/storewatch"
 	"savoryweir/internal/pause"
+	"savoryweir/internal/protocol/relaycodec"
 	"savoryweir/internal/state/object"
 	"savoryweir/platform"
 )
@@ -25,6 +28,11 @@
 	// minWatcherTimeout is the shortest time without reports after which an instance no longer
 	// counts as watching: two report intervals without changes, and one lost report.
 	minWatcherTimeout = 1200 * time.Millisecond
+	// maxWatcherTimeout is the same time at the slowest pace of reports.
+	maxWatcherTimeout = 5 * maxReportInterval / 2
+	// assumedWatcherPeriod is the time after the start in which other instances are assumed
+	// to watch the store.
+	assumedWatcherPeriod = 5 * time.Second
 	// maxRelayBytes limits the changes relayed in one datagram. Larger changes are not relayed;
 	// the other instances get them from the store.
 	maxRelayBytes = 32 << 10
@@ -37,15 +45,29 @@
 }
 
 // watcherRank returns the rank of this instance, counted from zero, among the instances that
-// watch the store, and the number of instances whose watches take turns.
+// watch the store, and the number of instances whose watches take turns. Just after the start,
+// any instance that is listed, and later any that was heard, may turn out to watch. Without that assumption all instances of a fleet that starts would watch until they
+// have heard each other.
 func (r *reporter) watcherRank(now time.Time) (rank, watchers int) {
 	_, otherZonePeers := r.node.mesh.PeerCountByZone()
-	timeout := max(minWatcherTimeout, 5*crossZoneIntervalPerPeer*time.Duration(otherZonePeers)/2)
+	timeout := max(minWatcherTimeout, min(5*crossZoneIntervalPerPeer*time.Duration(otherZonePeers)/2, maxWatcherTimeout))
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	seenAt := maps.Clone(r.watchersSeenAt)
+	r.mu.Unlock()
+	if age := now.Sub(r.node.startedAt); age < assumedWatcherPeriod {
+		peers := r.node.mesh.Peers()
+		if len(peers) == 0 && age < startupListInterval {
+			return watcherCount, watcherCount
+		}
+		for _, p := range peers {
+			if age < assumedWatcherPeriod/2 || !p.HeardAt.IsZero() {
+				seenAt[p.Instance] = now
+			}
+		}
+	}
 	own := r.node.settings.Instance.ID
-	for instance, seenAt := range r.watchersSeenAt {
-		if now.Sub(seenAt) < timeout && instance < own {
+	for instance, at := range seenAt {
+		if now.Sub(at) < timeout && instance < own {
 			rank++
 		}
 	}
@@ -83,11 +105,38 @@
 			Name: string(e.Object.Name), Version: uint64(e.Object.Version), Data: e.Object.Data, Deleted: e.Deleted,
 		})
 	}
+	if r.aggregatesLoads() {
+		r.relayPacked(message)
+		return
+	}
 	if size <= maxRelayBytes {
 		r.node.mesh.Broadcast(&pb.FleetMessage{Relays: []*pb.RelayedChanges{message}})
 	}
 }
 
+// relayPacked sends changes to the aggregators of this availability zone, which forward them
+// to the zone and to the aggregators of the other zones. The link of one instance could not
+// carry them to each instance of a large fleet.
+func (r *reporter) relayPacked(changes *pb.RelayedChanges) {
+	packed, err := relaycodec.Pack(changes)
+	if err != nil || len(packed) > maxRelayBytes {
+		r.node.log.Info().Err(err).Str("event", "store.relay_skipped").Int("objects", len(changes.Objects)).Int("bytes", len(packed)).Msg("changes are too large to be relayed; other instances request them from the store")
+		return
+	}
+	r.aggregator.relay(packed)
+}
+
+// receivePacked applies relayed changes and forwards them as far as their scope says.
+func (r *reporter) receivePacked(c *pb.PackedChanges) {
+	r.aggregator.forward(c.Packed, c.Scope)
+	changes, err := relaycodec.Unpack(c.Packed)
+	if err != nil {
+		r.node.log.Warn().Err(err).Str("event", "mesh.foreign").Msg("discarded relayed changes that can't be unpacked")
+		return
+	}
+	r.node.upstreamInformer.ReceiveChanges(decodeChanges(changes))
+}
+
 // decodeChanges returns the changes in a relayed message.
 func decodeChanges(m *pb.RelayedChanges) storewatch.Changes {
 	c := storewatch.Changes{After: object.Version(m.After), Next: object.Version(m.Next)}
@@ -131,11 +180,11 @@
 // listInstancesOnce lists the instances, and adds them to the mesh. It removes silent instances
 // that are not listed.
 func (n *Node) listInstancesOnce(ctx context.Context) error {
-	objects, _, err := n.store.ListAt(ctx, object.KindInstances)
+	objects, _, err := n.store.ListStaleAt(ctx, object.KindInstances)
 	if err != nil {
 		return err
 	}
-	peers := make(map[string]netip.AddrPort)
+	peers := make(map[string]mesh.Listed)
 	for _, o := range objects {
 		var instance object.Instance
 		decodeErr := json.Unmarshal(o.Data, &instance)
@@ -144,7 +193,7 @@
 			n.log.Warn().Str("event", "instance.unread").Str("name", string(o.Name)).Msg("store entry does not describe an instance; ignoring it")
 			continue
 		}
-		peers[instance.ID] = address
+		peers[instance.ID] = mesh.Listed{Address: address, Zone: instance.Zone}
 	}
 	n.mesh.AddPeers(peers)
 	n.mesh.RemoveSilentPeers(time.Now().Add(-peerSilenceTimeout), peers)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -29,6 +29,9 @@
 	idleReportInterval = time.Second
 	// ticksPerDemandReport is the number of ticks of the report loop between two demand reports.
 	ticksPerDemandReport = 3
+	// wantInterval is the shortest time between two requests for the same load. The requests
+	// of many callers that wait for it become one.
+	wantInterval = 50 * time.Millisecond
 	// maxReportInterval limits the age of reports to less than the time for which receivers
 	// use them.
 	maxReportInterval = time.Second
@@ -45,13 +48,17 @@
 	leaseHolder       string // instance that last reported that it holds the lease
 	leaseHolderSeenAt time.Time
 	watchersSeenAt    map[string]time.Time // last report of each instance that watches the store and gets responses
+	wantSentAt        map[rebalance.DemandKey]time.Time
+	pendingChanges    []*pb.ResidencyChange // announced with the next tick of the report loop
+
+	aggregator *aggregator
 }
 
 func newReporter(n *Node) *reporter {
 	return &reporter{
 		node: n, incarnation: time.Now().UnixMilli(),
 		demand: make(map[rebalance.DemandKey]rebalance.Counts), unreportedDemand: make(map[rebalance.DemandKey]bool),
-		watchersSeenAt: make(map[string]time.Time),
+		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n),
 	}
 }
 
@@ -68,13 +75,30 @@
 
 // requestLoad informs the lease holder that a request is waiting for a model or adapter.
 func (r *reporter) requestLoad(service, model, adapter string) {
+	key := rebalance.DemandKey{Service: service, Model: model, Adapter: adapter}
 	if _, ok := r.node.leaseManager.FencingToken(); ok {
-		r.node.reconciler.MarkWanted(rebalance.DemandKey{Service: service, Model: model, Adapter: adapter})
+		r.node.reconciler.MarkWanted(key, r.node.settings.Instance.ID)
+		return
+	}
+	if !r.mayRequestLoad(key) {
 		return
 	}
 	r.node.mesh.SendTo(r.currentLeaseHolder(), &pb.FleetMessage{Wants: []*pb.FleetWant{{Service: service, Model: model, Adapter: adapter}}})
 }
 
+// mayRequestLoad reports whether wantInterval has passed since the last request for a load,
+// and records the next one if so.
+func (r *reporter) mayRequestLoad(key rebalance.DemandKey) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if now.Sub(r.wantSentAt[key]) < wantInterval {
+		return false
+	}
+	r.wantSentAt[key] = now
+	return true
+}
+
 // currentLeaseHolder returns the instance that holds the lease, or "" if none has reported
 // recently that it does.
 func (r *reporter) currentLeaseHolder() string {
@@ -87,11 +111,31 @@
 }
 
 // announceResidency informs the other instances that an order has loaded or unloaded a model
-// or adapter.
-func (r *reporter) announceResidency(item registry.ResidentKey, present bool) {
-	r.node.mesh.Broadcast(&pb.FleetMessage{Changes: []*pb.ResidencyChange{{
-		Upstream: string(item.Upstream), Model: item.Model, Adapter: item.Adapter, Present: present,
-	}}})
+// or adapter. In a large fleet, a change of an adapter is sent at once only to the instances
+// whose requests wait for it, and to the others together with other changes.
+func (r *reporter) announceResidency(item registry.ResidentKey, present bool, waiting []string) {
+	change := &pb.ResidencyChange{Upstream: string(item.Upstream), Model: item.Model, Adapter: item.Adapter, Present: present}
+	if item.Adapter == "" || !r.aggregatesLoads() {
+		r.node.mesh.Broadcast(&pb.FleetMessage{Changes: []*pb.ResidencyChange{change}})
+		return
+	}
+	for _, instance := range waiting {
+		r.node.mesh.Send(instance, &pb.FleetMessage{Changes: []*pb.ResidencyChange{change}})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pendingChanges = append(r.pendingChanges, change)
+}
+
+// sendPendingChanges announces the changes that were not announced at once.
+func (r *reporter) sendPendingChanges() {
+	r.mu.Lock()
+	changes := r.pendingChanges
+	r.pendingChanges = nil
+	r.mu.Unlock()
+	if len(changes) > 0 {
+		r.node.mesh.Broadcast(&pb.FleetMessage{Changes: changes})
+	}
 }
 
 // broadcastCrash informs the other instances that an upstream broke off a request.
@@ -128,9 +172,18 @@
 
 // run sends reports until ctx ends.
 func (r *reporter) run(ctx context.Context) {
-	sameZone, otherZones := &reportPacer{}, &reportPacer{}
+	sameZone, otherZones, toAggregators, beacons := &reportPacer{}, &reportPacer{}, &reportPacer{}, &beaconPacer{}
 	for tick := 0; pause.For(ctx, minReportInterval); tick++ {
 		r.reportDemand(tick)
+		r.sendPendingChanges()
+		if r.aggregatesLoads() {
+			report, now := r.currentReport(), time.Now()
+			r.aggregator.exchange(tick, report, toAggregators.isDue(now, report, minReportInterval))
+			if beacons.isDue(now, report) {
+				r.node.mesh.Broadcast(report.beacon())
+			}
+			continue
+		}
 		sameZonePeers, otherZonePeers := r.node.mesh.PeerCountByZone()
 		report, now := r.currentReport(), time.Now()
 		if sameZone.isDue(now, report, sameZoneIntervalPerPeer*time.Duration(sameZonePeers)) {
@@ -147,7 +200,8 @@
 	loads          map[fleet.UpstreamID]loads.Load
 	outcomes       map[fleet.UpstreamID]loads.OutcomeCounts
 	newestVersions objectVersions
-	fencingToken   uint64 // zero if the instance does not hold the lease
+	fencingToken   uint64 // zero if the instance may not send orders now
+	holdsLease     bool
 	healthyWatcher bool
 }
 
@@ -155,15 +209,22 @@
 func (r *reporter) currentReport() report {
 	fencingToken, _ := r.node.leaseManager.FencingToken()
 	inFlight, outcomes := r.node.tracker.LocalStats()
-	return report{loads: inFlight, outcomes: outcomes, newestVersions: r.newestVersions(), fencingToken: uint64(fencingToken), healthyWatcher: r.isHealthyWatcher(time.Now())}
+	return report{loads: inFlight, outcomes: outcomes, newestVersions: r.newestVersions(), fencingToken: uint64(fencingToken), holdsLease: r.node.leaseManager.HoldsLease(), healthyWatcher: r.isHealthyWatcher(time.Now())}
 }
 
 // message encodes the report.
 func (r report) message() *pb.FleetMessage {
+	m := r.beacon()
+	m.Beacon, m.Loads = false, encodeLoads(r.loads, r.outcomes)
+	return m
+}
+
+// beacon encodes the report without the loads.
+func (r report) beacon() *pb.FleetMessage {
 	m := &pb.FleetMessage{
-		Loads: encodeLoads(r.loads, r.outcomes), NewestConfig: uint64(r.newestVersions.config), NewestUpstream: uint64(r.newestVersions.upstream), Relaying: r.healthyWatcher,
+		Beacon: true, NewestConfig: uint64(r.newestVersions.config), NewestUpstream: uint64(r.newestVersions.upstream), Relaying: r.healthyWatcher,
 	}
-	if r.fencingToken != 0 {
+	if r.holdsLease {
 		m.Holding = &pb.Holding{Fence: r.fencingToken}
 	}
 	return m
@@ -180,7 +241,7 @@
 // changes is due when, in addition, half of idleReportInterval has passed.
 func (p *reportPacer) isDue(now time.Time, r report, interval time.Duration) bool {
 	elapsed := now.Sub(p.lastSentAt)
-	hasChanges := !maps.Equal(r.loads, p.lastReport.loads) || r.newestVersions != p.lastReport.newestVersions || r.healthyWatcher != p.lastReport.healthyWatcher
+	hasChanges := !maps.Equal(r.loads, p.lastReport.loads) || r.newestVersions != p.lastReport.newestVersions || r.healthyWatcher != p.lastReport.healthyWatcher || r.holdsLease != p.lastReport.holdsLease
 	if elapsed < min(interval, maxReportInterval) || !hasChanges && elapsed < idleReportInterval/2 {
 		return false
 	}
@@ -231,9 +292,7 @@
 		r.leaseHolder, r.leaseHolderSeenAt = m.Instance, time.Now()
 		r.mu.Unlock()
 	}
-	if m.NewestUpstream > 0 { // only load reports set this field
-		r.node.tracker.RecordPeerStats(m.Instance, decodeLoads(m.Loads), decodeOutcomes(m.Loads))
-	}
+	r.receiveLoads(m)
 	if len(m.Demands) > 0 {
 		r.node.reconciler.RecordDemand(m.Instance, m.Incarnation, decodeDemands(m.Demands))
 	}
@@ -246,11 +305,14 @@
 		r.node.upstreamInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestUpstream))
 	}
 	for _, w := range m.Wants {
-		r.node.reconciler.MarkWanted(rebalance.DemandKey{Service: w.Service, Model: w.Model, Adapter: w.Adapter})
+		r.node.reconciler.MarkWanted(rebalance.DemandKey{Service: w.Service, Model: w.Model, Adapter: w.Adapter}, m.Instance)
 	}
 	for _, c := range m.Relays {
 		r.node.upstreamInformer.ReceiveChanges(decodeChanges(c))
 	}
+	for _, c := range m.PackedRelays {
+		r.receivePacked(c)
+	}
 	for _, b := range m.Breaks {
 		r.node.gateway.RecordCrash(b.Fingerprint, fleet.UpstreamID(b.Upstream))
 	}
@@ -267,6 +329,19 @@
 	}
 }
 
+// receiveLoads records the loads of one or several other instances.
+func (r *reporter) receiveLoads(m *pb.FleetMessage) {
+	isReport := m.NewestUpstream > 0 && !m.Beacon
+	switch {
+	case m.Summed != nil:
+		r.aggregator.receiveSum(m.Summed)
+	case isReport && r.aggregatesLoads():
+		r.aggregator.receiveReport(m)
+	case isReport:
+		r.node.tracker.RecordPeerStats(m.Instance, decodeLoads(m.Loads), decodeOutcomes(m.Loads))
+	}
+}
+
 // outcomeUnit is the weight of an outcome that one unit in a report stands for, as reports
 // carry weights as whole numbers of units.
 const outcomeUnit = 0.0625
--- a/internal/node/storewatch/progress.go
+++ b/internal/node/storewatch/progress.go
@@ -80,6 +80,13 @@
 	return p.peerVersion.ChangesSince(p.version)
 }
 
+// newestPeerVersion returns the version of the newest object that another instance has seen.
+func (p *progress) newestPeerVersion() object.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peerVersion
+}
+
 // recordCatchUp records that the store is being asked for the missing changes. If some
 // are still missing after another catchUpDelay, the store is asked again.
 func (p *progress) recordCatchUp(now time.Time) {
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -20,6 +20,8 @@
 // Source is the part of the store that an informer uses.
 type Source interface {
 	ListAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error)
+	// ListStaleAt may return the objects as they were some seconds ago.
+	ListStaleAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error)
 	WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error)
 }
 
@@ -170,16 +172,33 @@
 	i.log.Info().Str("event", "store.behind").Stringer("version", i.version).Uint64("by", lag).Msg("other instances have seen newer objects; requesting the missing changes")
 	i.progress.recordCatchUp(time.Now())
 	if lag > i.settings.RelistGap {
-		return i.list(ctx)
+		return i.listUpTo(ctx, i.progress.newestPeerVersion())
 	}
 	return i.watch(ctx, 0) // the store responds at once
 }
 
+// listUpTo lists all objects as of a known version or later. It first tries a list that may
+// be stale, as that is cheaper.
+func (i *Informer) listUpTo(ctx context.Context, known object.Version) error {
+	objects, version, err := i.source.ListStaleAt(ctx, i.settings.Kind)
+	if err != nil || version < known {
+		return i.list(ctx)
+	}
+	i.replaceAll(objects, version)
+	return nil
+}
+
 func (i *Informer) list(ctx context.Context) error {
 	objects, version, err := i.source.ListAt(ctx, i.settings.Kind)
 	if err != nil {
 		return err
 	}
+	i.replaceAll(objects, version)
+	return nil
+}
+
+// replaceAll passes a list of all objects at a version to the sink.
+func (i *Informer) replaceAll(objects []object.Object, version object.Version) {
 	i.recordSuccess()
 	i.recordEra(version)
 	i.lastChangeVersion = version
@@ -187,7 +206,6 @@
 	i.advance(version, objects...)
 	i.sink.Replace(objects, i.completeAt())
 	i.log.Debug().Str("event", "store.listed").Stringer("version", version).Int("objects", len(objects)).Msg("listed all objects")
-	return nil
 }
 
 // watch waits for changes and applies them. It returns nil if ctx was canceled with
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -224,11 +224,34 @@
 		}
 		after := store.Counts()
 		assert.Equal(t, f.sink.get("a"), string(rune('b'+29)))
-		assert.Equal(t, after.Lists-before.Lists, uint64(1))
+		assert.Equal(t, after.StaleLists-before.StaleLists, uint64(1))
+		assert.Equal(t, after.Lists, before.Lists)
 		assert.Equal(t, after.Watches, before.Watches)
 	})
 }
 
+// A list that may be stale is cheaper, but it is of use only if it is as new as what other
+// instances have seen.
+func TestCatchUpListsAgainIfStaleListIsTooOld(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		put(t, store, "a", "1")
+		f := start(ctx, store, store, nil, false)
+		f.informer.settings.RelistGap = 0
+		time.Sleep(100 * time.Millisecond)
+		store.SetStale(true)
+		version := put(t, store, "a", "2")
+		before := store.Counts()
+		for range 10 {
+			f.informer.ObservePeerVersion(time.Now(), version)
+			time.Sleep(100 * time.Millisecond)
+		}
+		after := store.Counts()
+		assert.Equal(t, f.sink.get("a"), "2")
+		assert.Equal(t, after.StaleLists-before.StaleLists, uint64(1))
+		assert.Equal(t, after.Lists-before.Lists, uint64(1))
+	})
+}
+
 // slowSource delays the response to a catch-up call by a second, like a slow link.
 type slowSource struct {
 	*objectapi.Memory
--- a/internal/standin/objectapi/link.go
+++ b/internal/standin/objectapi/link.go
@@ -202,6 +202,15 @@
 	return l.store.ListAt(ctx, kind)
 }
 
+// ListStaleAt returns the objects of a kind as they were some time ago.
+func (l *Link) ListStaleAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
+	if err := l.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	l.observeEra()
+	return l.store.ListStaleAt(ctx, kind)
+}
+
 // WatchSince waits for changes after a version. A cut ends the wait.
 func (l *Link) WatchSince(ctx context.Context, kind object.Kind, after object.Version, wait time.Duration) ([]object.Event, object.Version, error) {
 	if err := l.pass(ctx); err != nil {
--- a/internal/standin/objectapi/memory.go
+++ b/internal/standin/objectapi/memory.go
@@ -28,8 +28,8 @@
 
 // Counts are the calls that the store has received, throttled ones included.
 type Counts struct {
-	Gets, Lists, Watches, Creates, Updates, Deletes, InstanceLists uint64
-	Conflicts, Throttled, Refused, BytesWritten                    uint64
+	Gets, Lists, StaleLists, Watches, Creates, Updates, Deletes, InstanceLists uint64
+	Conflicts, Throttled, Refused, BytesWritten                                uint64
 }
 
 // Writes returns the number of calls that count against the write rate.
@@ -59,6 +59,7 @@
 	changed   chan struct{}  // closed and replaced at each change
 	counts    Counts
 	faults    Faults
+	stale     *Memory // what lists that may be stale return; nil for the present content
 	instances []listedInstance
 }
 
@@ -117,6 +118,33 @@
 	return m.list(kind, ""), m.version, nil
 }
 
+// ListStaleAt returns the objects of a kind as of the start of staleness, if it is set.
+func (m *Memory) ListStaleAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
+	m.mu.Lock()
+	stale := m.stale
+	m.counts.StaleLists++
+	m.mu.Unlock()
+	if stale == nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.faults.Outage {
+			return nil, 0, object.ErrUnavailable
+		}
+		return m.list(kind, ""), m.version, nil
+	}
+	return stale.list(kind, ""), stale.version, nil
+}
+
+// SetStale makes lists that may be stale return the present content until it is unset.
+func (m *Memory) SetStale(stale bool) {
+	backup := m.Backup()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stale = nil; stale {
+		m.stale = &Memory{objects: backup.objects, version: backup.version}
+	}
+}
+
 func (m *Memory) list(kind object.Kind, prefix string) []object.Object {
 	var found []object.Object
 	for k, o := range m.objects {
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -149,11 +149,15 @@
 		writeBody(w)(platform.EncodeEvents(events, next))
 		return
 	}
-	s.list(w, r, kind, query.After)
+	s.list(w, r, kind, query)
 }
 
-func (s *server) list(w http.ResponseWriter, r *http.Request, kind object.Kind, after object.Name) {
-	found, version, err := s.store.ListAt(r.Context(), kind)
+func (s *server) list(w http.ResponseWriter, r *http.Request, kind object.Kind, query platform.StoreQuery) {
+	list := s.store.ListAt
+	if query.StaleOK {
+		list = s.store.ListStaleAt
+	}
+	found, version, err := list(r.Context(), kind)
 	if err == nil && kind == object.KindInstances {
 		var listed []object.Object
 		listed, err = s.instances(r.Context())
@@ -163,7 +167,7 @@
 		writeError(w, err)
 		return
 	}
-	found = slices.DeleteFunc(found, func(o object.Object) bool { return o.Name <= after })
+	found = slices.DeleteFunc(found, func(o object.Object) bool { return o.Name <= query.After })
 	more := len(found) > pageLength
 	setEra(w, version.Era())
 	writeBody(w)(platform.EncodePage(platform.Page{Objects: found[:min(pageLength, len(found))], More: more, Version: version}))
--- a/internal/state/loads/failures.go
+++ b/internal/state/loads/failures.go
@@ -50,6 +50,7 @@
 // remoteCounts is the last report of another instance.
 type remoteCounts struct {
 	upstreams  map[fleet.UpstreamID]OutcomeCounts
+	instances  int // number of instances that the counts cover
 	receivedAt time.Time
 }
 
@@ -77,7 +78,7 @@
 	} else {
 		counts.Failed++
 	}
-	if weight, limit := counts.weight(), maxOutcomeWeight/float64(len(t.remote)+1); weight > limit {
+	if weight, limit := counts.weight(), maxOutcomeWeight/float64(t.remoteInstances()+1); weight > limit {
 		counts = counts.scaled(limit / weight)
 	}
 	t.local[id] = timedCounts{OutcomeCounts: counts, at: now}
@@ -105,7 +106,22 @@
 // SetRemote replaces the counts of another instance by those of its report, which
 // was received at now.
 func (t *FailureTracker) SetRemote(now time.Time, instance string, counts map[fleet.UpstreamID]OutcomeCounts) {
-	t.remote[instance] = remoteCounts{upstreams: counts, receivedAt: now}
+	t.remote[instance] = remoteCounts{upstreams: counts, instances: 1, receivedAt: now}
+}
+
+// ReplaceRemote replaces the counts of all other instances by their sum, which was received
+// at now.
+func (t *FailureTracker) ReplaceRemote(now time.Time, sum map[fleet.UpstreamID]OutcomeCounts, instances int) {
+	clear(t.remote)
+	t.remote[allInstances] = remoteCounts{upstreams: sum, instances: instances, receivedAt: now}
+}
+
+func (t *FailureTracker) remoteInstances() int {
+	n := 0
+	for _, r := range t.remote {
+		n += r.instances
+	}
+	return n
 }
 
 // FailureRate returns the estimated share of requests that an upstream fails, over
--- a/internal/state/loads/loads.go
+++ b/internal/state/loads/loads.go
@@ -163,6 +163,16 @@
 	t.remote[instance] = remoteReport{loads: l, receivedAt: now}
 }
 
+// ReplaceRemote replaces the loads of all other instances by their sum, which was received
+// at now.
+func (t *Tracker) ReplaceRemote(now time.Time, sum map[fleet.UpstreamID]Load) {
+	clear(t.remote)
+	t.remote[allInstances] = remoteReport{loads: sum, receivedAt: now}
+}
+
+// allInstances stands for all other instances where their reports were summed.
+const allInstances = ""
+
 // Total returns the estimated load of an upstream over all instances.
 func (t *Tracker) Total(now time.Time, id fleet.UpstreamID) Load {
 	t.refresh(now)
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -121,12 +121,22 @@
 // ListAt returns all objects of a kind, together with the version after which a watch
 // reports every later change.
 func (c *Client) ListAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
+	return c.listAt(ctx, kind, false)
+}
+
+// ListStaleAt returns the objects of a kind as they were some seconds ago or later, together
+// with the version of that moment. It is cheaper than ListAt.
+func (c *Client) ListStaleAt(ctx context.Context, kind object.Kind) ([]object.Object, object.Version, error) {
+	return c.listAt(ctx, kind, true)
+}
+
+func (c *Client) listAt(ctx context.Context, kind object.Kind, staleOK bool) ([]object.Object, object.Version, error) {
 	const step errs.Step = "list objects"
 	var all []object.Object
 	var version object.Version
 	for after := object.Name(""); ; {
 		got, err := c.do(ctx, operation{
-			step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.ListQuery(after), maxResponseBytes: maxListResponseBytes,
+			step: step, method: http.MethodGet, path: platform.KindPath(kind), query: platform.ListQuery(after, staleOK), maxResponseBytes: maxListResponseBytes,
 		})
 		if err != nil {
 			return nil, 0, err
