--- a/internal/coordination/dispatch/admission.go
+++ b/internal/coordination/dispatch/admission.go
@@ -14,6 +14,7 @@
 type LatencyLimits struct {
 	Target    time.Duration // time from the request's arrival within which the response has its full value
 	Remaining time.Duration // time until the caller's deadline or until it gives up
+	Deadline  time.Duration // time until the caller's deadline
 }
 
 const (
@@ -24,11 +25,20 @@
 	// maxRemainingShare is the share of the caller's remaining time within which the first
 	// byte must be expected, so that the rest of the response arrives before the deadline.
 	maxRemainingShare = 0.8
+	// retryAfterShare is the share of the time until its deadline after which a refused
+	// caller may retry. Bursts last for seconds: a caller that returns at once is refused
+	// again, and one that returns later still has most of its time.
+	retryAfterShare = 0.26
 	// minRetryAfter is the shortest time after which a refused caller may retry: the
 	// duration of several batch steps.
 	minRetryAfter = 100 * time.Millisecond
 )
 
+// refusal returns the decision not to admit a request.
+func refusal(expected time.Duration, limits LatencyLimits) AdmissionDecision {
+	return AdmissionDecision{RetryAfter: max(expected-limits.Target, time.Duration(retryAfterShare*float64(limits.Deadline)), minRetryAfter)}
+}
+
 // Admit decides whether a request is sent, given the expected time to the first byte. It
 // protects against bursts: serving a request whose caller has given up by then would make
 // other requests late.
@@ -37,5 +47,5 @@
 	if expected <= limit {
 		return AdmissionDecision{Admitted: true}
 	}
-	return AdmissionDecision{RetryAfter: max(expected-limits.Target, minRetryAfter)}
+	return refusal(expected, limits)
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -60,6 +60,9 @@
 	// lowerPriorityWeight is the weight of the prompts with lower priority: they are not
 	// processed first but share the batch.
 	lowerPriorityWeight = 0.2
+	// avoidedFailureRate is the failure rate from which an upstream is avoided: almost all
+	// recent requests failed, so it is down rather than unreliable.
+	avoidedFailureRate = 0.7
 	// minSuccessRate is the lower limit of the assumed success rate, so that an upstream
 	// that fails all requests is still tried if there is no other.
 	minSuccessRate = 0.02
@@ -78,7 +81,7 @@
 	best, bestScore := -1, math.Inf(1)
 	for i, c := range candidates {
 		score := req.score(c) * (1 + scoreJitter*random.Float64())
-		if now.Before(c.Responsiveness.AvoidUntil) {
+		if now.Before(c.Responsiveness.AvoidUntil) || c.FailureRate >= avoidedFailureRate {
 			score += float64(time.Hour)
 		}
 		if score < bestScore {
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -144,5 +144,5 @@
 	// minAttemptTime is the least time before the deadline at which a retry is still started.
 	minAttemptTime = 10 * time.Millisecond
 	// maxFailedDials bounds the failed connection attempts for one request.
-	maxFailedDials = 4
+	maxFailedDials = 8
 )
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"savoryweir/internal/coordination/dispatch"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
@@ -67,17 +68,20 @@
 	return a
 }
 
-// urgency returns the urgency that engines schedule the request by, derived from the
-// priority of its route, or -1 for services without engines, which take none.
+// urgency returns the urgency that engines schedule the request by, derived from its rank, or
+// -1 for services without engines, which take none.
 func (c *call) urgency() int {
 	if c.engineClass == nil {
 		return -1
 	}
-	return min(c.route.Priority*urgencyPerPriority, platform.MaxUrgency)
+	return min(c.rank()*urgencyPerRank, platform.MaxUrgency)
 }
 
-// urgencyPerPriority spreads the route priorities over the range of urgency values.
-const urgencyPerPriority = 2
+// rank returns the rank at which engines serve the request.
+func (c *call) rank() int { return dispatch.Rank(c.route.Priority, c.route.TargetLatency) }
+
+// urgencyPerRank spreads the ranks over the range of urgency values.
+const urgencyPerRank = 2
 
 // classifyError returns the kind of failure for an error of an exchange. An error that
 // does not tell whether the request was sent counts as sent.
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -34,8 +34,9 @@
 // first event.
 func (c *call) patience() dispatch.LatencyLimits {
 	tolerance := max(callerMinPatience, callerPatienceTargets*c.route.TargetLatency, callerPatienceGaps*c.route.TargetEventGap)
-	remaining := min(time.Until(c.deadline), time.Until(c.arrivedAt.Add(tolerance)))
-	return dispatch.LatencyLimits{Target: c.route.TargetLatency, Remaining: remaining}
+	untilDeadline := time.Until(c.deadline)
+	remaining := min(untilDeadline, time.Until(c.arrivedAt.Add(tolerance)))
+	return dispatch.LatencyLimits{Target: c.route.TargetLatency, Remaining: remaining, Deadline: untilDeadline}
 }
 
 // serveStream serves a request whose response is a stream of events.
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -127,7 +127,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	class := c.modelClass()
-	request := dispatch.Request{PromptTokens: c.params.PromptTokens, Rank: loads.PriorityRank(c.route.Priority), NotRepeatable: !c.route.IsRepeatable(), Latency: t.latencyEstimator.Estimate(class)}
+	request := dispatch.Request{PromptTokens: c.params.PromptTokens, Rank: c.rank(), NotRepeatable: !c.route.IsRepeatable(), Latency: t.latencyEstimator.Estimate(class)}
 	chain := buildPrefixChain(c.params)
 	candidates := make([]dispatch.Candidate, 0, len(eligible))
 	for _, u := range eligible {
--- a/internal/state/loads/loads.go
+++ b/internal/state/loads/loads.go
@@ -11,13 +11,8 @@
 	"savoryweir/internal/state/fleet"
 )
 
-// PriorityRanks is the number of priority ranks that loads are counted by. Rank 0
-// is served first.
-const PriorityRanks = 4
-
-// PriorityRank returns the rank of a route's priority. Priorities outside the
-// ranks are clamped to the nearest one.
-func PriorityRank(priority int) int { return min(max(priority, 0), PriorityRanks-1) }
+// PriorityRanks is the number of ranks that loads are counted by. Rank 0 is served first.
+const PriorityRanks = 5
 
 // Load is the work in flight at one upstream.
 type Load struct {
