A stop under load answers all requests that were read; comments don't keep a stalled stream alive

(1) At SIGTERM the servers closed idle connections, on which a caller may just have sent a request, and at the end all connections, also those of which a request was being read. (2) Each comment of an engine set the stall timer anew, so that a stalled engine which sends comments held its caller until the deadline.

Change: while an instance stops, each response closes its connection (gateway.closingWriter) and idle connections stay open; connections in the port's queue are accepted before it closes; http.Server.Shutdown takes the place of Close. sseframe tells comments from events; before the first event they are dropped, later they are passed on and don't count.

Connections that the kernel holds when the port closes are reset; nothing was read on them.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,17 +20,19 @@
 type callerServers struct {
 	gateway  *gateway.Gateway
 	listener net.Listener
+	// accepted is closed when no more connections are accepted.
+	accepted     chan struct{}
+	acceptedOnce sync.Once
 
 	mu             sync.Mutex // guards the fields below
 	limits         fleet.Limits
 	server         *http.Server
 	serverListener *queueListener
 	retired        []*http.Server
-	draining       bool
 }
 
 func newCallerServers(g *gateway.Gateway, l net.Listener) *callerServers {
-	return &callerServers{gateway: g, listener: l}
+	return &callerServers{gateway: g, listener: l, accepted: make(chan struct{})}
 }
 
 const (
@@ -37,16 +41,20 @@
 	initialIdleTimeout    = 30 * time.Second
 	initialMaxHeaderBytes = 16 << 10
 
+	// acceptBacklogTime is how long an instance that stops goes on accepting the connections
+	// that wait for it.
+	acceptBacklogTime = 20 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 10 * time.Millisecond
 )
 
 // acceptConnections accepts connections and hands each to the server with the limits in
-// force. After the listener is closed, it waits for the end of ctx.
+// force. After the listener is closed or its deadline has passed, it waits for the end of ctx.
 func (c *callerServers) acceptConnections(ctx context.Context) {
 	for {
 		conn, err := c.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			c.acceptedOnce.Do(func() { close(c.accepted) })
 			<-ctx.Done()
 			return
 		}
@@ -78,39 +86,37 @@
 		Handler: c.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: limits.MaxHeaderBytes,
 	}
-	c.server.SetKeepAlivesEnabled(!c.draining)
 	server, listener := c.server, c.serverListener
 	go func() { _ = server.Serve(listener) }() // returns when the listener or the server is closed, as the process stops
 	return c.serverListener
 }
 
-// disableKeepAlives closes idle connections, and the other connections after their next
-// response.
-func (c *callerServers) disableKeepAlives() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.draining = true
-	for _, s := range append(c.retired, c.server) {
-		if s != nil {
-			s.SetKeepAlivesEnabled(false)
-		}
-	}
-}
-
-// refuseNewRequests closes the port and makes the gateway refuse new requests on connections
-// that are still open.
+// refuseNewRequests makes the gateway refuse new requests on connections that are still open,
+// and closes the port after the connections that wait to be accepted have been accepted. The
+// kernel would reset these, with requests that callers may have sent on them already.
 func (c *callerServers) refuseNewRequests() error {
 	c.gateway.RefuseNewRequests()
+	if l, ok := c.listener.(*net.TCPListener); ok {
+		if err := l.SetDeadline(time.Now().Add(acceptBacklogTime)); err != nil {
+			return err
+		}
+		<-c.accepted
+	}
 	return c.listener.Close()
 }
 
-// close closes all connections.
-func (c *callerServers) close() error {
+// shutdown closes the connections as their requests end. Connections on which a request may
+// be on its way get the time until ctx ends. The rest is closed then.
+func (c *callerServers) shutdown(ctx context.Context) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	servers := append(slices.Clone(c.retired), c.server)
+	c.mu.Unlock()
 	var err error
-	for _, s := range append(c.retired, c.server) {
-		if s != nil {
+	for _, s := range servers {
+		if s == nil {
+			continue
+		}
+		if shutdownErr := s.Shutdown(ctx); shutdownErr != nil {
 			err = errors.Join(err, s.Close())
 		}
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -64,13 +64,15 @@
 // Gateway is the HTTP handler that serves callers. It is safe for concurrent use.
 type Gateway struct {
 	Options
-	active          atomic.Pointer[activeConfig]
-	inFlight        atomic.Int64
-	crashGuard      *crashGuard
-	pauses          *pauses
-	refusesNew      atomic.Bool
-	inFlightContext context.Context // canceled by CancelInFlight
-	cancelInFlight  context.CancelFunc
+	active     atomic.Pointer[activeConfig]
+	inFlight   atomic.Int64
+	crashGuard *crashGuard
+	pauses     *pauses
+	refusesNew atomic.Bool
+	// closesConnections makes responses close their connections.
+	closesConnections atomic.Bool
+	inFlightContext   context.Context // canceled by CancelInFlight
+	cancelInFlight    context.CancelFunc
 
 	mu           sync.Mutex // guards retryBudgets
 	retryBudgets map[string]*retry.WindowBudget
@@ -102,6 +104,31 @@
 // Requests in flight are not affected.
 func (g *Gateway) RefuseNewRequests() { g.refusesNew.Store(true) }
 
+// CloseConnectionsAfterResponses makes the gateway close each connection of a caller after its
+// next response. Idle connections stay open, because closing one may cut off a request that
+// its caller has just sent.
+func (g *Gateway) CloseConnectionsAfterResponses() { g.closesConnections.Store(true) }
+
+// closingWriter adds the header that closes the connection after the response, if this has
+// been asked for by the time at which the response begins.
+type closingWriter struct {
+	http.ResponseWriter
+	gateway     *Gateway
+	wroteHeader bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	if !w.wroteHeader && w.gateway.closesConnections.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.wroteHeader = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // CancelInFlight cancels the work on all requests in flight, so that each gets its final
 // response at once.
 func (g *Gateway) CancelInFlight() { g.cancelInFlight() }
@@ -114,7 +141,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.Metrics.RequestsInFlight.Set(float64(g.inFlight.Add(1)))
 	defer func() { g.Metrics.RequestsInFlight.Set(float64(g.inFlight.Add(-1))) }()
-	c := &call{gateway: g, writer: w, request: r, arrivedAt: time.Now(), params: platform.DecodeRequest(r.Header)}
+	c := &call{gateway: g, writer: &closingWriter{ResponseWriter: w, gateway: g}, request: r, arrivedAt: time.Now(), params: platform.DecodeRequest(r.Header)}
 	defer c.finish()
 	active := g.active.Load()
 	if active == nil {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -211,6 +211,12 @@
 		case err != nil:
 			return c.handleBrokenStream(ctx, a, err)
 		}
+		if event.IsComment { // an engine that has stalled may send comments for ever
+			if !c.firstByteAt.IsZero() && !c.writeEvent(event) {
+				return false, ""
+			}
+			continue
+		}
 		stall.reset()
 		a.tracked.recordFirstByte()
 		if event.ID != "" && event.ID == c.lastEventID {
--- a/internal/node/gateway/stream_test.go
+++ b/internal/node/gateway/stream_test.go
@@ -186,3 +186,63 @@
 	}
 	assert.Assert(t, lacking.requestCount() <= 1, "%d requests were sent to the engine without the model", lacking.requestCount())
 }
+
+// trickle returns a responder that sends the first event, and then a part that completes no
+// event every interval until the gateway closes the connection.
+func trickle(part string, interval time.Duration) responder {
+	return func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if r.Header.Get("Last-Event-Id") == "1" {
+			return respondWithEvents(2, 3, true)(u, r, body, conn)
+		}
+		writeResponseHead(conn, r, 200, "Transfer-Encoding: chunked\r\n")
+		for chunk := eventText(1, 1); ; chunk = part {
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(chunk), chunk); err != nil {
+				return false
+			}
+			time.Sleep(interval)
+		}
+	}
+}
+
+// A stalled engine that sends a byte or a comment now and then must not hold its caller: the
+// stream goes on elsewhere if it may be resumed, and ends at the deadline if not.
+func TestStalledStreamThatTricklesEnds(t *testing.T) {
+	for name, part := range map[string]string{"bytes": "d", "comments": ": still here\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			engine := trickle(part, 100*time.Millisecond)
+			one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine)
+			h := newHarness(t, one, two)
+			start := time.Now()
+			got := doStream(h, t, "/stream/1", "Deadline-Ms", "2800")
+			assert.NilError(t, got.err)
+			assert.Assert(t, strings.HasSuffix(got.body, eventText(2, 3)), got.body)
+			assert.Assert(t, time.Since(start) < 2500*time.Millisecond, "the stream was resumed only at its deadline")
+			got = doStream(h, t, "/batch/1", "Deadline-Ms", "1500")
+			assert.Assert(t, got.err != nil, "a stalled stream ended as if it were complete")
+			assert.Assert(t, time.Since(start) < 5*time.Second, "a stalled stream did not end")
+		})
+	}
+}
+
+// Events that are late but come within the time that callers tolerate must not be cut.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/batch/1"} {
+		u := startUpstream(t, "u1", func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+			writeResponseHead(conn, r, 200, "Transfer-Encoding: chunked\r\n")
+			for i := 1; i <= 3; i++ {
+				event := eventText(i, i)
+				fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+				time.Sleep(900 * time.Millisecond) // three times the target
+			}
+			_, err := io.WriteString(conn, "0\r\n\r\n")
+			return err == nil
+		})
+		h := newHarness(t, u, startUpstream(t, "u2", respondWithEvents(1, 3, true)))
+		for h.gateway.Tracker.RecordPeerPause("u2", time.Minute); u.requestCount() == 0; {
+			got := doStream(h, t, path, "Deadline-Ms", "2900")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 3))
+		}
+		assert.Equal(t, u.requestCount(), 1)
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -477,3 +479,83 @@
 	reads := c.store.Counts().Reads() - before - changes // put itself reads once per change
 	assert.Assert(t, reads < watcherCount*2*changes, "%d reads for %d changes at %d instances", reads, changes, len(all))
 }
+
+// callUntilRefused sends requests until connections are refused, each on a new connection
+// unless keepAlive is set. It returns the number of responses with status 200 and of all.
+func (i *instance) callUntilRefused(keepAlive bool) (served, answered int) {
+	for {
+		conn, err := net.Dial("tcp4", i.callersAddress)
+		if err != nil {
+			return served, answered // the port is closed
+		}
+		for reader := bufio.NewReader(conn); ; {
+			if _, err = fmt.Fprintf(conn, "POST /a/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nDeadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx"); err != nil {
+				break
+			}
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			if _, err = io.Copy(io.Discard, response.Body); err != nil {
+				break
+			}
+			answered++
+			if response.StatusCode == http.StatusOK {
+				served++
+			}
+			if !keepAlive || response.Close {
+				break
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
+// handledRequests returns how many requests the instance has read, by its metrics.
+func (i *instance) handledRequests(t *testing.T) int {
+	t.Helper()
+	families, err := i.node.metrics.Registry.Gather()
+	assert.NilError(t, err)
+	handled := 0.0
+	for _, f := range families {
+		if f.GetName() == "savoryweir_node_requests_total" {
+			for _, m := range f.GetMetric() {
+				handled += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return int(handled)
+}
+
+// An instance that stops while callers connect all the time must answer each request that it
+// has read, and no request may run without its caller getting the response. Connections that
+// the kernel has not handed over when the port closes are reset: their callers know that
+// nothing was read.
+func TestStopUnderLoadAnswersAllRequestsRead(t *testing.T) {
+	for _, keepAlive := range []bool{false, true} {
+		var ran atomic.Int64
+		c := startCluster(t, func(w http.ResponseWriter, r *http.Request) {
+			ran.Add(1)
+			respondSealed(w, r)
+		})
+		c.applyConfig(t, 1, "a")
+		i := c.startInstance(t, "i1")
+		eventually(t, "a passing readiness check", func() bool { return i.node.readinessError() == nil })
+		var served, answered atomic.Int64
+		var callers sync.WaitGroup
+		for range 32 {
+			callers.Go(func() {
+				s, a := i.callUntilRefused(keepAlive)
+				served.Add(int64(s))
+				answered.Add(int64(a))
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		i.signals <- syscall.SIGTERM
+		assert.NilError(t, <-i.runErr)
+		callers.Wait()
+		assert.Assert(t, served.Load() > 500, "%d requests are too few to show anything", served.Load())
+		assert.Equal(t, served.Load(), ran.Load(), "keep-alive %v: requests ran without a response", keepAlive)
+		assert.Equal(t, int(answered.Load()), i.handledRequests(t), "keep-alive %v: requests were read without a response", keepAlive)
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -68,8 +68,11 @@
 	n.drain(callers)
 	cancel()
 	stopped := waitWithTimeout(&group, shutdownMargin/4)
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), shutdownMargin/4)
+	defer cancelClose()
+	closeErr := callers.shutdown(closeCtx)
 	n.log.Info().Str("event", "stop").Int64("in_flight", n.gateway.InFlight()).Bool("duties_ended", stopped).Msg("instance drained; exiting")
-	return errors.Join(readyServer.Close(), callers.close())
+	return errors.Join(readyServer.Close(), closeErr)
 }
 
 // readyIdleTimeout is the idle timeout of connections to the readiness port.
@@ -153,7 +156,7 @@
 func (n *Node) drain(callers *callerServers) {
 	startedAt := time.Now()
 	n.stopping.Store(true)
-	callers.disableKeepAlives()
+	n.gateway.CloseConnectionsAfterResponses()
 	grace := n.bounds.Load().Grace
 	time.Sleep(min(deregistrationDelay, grace/3))
 	if err := callers.refuseNewRequests(); err != nil {
--- a/internal/protocol/sseframe/sseframe.go
+++ b/internal/protocol/sseframe/sseframe.go
@@ -10,8 +10,9 @@
 
 // Event is one event as it was sent, including the blank line that ends it.
 type Event struct {
-	ID  string // empty if the event has none
-	Raw []byte // valid until the next call of Next
+	ID        string // empty if the event has none
+	Raw       []byte // valid until the next call of Next
+	IsComment bool   // it consists of comments only, as servers send to keep a connection open
 }
 
 const (
@@ -75,7 +76,17 @@
 		return Event{}, false
 	}
 	s.start += end
-	return Event{ID: eventID(data[:end]), Raw: data[:end]}, true
+	return Event{ID: eventID(data[:end]), Raw: data[:end], IsComment: isComment(data[:end])}, true
+}
+
+// isComment reports whether all lines of an event are comments or blank.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if trimmed := bytes.TrimRight(line, "\r\n"); len(trimmed) > 0 && trimmed[0] != ':' {
+			return false
+		}
+	}
+	return true
 }
 
 // eventID returns the value of the first id field of an event, or an empty string.
