--- a/internal/node/aggregation.go
+++ b/internal/node/aggregation.go
@@ -50,6 +50,19 @@
 	return r.node.mesh.PeerCount() >= r.aggregator.minPeers
 }
 
+// peerTimeout returns the time without a datagram after which another instance no longer
+// counts as alive.
+func (r *reporter) peerTimeout() time.Duration {
+	if r.aggregatesLoads() {
+		return missedReports * helloInterval
+	}
+	return missedReports * maxReportInterval
+}
+
+// missedReports is the number of messages of an instance that may be missing before it no
+// longer counts as alive.
+const missedReports = 3
+
 // exchange sends the report of this instance to the aggregators of its availability zone if
 // isDue is set, and the sums that are due if this instance is an aggregator.
 func (a *aggregator) exchange(tick int, own report, isDue bool) {
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -24,10 +24,6 @@
 // maxDatagramBytes is the size of the largest datagram that can be received.
 const maxDatagramBytes = 60 << 10
 
-// peerTimeout is the time without a datagram after which an instance no longer counts as
-// alive: three report intervals at the slowest rate.
-const peerTimeout = 3 * time.Second
-
 // Handler processes the messages of other instances.
 type Handler interface {
 	// Receive processes a message. It must not retain the message.
@@ -145,13 +141,13 @@
 }
 
 // AlivePeerCount returns the number of other instances from which a datagram was received
-// within peerTimeout.
-func (m *Mesh) AlivePeerCount(now time.Time) int {
+// within the given time.
+func (m *Mesh) AlivePeerCount(now time.Time, within time.Duration) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	alive := 0
 	for _, r := range m.received {
-		if now.Sub(r.at) < peerTimeout {
+		if now.Sub(r.at) < within {
 			alive++
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -289,7 +289,7 @@
 			return time.Time{}, false
 		})
 		n.metrics.Upstreams.Set(float64(view.Count()))
-		n.metrics.Peers.Set(float64(n.mesh.AlivePeerCount(time.Now())))
+		n.metrics.Peers.Set(float64(n.mesh.AlivePeerCount(time.Now(), n.reporter.peerTimeout())))
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -313,7 +313,7 @@
 		all = append(all, c.startInstance(t, fmt.Sprintf("i%d", n)))
 	}
 	for _, i := range all {
-		eventually(t, "three other live instances", func() bool { return i.node.mesh.AlivePeerCount(time.Now()) == 3 })
+		eventually(t, "three other live instances", func() bool { return i.node.mesh.AlivePeerCount(time.Now(), 3*time.Second) == 3 })
 		eventually(t, "a response of the service", func() bool { status, _ := i.send("/a/1"); return status == 200 })
 	}
 	watching := func() int {
