--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -439,7 +439,11 @@
 	}
 	var aggregators, others []*instance
 	for _, i := range all[2:] {
-		if len(i.node.reporter.aggregator.aggregate.Members(time.Now())) > 1 {
+		a := i.node.reporter.aggregator
+		a.mu.Lock()
+		members := len(a.aggregate.Members(time.Now()))
+		a.mu.Unlock()
+		if members > 1 {
 			aggregators = append(aggregators, i)
 		} else {
 			others = append(others, i)
