Time line: lines with a version of the store are read again

Cause: since versions carry the store's era they are logged as text, ERA.REVISION. The reader of saved logs expected a number and left such lines out like those of other programs: store.lost, store.behind, store.silent, store.history_gone and store.era were missing in the time line. Change: the reader takes a number as the generation of a configuration and keeps a text in the note. Ruled out: logging the packed number, which nobody can read; another name of the field, since names of log fields stay. Measured: TestLinesWithStoreVersionAreRead read one of two lines before, two now; tests of the reader and of savoryweirctl pass.

--- a/internal/protocol/timelinefile/logs.go
+++ b/internal/protocol/timelinefile/logs.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strconv"
 	"time"
 
 	"savoryweir/internal/state/hlc"
@@ -22,8 +23,19 @@
 	Request  string        `json:"request"`
 	Upstream string        `json:"upstream"`
 	Model    string        `json:"model"`
-	Version  uint64        `json:"version"`
-	Config   uint64        `json:"config"`
+	// Version is the number of a configuration, or the text of a version of the store.
+	Version json.RawMessage `json:"version"`
+	Config  uint64          `json:"config"`
+}
+
+// generation returns the number of the configuration that a line is about, zero if it names
+// none.
+func (l logLine) generation() uint64 {
+	number, err := strconv.ParseUint(string(l.Version), 10, 64)
+	if err != nil {
+		return l.Config
+	}
+	return max(number, l.Config)
 }
 
 // ReadLog reads the events of a saved log. It skips the text before the first brace of
@@ -56,7 +68,7 @@
 	}
 	e := timeline.Event{
 		Time: hlc.Timestamp{WallMillis: line.Time.UnixMilli()}, Process: line.Process, Instance: line.Instance, Zone: line.Zone,
-		Kind: line.Event, Request: line.Request, Upstream: line.Upstream, Model: line.Model, Generation: max(line.Version, line.Config),
+		Kind: line.Event, Request: line.Request, Upstream: line.Upstream, Model: line.Model, Generation: line.generation(),
 	}
 	e.Note = formatNote(fields)
 	return e, true
@@ -64,7 +76,10 @@
 
 // eventFields are the log fields that have a field of their own in an event, or that the
 // timeline leaves out.
-var eventFields = []string{"time", "process", "instance", "zone", "event", "request", "upstream", "model", "version", "config", "level", "message", "part"}
+var eventFields = []string{"time", "process", "instance", "zone", "event", "request", "upstream", "model", "config", "level", "message", "part"}
+
+// versionField is left out of the note unless it holds the text of a version of the store.
+const versionField = "version"
 
 // formatNote returns the remaining fields of a log line as a JSON object, sorted by name.
 // It returns an empty string if there are none.
@@ -72,6 +87,9 @@
 	for _, name := range eventFields {
 		delete(fields, name)
 	}
+	if _, isText := fields[versionField].(string); !isText {
+		delete(fields, versionField)
+	}
 	text, err := json.Marshal(fields)
 	if err != nil || len(fields) == 0 {
 		return ""
--- a/internal/protocol/timelinefile/timelinefile_test.go
+++ b/internal/protocol/timelinefile/timelinefile_test.go
@@ -53,3 +53,17 @@
 		assert.NilError(t, WriteText(&buffer, read))
 	})
 }
+
+// Lines about the store carry its version as text. They must not be left out of the timeline
+// of an outage like lines of other programs.
+func TestLinesWithStoreVersionAreRead(t *testing.T) {
+	read, err := ReadLog(strings.NewReader(`{"event":"store.lost","instance":"i1","version":"2.1005"}
+{"event":"config.applied","instance":"i1","version":7,"revision":"2.1006"}
+`))
+	assert.NilError(t, err)
+	assert.Equal(t, len(read), 2)
+	assert.Equal(t, read[0].Note, `{"version":"2.1005"}`)
+	assert.Equal(t, read[0].Generation, uint64(0))
+	assert.Equal(t, read[1].Generation, uint64(7))
+	assert.Equal(t, read[1].Note, `{"revision":"2.1006"}`)
+}
