--- a/internal/coordination/dispatch/admission.go
+++ b/internal/coordination/dispatch/admission.go
@@ -27,7 +27,8 @@
 	maxRemainingShare = 0.8
 	// retryAfterShare is the share of the time until its deadline after which a refused
 	// caller may retry. Bursts last for seconds: a caller that returns at once is refused
-	// again, and one that returns later still has most of its time.
+	// again, and one that returns later still has most of its time. With the jitter that is
+	// added, the share stays below the third that callers wait at most.
 	retryAfterShare = 0.26
 	// minRetryAfter is the shortest time after which a refused caller may retry: the
 	// duration of several batch steps.
--- a/internal/coordination/dispatch/burst_test.go
+++ b/internal/coordination/dispatch/burst_test.go
@@ -41,8 +41,9 @@
 // admitFunc decides on a visit, given the expected time to the first byte.
 type admitFunc func(v visit, expected time.Duration, limits LatencyLimits) AdmissionDecision
 
-// playBursts plays an engine that processes prompts one after another. In two of six seconds the load is nearly twice its capacity, in the others about half. A caller
-// who is refused returns once, after at most a third of the time that it has left.
+// playBursts plays an engine that processes prompts one after another. In two of six seconds
+// the load is nearly twice its capacity, in the others about half. A caller who is refused
+// returns once, after at most a third of the time that it has left.
 func playBursts(admit admitFunc) burstResult {
 	random := rand.New(rand.NewPCG(3, 3))
 	var arrivals visits
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -87,7 +87,8 @@
 	return &Lease{settings: s, instance: instance, nonce: nonce}
 }
 
-// ObserveHolder records a sign of life from another instance that acts as holder.
+// ObserveHolder records a sign of life from another instance that holds the lease, even if it
+// may not act yet.
 func (l *Lease) ObserveHolder(now time.Duration) { l.hasSeenHolder, l.holderSeenAt = true, now }
 
 // ObserveEra records the newest known era of the store. If it is new, this instance gives up
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,15 +159,15 @@
 	// instance waits between the minimum and the maximum delay.
 	storeRetryDelayPerInstance = 100 * time.Millisecond
 	minStoreRetryDelay         = 300 * time.Millisecond
-	// The delays before attempts to acquire the lease: about one attempt per two intervals of
-	// the report loop in a large fleet.
+	maxStoreRetryDelay         = 2 * time.Second
+	// All instances together try to acquire a free lease once in 5 ms on average, and each
+	// instance waits up to a random delay between the minimum and the maximum.
 	leaseContentionDelayPerInstance = 5 * time.Millisecond
 	minLeaseContentionDelay         = 50 * time.Millisecond
 	maxLeaseContentionDelay         = time.Second
 	// storeRewriteDelayPerInstance spreads the writes with which all instances restore their
 	// entries after the store came back from an older copy: a hundred per second.
 	storeRewriteDelayPerInstance = 10 * time.Millisecond
-	maxStoreRetryDelay           = 2 * time.Second
 )
 
 // pollInterval returns the time within which some instance starts a new watch of each kind
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -46,8 +46,9 @@
 
 // watcherRank returns the rank of this instance, counted from zero, among the instances that
 // watch the store, and the number of instances whose watches take turns. Just after the start,
-// any instance that is listed, and later any that was heard, may turn out to watch. Without that assumption all instances of a fleet that starts would watch until they
-// have heard each other.
+// any instance that is listed, and later any that was heard, may turn out to watch. Without
+// that assumption all instances of a fleet that starts would watch until they have heard each
+// other.
 func (r *reporter) watcherRank(now time.Time) (rank, watchers int) {
 	_, otherZonePeers := r.node.mesh.PeerCountByZone()
 	timeout := max(minWatcherTimeout, min(5*crossZoneIntervalPerPeer*time.Duration(otherZonePeers)/2, maxWatcherTimeout))
