--- a/internal/node/gateway/notices.go
+++ b/internal/node/gateway/notices.go
@@ -62,12 +62,13 @@
 	}
 }
 
+const reasonPaused = "upstreams asked for a pause"
+
 // refusePaused ends a request whose upstreams have all asked for a pause. The caller is told
 // to retry when the first pause ends.
 func (c *call) refusePaused(wait time.Duration) {
 	if !c.firstByteAt.IsZero() {
-		c.outcome = "broke off: upstreams asked for a pause"
-		panic(http.ErrAbortHandler)
+		c.abortStream(reasonPaused)
 	}
-	c.refuse(http.StatusServiceUnavailable, wait, "upstreams asked for a pause")
+	c.refuse(http.StatusServiceUnavailable, wait, reasonPaused)
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -119,12 +119,17 @@
 // the caller's connection, so that the stream does not look complete.
 func (c *call) failStream(ctx context.Context, reason string) {
 	if !c.firstByteAt.IsZero() {
-		c.outcome = "broke off: " + reason
-		panic(http.ErrAbortHandler)
+		c.abortStream(reason)
 	}
 	c.respondUnserved(ctx, reason)
 }
 
+// abortStream closes the caller's connection in the middle of a response. It does not return.
+func (c *call) abortStream(reason string) {
+	c.outcome = "broke off: " + reason
+	panic(http.ErrAbortHandler)
+}
+
 // attemptStream sends the request once and forwards the events of the response. It returns
 // true and the reason if another engine has to continue.
 func (c *call) attemptStream(ctx context.Context, tracked *trackedRequest) (bool, string) {
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -81,14 +81,14 @@
 	announceToPeers        func(key registry.ResidentKey, present bool, waiting []string)
 	wakeups                chan struct{}
 
-	mu           sync.Mutex // guards all fields below
-	demand       *rebalance.DemandTracker
-	wants        map[rebalance.DemandKey]want
-	engines      map[fleet.UpstreamID]*engineState
-	loadStarts   map[string][]time.Time // start times of loads from the weight store, by service
-	lastLoggedAt map[string]time.Time   // time of the last log line about the placement, by service
-	holdsLease   bool
-	termStart    time.Time // time at which this instance last acquired or lost the lease
+	mu            sync.Mutex // guards all fields below
+	demand        *rebalance.DemandTracker
+	wants         map[rebalance.DemandKey]want
+	engines       map[fleet.UpstreamID]*engineState
+	loadStarts    map[string][]time.Time // start times of loads from the weight store, by service
+	lastLoggedAt  map[string]time.Time   // time of the last log line about the placement, by service
+	maySendOrders bool
+	termStart     time.Time // time at which this instance last acquired or lost the lease
 }
 
 // New returns a Reconciler; Run starts it.
@@ -170,13 +170,13 @@
 
 // reconcile plans for every service with engines if this instance holds the lease.
 func (r *Reconciler) reconcile(ctx context.Context) {
-	fence, holdsLease := r.leases.FencingToken()
-	if holdsLease != r.holdsLease {
-		r.log.Info().Str("event", "orders.term").Bool("holds", holdsLease).Stringer("fence", fence).Msg("permission to send orders changed")
-		r.startTerm(holdsLease)
+	fence, maySendOrders := r.leases.FencingToken()
+	if maySendOrders != r.maySendOrders {
+		r.log.Info().Str("event", "orders.term").Bool("holds", maySendOrders).Stringer("fence", fence).Msg("permission to send orders changed")
+		r.startTerm(maySendOrders)
 	}
 	config := r.config()
-	if !holdsLease || config == nil {
+	if !maySendOrders || config == nil {
 		return
 	}
 	for name, service := range config.Services {
@@ -188,15 +188,15 @@
 
 // startTerm resets the engine states after this instance has acquired or lost the
 // lease, so that each engine's state is read before it receives an order.
-func (r *Reconciler) startTerm(holdsLease bool) {
+func (r *Reconciler) startTerm(maySendOrders bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.holdsLease, r.termStart = holdsLease, time.Now()
+	r.maySendOrders, r.termStart = maySendOrders, time.Now()
 	for _, e := range r.engines {
 		e.confirmed, e.loading, e.pending, e.drainingModels = false, "", nil, make(map[string]time.Time)
 	}
 	value := 0.0
-	if holdsLease {
+	if maySendOrders {
 		value = 1
 	}
 	r.metrics.HoldsOrders.Set(value)
