Metric of broken exchanges by cause: upstream, silence, deadline, canceled

Cause: a stream that this instance ended since its engine was silent, and one that the engine broke off, were counted alike. Ruled out: a label of requests_total, since an exchange that breaks is often made good by another one.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -59,6 +59,9 @@
 	a := attempt{tracked: tracked, exchange: exchange, err: err}
 	if err != nil {
 		a.failure = c.classifyError(ctx, err)
+		if a.failure == failureIndeterminate {
+			g.Metrics.CountBreak(breakCause(ctx))
+		}
 	} else {
 		g.ObserveResponse(tracked.upstream, exchange.Response.StatusCode, exchange.Response.Header)
 		a.response = platform.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header)
@@ -98,6 +101,22 @@
 	}
 }
 
+// breakCause returns the metric label for the cause of an exchange that ended without a
+// complete response. ctx is the context of the attempt.
+func breakCause(ctx context.Context) string {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return "upstream"
+	case errors.Is(cause, errStalled), errors.Is(cause, errAttemptTimeout):
+		return "silence"
+	case errors.Is(cause, errDeadlineExceeded):
+		return "deadline"
+	default:
+		return "canceled"
+	}
+}
+
 // checkResponse reports by status and headers whether a response belongs to the request
 // and may be forwarded. A success must be signed and its body not be encoded on the way.
 func (c *call) checkResponse(a *attempt) failureKind {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -271,6 +271,7 @@
 // If the caller has disconnected, it aborts the handler instead.
 func (c *call) handleBrokenStream(ctx context.Context, a attempt, err error) (bool, string) {
 	cause := context.Cause(ctx)
+	c.gateway.Metrics.CountBreak(breakCause(ctx))
 	c.gateway.Log.Info().Str("event", "stream.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
 		Str("last_event", c.lastEventID).AnErr("cause", cause).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("event stream of the engine ended early")
 	if c.callerDisconnected() {
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -84,6 +84,7 @@
 	switch {
 	case err != nil:
 		tracked.recordUnserved()
+		c.gateway.Metrics.CountBreak(breakCause(attemptCtx))
 		c.logBrokenResponse(a, err)
 		c.reportCrash(tracked, err)
 		return true, "answer broke off"
