--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -155,6 +155,7 @@
 	loadRequests chan string
 	notices      chan string  // what the gateway tells the other instances of upstreams
 	bootTime     atomic.Int64 // nanoseconds
+	retryLimits  atomic.Pointer[retry.WindowSettings]
 }
 
 const testModel = "m1"
@@ -179,12 +180,11 @@
 func newHarness(t *testing.T, upstreams ...*testUpstream) *harness {
 	t.Helper()
 	h := &harness{registry: registry.New(zerolog.Nop(), time.Now), loadRequests: make(chan string, 64), notices: make(chan string, 64)}
+	h.retryLimits.Store(&retry.WindowSettings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
 	h.gateway = New(Options{
 		Zone: "z", Log: zerolog.Nop(), Metrics: telemetry.New(func() uint64 { return 0 }), Registry: h.registry,
 		Tracker: NewUpstreamTracker(time.Now, rand.New(rand.NewPCG(1, 2))), Pool: upstreamconn.NewPool(func() {}),
-		RetrySettings: func() retry.WindowSettings {
-			return retry.WindowSettings{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
-		},
+		RetrySettings:  func() retry.WindowSettings { return *h.retryLimits.Load() },
 		InstanceCount:  func() int { return 1 },
 		RequestLoad:    func(_, model, adapter string) { h.loadRequests <- model + "/" + adapter },
 		RecordDemand:   func(string, string, string, int) {},
--- a/internal/node/gateway/silence_test.go
+++ b/internal/node/gateway/silence_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/coordination/retry"
+	"savoryweir/internal/state/fleet"
 )
 
 // engineSilence is longer than the stall timeout of the test routes and shorter than callers
@@ -37,6 +40,98 @@
 	}
 }
 
+// allowRetries sets the number of retries that the budget of each service allows.
+func allowRetries(h *harness, n int) {
+	const allowanceShare = 0.8 // of the slack, which instances may use together
+	h.retryLimits.Store(&retry.WindowSettings{Slack: (float64(n) + 0.5) / allowanceShare, Window: 10 * time.Second})
+}
+
+// A sound engine falls silent for a while. Its stream must not be cut on the mere chance that
+// another engine continues it.
+func TestStreamOfSilentEngineIsKeptUnlessItCanContinueElsewhere(t *testing.T) {
+	for name, prevent := range map[string]func(*harness){
+		"no retry is allowed": func(h *harness) { allowRetries(h, 0) },
+		"no engine accepts requests": func(h *harness) {
+			h.registry.MarkLeaving("u1", time.Time{})
+			h.registry.MarkLeaving("u2", time.Time{})
+		},
+		"all engines asked for a pause": func(h *harness) {
+			h.gateway.pauses.record(&fleet.Upstream{ID: "u1"}, time.Minute)
+			h.gateway.pauses.record(&fleet.Upstream{ID: "u2"}, time.Minute)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := fallSilent(engineSilence)
+			one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine)
+			h := newHarness(t, one, two)
+			done := make(chan result, 1)
+			go func() { done <- doStream(h, t, "/stream/1", "Deadline-Ms", "3000") }()
+			eventually(t, "the request at an engine", func() bool { return one.requestCount()+two.requestCount() > 0 })
+			prevent(h)
+			got := <-done
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Equal(t, one.requestCount()+two.requestCount(), 1)
+		})
+	}
+}
+
+// The engine that shall continue a stream can't be reached. Since nothing was sent to it, the
+// retry remains for the next engine.
+func TestFailedDialDoesNotSpendAnotherRetry(t *testing.T) {
+	engine := fallSilent(engineSilence)
+	one, two, unreachable := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine), startUpstream(t, "u3", engine)
+	assert.NilError(t, unreachable.listener.Close())
+	h := newHarness(t, one, two, unreachable)
+	allowRetries(h, 1)
+	h.gateway.Tracker.RecordPeerPause("u3", engineSilence/2) // avoided at first
+	done := make(chan result, 1)
+	go func() { done <- doStream(h, t, "/stream/1", "Deadline-Ms", "3000") }()
+	eventually(t, "the request at an engine", func() bool { return one.requestCount()+two.requestCount() > 0 })
+	h.gateway.Tracker.RecordPeerPause("u1", time.Minute)
+	h.gateway.Tracker.RecordPeerPause("u2", time.Minute)
+	got := <-done
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Equal(t, one.requestCount()+two.requestCount(), 2)
+}
+
+// A safe request without a response is sent to another upstream, but the first one may still
+// respond if no retry is allowed.
+func TestSafeRequestAtSilentUpstreamIsAnsweredIfNoRetryIsAllowed(t *testing.T) {
+	respondLate := func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		time.Sleep(engineSilence)
+		writeResponseHead(conn, r, 200, "Content-Length: 2\r\n")
+		_, err := io.WriteString(conn, "ok")
+		return err == nil
+	}
+	h := newHarness(t, startUpstream(t, "u1", respondLate), startUpstream(t, "u2", respondLate))
+	allowRetries(h, 0)
+	got := h.do(t, "GET", "/read/1", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "ok")
+}
+
+// The timeout for one attempt must not end a response that is already being forwarded.
+func TestLongResponseIsForwardedThroughSilenceOfUpstream(t *testing.T) {
+	body := strings.Repeat("x", maxBufferedBodyBytes+100)
+	for name, header := range map[string]string{"known length": fmt.Sprintf("Content-Length: %d\r\n", len(body)), "until the connection ends": "Connection: close\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, startUpstream(t, "u1", func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+				writeResponseHead(conn, r, 200, header)
+				_, _ = io.WriteString(conn, body[:len(body)-10])
+				time.Sleep(engineSilence)
+				_, _ = io.WriteString(conn, body[len(body)-10:])
+				return false
+			}))
+			got := h.do(t, "GET", "/read/1", "")
+			assert.NilError(t, got.err)
+			assert.Equal(t, len(got.body), len(body))
+		})
+	}
+}
+
 func TestBrokenExchangesAreCountedByCause(t *testing.T) {
 	count := func(cause string) string {
 		return fmt.Sprintf("# HELP savoryweir_node_broken_exchanges_total Exchanges with upstreams that ended without a complete response, by cause.\n"+
