Silent upstreams keep their requests until a retry is granted

Callers saw streams cut, and safe requests answered 502, although the upstream was sound and silent for little more than a second. Cause: the timers against silence (1.2 s for streams, 2.5 targets for safe requests) ended the exchange first, and only then asked whether the request may go on: with the retry budget spent, no engine for the model, or all engines paused, what remained was to close the connection. A class of fault: giving up what is held before what replaces it is certain. It shows beside changes of the configuration since the users' rule counts cuts there; the change itself does not cause it. A granted retry outlasts failed dials, which reach no upstream. One timer serves streams and safe requests. Ruled out: longer timeouts, which only move the moment; no timeout at all, since engines that hang would hold callers until they leave; both exchanges side by side, since the second run would begin while the first goes on.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -28,8 +28,9 @@
 	body          []byte
 	deadline      time.Time // time by which the final response must be sent
 
-	attempts        int // sends that reached an upstream or may have reached one
-	failedDials     int // sends that failed before a connection was established
+	attempts        int  // sends that reached an upstream or may have reached one
+	failedDials     int  // sends that failed before a connection was established
+	retryGranted    bool // a retry was taken from the budget and has not reached an upstream yet
 	mayHaveExecuted bool
 	triedUpstreams  map[fleet.UpstreamID]bool
 	lastEventID     string // ID of the last event forwarded to the caller
@@ -122,22 +123,26 @@
 func (c *call) callerDisconnected() bool { return c.request.Context().Err() != nil }
 
 // acquireRetry reports whether the request may be sent again. A retry after an attempt
-// that may have reached an upstream is taken from the service's retry budget; sends
-// that reached none are bounded by maxFailedDials alone.
+// that may have reached an upstream is taken from the service's retry budget. Sends that
+// reached none are bounded by maxFailedDials alone and leave a granted retry as it is.
 func (c *call) acquireRetry(reason string) bool {
-	g := c.gateway
 	switch {
 	case c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime:
 		return false
-	case c.attempts == 0:
+	case c.attempts == 0 || c.retryGranted:
 		return c.failedDials < maxFailedDials
 	case c.attempts >= c.route.MaxAttempts || c.mayHaveExecuted && !c.route.IsRepeatable():
 		return false
 	}
-	allowed := g.spendRetry(c.service)
-	g.Log.Info().Str("event", "request.repeat").Str("request", c.params.ID).Str("reason", reason).Int("sends", c.attempts).
-		Bool("allowed", allowed).Int("instances", g.InstanceCount()).Msg("retry budget checked")
-	return allowed
+	c.retryGranted = c.gateway.spendRetry(c.service)
+	c.logRetryDecision(reason, c.attempts, c.retryGranted)
+	return c.retryGranted
+}
+
+// logRetryDecision logs whether the retry budget allowed a retry after a number of sends.
+func (c *call) logRetryDecision(reason string, sends int, allowed bool) {
+	c.gateway.Log.Info().Str("event", "request.repeat").Str("request", c.params.ID).Str("reason", reason).Int("sends", sends).
+		Bool("allowed", allowed).Int("instances", c.gateway.InstanceCount()).Msg("retry budget checked")
 }
 
 const (
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -149,24 +149,26 @@
 	id := a.tracked.upstream.ID
 	c.triedUpstreams[id] = true
 	g.Metrics.CountSend(a.failure.String())
+	if a.failure == failureConnect {
+		c.failedDials++
+	} else if a.failure != failureCanceled {
+		c.attempts++
+		c.retryGranted = false
+	}
 	switch a.failure {
 	case failureConnect:
-		c.failedDials++
 		a.tracked.recordUnserved()
 		a.tracked.recordFault()
 		g.Pool.CloseIdle(a.tracked.upstream.Address)
 	case failureNotExecuted:
-		c.attempts++
 		c.recordRefusal(a)
 	case failureIndeterminate:
-		c.attempts++
 		c.mayHaveExecuted = true
 		if !c.callerDisconnected() {
 			a.tracked.recordUnserved()
 			c.reportCrash(a.tracked, a.err)
 		}
 	case failureNone:
-		c.attempts++
 		c.mayHaveExecuted = true
 	}
 	if a.failure == failureNone {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -135,8 +135,9 @@
 func (c *call) attemptStream(ctx context.Context, tracked *trackedRequest) (bool, string) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := c.startStallTimer(cancel, tracked)
-	defer stall.stop()
+	gap := max(stallGaps*c.route.TargetEventGap, minStallTimeout)
+	stall := c.startHandoverTimer(cancel, errStalled, max(firstEventFactor*tracked.expectedTTFB, gap), gap)
+	defer c.endHandover(stall)
 	a := c.send(attemptCtx, tracked, c.lastEventID)
 	if a.failure != failureNone {
 		return true, a.failure.String()
@@ -149,42 +150,6 @@
 	return c.relayEvents(attemptCtx, a, stall)
 }
 
-// startStallTimer starts a timer that cancels the attempt if the engine sends no event for
-// too long and another engine could continue. The timer is inactive if the request can't
-// be repeated or has no attempt left.
-func (c *call) startStallTimer(cancel context.CancelCauseFunc, tracked *trackedRequest) *stallTimer {
-	s := &stallTimer{cancel: cancel, gap: max(stallGaps*c.route.TargetEventGap, minStallTimeout)}
-	if c.route.IsRepeatable() && c.attempts+1 < c.route.MaxAttempts {
-		s.timer = time.AfterFunc(max(firstEventFactor*tracked.expectedTTFB, s.gap), s.cancelAttempt)
-	}
-	return s
-}
-
-var errStalled = errors.New("no event from the engine within the stall timeout")
-
-// stallTimer cancels an attempt whose engine sends no events.
-type stallTimer struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer // nil if inactive
-	gap    time.Duration
-}
-
-func (s *stallTimer) cancelAttempt() { s.cancel(errStalled) }
-
-// reset restarts the timer after an event.
-func (s *stallTimer) reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.gap)
-	}
-}
-
-// stop stops the timer.
-func (s *stallTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
 // handleErrorResponse handles a response whose status is not 200. It returns true and the
 // reason if another engine has to be tried, or else forwards the response.
 func (c *call) handleErrorResponse(a attempt) (bool, string) {
@@ -200,7 +165,7 @@
 
 // relayEvents forwards the events of a response as they arrive. It returns true and the
 // reason if the stream ended early and another engine has to continue.
-func (c *call) relayEvents(ctx context.Context, a attempt, stall *stallTimer) (bool, string) {
+func (c *call) relayEvents(ctx context.Context, a attempt, stall *handoverTimer) (bool, string) {
 	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
 	lastEventAt := time.Now()
 	for {
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -67,8 +66,9 @@
 // attemptUnary sends the request once. It returns true and the reason if the request has
 // to be sent again, and false if the response has been forwarded to the caller.
 func (c *call) attemptUnary(ctx context.Context, tracked *trackedRequest) (bool, string) {
-	attemptCtx, cancel := c.withAttemptTimeout(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer c.endHandover(c.startAttemptTimer(cancel))
 	a := c.send(attemptCtx, tracked, "")
 	if a.failure != failureNone {
 		return true, a.failure.String()
@@ -105,19 +105,17 @@
 	return false, ""
 }
 
-// withAttemptTimeout returns a context that ends one attempt early, so that another upstream
-// can still respond before the deadline. The timeout applies to safe requests that have
-// another attempt and at least twice the timeout left.
-func (c *call) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+// startAttemptTimer starts a timer that ends one attempt early, so that another upstream can
+// still respond before the deadline. It returns nil for requests that are not safe or have
+// less than twice the timeout left.
+func (c *call) startAttemptTimer(cancel context.CancelCauseFunc) *handoverTimer {
 	timeout := max(time.Duration(attemptTimeoutTargets*float64(c.route.TargetLatency)), minAttemptTimeout)
-	if c.route.Kind != fleet.KindSafe || c.attempts+1 >= c.route.MaxAttempts || time.Until(c.deadline) < 2*timeout {
-		return context.WithCancel(ctx)
+	if c.route.Kind != fleet.KindSafe || time.Until(c.deadline) < 2*timeout {
+		return nil
 	}
-	return context.WithTimeoutCause(ctx, timeout, errAttemptTimeout)
+	return c.startHandoverTimer(cancel, errAttemptTimeout, timeout, timeout)
 }
 
-var errAttemptTimeout = errors.New("no response from the upstream within the attempt timeout")
-
 // isRetryableResponse reports whether a response is a server error, which may be a failure
 // of that one upstream rather than of the request, and the request may be repeated.
 func (c *call) isRetryableResponse(a attempt) bool {
