Long responses are forwarded through a silence of their upstream

Callers would have seen a response above 256 KiB cut off in the middle. Cause: the timer against silence of a safe request also ran while its response was being forwarded, when the request can no longer be sent again. Change: the timer stops when the forwarding begins. Ruled out: restarting the timer at each read, since nothing could continue the response.

--- a/internal/node/gateway/handover.go
+++ b/internal/node/gateway/handover.go
@@ -101,9 +101,12 @@
 	return t.granted
 }
 
-// endHandover stops the timer of an attempt that has ended.
-func (c *call) endHandover(t *handoverTimer) {
-	if t.stop() {
+// endHandover stops the timer of an attempt. It returns true if the timer has ended the
+// attempt, so that the request has to be sent again.
+func (c *call) endHandover(t *handoverTimer) bool {
+	handedOver := t.stop()
+	if handedOver {
 		c.retryGranted = true
 	}
+	return handedOver
 }
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -68,7 +68,8 @@
 func (c *call) attemptUnary(ctx context.Context, tracked *trackedRequest) (bool, string) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer c.endHandover(c.startAttemptTimer(cancel))
+	timer := c.startAttemptTimer(cancel)
+	defer c.endHandover(timer)
 	a := c.send(attemptCtx, tracked, "")
 	if a.failure != failureNone {
 		return true, a.failure.String()
@@ -76,9 +77,7 @@
 	defer a.exchange.Close()
 	defer tracked.finish()
 	if a.exchange.Response.ContentLength > maxBufferedBodyBytes {
-		tracked.recordFirstByte()
-		c.copyResponse(a, a.exchange)
-		return false, ""
+		return c.relayLongResponse(a, a.exchange, timer)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes+1))
 	switch {
@@ -89,9 +88,7 @@
 		c.reportCrash(tracked, err)
 		return true, "answer broke off"
 	case len(body) > maxBufferedBodyBytes:
-		tracked.recordFirstByte()
-		c.copyResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange))
-		return false, ""
+		return c.relayLongResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange), timer)
 	}
 	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
 		tracked.recordFault()
@@ -105,6 +102,18 @@
 	return false, ""
 }
 
+// relayLongResponse forwards a response whose body is too long to be buffered. From then on the
+// request can't be sent again, so the timer stops. It returns true and the reason if the
+// timer has ended the attempt before.
+func (c *call) relayLongResponse(a attempt, body io.Reader, timer *handoverTimer) (bool, string) {
+	if c.endHandover(timer) {
+		return true, errAttemptTimeout.Error()
+	}
+	a.tracked.recordFirstByte()
+	c.copyResponse(a, body)
+	return false, ""
+}
+
 // startAttemptTimer starts a timer that ends one attempt early, so that another upstream can
 // still respond before the deadline. It returns nil for requests that are not safe or have
 // less than twice the timeout left.
