--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -67,8 +66,10 @@
 // attemptUnary sends the request once. It returns true and the reason if the request has
 // to be sent again, and false if the response has been forwarded to the caller.
 func (c *call) attemptUnary(ctx context.Context, tracked *trackedRequest) (bool, string) {
-	attemptCtx, cancel := c.withAttemptTimeout(ctx)
-	defer cancel()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := c.startAttemptTimer(cancel)
+	defer c.endHandover(timer)
 	a := c.send(attemptCtx, tracked, "")
 	if a.failure != failureNone {
 		return true, a.failure.String()
@@ -76,21 +77,18 @@
 	defer a.exchange.Close()
 	defer tracked.finish()
 	if a.exchange.Response.ContentLength > maxBufferedBodyBytes {
-		tracked.recordFirstByte()
-		c.copyResponse(a, a.exchange)
-		return false, ""
+		return c.relayLongResponse(a, a.exchange, timer)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes+1))
 	switch {
 	case err != nil:
 		tracked.recordUnserved()
+		c.gateway.Metrics.CountBreak(breakCause(attemptCtx))
 		c.logBrokenResponse(a, err)
 		c.reportCrash(tracked, err)
 		return true, "answer broke off"
 	case len(body) > maxBufferedBodyBytes:
-		tracked.recordFirstByte()
-		c.copyResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange))
-		return false, ""
+		return c.relayLongResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange), timer)
 	}
 	if a.exchange.Response.StatusCode >= http.StatusInternalServerError {
 		tracked.recordFault()
@@ -104,18 +102,28 @@
 	return false, ""
 }
 
-// withAttemptTimeout returns a context that ends one attempt early, so that another upstream
-// can still respond before the deadline. The timeout applies to safe requests that have
-// another attempt and at least twice the timeout left.
-func (c *call) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	timeout := max(time.Duration(attemptTimeoutTargets*float64(c.route.TargetLatency)), minAttemptTimeout)
-	if c.route.Kind != fleet.KindSafe || c.attempts+1 >= c.route.MaxAttempts || time.Until(c.deadline) < 2*timeout {
-		return context.WithCancel(ctx)
+// relayLongResponse forwards a response whose body is too long to be buffered. From then on the
+// request can't be sent again, so the timer stops. It returns true and the reason if the
+// timer has ended the attempt before.
+func (c *call) relayLongResponse(a attempt, body io.Reader, timer *handoverTimer) (bool, string) {
+	if c.endHandover(timer) {
+		return true, errAttemptTimeout.Error()
 	}
-	return context.WithTimeoutCause(ctx, timeout, errAttemptTimeout)
+	a.tracked.recordFirstByte()
+	c.copyResponse(a, body)
+	return false, ""
 }
 
-var errAttemptTimeout = errors.New("no response from the upstream within the attempt timeout")
+// startAttemptTimer starts a timer that ends one attempt early, so that another upstream can
+// still respond before the deadline. It returns nil for requests that are not safe or have
+// less than twice the timeout left.
+func (c *call) startAttemptTimer(cancel context.CancelCauseFunc) *handoverTimer {
+	timeout := max(time.Duration(attemptTimeoutTargets*float64(c.route.TargetLatency)), minAttemptTimeout)
+	if c.route.Kind != fleet.KindSafe || time.Until(c.deadline) < 2*timeout {
+		return nil
+	}
+	return c.startHandoverTimer(cancel, errAttemptTimeout, timeout, timeout)
+}
 
 // isRetryableResponse reports whether a response is a server error, which may be a failure
 // of that one upstream rather than of the request, and the request may be repeated.
