Logs show the software version of upstreams and which stream a request takes up

Change: both are decoded; upstream.seen and request.sent have them. Ruled out: the version in each event of a stream, which its log line at the send has already. Conclusion: a stream that goes on at another version shows in the logs.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -51,7 +51,7 @@
 	g.Log.Info().Str("event", "request.sent").Str("request", c.params.ID).Str("upstream", string(tracked.upstream.ID)).
 		Uint64("config", c.configVersion).Stringer("entry", tracked.upstream.EntryVersion).Str("model", c.params.Model).Str("adapter", c.params.Adapter).
 		Dur("expected", tracked.expectedTTFB).Dur("unread", tracked.pendingPrefillAhead).Int("running", tracked.runningAtStart).Float64("slow", tracked.slowdown).Float64("fails", tracked.failureRate).
-		Str("resume_after", resumeAfter).Dur("left", left).Msg("sending request to upstream")
+		Str("software", tracked.upstream.SoftwareVersion).Str("resumes", c.params.ResumedID).Str("resume_after", resumeAfter).Dur("left", left).Msg("sending request to upstream")
 	exchange, err := g.Pool.Do(ctx, upstreamconn.Request{
 		Address: tracked.upstream.Address, Method: c.request.Method, Target: c.requestURI, Host: c.request.Host,
 		Header: header, Body: c.body, AtMostOnce: !c.route.IsRepeatable(),
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -165,7 +165,7 @@
 		r.removeOverrides(u.ID)
 	}
 	if !exists || restarted || known.upstream.Draining != u.Draining || known.upstream.Address != u.Address {
-		r.log.Info().Str("event", "upstream.seen").Str("upstream", string(u.ID)).Str("service", u.Service).
+		r.log.Info().Str("event", "upstream.seen").Str("upstream", string(u.ID)).Str("service", u.Service).Str("software", u.SoftwareVersion).
 			Str("address", u.Address).Bool("draining", u.Draining).Bool("restarted", restarted).Time("born", u.StartedAt).Msg("upstream added or changed")
 	}
 	r.entries[u.ID] = added
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -115,6 +115,7 @@
 	ID              UpstreamID
 	StartedAt       time.Time // start of this incarnation
 	Service         string
+	SoftwareVersion string // streams of one version can't be continued by another
 	Address         string
 	Zone            string
 	Draining        bool
