--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -35,6 +35,7 @@
 	id       fleet.UpstreamID
 	listener net.Listener
 	respond  responder
+	software string // version of its software
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -205,7 +206,7 @@
 	var list []fleet.Upstream
 	for _, u := range upstreams {
 		list = append(list, fleet.Upstream{
-			ID: u.id, Service: "s", Zone: "z", Address: u.listener.Addr().String(),
+			ID: u.id, Service: "s", Zone: "z", Address: u.listener.Addr().String(), SoftwareVersion: u.software,
 			Models: []fleet.ResidentModel{{Model: testModel, Adapters: []string{"a1"}}},
 		})
 	}
