Streams go on only at the software version that began them

Cause: an instance resumed a broken stream at any engine that holds the model, and nobody knew at which version a stream began that its caller takes up at another instance. A class of fault: work is handed over without the state that binds it. Change: a stream is bound to the version of its first event, in the gateway and in what instances tell each other. While several versions of a service serve, or have served within a minute, instances announce the streams that begin (twice, each 100 ms, to all others or to the aggregators of a large fleet); who does not know a stream asks them for 100 ms. If one version alone can have begun it, it goes on there; the holder of the lease keeps the versions that served lately in the store, so that this also holds after all instances were lost. Otherwise the caller is refused. A silent engine keeps its stream if no other of its version can go on. Ruled out: choosing the version by a hash of the request, which would take the choice of engines from the load; announcing all streams at all times, which costs datagrams in the usual case of one version; an object in the store for each stream, for its rate. Measured: tests of node, gateway, streams and reference with the race detector pass.

--- a/internal/node/aggregation.go
+++ b/internal/node/aggregation.go
@@ -169,6 +169,34 @@
 	return true
 }
 
+// announceStreams sends the streams that began at this instance to the aggregators of its
+// availability zone.
+func (a *aggregator) announceStreams(origins []*pb.StreamOrigin) {
+	if len(origins) == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now, zone := time.Now(), a.node.settings.Instance.Zone
+	for _, c := range a.selector(zone).Select(now, a.candidates(now)[zone]) {
+		for _, o := range origins {
+			a.node.mesh.Send(c.Instance, &pb.FleetMessage{StreamOrigins: []*pb.StreamOrigin{o}})
+		}
+	}
+}
+
+// sendToAllAggregators sends a message to the aggregators of all availability zones.
+func (a *aggregator) sendToAllAggregators(m *pb.FleetMessage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for zone, candidates := range a.candidates(now) {
+		for _, c := range a.selector(zone).Select(now, candidates) {
+			a.node.mesh.Send(c.Instance, m)
+		}
+	}
+}
+
 // sendToAggregators sends packed changes to the aggregators of a zone. The caller holds a.mu.
 func (a *aggregator) sendToAggregators(now time.Time, zone string, candidates []aggregation.Candidate, packed []byte, scope pb.PackedChanges_Scope) {
 	for _, c := range a.selector(zone).Select(now, candidates) {
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/state/streams"
 	"savoryweir/platform"
 )
 
@@ -21,7 +23,8 @@
 	params     platform.Request
 	requestURI string
 
-	configVersion uint64 // version of the configuration that the request is served with
+	config        *fleet.Config // nil if no route matches
+	configVersion uint64        // version of the configuration that the request is served with
 	route         *fleet.Route
 	service       string
 	engineClass   *fleet.EngineClass // nil if the service has no engines
@@ -34,6 +37,8 @@
 	mayHaveExecuted bool
 	triedUpstreams  map[fleet.UpstreamID]bool
 	lastEventID     string // ID of the last event forwarded to the caller
+	// origin is the software version that began the stream; nil before its first event.
+	origin atomic.Pointer[streams.Origin]
 
 	outcome     string
 	status      int
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -54,6 +54,8 @@
 	// BroadcastPause tells the other instances that an upstream refused a request and
 	// asked this instance for a pause.
 	BroadcastPause func(u *fleet.Upstream, d time.Duration)
+	// Streams knows at which software version streams began.
+	Streams StreamOrigins
 	// BootTime returns the time of a clock that includes suspended time.
 	BootTime func() time.Duration
 	// RecordDemand records a request for a model or adapter with its expected work in
@@ -159,7 +161,7 @@
 		c.respond(http.StatusNotFound, "no route")
 		return
 	}
-	c.configVersion = active.Config.Version
+	c.config, c.configVersion = active.Config, active.Config.Version
 	c.service = routetable.PickService(c.route, rand.Float64())
 	c.engineClass = active.Config.Services[c.service].EnginesOrNil()
 	c.serve(active.Config.Limits)
--- a/internal/node/gateway/handover.go
+++ b/internal/node/gateway/handover.go
@@ -69,7 +69,7 @@
 	if c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime {
 		return false
 	}
-	usable := c.gateway.Registry.View().Usable(c.service, c.params.Model, c.params.Adapter)
+	usable := c.usableEngines(c.params.Model, c.params.Adapter)
 	if available, _ := c.gateway.pauses.available(usable); len(available) == 0 {
 		return false
 	}
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -23,6 +23,7 @@
 	"savoryweir/internal/node/telemetry"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/loads"
+	"savoryweir/internal/state/streams"
 	"savoryweir/internal/transport/upstreamconn"
 )
 
@@ -190,6 +191,7 @@
 		RequestLoad:    func(_, model, adapter string) { h.loadRequests <- model + "/" + adapter },
 		RecordDemand:   func(string, string, string, int) {},
 		BroadcastCrash: func(uint64, fleet.UpstreamID) {},
+		Streams:        newKnownStreams(h.registry),
 		BootTime:       func() time.Duration { return time.Duration(h.bootTime.Load()) },
 		BroadcastLeaving: func(u *fleet.Upstream) {
 			h.notices <- "leaving " + string(u.ID)
@@ -274,3 +276,34 @@
 		}
 	}
 }
+
+// knownStreams is the origins of the streams of one gateway, without other instances.
+type knownStreams struct {
+	mu       sync.Mutex
+	tracker  *streams.Tracker
+	registry *registry.Registry
+}
+
+func newKnownStreams(r *registry.Registry) *knownStreams {
+	k := &knownStreams{tracker: streams.NewTracker(time.Now()), registry: r}
+	k.tracker.LearnPast(time.Now(), nil)
+	return k
+}
+
+// Record implements StreamOrigins.
+func (k *knownStreams) Record(request string, origin streams.Origin) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tracker.Begin(time.Now(), streams.IDOf(request), origin)
+}
+
+// Find implements StreamOrigins.
+func (k *knownStreams) Find(_ context.Context, request, service string) (streams.Origin, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tracker.ObserveServing(time.Now(), k.registry.View().SoftwareVersions())
+	if origin, ok := k.tracker.Lookup(streams.IDOf(request)); ok {
+		return origin, true
+	}
+	return k.tracker.OnlyOrigin(time.Now(), service)
+}
--- a/internal/node/gateway/residency.go
+++ b/internal/node/gateway/residency.go
@@ -28,14 +28,14 @@
 func (c *call) awaitLoadedEngines(ctx context.Context) ([]*fleet.Upstream, bool) {
 	g := c.gateway
 	registryChanged := g.Registry.Changed()
-	usable := g.Registry.View().Usable(c.service, c.params.Model, c.params.Adapter)
+	usable := c.usableEngines(c.params.Model, c.params.Adapter)
 	if len(usable) > 0 {
 		return usable, true
 	}
 	expected := c.expectedLoadTime()
 	maxWait := c.patience().Remaining
 	g.RequestLoad(c.service, c.params.Model, c.params.Adapter)
-	if expected > maxWait || c.engineClass == nil || len(g.Registry.View().ByService(c.service)) == 0 {
+	if expected > maxWait || !c.mayBeLoaded() {
 		c.refuseNotLoaded(ctx, expected)
 		return nil, false
 	}
@@ -54,7 +54,7 @@
 		select {
 		case <-registryChanged:
 			registryChanged = g.Registry.Changed()
-			if usable = g.Registry.View().Usable(c.service, c.params.Model, c.params.Adapter); len(usable) > 0 {
+			if usable = c.usableEngines(c.params.Model, c.params.Adapter); len(usable) > 0 {
 				return usable, true
 			}
 		case <-requestTicker.C:
@@ -69,6 +69,15 @@
 	}
 }
 
+// mayBeLoaded reports whether a load may help the request. Models are placed without regard to
+// software versions, so that a stream which has begun waits for an adapter at most.
+func (c *call) mayBeLoaded() bool {
+	if c.engineClass == nil || len(c.gateway.Registry.View().ByService(c.service)) == 0 {
+		return false
+	}
+	return c.origin.Load() == nil || len(c.usableEngines(c.params.Model, "")) > 0
+}
+
 // expectedLoadTime returns the expected time until an engine holds the model and adapter.
 // A model is expected to load from disk if an engine that is not draining has a local
 // copy. The time is zero if the service has no engines or does not offer the model.
@@ -76,7 +85,7 @@
 	if c.engineClass == nil {
 		return 0
 	}
-	if len(c.gateway.Registry.View().Usable(c.service, c.params.Model, "")) > 0 {
+	if len(c.usableEngines(c.params.Model, "")) > 0 {
 		return loadRequestInterval
 	}
 	model := c.engineClass.Model(c.params.Model)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -41,6 +41,9 @@
 
 // serveStream serves a request whose response is a stream of events.
 func (c *call) serveStream(ctx context.Context) {
+	if c.isResumption() && !c.bindToOrigin(ctx) {
+		return
+	}
 	if c.engineClass != nil && c.params.Model != "" {
 		c.gateway.RecordDemand(c.service, c.params.Model, c.params.Adapter, c.unsharedPromptTokens()+c.expectedOutputTokens())
 	}
@@ -197,6 +200,7 @@
 		}
 		lastEventAt = time.Now()
 		if c.firstByteAt.IsZero() {
+			c.recordOrigin(a.tracked.upstream)
 			c.startResponse(a)
 		}
 		if !c.writeEvent(event) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,7 @@
 	reconciler   *reconciler.Reconciler
 	leaseManager *reconciler.LeaseManager
 	reporter     *reporter
+	streams      *streamOrigins
 
 	configInformer, upstreamInformer *storewatch.Informer
 
@@ -75,6 +76,7 @@
 	n.tracker = gateway.NewUpstreamTracker(time.Now, newRandom())
 	n.pool = upstreamconn.NewPool(n.metrics.UpstreamConnections.Inc)
 	n.reporter = newReporter(n)
+	n.streams = newStreamOrigins(n)
 	address, err := netip.ParseAddr(s.Instance.Address)
 	if err != nil {
 		return nil, errs.Wrap(err, "read address", errs.Self)
@@ -95,7 +97,7 @@
 		Zone: n.settings.Instance.Zone, Log: logging.WithComponent(n.log, "gateway"), Metrics: n.metrics,
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, RetrySettings: n.retrySettings, InstanceCount: n.instanceCount,
 		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastCrash: n.reporter.broadcastCrash,
-		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, BootTime: n.bootTime,
+		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Streams: n.streams, BootTime: n.bootTime,
 	})
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
@@ -234,6 +236,7 @@
 		"upstreams": n.upstreamInformer.Run,
 		"instances": n.listInstances,
 		"register":  n.registerInstance,
+		"versions":  n.keepVersionRecord,
 		"mesh":      n.mesh.Run,
 		"reports":   n.reporter.run,
 		"lease":     n.leaseManager.Run,
@@ -305,7 +308,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		version, err := n.ensureEntry(ctx, object.Name(entry.ID), data)
+		version, err := n.ensureEntry(ctx, object.KindInstances, object.Name(entry.ID), data)
 		if err != nil {
 			n.log.Info().Err(err).Str("event", "register.failed").Msg("failed to write the store entry of this instance; it will be retried")
 			pause.For(ctx, registerRetryDelay/2+rand.N(registerRetryDelay))
@@ -318,18 +321,18 @@
 	}
 }
 
-// ensureEntry creates the store entry of this instance, or updates an entry with other
-// content. It returns the version of the entry.
-func (n *Node) ensureEntry(ctx context.Context, name object.Name, data []byte) (object.Version, error) {
-	version, err := n.store.Create(ctx, object.KindInstances, name, data)
+// ensureEntry creates a store entry, or updates an entry with other content. It returns the
+// version of the entry.
+func (n *Node) ensureEntry(ctx context.Context, kind object.Kind, name object.Name, data []byte) (object.Version, error) {
+	version, err := n.store.Create(ctx, kind, name, data)
 	if !errors.Is(err, object.ErrConflict) {
 		return version, err
 	}
-	found, err := n.store.Get(ctx, object.KindInstances, name)
+	found, err := n.store.Get(ctx, kind, name)
 	if err != nil || string(found.Data) == string(data) {
 		return found.Version, err
 	}
-	return n.store.Update(ctx, object.KindInstances, name, data, found.Version)
+	return n.store.Update(ctx, kind, name, data, found.Version)
 }
 
 func (n *Node) operationsAddress() string {
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -13,6 +13,7 @@
 
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/object"
+	"savoryweir/internal/state/streams"
 )
 
 const (
@@ -339,6 +340,20 @@
 // Count returns the number of known upstreams.
 func (v *View) Count() int { return len(v.byID) }
 
+// SoftwareVersions returns the software versions of all upstreams by service, including draining
+// ones.
+func (v *View) SoftwareVersions() []streams.Origin {
+	var versions []streams.Origin
+	for service, list := range v.byService {
+		for _, u := range list {
+			if origin := (streams.Origin{Service: service, Version: u.SoftwareVersion}); !slices.Contains(versions, origin) {
+				versions = append(versions, origin)
+			}
+		}
+	}
+	return versions
+}
+
 // Usable returns the upstreams of a service that accept requests and hold the model and
 // adapter. An empty name sets no condition.
 func (v *View) Usable(service, model, adapter string) []*fleet.Upstream {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -176,14 +176,17 @@
 	for tick := 0; pause.For(ctx, minReportInterval); tick++ {
 		r.reportDemand(tick)
 		r.sendPendingChanges()
+		origins := r.node.streams.takeAnnouncements()
 		if r.aggregatesLoads() {
 			report, now := r.currentReport(), time.Now()
 			r.aggregator.exchange(tick, report, toAggregators.isDue(now, report, minReportInterval))
+			r.aggregator.announceStreams(origins)
 			if beacons.isDue(now, report) {
 				r.node.mesh.Broadcast(report.beacon())
 			}
 			continue
 		}
+		r.announceStreams(origins)
 		sameZonePeers, otherZonePeers := r.node.mesh.PeerCountByZone()
 		report, now := r.currentReport(), time.Now()
 		if sameZone.isDue(now, report, sameZoneIntervalPerPeer*time.Duration(sameZonePeers)) {
@@ -304,6 +307,9 @@
 	if m.NewestUpstream > 0 {
 		r.node.upstreamInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestUpstream))
 	}
+	if known := r.node.streams.receive(m); len(known) > 0 {
+		r.node.mesh.Send(m.Instance, &pb.FleetMessage{StreamOrigins: known})
+	}
 	for _, w := range m.Wants {
 		r.node.reconciler.MarkWanted(rebalance.DemandKey{Service: w.Service, Model: w.Model, Adapter: w.Adapter}, m.Instance)
 	}
--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -203,6 +203,9 @@
 	c := startStreamCluster(t)
 	all := c.startLargeFleet(t)
 	c.configureStreams(t, 2)
+	for _, i := range all {
+		eventually(t, "the configuration with streams", func() bool { return i.node.gateway.Config().Version == 2 })
+	}
 	c.awaitEngines(t, 2, all...)
 	version := c.begin(t, all[0], "s")
 	all[0].terminate(t)
--- /dev/null
+++ b/internal/node/versionrecord.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"savoryweir/internal/pause"
+	"savoryweir/internal/state/object"
+	"savoryweir/internal/state/streams"
+)
+
+// The store keeps the versions that have served lately, since callers take up streams also
+// after all instances were lost. The holder of the lease writes the record.
+const (
+	kindSoftwareVersions object.Kind = "savoryweir-software-versions"
+	nameSoftwareVersions object.Name = "main"
+	// versionRecordInterval is the interval at which the holder compares the record with what
+	// serves.
+	versionRecordInterval = 200 * time.Millisecond
+)
+
+// versionRecord is the stored form of the versions that have served lately.
+type versionRecord struct {
+	Served []recordedVersion `json:"served"`
+}
+
+type recordedVersion struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+}
+
+func encodeVersionRecord(served []streams.Origin) ([]byte, error) {
+	record := versionRecord{Served: []recordedVersion{}}
+	for _, o := range served {
+		record.Served = append(record.Served, recordedVersion(o))
+	}
+	return json.Marshal(record)
+}
+
+func decodeVersionRecord(data []byte) ([]streams.Origin, error) {
+	var record versionRecord
+	err := json.Unmarshal(data, &record)
+	var served []streams.Origin
+	for _, v := range record.Served {
+		served = append(served, streams.Origin(v))
+	}
+	return served, err
+}
+
+// keepVersionRecord reads the record once, and writes it while this instance holds the lease and
+// the versions that have served lately differ from it.
+func (n *Node) keepVersionRecord(ctx context.Context) {
+	n.readVersionRecord(ctx)
+	var written []streams.Origin
+	isWritten := false
+	for pause.For(ctx, versionRecordInterval) {
+		if !n.leaseManager.HoldsLease() {
+			isWritten = false
+			continue
+		}
+		served := n.streams.served()
+		if len(served) == 0 || isWritten && slices.Equal(served, written) {
+			continue
+		}
+		if err := n.writeVersionRecord(ctx, served); err != nil {
+			n.log.Info().Err(err).Str("event", "versions.failed").Msg("failed to write the software versions that serve; the write will be repeated")
+			pause.For(ctx, n.storeRetryDelay())
+			continue
+		}
+		written, isWritten = served, true
+	}
+}
+
+// readVersionRecord reads the versions that served before this instance started. It repeats the
+// call until the store answers.
+func (n *Node) readVersionRecord(ctx context.Context) {
+	for ctx.Err() == nil {
+		objects, _, err := n.store.ListStaleAt(ctx, kindSoftwareVersions)
+		if err == nil {
+			n.learnVersionRecord(objects)
+			return
+		}
+		n.log.Info().Err(err).Str("event", "versions.failed").Msg("failed to read the software versions that served before; the call will be repeated")
+		pause.For(ctx, n.storeRetryDelay())
+	}
+}
+
+func (n *Node) learnVersionRecord(objects []object.Object) {
+	var served []streams.Origin
+	for _, o := range objects {
+		versions, err := decodeVersionRecord(o.Data)
+		if err != nil {
+			n.log.Error().Err(err).Str("event", "versions.failed").Msg("failed to decode the software versions that served before; unknown streams are refused for a time")
+			return
+		}
+		served = append(served, versions...)
+	}
+	n.streams.learnPast(served)
+}
+
+func (n *Node) writeVersionRecord(ctx context.Context, served []streams.Origin) error {
+	data, err := encodeVersionRecord(served)
+	if err != nil {
+		return err
+	}
+	version, err := n.ensureEntry(ctx, kindSoftwareVersions, nameSoftwareVersions, data)
+	if err == nil {
+		n.log.Info().Str("event", "versions.recorded").Interface("served", served).Stringer("revision", version).Msg("software versions that serve recorded")
+	}
+	return err
+}
+
+// served returns the versions of all services that have served lately.
+func (s *streamOrigins) served() []streams.Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.observe(now)
+	return s.tracker.Served(now)
+}
+
+// learnPast records the versions that served before the start of this instance.
+func (s *streamOrigins) learnPast(served []streams.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.LearnPast(time.Now(), served)
+}
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -50,6 +50,11 @@
 	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
 }
 
+// RoutesTo reports whether the route sends requests to a service.
+func (r *Route) RoutesTo(service string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Model is one model that the engines of a service may load.
 type Model struct {
 	Name         string
--- /dev/null
+++ b/internal/state/streams/streams.go
@@ -0,0 +1,183 @@
+// Package streams remembers at which software version of its service each stream began, and
+// which versions have served lately. Only engines of the version that began a stream can
+// continue it.
+package streams
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Retention is how long streams and versions are remembered: longer than callers wait
+	// for a stream.
+	Retention = time.Minute
+	// announcements is how often each stream is announced, because datagrams may be lost.
+	announcements = 2
+)
+
+// ID identifies a stream. It is a hash of the ID of the request that brought the first event.
+type ID uint64
+
+// IDOf returns the ID of the stream that a request began.
+func IDOf(request string) ID { return ID(xxhash.Sum64String(request)) }
+
+// Origin is a service and a version of its software.
+type Origin struct{ Service, Version string }
+
+// Tracker holds the origins of streams and the versions that serve. It is not safe for
+// concurrent use.
+type Tracker struct {
+	startedAt time.Time
+	knowsPast bool // the versions that served before the start are known
+	origins   map[ID]Origin
+	expiry    []timedID              // all streams, oldest first
+	pending   map[string][]pendingID // streams not yet announced, by service, oldest first
+	servedAt  map[Origin]time.Time   // when each version served last
+}
+
+type timedID struct {
+	id      ID
+	addedAt time.Time
+}
+
+type pendingID struct {
+	timedID
+	left int // announcements
+}
+
+// NewTracker returns a tracker of a process that starts now.
+func NewTracker(now time.Time) *Tracker {
+	return &Tracker{startedAt: now, origins: make(map[ID]Origin), pending: make(map[string][]pendingID), servedAt: make(map[Origin]time.Time)}
+}
+
+// Begin records a stream that began at this instance.
+func (t *Tracker) Begin(now time.Time, id ID, origin Origin) {
+	if t.add(now, id, origin) {
+		t.pending[origin.Service] = append(t.pending[origin.Service], pendingID{timedID{id, now}, announcements})
+	}
+}
+
+// Learn records a stream that began at another instance.
+func (t *Tracker) Learn(now time.Time, id ID, origin Origin) {
+	t.servedAt[origin] = now
+	t.add(now, id, origin)
+}
+
+// add records the origin of a stream and reports whether it was not known.
+func (t *Tracker) add(now time.Time, id ID, origin Origin) bool {
+	if _, known := t.origins[id]; known {
+		return false
+	}
+	t.origins[id] = origin
+	t.expiry = append(t.expiry, timedID{id, now})
+	return true
+}
+
+// Lookup returns the origin of a stream, and whether it has been recorded.
+func (t *Tracker) Lookup(id ID) (Origin, bool) {
+	origin, ok := t.origins[id]
+	return origin, ok
+}
+
+// ObserveServing records the versions that serve now.
+func (t *Tracker) ObserveServing(now time.Time, serving []Origin) {
+	for _, o := range serving {
+		t.servedAt[o] = now
+	}
+}
+
+// LearnPast records the versions that served before the start of this process, possibly none.
+func (t *Tracker) LearnPast(now time.Time, served []Origin) {
+	t.knowsPast = true
+	t.ObserveServing(now, served)
+}
+
+// OnlyOrigin returns the origin of any stream of a service that callers may still take up. It
+// returns false if there is more than one version at which it may have begun.
+func (t *Tracker) OnlyOrigin(now time.Time, service string) (Origin, bool) {
+	served := t.versions(now, service)
+	if len(served) != 1 || !t.knowsPast && now.Sub(t.startedAt) < Retention {
+		return Origin{}, false
+	}
+	return served[0], true
+}
+
+// versions returns the versions of a service that have served within the retention.
+func (t *Tracker) versions(now time.Time, service string) []Origin {
+	var served []Origin
+	for o, at := range t.servedAt {
+		if o.Service == service && now.Sub(at) < Retention {
+			served = append(served, o)
+		}
+	}
+	return served
+}
+
+// Served returns the versions of all services that have served within the retention, sorted.
+func (t *Tracker) Served(now time.Time) []Origin {
+	var served []Origin
+	for o, at := range t.servedAt {
+		if now.Sub(at) < Retention {
+			served = append(served, o)
+		}
+	}
+	slices.SortFunc(served, func(a, b Origin) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return served
+}
+
+// TakeAnnouncements returns the streams that the other instances have to be told of, by their
+// origin. Streams of a service of which only one version serves are kept until another does.
+func (t *Tracker) TakeAnnouncements(now time.Time) map[Origin][]ID {
+	due := make(map[Origin][]ID)
+	for service, list := range t.pending {
+		if len(t.versions(now, service)) < 2 {
+			continue
+		}
+		var remaining []pendingID
+		for _, p := range list {
+			origin, ok := t.origins[p.id]
+			if !ok {
+				continue // expired
+			}
+			due[origin] = append(due[origin], p.id)
+			if p.left--; p.left > 0 {
+				remaining = append(remaining, p)
+			}
+		}
+		t.pending[service] = remaining
+	}
+	return due
+}
+
+// RemoveExpired removes the streams and versions whose retention is over.
+func (t *Tracker) RemoveExpired(now time.Time) {
+	expired := countExpired(now, t.expiry, func(s timedID) time.Time { return s.addedAt })
+	for _, s := range t.expiry[:expired] {
+		delete(t.origins, s.id)
+	}
+	t.expiry = slices.Delete(t.expiry, 0, expired)
+	for service, list := range t.pending {
+		t.pending[service] = slices.Delete(list, 0, countExpired(now, list, func(p pendingID) time.Time { return p.addedAt }))
+	}
+	for o, at := range t.servedAt {
+		if now.Sub(at) >= Retention {
+			delete(t.servedAt, o)
+		}
+	}
+}
+
+// countExpired returns how many elements at the start of a list, oldest first, were added
+// longer ago than the retention.
+func countExpired[T any](now time.Time, list []T, addedAt func(T) time.Time) int {
+	n := 0
+	for n < len(list) && now.Sub(addedAt(list[n])) >= Retention {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/state/streams/streams_test.go
@@ -0,0 +1,89 @@
+package streams
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	v1    = Origin{"s", "v1"}
+	v2    = Origin{"s", "v2"}
+)
+
+func TestOnlyOriginNeedsOneVersionWithinRetention(t *testing.T) {
+	later := start.Add(Retention)
+	for name, test := range map[string]struct {
+		prepare func(*Tracker)
+		want    bool
+	}{
+		"past not known":              {func(tr *Tracker) { tr.ObserveServing(start, []Origin{v1}) }, false},
+		"nothing served before":       {func(tr *Tracker) { tr.LearnPast(start, nil); tr.ObserveServing(start, []Origin{v1}) }, true},
+		"another version before":      {func(tr *Tracker) { tr.LearnPast(start, []Origin{v2}); tr.ObserveServing(start, []Origin{v1}) }, false},
+		"another version beside":      {func(tr *Tracker) { tr.LearnPast(start, nil); tr.ObserveServing(start, []Origin{v1, v2}) }, false},
+		"another version of a stream": {func(tr *Tracker) { tr.LearnPast(start, []Origin{v1}); tr.Learn(start, 7, v2) }, false},
+		"another service":             {func(tr *Tracker) { tr.LearnPast(start, []Origin{v1, {"other", "v2"}}) }, true},
+		"no version":                  {func(tr *Tracker) { tr.LearnPast(start, nil) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker(start)
+			test.prepare(tracker)
+			got, ok := tracker.OnlyOrigin(start.Add(time.Second), "s")
+			assert.Equal(t, ok, test.want)
+			if ok {
+				assert.Equal(t, got, v1)
+			}
+		})
+	}
+	tracker := NewTracker(start)
+	tracker.ObserveServing(start, []Origin{v2})
+	tracker.ObserveServing(later, []Origin{v1})
+	got, ok := tracker.OnlyOrigin(later, "s")
+	assert.Assert(t, ok, "the process has run for the whole retention, in which one version served")
+	assert.Equal(t, got, v1)
+}
+
+func TestStreamsAreAnnouncedTwiceOnceSeveralVersionsServe(t *testing.T) {
+	tracker := NewTracker(start)
+	tracker.ObserveServing(start, []Origin{v1})
+	tracker.Begin(start, 1, v1)
+	assert.Equal(t, len(tracker.TakeAnnouncements(start)), 0)
+	tracker.ObserveServing(start, []Origin{v2})
+	tracker.Begin(start, 2, v2)
+	tracker.Begin(start, 2, v2)
+	want := map[Origin][]ID{v1: {1}, v2: {2}}
+	assert.DeepEqual(t, tracker.TakeAnnouncements(start), want)
+	tracker.Begin(start, 3, v1)
+	assert.DeepEqual(t, tracker.TakeAnnouncements(start), map[Origin][]ID{v1: {1, 3}, v2: {2}})
+	assert.DeepEqual(t, tracker.TakeAnnouncements(start), map[Origin][]ID{v1: {3}})
+	assert.Equal(t, len(tracker.TakeAnnouncements(start)), 0)
+}
+
+func TestStreamsOfOthersAreNotAnnounced(t *testing.T) {
+	tracker := NewTracker(start)
+	tracker.ObserveServing(start, []Origin{v1, v2})
+	tracker.Learn(start, 1, v2)
+	got, ok := tracker.Lookup(1)
+	assert.Assert(t, ok)
+	assert.Equal(t, got, v2)
+	assert.Equal(t, len(tracker.TakeAnnouncements(start)), 0)
+}
+
+func TestStreamsAndVersionsAreRemovedAfterRetention(t *testing.T) {
+	tracker := NewTracker(start)
+	tracker.ObserveServing(start, []Origin{v1})
+	tracker.Begin(start, 1, v1)
+	middle, end := start.Add(Retention/2), start.Add(Retention)
+	tracker.Begin(middle, 2, v1)
+	tracker.Learn(middle, 3, v2)
+	tracker.RemoveExpired(end)
+	_, found := tracker.Lookup(1)
+	assert.Assert(t, !found)
+	_, found = tracker.Lookup(2)
+	assert.Assert(t, found)
+	assert.DeepEqual(t, tracker.Served(end), []Origin{v2})
+	tracker.RemoveExpired(middle.Add(Retention))
+	assert.Equal(t, len(tracker.origins)+len(tracker.expiry)+len(tracker.pending["s"])+len(tracker.servedAt), 0)
+}
