Failing tests: work that is given up before its replacement is certain

Handing over a silent stream asks for the budget and for an engine that accepts requests, but not for one that will continue the stream; the same class acts in orders to engines and in the entry. No product code is touched. Ruled out: an overlap of two engines; the former connection closed 0.2 to 0.5 ms before the next engine read the request in 10 of 10 trials.

--- /dev/null
+++ b/internal/entry/silence_test.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/transport/upstreamhttp"
+)
+
+// pausingProxy forwards bytes to an upstream. While paused it forwards none and keeps its
+// connections, as an upstream whose process is stopped for a while does.
+type pausingProxy struct {
+	address string
+	mu      sync.RWMutex // locked for writing while paused
+}
+
+func startPausingProxy(t *testing.T, target string) *pausingProxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &pausingProxy{address: listener.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		_ = listener.Close()
+		group.Wait()
+	})
+	group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			upstream, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			context.AfterFunc(ctx, func() {
+				_ = conn.Close()
+				_ = upstream.Close()
+			})
+			group.Go(func() { p.forward(upstream, conn) })
+			group.Go(func() { p.forward(conn, upstream) })
+		}
+	})
+	return p
+}
+
+func (p *pausingProxy) forward(to, from net.Conn) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil || p.write(to, buffer[:n]) != nil {
+			return
+		}
+	}
+}
+
+// write waits for the end of a pause before it writes.
+func (p *pausingProxy) write(to net.Conn, data []byte) error {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	_, err := to.Write(data)
+	return err
+}
+
+func (p *pausingProxy) pause(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	time.Sleep(d)
+}
+
+// An upstream is stopped for 1.7 s, with the default timeouts and no retry allowed. Over HTTP/2 its
+// unanswered ping ended the connection with all its requests, and then there was no retry.
+func TestCallIsAnsweredAfterPauseOfUpstream(t *testing.T) {
+	for _, protocol := range []upstreamhttp.Protocol{upstreamhttp.ProtocolHTTP1, upstreamhttp.ProtocolH2C} {
+		for _, kind := range []string{"read", "chat"} {
+			t.Run(fmt.Sprint(protocol, " ", kind), func(t *testing.T) {
+				t.Parallel()
+				start := startService
+				call := func(e *testEntry) testResponse { return e.do(http.MethodGet, "/services/booking/slots", "") }
+				if kind == "chat" {
+					start = startEngine
+					call = func(e *testEntry) testResponse {
+						return e.do(http.MethodPost, chatPath, chatBody("hello", 20, false))
+					}
+				}
+				u := start(t, "u1")
+				proxy := startPausingProxy(t, u.address)
+				u.address = proxy.address
+				upstreams := defaultSettings(t).Upstreams
+				e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, func(s *Settings) {
+					s.Upstreams = upstreams
+					s.Upstreams.Protocol = protocol
+				})
+				assert.Equal(t, call(e).status, http.StatusOK)
+				go proxy.pause(1700 * time.Millisecond)
+				time.Sleep(20 * time.Millisecond)
+				got := call(e)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+			})
+		}
+	}
+}
+
+// An order can't be sent again, yet the timeouts against silence ended it long before its deadline
+// of 8 s.
+func TestOrderIsAnsweredAfterSilenceOfUpstream(t *testing.T) {
+	for name, silence := range map[string]struct{ before, within time.Duration }{
+		"before the answer": {before: 900 * time.Millisecond}, // first byte timeout: 600 ms
+		"within the answer": {within: 400 * time.Millisecond}, // idle timeout: 200 ms
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address, _ := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.Header().Set(httpapi.HeaderRequestID, r.Header.Get(httpapi.HeaderRequestID))
+				w.Header().Set("Content-Length", "4")
+				time.Sleep(silence.before)
+				_, _ = io.WriteString(w, "do")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(silence.within)
+				_, _ = io.WriteString(w, "ne")
+			}))
+			e := startEntry(t, &sharedView{data: viewWithUpstreams(&testUpstream{id: "s1", address: address})}, newMemoryClaims(), nil)
+			got := e.sendOrder("o1", idempotencyKey("o1"))
+			assert.Equal(t, fmt.Sprint(got.status, " ", got.body), "200 done")
+		})
+	}
+}
+
+// A stream whose engine is silent for 0.4 s lost its place there to a request that waited, and ended
+// when the queue's maximum wait had passed.
+func TestStreamOfSilentEngineKeepsItsPlace(t *testing.T) {
+	u := startEngine(t, "e1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, func(s *Settings) {
+		s.Upstreams.MaxInFlight = 1
+		s.Queue.MaxWait = time.Second
+	})
+	e.fillRetryBudgets()
+	var first, second streamResult
+	var group sync.WaitGroup
+	group.Go(func() { first = e.streamChat(t, "r1", "first", 600) })
+	eventually(t, "the first stream at the engine", func() bool { return u.engine.Started() == 1 })
+	group.Go(func() { second = e.streamChat(t, "r2", "second", 3000) })
+	time.Sleep(100 * time.Millisecond)
+	proxy.pause(400 * time.Millisecond) // idle timeout: 200 ms
+	group.Wait()
+	assert.Assert(t, second.complete)
+	assertCompleteStream(t, first, "first", 600)
+}
--- /dev/null
+++ b/internal/node/gateway/handover_test.go
@@ -0,0 +1,315 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/state/loads"
+)
+
+// resumeWith returns a responder that falls silent after the first event for a while, and
+// responds to a resumed request by resumed.
+func resumeWith(resumed responder) responder {
+	silent := fallSilent(engineSilence)
+	return func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if r.Header.Get("Last-Event-Id") != "" {
+			return resumed(u, r, body, conn)
+		}
+		return silent(u, r, body, conn)
+	}
+}
+
+// spendAllRetries takes all retries that are left and returns their number.
+func spendAllRetries(h *harness) int {
+	spent := 0
+	for h.gateway.spendRetry("s") {
+		spent++
+	}
+	return spent
+}
+
+// A sound engine falls silent for a while, and the engine that shall continue its stream does
+// not. The stream was cut, since the sound engine had been given up before.
+func TestStreamOfSilentEngineIsKeptIfOtherEngineDoesNotContinueIt(t *testing.T) {
+	for name, resumed := range map[string]responder{
+		"full":                respondNotExecuted(http.StatusTooManyRequests),
+		"asks for a pause":    respondNotExecuted(http.StatusServiceUnavailable),
+		"model has moved":     respondNotExecuted(http.StatusMisdirectedRequest),
+		"fails":               respondWith(http.StatusInternalServerError, "x"),
+		"connection is reset": resetConnection,
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := resumeWith(resumed)
+			h := newHarness(t, startUpstream(t, "u1", engine), startUpstream(t, "u2", engine))
+			got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 3))
+		})
+	}
+}
+
+// The silent engine is the only one that holds the model. Its stream was ended and sent to
+// the same engine again, which may be full by then.
+func TestStreamOfSilentEngineIsNotHandedOverToItself(t *testing.T) {
+	one := startUpstream(t, "u1", resumeWith(respondNotExecuted(http.StatusTooManyRequests)))
+	h := newHarness(t, one)
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+	assert.Equal(t, one.requestCount(), 1)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+}
+
+// The first event comes after 1.5 s, and the engines have become busy meanwhile. The attempt
+// was ended first; then admission refused the retry, so that the caller got 502.
+func TestStreamWithoutFirstEventIsKeptIfAdmissionRefusesRetry(t *testing.T) {
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		time.Sleep(engineSilence)
+		return respondWithEvents(1, 3, true)(u, r, body, conn)
+	}
+	one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine)
+	h := newHarness(t, one, two)
+	done := make(chan result, 1)
+	go func() { done <- doStream(h, t, "/stream/1", "Deadline-Ms", "3000") }()
+	eventually(t, "the request at an engine", func() bool { return one.requestCount()+two.requestCount() > 0 })
+	var busy loads.Load
+	busy.PendingPrefill[0] = time.Second
+	h.gateway.Tracker.RecordPeerStats("i2", map[fleet.UpstreamID]loads.Load{"u1": busy, "u2": busy}, nil)
+	got := <-done
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+}
+
+// A safe request is sent to another upstream, which refuses it. The caller got 502 although the
+// first upstream would have responded.
+func TestSafeRequestAtSilentUpstreamIsAnsweredIfOtherRefuses(t *testing.T) {
+	var isRepeat atomic.Bool
+	respond := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if isRepeat.Swap(true) {
+			return respondNotExecuted(http.StatusServiceUnavailable)(u, r, body, conn)
+		}
+		time.Sleep(engineSilence)
+		return respondWith(http.StatusOK, "ok")(u, r, body, conn)
+	}
+	h := newHarness(t, startUpstream(t, "u1", respond), startUpstream(t, "u2", respond))
+	got := h.do(t, "GET", "/read/1", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+}
+
+// Silent streams ask for a retry ten times a second and took each one that became free, so that
+// a stream whose engine had broken off got none and was cut.
+func TestSilentStreamsLeaveRetriesToBrokenOnes(t *testing.T) {
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		switch {
+		case r.Header.Get("Last-Event-Id") != "":
+			return respondWithEvents(2, 3, true)(u, r, body, conn)
+		case r.Header.Get("Request-Id") == "r-breaks":
+			time.Sleep(700 * time.Millisecond)
+			return respondWithEvents(1, 1, false)(u, r, body, conn)
+		default:
+			return fallSilent(2200*time.Millisecond)(u, r, body, conn)
+		}
+	}
+	h := newHarness(t, startUpstream(t, "u1", engine), startUpstream(t, "u2", engine))
+	allowRetries(h, 0)
+	silent := make(chan result, 3)
+	for range cap(silent) {
+		go func() { silent <- doStream(h, t, "/stream/1", "Deadline-Ms", "3000") }()
+	}
+	time.Sleep(1400 * time.Millisecond)
+	broken := make(chan result, 1)
+	go func() { broken <- doStream(h, t, "/stream/1", "Request-Id", "r-breaks", "Deadline-Ms", "3000") }()
+	time.Sleep(200 * time.Millisecond)
+	allowRetries(h, 2)
+	got := <-broken
+	for range cap(silent) {
+		assert.NilError(t, (<-silent).err)
+	}
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+}
+
+// hangingListener is a listener whose queue is full, so that connection attempts hang.
+type hangingListener struct{ address net.Addr }
+
+func (hangingListener) Accept() (net.Conn, error) { return nil, net.ErrClosed }
+func (hangingListener) Close() error              { return nil }
+func (l hangingListener) Addr() net.Addr          { return l.address }
+
+func startHangingUpstream(t *testing.T, id string) *testUpstream {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, syscall.Listen(fd, 0))
+	bound, err := syscall.Getsockname(fd)
+	assert.NilError(t, err)
+	address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: bound.(*syscall.SockaddrInet4).Port}
+	for range 8 { // until the queue is full
+		conn, err := net.DialTimeout("tcp4", address.String(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	return &testUpstream{id: fleet.UpstreamID(id), listener: hangingListener{address}}
+}
+
+// With a short target the attempt timeout passes while the connection is being opened. Each
+// such attempt took a retry from the budget, though nothing was sent to an upstream.
+func TestAttemptThatReachesNoUpstreamTakesNoRetry(t *testing.T) {
+	h := newHarness(t, startHangingUpstream(t, "u1"), startHangingUpstream(t, "u2"))
+	config := *h.gateway.Config()
+	config.Routes = testRoutes()
+	for i := range config.Routes {
+		config.Routes[i].TargetLatency = 80 * time.Millisecond
+	}
+	h.gateway.ApplyConfig(&config)
+	allowRetries(h, 20)
+	got := h.do(t, "GET", "/read/1", "", "Deadline-Ms", "3000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, spendAllRetries(h), 20)
+}
+
+// The timer has ended the attempt. Events that were buffered by then restarted it, so that it
+// took a second retry for the same attempt.
+func TestEndedAttemptTakesNoSecondRetry(t *testing.T) {
+	h := newHarness(t, startUpstream(t, "u1", respondWith(http.StatusOK, "ok")))
+	allowRetries(h, 5)
+	route := &h.gateway.Config().Routes[2]
+	c := &call{gateway: h.gateway, request: h.newRequest(t, "POST", "/stream/1", ""), route: route, service: "s", deadline: time.Now().Add(3 * time.Second)}
+	c.params.Model = testModel
+	ctx, cancel := context.WithCancelCause(t.Context())
+	timer := c.startHandoverTimer(cancel, errStalled, 50*time.Millisecond, 50*time.Millisecond)
+	<-ctx.Done()
+	timer.reset()
+	time.Sleep(150 * time.Millisecond)
+	assert.Assert(t, timer.stop())
+	assert.Equal(t, spendAllRetries(h), 4)
+}
+
+// An event arrives while the timer checks whether a retry is allowed. The check restarted the
+// timer at its shorter interval, so that the stream was ended 0.1 s after the event.
+func TestEventDuringCheckOfTimerRestartsWholeGap(t *testing.T) {
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if r.Header.Get("Last-Event-Id") != "" {
+			return respondWithEvents(3, 3, true)(u, r, body, conn)
+		}
+		writeResponseHead(conn, r, 200, "Transfer-Encoding: chunked\r\n")
+		for i, wait := range []time.Duration{0, 1300 * time.Millisecond, 600 * time.Millisecond} {
+			time.Sleep(wait)
+			event := eventText(i+1, i+1)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return false
+	}
+	one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine)
+	h := newHarness(t, one, two)
+	allowRetries(h, 0)
+	h.gateway.InstanceCount = func() int { // the timer asks for it in its check
+		time.Sleep(200 * time.Millisecond)
+		return 1
+	}
+	go func() {
+		time.Sleep(1350 * time.Millisecond)
+		allowRetries(h, 5)
+	}()
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Equal(t, one.requestCount()+two.requestCount(), 1)
+}
+
+// A retry becomes free 0.1 s before the deadline, when another engine can't even read the
+// prompt in time. The stream was given up for it.
+func TestStreamIsNotHandedOverJustBeforeItsDeadline(t *testing.T) {
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if r.Header.Get("Last-Event-Id") != "" {
+			time.Sleep(200 * time.Millisecond)
+			return respondWithEvents(2, 3, true)(u, r, body, conn)
+		}
+		return fallSilent(1950*time.Millisecond)(u, r, body, conn)
+	}
+	h := newHarness(t, startUpstream(t, "u1", engine), startUpstream(t, "u2", engine))
+	allowRetries(h, 0)
+	go func() {
+		time.Sleep(1800 * time.Millisecond)
+		allowRetries(h, 5)
+	}()
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "2000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+}
+
+// A caller reads nothing for a while, so that the gateway can't read from the engine either.
+// The engine counted as silent, and its stream was sent to another one.
+func TestSlowCallerIsNoSilenceOfEngine(t *testing.T) {
+	padding := strings.Repeat("x", 16<<10)
+	engine := func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+		writeResponseHead(conn, r, 200, "Transfer-Encoding: chunked\r\n")
+		for i := last + 1; i <= 1000; i++ {
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, padding)
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	}
+	one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine)
+	h := newHarness(t, one, two)
+	conn, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(conn, "POST /stream/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r-1\r\nModel: m1\r\nToken-Count: 100,10\r\nDeadline-Ms: 3000\r\nContent-Length: 2\r\n\r\nxx")
+	time.Sleep(1600 * time.Millisecond)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, one.requestCount()+two.requestCount(), 1)
+}
+
+// The upstream's own signed answer was thrown away for a 502 when no retry was allowed.
+func TestErrorResponseIsForwardedIfNoRetryIsAllowed(t *testing.T) {
+	for _, path := range []string{"/read/1", "/stream/1"} {
+		t.Run(path, func(t *testing.T) {
+			fail := respondWith(http.StatusInternalServerError, "own words")
+			h := newHarness(t, startUpstream(t, "u1", fail), startUpstream(t, "u2", fail))
+			allowRetries(h, 0)
+			got := h.do(t, "GET", path, "", "Model", testModel)
+			assert.NilError(t, got.err)
+			assert.Equal(t, fmt.Sprint(got.status, " ", got.body), "500 own words")
+		})
+	}
+}
+
+// A long response that its upstream breaks off ends the caller's connection, but was not counted.
+func TestBrokenLongResponseIsCounted(t *testing.T) {
+	h := newHarness(t, startUpstream(t, "u1", func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		writeResponseHead(conn, r, 200, fmt.Sprintf("Content-Length: %d\r\n", maxBufferedBodyBytes+100))
+		_, _ = conn.Write(make([]byte, maxBufferedBodyBytes))
+		return false
+	}))
+	assert.ErrorContains(t, h.do(t, "GET", "/read/1", "").err, "unexpected EOF")
+	n, err := testutil.GatherAndCount(h.gateway.Metrics.Registry, "savoryweir_node_broken_exchanges_total")
+	assert.NilError(t, err)
+	assert.Equal(t, n, 1)
+}
