A silent upstream keeps its request until another one has begun to respond

Callers still saw streams cut after 1.2 s and 502 after 0.75 s although their upstream was sound: whenever the upstream that was to continue refused (421, 429, 503), failed, or was refused by admission. Cause: made the budget and an engine that accepts requests certain before it gave the silent one up, but not that this engine continues the request. Found by review. Change: handover sends the request to another upstream, chosen as for a new request, while the present attempt goes on. It ends the present one when the other responds as needed, or after 0.25 s, so that two engines never work on it for long; it drops the other one if the present one responds first. Silence is not counted while the gateway forwards. Only an attempt that follows a granted retry uses it up. Ruled out: a longer silence, as before; ending the present attempt only at a response, since both engines might work on the request for seconds.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,18 +32,20 @@
 	body          []byte
 	deadline      time.Time // time by which the final response must be sent
 
-	attempts        int  // sends that reached an upstream or may have reached one
-	failedDials     int  // sends that failed before a connection was established
-	retryGranted    bool // a retry was taken from the budget and has not reached an upstream yet
-	mayHaveExecuted bool
-	triedUpstreams  map[fleet.UpstreamID]bool
-	lastEventID     string // ID of the last event forwarded to the caller
+	lastEventID string // ID of the last event forwarded to the caller
 	// origin is the software version that began the stream; nil before its first event.
 	origin atomic.Pointer[streams.Origin]
 
 	outcome     string
 	status      int
 	firstByteAt time.Time
+
+	mu              sync.Mutex // guards the fields below, as two attempts may overlap
+	attempts        int        // sends that reached an upstream or may have reached one
+	failedDials     int        // sends that failed before a connection was established
+	retryGranted    bool       // a retry was taken from the budget and has not reached an upstream yet
+	mayHaveExecuted bool
+	triedUpstreams  map[fleet.UpstreamID]bool
 }
 
 // serve reads the request body and forwards the request to an upstream. The final
@@ -131,6 +134,8 @@
 // that may have reached an upstream is taken from the service's retry budget. Sends that
 // reached none are bounded by maxFailedDials alone and leave a granted retry as it is.
 func (c *call) acquireRetry(reason string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
 	case c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime:
 		return false
@@ -144,12 +149,82 @@
 	return c.retryGranted
 }
 
+// acquireHandoverRetry reports whether the request may be sent to another upstream while the
+// present one is silent.
+func (c *call) acquireHandoverRetry() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Until(c.deadline) < minAttemptTime {
+		return false
+	}
+	c.retryGranted = c.retryGranted || c.gateway.spendRetry(c.service)
+	return c.retryGranted
+}
+
 // logRetryDecision logs whether the retry budget allowed a retry after a number of sends.
 func (c *call) logRetryDecision(reason string, sends int, allowed bool) {
 	c.gateway.Log.Info().Str("event", "request.repeat").Str("request", c.params.ID).Str("reason", reason).Int("sends", sends).
 		Bool("allowed", allowed).Int("instances", c.gateway.InstanceCount()).Msg("retry budget checked")
 }
 
+// sendCount returns how often the request has been sent.
+func (c *call) sendCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts
+}
+
+// attemptsLeft returns how often the route still allows the request to be sent.
+func (c *call) attemptsLeft() int {
+	return c.route.MaxAttempts - c.sendCount()
+}
+
+// countAttempt counts an attempt by its result.
+func (c *call) countAttempt(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch a.failure {
+	case failureConnect:
+		c.failedDials++
+		return
+	case failureCanceled:
+		return
+	case failureNone, failureIndeterminate:
+		c.mayHaveExecuted = true
+	case failureNotExecuted:
+	}
+	c.attempts++
+	c.retryGranted = c.retryGranted && !a.isRetry
+}
+
+// mayRun reports whether the request may have been executed, or may be later.
+func (c *call) mayRun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mayHaveExecuted
+}
+
+// markTried records that the request is sent to an upstream.
+func (c *call) markTried(id fleet.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.triedUpstreams[id] = true
+}
+
+// untried returns the upstreams to which this request has not been sent, nil if there are
+// none.
+func (c *call) untried(upstreams []*fleet.Upstream) []*fleet.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var untried []*fleet.Upstream
+	for _, u := range upstreams {
+		if !c.triedUpstreams[u.ID] {
+			untried = append(untried, u)
+		}
+	}
+	return untried
+}
+
 const (
 	// minAttemptTime is the least time before the deadline at which a retry is still started.
 	minAttemptTime = 10 * time.Millisecond
--- a/internal/node/gateway/handover.go
+++ b/internal/node/gateway/handover.go
@@ -10,103 +10,210 @@
 var (
 	errStalled        = errors.New("no event from the engine within the stall timeout")
 	errAttemptTimeout = errors.New("no response from the upstream within the attempt timeout")
+	errResponded      = errors.New("the former upstream responded after all")
 )
 
-// handoverRecheckInterval is the interval at which a silent attempt that can't be handed over
-// is checked again: the retry budget and the engines change within a fraction of a second.
-const handoverRecheckInterval = 100 * time.Millisecond
-
-// handoverTimer ends an attempt whose upstream is silent, but only after the request has been
-// granted a retry and another attempt is possible. Until then the attempt goes on, because a
-// sound upstream may be silent for a while.
-type handoverTimer struct {
-	call   *call
-	cancel context.CancelCauseFunc // ends the attempt
-	cause  error
-	gap    time.Duration // silence after which the attempt is handed over
-	sends  int           // sends of the request, this attempt included
-
-	mu      sync.Mutex // guards the fields below
-	timer   *time.Timer
-	denied  bool // a retry was denied before
-	granted bool // the attempt was ended and may be repeated
-	stopped bool
+const (
+	// handoverRecheckInterval is the interval at which a handover that was not possible is
+	// tried again: the retry budget and the engines change within a fraction of a second.
+	handoverRecheckInterval = 200 * time.Millisecond
+	// maxOverlap is how long two upstreams may have the request. An upstream that refuses does
+	// so much sooner; an engine must not go on while another still works on the request.
+	maxOverlap = 250 * time.Millisecond
+)
+
+// handover continues a request at another upstream while that of the present attempt is silent.
+// Since a sound upstream may be silent for a while and another one may refuse, the present
+// attempt ends only when the other one has begun to respond or has had the request for
+// maxOverlap. If the present one responds before, it goes on.
+type handover struct {
+	call    *call
+	ctx     context.Context // of the request
+	present *attempt
+	rules   handoverRules
+
+	mu       sync.Mutex    // guards the fields below
+	timer    *time.Timer   // nil if the request can't be handed over
+	silence  int           // number of the current silence; it rises with each sign of the upstream
+	left     int           // sends that the route still allows
+	isDenied bool          // the latest retry was denied
+	isPaused bool          // the gateway is forwarding, so that silence proves nothing
+	isOver   bool          // the present attempt has ended or was given up
+	hasEnded bool          // end was called
+	next     *attempt      // sent, or being sent, to the other upstream
+	settled  chan struct{} // closed when the result of next is known; nil before the first one
 }
 
-// startHandoverTimer starts a timer for an attempt that cancel ends. The upstream may be silent
-// for first, and for gap after each reset. It returns nil, which is a timer that never
-// expires, if the request can't be repeated or has no attempt left.
-func (c *call) startHandoverTimer(cancel context.CancelCauseFunc, cause error, first, gap time.Duration) *handoverTimer {
-	if !c.route.IsRepeatable() || c.attempts+1 >= c.route.MaxAttempts {
-		return nil
+// handoverRules hold what differs between the kinds of requests.
+type handoverRules struct {
+	first, gap time.Duration // silence after which the request is handed over, at first and later
+	cause      error         // with which the present attempt ends
+	// choose chooses the upstream that continues the request, nil if there is none. hasBegun
+	// means that a part of the response has been forwarded.
+	choose func(hasBegun bool) *trackedRequest
+	// accepts reports whether a response continues the request.
+	accepts func(*attempt) bool
+}
+
+// startHandover watches an attempt. The caller has to call end after the attempt. Requests that
+// can't be repeated, or have no attempt left, are not handed over.
+func (c *call) startHandover(ctx context.Context, present *attempt, rules handoverRules) *handover {
+	h := &handover{call: c, ctx: ctx, present: present, rules: rules, left: c.attemptsLeft()}
+	if !present.isSent {
+		h.left--
+	}
+	if !c.route.IsRepeatable() || h.left <= 0 || rules.first <= 0 {
+		return h
 	}
-	t := &handoverTimer{call: c, cancel: cancel, cause: cause, gap: gap, sends: c.attempts + 1}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.timer = time.AfterFunc(first, t.expire)
-	return t
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.timer = time.AfterFunc(rules.first, h.expire)
+	return h
 }
 
-// expire ends the attempt if the request may be sent again.
-func (t *handoverTimer) expire() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.stopped {
+// pause records a sign of the upstream and stops the timer until resume is called. It returns
+// false if the attempt has been given up, so that what has arrived must not be forwarded.
+func (h *handover) pause() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isOver {
+		return false
+	}
+	h.isPaused = true
+	h.silence++
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	if h.next != nil {
+		h.next.cancel(errResponded)
+	}
+	return true
+}
+
+// resume starts the timer again after pause.
+func (h *handover) resume() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isPaused = false
+	if h.timer != nil {
+		h.timer.Reset(h.rules.gap)
+	}
+}
+
+// expire tries to hand the request over. It runs beside the present attempt.
+func (h *handover) expire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.isOver || h.isPaused || h.next != nil || h.left <= 0 {
 		return
 	}
-	if !t.acquireRetry() {
-		t.timer.Reset(handoverRecheckInterval)
+	if !h.present.isSilent {
+		h.present.isSilent = true
+		h.present.tracked.recordUnserved()
+	}
+	silence, resumeAfter, hasBegun := h.silence, h.call.lastEventID, !h.call.firstByteAt.IsZero()
+	h.mu.Unlock()
+	tracked := h.rules.choose(hasBegun)
+	isGranted := tracked != nil && h.acquireRetry()
+	h.mu.Lock()
+	switch {
+	case h.isOver || silence != h.silence:
+		return
+	case !isGranted:
+		h.timer.Reset(handoverRecheckInterval)
 		return
 	}
-	t.granted = true
-	t.cancel(t.cause)
+	h.next, h.settled = h.call.newAttempt(h.ctx, tracked), make(chan struct{})
+	go h.send(h.next, resumeAfter)
 }
 
-// acquireRetry takes a retry from the budget if an upstream could serve it. It runs beside
-// the attempt, so that it reads only what the attempt does not change.
-func (t *handoverTimer) acquireRetry() bool {
-	c := t.call
-	if c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime {
-		return false
+// acquireRetry takes a retry from the budget unless the request has one already.
+func (h *handover) acquireRetry() bool {
+	c := h.call
+	isGranted := !c.callerDisconnected() && c.acquireHandoverRetry()
+	if isGranted || !h.isDenied {
+		c.logRetryDecision(h.rules.cause.Error(), c.sendCount(), isGranted)
 	}
-	usable := c.usableEngines(c.params.Model, c.params.Adapter)
-	if available, _ := c.gateway.pauses.available(usable); len(available) == 0 {
-		return false
+	h.isDenied = !isGranted
+	return isGranted
+}
+
+// send sends the request to the other upstream, and gives the present attempt up if that one
+// continues the request. The same upstream may have the request twice for longer than another:
+// its new connection shows whether only the former one has gone silent.
+func (h *handover) send(next *attempt, resumeAfter string) {
+	if next.tracked.upstream.ID != h.present.tracked.upstream.ID {
+		defer time.AfterFunc(maxOverlap, h.giveUpPresent).Stop()
 	}
-	allowed := c.gateway.spendRetry(c.service)
-	if allowed || !t.denied {
-		c.logRetryDecision(t.cause.Error(), t.sends, allowed)
+	h.call.send(next, resumeAfter)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer close(h.settled)
+	switch {
+	case next.failure == failureNone && h.rules.accepts(next) && context.Cause(next.ctx) == nil:
+		h.endPresent()
+		return
+	case h.present.isGivenUp:
+		return // nothing is left to go on with, so that this failure counts
+	}
+	next.discard()
+	h.next = nil
+	if next.failure != failureConnect && next.failure != failureCanceled {
+		h.left--
+	}
+	if !h.isOver && !h.isPaused && h.left > 0 {
+		h.timer.Reset(handoverRecheckInterval)
 	}
-	t.denied = !allowed
-	return allowed
 }
 
-// reset restarts the timer after the upstream has sent something.
-func (t *handoverTimer) reset() {
-	if t != nil {
-		t.timer.Reset(t.gap)
+// giveUpPresent ends the present attempt although the other upstream has not responded yet.
+func (h *handover) giveUpPresent() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.next != nil && context.Cause(h.next.ctx) == nil {
+		h.endPresent()
 	}
 }
 
-// stop stops the timer. It returns true if the timer has ended the attempt and the request has
-// been granted a retry.
-func (t *handoverTimer) stop() bool {
-	if t == nil {
-		return false
+// endPresent gives the present attempt up unless it has ended. The caller holds h.mu.
+func (h *handover) endPresent() {
+	if !h.isOver {
+		h.isOver, h.present.isGivenUp = true, true
+		h.present.cancel(h.rules.cause)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stopped = true
-	t.timer.Stop()
-	return t.granted
 }
 
-// endHandover stops the timer of an attempt. It returns true if the timer has ended the
-// attempt, so that the request has to be sent again.
-func (c *call) endHandover(t *handoverTimer) bool {
-	handedOver := t.stop()
-	if handedOver {
-		c.retryGranted = true
+// end ends the handover after the present attempt. Unless that was served, end returns the
+// attempt at the other upstream, nil if there is none. Only the first call has an effect.
+func (h *handover) end(isServed bool) *attempt {
+	settled := h.stop(isServed)
+	if settled != nil {
+		<-settled
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hasEnded {
+		return nil
+	}
+	h.hasEnded = true
+	if h.next != nil && isServed {
+		h.next.discard()
+		return nil
+	}
+	return h.next
+}
+
+// stop keeps the handover from sending the request again, and returns a channel that is closed
+// when the result of the last send is known, nil if there was none.
+func (h *handover) stop(isServed bool) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isOver = true
+	if h.timer != nil {
+		h.timer.Stop()
+	}
+	if h.next != nil && isServed && !h.hasEnded {
+		h.next.cancel(errResponded)
 	}
-	return handedOver
+	return h.settled
 }
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -8,18 +8,41 @@
 
 	"savoryweir/internal/coordination/dispatch"
 	"savoryweir/internal/node/registry"
-	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
 	"savoryweir/platform"
 )
 
 // attempt is one send of the request to an upstream, with its result.
 type attempt struct {
-	tracked  *trackedRequest
-	exchange *upstreamconn.Exchange
-	response platform.Response
-	failure  failureKind
-	err      error
+	ctx       context.Context
+	cancel    context.CancelCauseFunc // ends the attempt
+	tracked   *trackedRequest
+	isRetry   bool // the attempt uses the retry that the request was granted
+	isSent    bool // the fields below hold the result
+	exchange  *upstreamconn.Exchange
+	response  platform.Response
+	failure   failureKind
+	err       error
+	isSilent  bool // the upstream has been silent for longer than the route allows
+	isGivenUp bool // another upstream continues the request
+}
+
+// newAttempt returns an attempt that has not been sent.
+func (c *call) newAttempt(ctx context.Context, tracked *trackedRequest) *attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := &attempt{tracked: tracked, isRetry: c.retryGranted}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a
+}
+
+// discard releases the resources of an attempt whose response is not needed.
+func (a *attempt) discard() {
+	if a.failure == failureNone {
+		a.tracked.finish()
+		a.exchange.Close()
+	}
+	a.cancel(nil)
 }
 
 // failureKind classifies the result of an attempt by what the upstream may have done.
@@ -41,34 +64,34 @@
 // send sends the request to an upstream and reads the status and headers of the response.
 // A stream is resumed after the event resumeAfter unless that is empty. On failure, the
 // exchange is closed and the tracked request finished.
-func (c *call) send(ctx context.Context, tracked *trackedRequest, resumeAfter string) attempt {
-	g := c.gateway
+func (c *call) send(a *attempt, resumeAfter string) {
+	g, upstream := c.gateway, a.tracked.upstream
+	c.markTried(upstream.ID)
 	left := time.Until(c.deadline)
 	header := platform.ForwardHeaders(c.request.Header, platform.Attempt{
-		Upstream: string(tracked.upstream.ID), Remaining: left, Urgency: c.urgency(), LastEventID: resumeAfter,
+		Upstream: string(upstream.ID), Remaining: left, Urgency: c.urgency(), LastEventID: resumeAfter,
 	})
-	tracked.start()
-	g.Log.Info().Str("event", "request.sent").Str("request", c.params.ID).Str("upstream", string(tracked.upstream.ID)).
-		Uint64("config", c.configVersion).Stringer("entry", tracked.upstream.EntryVersion).Str("model", c.params.Model).Str("adapter", c.params.Adapter).
-		Dur("expected", tracked.expectedTTFB).Dur("unread", tracked.pendingPrefillAhead).Int("running", tracked.runningAtStart).Float64("slow", tracked.slowdown).Float64("fails", tracked.failureRate).
-		Str("software", tracked.upstream.SoftwareVersion).Str("resumes", c.params.ResumedID).Str("resume_after", resumeAfter).Dur("left", left).Msg("sending request to upstream")
-	exchange, err := g.Pool.Do(ctx, upstreamconn.Request{
-		Address: tracked.upstream.Address, Method: c.request.Method, Target: c.requestURI, Host: c.request.Host,
+	a.tracked.start()
+	g.Log.Info().Str("event", "request.sent").Str("request", c.params.ID).Str("upstream", string(upstream.ID)).
+		Uint64("config", c.configVersion).Stringer("entry", upstream.EntryVersion).Str("model", c.params.Model).Str("adapter", c.params.Adapter).
+		Dur("expected", a.tracked.expectedTTFB).Dur("unread", a.tracked.pendingPrefillAhead).Int("running", a.tracked.runningAtStart).Float64("slow", a.tracked.slowdown).Float64("fails", a.tracked.failureRate).
+		Str("software", upstream.SoftwareVersion).Str("resumes", c.params.ResumedID).Str("resume_after", resumeAfter).Dur("left", left).Msg("sending request to upstream")
+	a.exchange, a.err = g.Pool.Do(a.ctx, upstreamconn.Request{
+		Address: upstream.Address, Method: c.request.Method, Target: c.requestURI, Host: c.request.Host,
 		Header: header, Body: c.body, AtMostOnce: !c.route.IsRepeatable(),
 	})
-	a := attempt{tracked: tracked, exchange: exchange, err: err}
-	if err != nil {
-		a.failure = c.classifyError(ctx, err)
+	if a.err != nil {
+		a.failure = classifyError(a.ctx, a.err)
 		if a.failure == failureIndeterminate {
-			g.Metrics.CountBreak(breakCause(ctx))
+			g.Metrics.CountBreak(breakCause(a.ctx))
 		}
 	} else {
-		g.ObserveResponse(tracked.upstream, exchange.Response.StatusCode, exchange.Response.Header)
-		a.response = platform.DecodeResponse(exchange.Response.StatusCode, exchange.Response.Header)
-		a.failure = c.checkResponse(&a)
+		g.ObserveResponse(upstream, a.exchange.Response.StatusCode, a.exchange.Response.Header)
+		a.response = platform.DecodeResponse(a.exchange.Response.StatusCode, a.exchange.Response.Header)
+		a.failure = c.checkResponse(a)
 	}
-	c.recordAttempt(&a)
-	return a
+	a.isSent = true
+	c.recordAttempt(a)
 }
 
 // urgency returns the urgency that engines schedule the request by, derived from its rank, or
@@ -88,7 +111,7 @@
 
 // classifyError returns the kind of failure for an error of an exchange. An error that
 // does not tell whether the request was sent counts as sent.
-func (c *call) classifyError(ctx context.Context, err error) failureKind {
+func classifyError(ctx context.Context, err error) failureKind {
 	var connFailure *upstreamconn.Failure
 	sent := !errors.As(err, &connFailure) || connFailure.MaybeSent
 	switch {
@@ -143,18 +166,12 @@
 
 // recordAttempt counts the attempt, records its result for the upstream and releases the
 // resources of a failed one. An indeterminate attempt is not held against the upstream if
-// the caller has disconnected.
+// the caller has disconnected or another upstream has responded.
 func (c *call) recordAttempt(a *attempt) {
 	g := c.gateway
 	id := a.tracked.upstream.ID
-	c.triedUpstreams[id] = true
+	c.countAttempt(a)
 	g.Metrics.CountSend(a.failure.String())
-	if a.failure == failureConnect {
-		c.failedDials++
-	} else if a.failure != failureCanceled {
-		c.attempts++
-		c.retryGranted = false
-	}
 	switch a.failure {
 	case failureConnect:
 		a.tracked.recordUnserved()
@@ -163,19 +180,17 @@
 	case failureNotExecuted:
 		c.recordRefusal(a)
 	case failureIndeterminate:
-		c.mayHaveExecuted = true
-		if !c.callerDisconnected() {
+		if !c.callerDisconnected() && !errors.Is(context.Cause(a.ctx), errResponded) {
 			a.tracked.recordUnserved()
 			c.reportCrash(a.tracked, a.err)
 		}
-	case failureNone:
-		c.mayHaveExecuted = true
+	case failureNone, failureCanceled:
 	}
 	if a.failure == failureNone {
 		return
 	}
 	entry := g.Log.Info().Str("event", "request.send_failed").Str("request", c.params.ID).Str("upstream", string(id)).
-		Str("address", a.tracked.upstream.Address).Str("failure", a.failure.String()).Int("sends", c.attempts).
+		Str("address", a.tracked.upstream.Address).Str("failure", a.failure.String()).Int("sends", c.sendCount()).
 		Dur("took", time.Since(a.tracked.startedAt)).Dur("expected", a.tracked.expectedTTFB)
 	if a.exchange != nil {
 		entry = entry.Int("status", a.exchange.Response.StatusCode)
@@ -198,15 +213,3 @@
 	}
 	a.tracked.recordUnserved()
 }
-
-// untried returns the upstreams to which this request has not been sent, nil if there are
-// none.
-func (c *call) untried(upstreams []*fleet.Upstream) []*fleet.Upstream {
-	var untried []*fleet.Upstream
-	for _, u := range upstreams {
-		if !c.triedUpstreams[u.ID] {
-			untried = append(untried, u)
-		}
-	}
-	return untried
-}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -47,17 +47,20 @@
 	if c.engineClass != nil && c.params.Model != "" {
 		c.gateway.RecordDemand(c.service, c.params.Model, c.params.Adapter, c.unsharedPromptTokens()+c.expectedOutputTokens())
 	}
-	for {
-		tracked, ok := c.chooseEngine(ctx)
-		if !ok {
-			return
+	for a := (*attempt)(nil); ; {
+		if a == nil {
+			tracked, ok := c.chooseEngine(ctx)
+			if !ok {
+				return
+			}
+			a = c.newAttempt(ctx, tracked)
 		}
-		retryNeeded, reason := c.attemptStream(ctx, tracked)
-		if !retryNeeded {
+		result := c.attemptStream(ctx, a)
+		if result.isFinal {
 			return
 		}
-		if ctx.Err() != nil || !c.acquireRetry(reason) {
-			c.failStream(ctx, reason)
+		if a = result.next; a == nil && (ctx.Err() != nil || !c.acquireRetry(result.reason)) {
+			c.failStream(ctx, result.reason)
 			return
 		}
 	}
@@ -133,42 +136,77 @@
 	panic(http.ErrAbortHandler)
 }
 
-// attemptStream sends the request once and forwards the events of the response. It returns
-// true and the reason if another engine has to continue.
-func (c *call) attemptStream(ctx context.Context, tracked *trackedRequest) (bool, string) {
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+// attemptResult is how an attempt ended.
+type attemptResult struct {
+	isFinal bool     // the response has been forwarded, or the caller has disconnected
+	reason  string   // why the request has to be sent again
+	next    *attempt // continues the request; nil if it has not been handed over
+}
+
+var finalResult = attemptResult{isFinal: true}
+
+// attemptStream sends the request once, unless it has been sent already, and forwards the events
+// of the response.
+func (c *call) attemptStream(ctx context.Context, a *attempt) attemptResult {
+	defer a.cancel(nil)
 	gap := max(stallGaps*c.route.TargetEventGap, minStallTimeout)
-	stall := c.startHandoverTimer(cancel, errStalled, max(firstEventFactor*tracked.expectedTTFB, gap), gap)
-	defer c.endHandover(stall)
-	a := c.send(attemptCtx, tracked, c.lastEventID)
+	h := c.startHandover(ctx, a, handoverRules{
+		first: max(firstEventFactor*a.tracked.expectedTTFB, gap), gap: gap, cause: errStalled, choose: c.chooseNextEngine,
+		accepts: func(next *attempt) bool { return next.exchange.Response.StatusCode == http.StatusOK },
+	})
+	defer h.end(true)
+	if !a.isSent {
+		c.send(a, c.lastEventID)
+	}
 	if a.failure != failureNone {
-		return true, a.failure.String()
+		return attemptResult{reason: a.failure.String(), next: h.end(false)}
 	}
 	defer a.exchange.Close()
-	defer tracked.finish()
+	defer a.tracked.finish()
 	if a.exchange.Response.StatusCode != http.StatusOK {
-		return c.handleErrorResponse(a)
+		return c.handleErrorResponse(a, h)
 	}
-	return c.relayEvents(attemptCtx, a, stall)
+	return c.relayEvents(a, h)
 }
 
-// handleErrorResponse handles a response whose status is not 200. It returns true and the
-// reason if another engine has to be tried, or else forwards the response.
-func (c *call) handleErrorResponse(a attempt) (bool, string) {
+// chooseNextEngine chooses the engine to which a stream is handed over: one that the request has
+// not been sent to, if there is one, from which the rest of the stream is expected in time.
+func (c *call) chooseNextEngine(hasBegun bool) *trackedRequest {
+	g := c.gateway
+	available, _ := g.pauses.available(c.usableEngines(c.params.Model, c.params.Adapter))
+	candidates := c.untried(available)
+	if len(candidates) == 0 {
+		candidates = available
+	}
+	tracked, ok := g.Tracker.choose(c, candidates, g.Zone)
+	switch {
+	case !ok || tracked.expectedTTFB > time.Until(c.deadline):
+		return nil
+	case !hasBegun && !dispatch.Admit(tracked.expectedTTFB, c.patience()).Admitted:
+		return nil
+	}
+	return tracked
+}
+
+// handleErrorResponse handles a response whose status is not 200. It forwards the response
+// unless the stream has begun or the request may be sent again.
+func (c *call) handleErrorResponse(a *attempt, h *handover) attemptResult {
+	const reason = "engine failed"
 	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes))
+	if err != nil {
+		return c.handleBrokenStream(a, h, err)
+	}
 	a.tracked.recordFault()
-	if !c.firstByteAt.IsZero() || err != nil || c.isRetryableResponse(a) && c.attempts < c.route.MaxAttempts {
+	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.attemptsLeft() > 0 {
 		a.tracked.recordUnserved()
-		return true, "engine failed"
+		return attemptResult{reason: reason, next: h.end(false)}
 	}
 	c.writeResponse(a, body)
-	return false, ""
+	return finalResult
 }
 
-// relayEvents forwards the events of a response as they arrive. It returns true and the
-// reason if the stream ended early and another engine has to continue.
-func (c *call) relayEvents(ctx context.Context, a attempt, stall *handoverTimer) (bool, string) {
+// relayEvents forwards the events of a response as they arrive.
+func (c *call) relayEvents(a *attempt, h *handover) attemptResult {
 	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
 	lastEventAt := time.Now()
 	for {
@@ -180,37 +218,44 @@
 				c.startResponse(a)
 			}
 			c.outcome = "answered"
-			return false, ""
+			return finalResult
 		case err != nil:
-			return c.handleBrokenStream(ctx, a, err)
+			return c.handleBrokenStream(a, h, err)
 		}
 		if event.IsComment { // an engine that has stalled may send comments for ever
 			if !c.firstByteAt.IsZero() && !c.writeEvent(event) {
-				return false, ""
+				return finalResult
 			}
 			continue
 		}
-		stall.reset()
-		a.tracked.recordFirstByte()
-		if event.ID != "" && event.ID == c.lastEventID {
-			continue // a resumed stream may repeat the last event
-		}
-		if !c.firstByteAt.IsZero() {
-			c.gateway.Metrics.ObserveEventGap(time.Since(lastEventAt))
-		}
-		lastEventAt = time.Now()
-		if c.firstByteAt.IsZero() {
-			c.recordOrigin(a.tracked.upstream)
-			c.startResponse(a)
+		if !h.pause() {
+			return c.handleBrokenStream(a, h, errStalled)
 		}
-		if !c.writeEvent(event) {
-			return false, ""
+		a.tracked.recordFirstByte()
+		if event.ID == "" || event.ID != c.lastEventID { // a resumed stream may repeat the last event
+			if !c.forwardEvent(a, event, lastEventAt) {
+				return finalResult
+			}
+			lastEventAt = time.Now()
 		}
+		h.resume()
+	}
+}
+
+// forwardEvent sends an event to the caller, after the head of the response if it is the first
+// one. It returns false if the caller has disconnected.
+func (c *call) forwardEvent(a *attempt, event sseframe.Event, lastEventAt time.Time) bool {
+	if c.firstByteAt.IsZero() {
+		c.recordOrigin(a.tracked.upstream)
+		c.startResponse(a)
+	} else {
+		c.gateway.Metrics.ObserveEventGap(time.Since(lastEventAt))
 	}
+	return c.writeEvent(event)
 }
 
 // startResponse sends the status and headers of a stream to the caller.
-func (c *call) startResponse(a attempt) {
+func (c *call) startResponse(a *attempt) {
 	c.firstByteAt, c.status = time.Now(), a.exchange.Response.StatusCode
 	c.gateway.Metrics.ObserveFirstByte(routeKindLabel(c.route), c.firstByteAt.Sub(c.arrivedAt))
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
@@ -235,12 +280,11 @@
 	return true
 }
 
-// handleBrokenStream handles a stream that ended early and returns true with the reason for
-// a retry. It counts as a possible crash unless the gateway itself canceled the attempt.
-// If the caller has disconnected, it aborts the handler instead.
-func (c *call) handleBrokenStream(ctx context.Context, a attempt, err error) (bool, string) {
-	cause := context.Cause(ctx)
-	c.gateway.Metrics.CountBreak(breakCause(ctx))
+// handleBrokenStream handles a stream that ended early. It counts as a possible crash unless the
+// gateway itself canceled the attempt. If the caller has disconnected, it aborts the handler.
+func (c *call) handleBrokenStream(a *attempt, h *handover, err error) attemptResult {
+	cause := context.Cause(a.ctx)
+	c.gateway.Metrics.CountBreak(breakCause(a.ctx))
 	c.gateway.Log.Info().Str("event", "stream.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
 		Str("last_event", c.lastEventID).AnErr("cause", cause).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("event stream of the engine ended early")
 	if c.callerDisconnected() {
@@ -251,7 +295,7 @@
 	if cause == nil {
 		c.reportCrash(a.tracked, err)
 	}
-	return true, "stream broke off"
+	return attemptResult{reason: "stream broke off", next: h.end(false)}
 }
 
 // routeKindLabel returns the metric label for the kind of a route, "none" without a route.
