Silent upstreams leave half of the retries to requests whose upstream has failed

Callers lost streams that their engine had broken off, since silent streams had taken the retries: these ask again and again, those once. Cause: let both draw on the budget alike. Change: a handover takes a retry only while half of the allowance is left. Ruled out: no retry for silent upstreams at all, since callers leave after a pause of about two seconds.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -55,8 +55,15 @@
 // Remaining returns how many retries this instance may send now if the given number of
 // instances is alive.
 func (w *WindowBudget) Remaining(now time.Time, instances int) float64 {
+	allowance, retries := w.usage(now, instances)
+	return allowance - retries
+}
+
+// usage returns the retries that this instance may send in the current window, and those that it
+// has sent.
+func (w *WindowBudget) usage(now time.Time, instances int) (allowance, retries float64) {
 	current := w.bucket(now).number
-	var requests, retries float64
+	var requests float64
 	for _, b := range w.buckets {
 		if current-b.number < windowBucketCount {
 			requests += b.requests
@@ -64,7 +71,7 @@
 		}
 	}
 	instanceSlack := w.settings.Slack / float64(max(instances, 1))
-	return allowanceShare*(w.settings.Ratio*requests+instanceSlack) - retries
+	return allowanceShare * (w.settings.Ratio*requests + instanceSlack), retries
 }
 
 // Spend counts one retry and returns true if a retry is allowed now.
@@ -75,3 +82,16 @@
 	w.bucket(now).retries++
 	return true
 }
+
+// spareShare is the share of the allowance that may be spent on retries that are not needed
+// with certainty.
+const spareShare = 0.5
+
+// SpendSpare counts one retry and returns true if a retry is allowed now and leaves the rest of
+// the allowance for those that are needed.
+func (w *WindowBudget) SpendSpare(now time.Time, instances int) bool {
+	if allowance, retries := w.usage(now, instances); retries+1 > spareShare*allowance {
+		return false
+	}
+	return w.Spend(now, instances)
+}
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -157,7 +157,7 @@
 	if time.Until(c.deadline) < minAttemptTime {
 		return false
 	}
-	c.retryGranted = c.retryGranted || c.gateway.spendRetry(c.service)
+	c.retryGranted = c.retryGranted || c.gateway.spendHandoverRetry(c.service)
 	return c.retryGranted
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -206,12 +206,22 @@
 // spendRetry takes one retry from the budget of a service. It returns false if the
 // budget is exhausted.
 func (g *Gateway) spendRetry(service string) bool {
+	return g.spend(service, (*retry.WindowBudget).Spend)
+}
+
+// spendHandoverRetry does the same for a request whose upstream is only silent. It leaves a part
+// of the budget to requests whose upstream has failed.
+func (g *Gateway) spendHandoverRetry(service string) bool {
+	return g.spend(service, (*retry.WindowBudget).SpendSpare)
+}
+
+func (g *Gateway) spend(service string, spend func(b *retry.WindowBudget, now time.Time, instances int) bool) bool {
 	instances := g.InstanceCount()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	budget := g.retryBudget(service)
 	now := time.Now()
-	allowed := budget.Spend(now, instances)
+	allowed := spend(budget, now, instances)
 	g.Metrics.RetriesLeft.WithLabelValues(service).Set(budget.Remaining(now, instances))
 	return allowed
 }
