An upstream's own error response is forwarded if no retry is allowed

Callers got a 502 of ours in place of the upstream's signed 500. Cause: the response was dropped before the retry was granted, on the unary and the stream path: an answer in hand given up for the chance of a better one. Evidence: TestErrorResponseIsForwardedIfNoRetryIsAllowed failed before on both paths, passes now. Change: the retry is taken first. Ruled out: forwarding each 500 without a retry.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -197,7 +197,7 @@
 		return c.handleBrokenStream(a, h, err)
 	}
 	a.tracked.recordFault()
-	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.attemptsLeft() > 0 {
+	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.acquireRetry(reason) {
 		a.tracked.recordUnserved()
 		return attemptResult{reason: reason, next: h.end(false)}
 	}
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -105,7 +105,7 @@
 		a.tracked.recordFirstByte()
 	}
 	const reason = "upstream failed"
-	if c.isRetryableResponse(a) && c.canRetryFailedResponse() {
+	if c.isRetryableResponse(a) && c.canRetryFailedResponse() && c.acquireRetry(reason) {
 		return attemptResult{reason: reason, next: h.end(false)}
 	}
 	c.writeResponse(a, body)
