Long responses that break off are counted

Cause: the metric of broken exchanges left out responses that are forwarded while they are read. Found by review. Evidence: TestBrokenLongResponseIsCounted failed before, passes now. Change: counted unless the caller has gone. Ruled out: nothing. Measured: the test. Conclusion: kept.

--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -184,6 +184,9 @@
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
 	c.writer.WriteHeader(a.exchange.Response.StatusCode)
 	if _, err := io.Copy(c.writer, body); err != nil {
+		if !c.callerDisconnected() {
+			c.gateway.Metrics.CountBreak(breakCause(a.ctx))
+		}
 		c.outcome = "broke off: " + err.Error()
 		panic(http.ErrAbortHandler)
 	}
