Tests of responses that never end

Cause: upstreams in trouble may send bytes that are no answer without end, in a head or in a body, until their connection is closed. No test played this but the oversized head. Change: tests alone. They check the end by the deadline, the retry elsewhere or 502/504, the close that the upstream sees, the bytes that it could write, and that goroutines end. Ruled out: a bound on wall time for "at once": the metric of broken exchanges tells recognized bytes from a timeout.

--- /dev/null
+++ b/internal/node/gateway/endless_test.go
@@ -0,0 +1,216 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	signedHead  = "HTTP/1.1 200 X\r\nRequest-Id: r-1\r\nResponse-Seal: s\r\n"
+	chunkedHead = signedHead + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// chunk returns data as one chunk of a chunked body.
+func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
+
+// endlessResponse is a response that begins with begin and goes on with part for ever.
+type endlessResponse struct {
+	begin, part string
+	interval    time.Duration // between two writes; fast writes are of fastWriteBytes
+}
+
+const (
+	fastWriteBytes    = 32 << 10
+	fastWriteInterval = time.Millisecond
+	slowWriteInterval = 20 * time.Millisecond
+)
+
+func fast(begin, part string) endlessResponse {
+	return endlessResponse{begin: begin, part: strings.Repeat(part, fastWriteBytes/len(part)+1), interval: fastWriteInterval}
+}
+
+func slow(begin, part string) endlessResponse {
+	return endlessResponse{begin: begin, part: part, interval: slowWriteInterval}
+}
+
+// endlessUpstream sends an endless response to each request.
+type endlessUpstream struct {
+	*testUpstream
+	written atomic.Int64  // bytes
+	closed  chan struct{} // closed when the gateway closes the first connection
+}
+
+func startEndless(t *testing.T, id string, e endlessResponse) *endlessUpstream {
+	t.Helper()
+	u := &endlessUpstream{closed: make(chan struct{})}
+	var once sync.Once
+	u.testUpstream = startUpstream(t, id, func(_ *testUpstream, _ *http.Request, _ []byte, conn net.Conn) bool {
+		go func() {
+			_, _ = conn.Read(make([]byte, 1)) // returns when the gateway closes the connection
+			once.Do(func() { close(u.closed) })
+		}()
+		for data := e.begin + e.part; ; data = e.part {
+			n, err := io.WriteString(conn, data)
+			u.written.Add(int64(n))
+			if err != nil {
+				return false
+			}
+			time.Sleep(e.interval)
+		}
+	})
+	return u
+}
+
+// assertClosed asserts that the gateway closes the connection soon after the end of the request.
+func (u *endlessUpstream) assertClosed(t *testing.T) {
+	t.Helper()
+	select {
+	case <-u.closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the connection to the upstream is still open 500 ms after the end of the request")
+	}
+}
+
+// respondWholeOrResumed sends the events 1 to 3, or 2 and 3 if the first was received before.
+func respondWholeOrResumed(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+	if r.Header.Get("Last-Event-Id") == "1" {
+		return respondWithEvents(2, 3, true)(u, r, body, conn)
+	}
+	return respondWithEvents(1, 3, true)(u, r, body, conn)
+}
+
+// endlessPair is a gateway that sends its first request to an endless upstream, and the next
+// one to a sound upstream.
+type endlessPair struct {
+	*harness
+	endless *endlessUpstream
+	sound   *testUpstream
+}
+
+func newEndlessPair(t *testing.T, e endlessResponse) endlessPair {
+	t.Helper()
+	p := endlessPair{endless: startEndless(t, "u1", e), sound: startUpstream(t, "u2", respondWholeOrResumed)}
+	p.harness = newHarness(t, p.endless.testUpstream, p.sound)
+	p.gateway.Tracker.RecordPeerPause("u2", time.Minute)
+	t.Cleanup(func() { p.gateway.Pool.CloseIdle(p.sound.listener.Addr().String()) })
+	return p
+}
+
+// breakCauses returns the causes for which exchanges with upstreams have ended early.
+func (h *harness) breakCauses(t *testing.T) []string {
+	t.Helper()
+	families, err := h.gateway.Metrics.Registry.Gather()
+	assert.NilError(t, err)
+	var causes []string
+	for _, family := range families {
+		if family.GetName() != "savoryweir_node_broken_exchanges_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			causes = append(causes, metric.GetLabel()[0].GetValue())
+		}
+	}
+	return causes
+}
+
+// endlessOutcome is what the caller of an endless response gets.
+type endlessOutcome string
+
+const (
+	recognized endlessOutcome = "recognized"       // at once; elsewhere if it may be repeated, or else 502
+	silence    endlessOutcome = "taken as silence" // elsewhere after the timeout of the attempt, or else 504 at the deadline
+	aborted    endlessOutcome = "aborted"          // the caller's connection is closed, at the deadline at the latest
+)
+
+// An upstream in trouble may send bytes that are no response, or have no end, until its
+// connection is closed.
+func TestEndlessResponseEndsWithinDeadlineAndIsNoSuccess(t *testing.T) {
+	const all, unary, streams = "read order stream batch", "read order", "stream batch"
+	fill := strings.Repeat("y", 60)
+	event1 := chunk(eventText(1, 1))
+	field := "X-Fill: " + fill + "\r\n"
+	cases := []struct {
+		name     string
+		routes   string
+		response endlessResponse
+		want     endlessOutcome
+	}{
+		{"garbage", all, fast("", "\x00garbage"), recognized},
+		{"header line", all, fast("HTTP/1.1 200 X\r\nX-Fill: ", fill), recognized},
+		{"header fields", all, fast("HTTP/1.1 200 X\r\n", field), recognized},
+		{"slow header fields", all, slow("HTTP/1.1 200 X\r\n", field), silence},
+		{"informational responses", all, fast("", "HTTP/1.1 103 Early\r\n\r\n"), recognized},
+		{"slow informational responses", all, slow("", "HTTP/1.1 103 Early\r\n\r\n"), silence},
+		{"chunk extension", all, fast(chunkedHead+"5;", fill), recognized},
+		{"chunk size", all, fast(chunkedHead, "0000"), recognized},
+		{"trailers", all, fast(chunkedHead+event1+"0\r\n", field), recognized},
+		{"slow trailers", unary, slow(chunkedHead+event1+"0\r\n", field), silence},
+		{"slow body in chunks", all, slow(chunkedHead, chunk(fill)), silence},
+		{"body without length", unary, fast(signedHead+"\r\n", fill), aborted},
+		{"body with huge length", unary, fast(signedHead+"Content-Length: 1099511627776\r\n\r\n", fill), aborted},
+		{"body in chunks", unary, fast(chunkedHead, chunk(fill)), aborted},
+		{"event without length", streams, fast(signedHead+"\r\n", fill), recognized},
+		{"event with huge length", streams, fast(signedHead+"Content-Length: 1099511627776\r\n\r\n", fill), recognized},
+		{"second event", streams, fast(chunkedHead+event1, chunk("data: "+fill+"\n")), recognized},
+		{"slow second event", "stream", slow(chunkedHead+event1, chunk("data: "+fill+"\n")), silence},
+		{"events without ID", streams, fast(chunkedHead+event1, chunk("data: "+fill+"\n\n")), aborted},
+	}
+	before := runtime.NumGoroutine()
+	t.Run("cases", func(t *testing.T) {
+		for _, c := range cases {
+			for route := range strings.FieldsSeq(c.routes) {
+				t.Run(c.name+", "+route, func(t *testing.T) {
+					t.Parallel()
+					playEndless(t, route, c.response, c.want)
+				})
+			}
+		}
+	})
+	eventually(t, "the end of all goroutines", func() bool { return runtime.NumGoroutine() <= before+1 })
+}
+
+// playEndless sends a request whose first upstream responds endlessly, and checks its end.
+func playEndless(t *testing.T, route string, e endlessResponse, want endlessOutcome) {
+	t.Helper()
+	p := newEndlessPair(t, e)
+	isRepeatable := route == "read" || route == "stream"
+	deadline := 500 * time.Millisecond
+	if isRepeatable && want != aborted {
+		deadline = 2 * time.Second
+	}
+	start := time.Now()
+	got := doStream(p.harness, t, "/"+route+"/1", "Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	took := time.Since(start)
+	p.endless.assertClosed(t)
+	assert.Assert(t, took < deadline+500*time.Millisecond, "the request ended after %v", took)
+	forwarded := strings.Contains(e.begin, "data:") && route == "batch"
+	switch {
+	case want == aborted, forwarded:
+		assert.Assert(t, got.err != nil, "an endless response ended as if it were complete")
+	case isRepeatable:
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, eventText(1, 3))
+	case want == recognized:
+		assert.Equal(t, got.status, http.StatusBadGateway)
+	default:
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	}
+	if !isRepeatable {
+		assert.Equal(t, p.sound.requestCount(), 0)
+	}
+	if want == recognized {
+		const socketBufferBytes = 8 << 20
+		assert.DeepEqual(t, p.breakCauses(t), []string{"upstream"})
+		assert.Assert(t, p.endless.written.Load() < socketBufferBytes)
+	}
+}
--- /dev/null
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -0,0 +1,65 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// sendEndlessly returns a function that answers a request with begin, and then sends part for
+// ever. It closes closed when the client has closed the connection.
+func sendEndlessly(begin, part string, interval time.Duration, closed chan<- struct{}) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		go func() {
+			_, _ = r.ReadByte()
+			close(closed)
+		}()
+		for data := begin; ; data = part {
+			if _, err := io.WriteString(conn, data); err != nil {
+				return
+			}
+			time.Sleep(interval)
+		}
+	}
+}
+
+// awaitClose waits until the client has closed the connection.
+func awaitClose(t *testing.T, closed <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the connection is still open after 500 ms")
+	}
+}
+
+func TestConnectionWithEndlessBytesAfterResponseIsNotReused(t *testing.T) {
+	for name, response := range map[string]string{
+		"with a length": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"in chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"without body":  "HTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			fill, closed := strings.Repeat("y", 4096), make(chan struct{})
+			address, accepted := startServer(t, sendEndlessly(response+fill, fill, time.Millisecond, closed))
+			p := NewPool(func() {})
+			body, err := exchange(t, p, newRequest(address))
+			assert.NilError(t, err)
+			assert.Assert(t, body == "ok" || body == "")
+			awaitClose(t, closed)
+			assert.Equal(t, accepted.Load(), int32(1))
+			assert.Equal(t, len(p.idle), 0)
+		})
+	}
+}
