Failing test: slow garbage instead of a status line is awaited until the deadline

Cause: the status line is parsed only once its line break or 64 KB have arrived. Ruled out: fast garbage; it is cut after 64 KB. Conclusion: a fault; the first byte already tells.

--- a/internal/transport/upstreamconn/endless_test.go
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -63,3 +64,16 @@
 		})
 	}
 }
+
+// Bytes that can't begin a status line are no response, however slowly they come.
+func TestGarbageInsteadOfStatusLineFailsAtOnce(t *testing.T) {
+	for _, garbage := range []string{"\x00", "garbage", "HTTP/x", "\r\n"} {
+		closed := make(chan struct{})
+		address, _ := startServer(t, sendEndlessly(garbage, garbage, 20*time.Millisecond, closed))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := NewPool(func() {}).Do(ctx, newRequest(address))
+		assert.Assert(t, err != nil && ctx.Err() == nil, "%q: %v", garbage, err)
+		awaitClose(t, closed)
+	}
+}
