Bytes that begin no status line end the exchange at once

Cause: the status line was parsed only once its line break or 64 KB had arrived. Change: the first bytes are compared with HTTP/1. as they arrive. Ruled out: a time limit for the head; a sound upstream may think until the deadline. Conclusion: garbage is answered with 502, or the request goes on elsewhere, at once.

--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -127,6 +127,9 @@
 func (x *Exchange) readHead(method string) error {
 	x.conn.head.remaining = maxHeadBytes
 	for {
+		if err := x.awaitStatusLine(); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
 			return err
@@ -139,6 +142,26 @@
 	}
 }
 
+var (
+	statusLinePrefix = []byte("HTTP/1.")
+	errNoStatusLine  = errors.New("upstream sent bytes that begin no HTTP/1 response")
+)
+
+// awaitStatusLine waits for the first bytes of a status line. It returns errNoStatusLine as
+// soon as a byte differs, because an upstream may send others for ever without a line break.
+func (x *Exchange) awaitStatusLine() error {
+	for n := 1; n <= len(statusLinePrefix); n++ {
+		start, err := x.conn.reader.Peek(n)
+		if err != nil {
+			return err
+		}
+		if !bytes.HasPrefix(statusLinePrefix, start) {
+			return errNoStatusLine
+		}
+	}
+	return nil
+}
+
 // Read reads the response body. It returns io.EOF only if the response is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
