Failing test: endless responses to streams are cut off and end as complete

Cause: handleErrorResponse reads 256 KB of a response whose status isn't 200 and forwards that as the whole. Ruled out: unary requests; they forward the rest and abort. Measured: callers got 262144 bytes and a clean end, with 202, 400 and 500. Conclusion: a fault; a 202 is even a success.

--- a/internal/node/gateway/endless_test.go
+++ b/internal/node/gateway/endless_test.go
@@ -214,3 +214,17 @@
 		assert.Assert(t, p.endless.written.Load() < socketBufferBytes)
 	}
 }
+
+// A response to a stream request whose status is not 200 must not be cut off and end as if it
+// were complete.
+func TestEndlessResponseToStreamIsNotCutOff(t *testing.T) {
+	for _, status := range []string{"202", "400", "500"} {
+		t.Run(status, func(t *testing.T) {
+			e := fast(strings.Replace(chunkedHead, "200", status, 1), chunk(strings.Repeat("y", 60)))
+			p := newEndlessPair(t, e)
+			got := doStream(p.harness, t, "/batch/1", "Deadline-Ms", "500")
+			p.endless.assertClosed(t)
+			assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway, "status %d with %d bytes", got.status, len(got.body))
+		})
+	}
+}
