Long responses to streams are forwarded to their end or aborted

Cause: handleErrorResponse read 256 KB of a response whose status isn't 200 and forwarded that as the whole. Change: a longer response is copied as unary ones are: to its end, or the caller's connection is closed. Ruled out: 502 instead; a long rejection that ends is a whole answer. relayLongResponse; it records a first byte, which an error response isn't. Conclusion: no part of a response ends as if it were the whole.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -145,20 +146,27 @@
 	defer a.exchange.Close()
 	defer tracked.finish()
 	if a.exchange.Response.StatusCode != http.StatusOK {
-		return c.handleErrorResponse(a)
+		return c.handleErrorResponse(a, stall)
 	}
 	return c.relayEvents(attemptCtx, a, stall)
 }
 
 // handleErrorResponse handles a response whose status is not 200. It returns true and the
 // reason if another engine has to be tried, or else forwards the response.
-func (c *call) handleErrorResponse(a attempt) (bool, string) {
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes))
+func (c *call) handleErrorResponse(a attempt, stall *handoverTimer) (bool, string) {
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes+1))
 	a.tracked.recordFault()
 	if !c.firstByteAt.IsZero() || err != nil || c.isRetryableResponse(a) && c.attempts < c.route.MaxAttempts {
 		a.tracked.recordUnserved()
 		return true, "engine failed"
 	}
+	if len(body) > maxBufferedBodyBytes {
+		if c.endHandover(stall) {
+			return true, errStalled.Error()
+		}
+		c.copyResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange))
+		return false, ""
+	}
 	c.writeResponse(a, body)
 	return false, ""
 }
