A server error goes on elsewhere by its status

Cause: the decision on a retry came after the body, whose end may never come. Change: it is taken by the status, before the body is read, for unary requests and streams. Ruled out: reading short bodies first, to keep the connection; refusals that say not run drop theirs too. Conclusion: an upstream that answers 500 without end costs one connection, no waiting.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -154,11 +154,16 @@
 // handleErrorResponse handles a response whose status is not 200. It returns true and the
 // reason if another engine has to be tried, or else forwards the response.
 func (c *call) handleErrorResponse(a attempt, stall *handoverTimer) (bool, string) {
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes+1))
+	const reason = "engine failed"
 	a.tracked.recordFault()
-	if !c.firstByteAt.IsZero() || err != nil || c.isRetryableResponse(a) && c.attempts < c.route.MaxAttempts {
+	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.attempts < c.route.MaxAttempts {
+		a.tracked.recordUnserved()
+		return true, reason // the body is not read, because it may have no end
+	}
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes+1))
+	if err != nil {
 		a.tracked.recordUnserved()
-		return true, "engine failed"
+		return true, reason
 	}
 	if len(body) > maxBufferedBodyBytes {
 		if c.endHandover(stall) {
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -76,6 +76,10 @@
 	}
 	defer a.exchange.Close()
 	defer tracked.finish()
+	if c.isRetryableResponse(a) && c.canRetryFailedResponse() {
+		tracked.recordFault()
+		return true, "upstream failed" // the body is not read, because it may have no end
+	}
 	if a.exchange.Response.ContentLength > maxBufferedBodyBytes {
 		return c.relayLongResponse(a, a.exchange, timer)
 	}
@@ -95,9 +99,6 @@
 	} else {
 		tracked.recordFirstByte()
 	}
-	if c.isRetryableResponse(a) && c.canRetryFailedResponse() {
-		return true, "upstream failed"
-	}
 	c.writeResponse(a, body)
 	return false, ""
 }
