Failing test: a repeated event keeps its stream from going on elsewhere

Cause: events with the ID of the last one are dropped, but restart the stall timer before. Ruled out: the speed; fast and slow fail alike. Measured: the caller got one event, and a closed connection at its deadline of 2 s. Conclusion: a fault.

--- a/internal/node/gateway/endless_test.go
+++ b/internal/node/gateway/endless_test.go
@@ -244,3 +244,18 @@
 		}
 	}
 }
+
+// An engine that repeats its last event makes no progress, so that its stream goes on elsewhere.
+func TestStreamThatRepeatsItsLastEventIsResumedAtAnotherEngine(t *testing.T) {
+	for name, e := range map[string]endlessResponse{
+		"fast": fast(chunkedHead, chunk(eventText(1, 1))), "slow": slow(chunkedHead, chunk(eventText(1, 1))),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newEndlessPair(t, e)
+			got := doStream(p.harness, t, "/stream/1")
+			p.endless.assertClosed(t)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 3))
+		})
+	}
+}
