A repeated event does not restart the stall timer

Cause: the timer was restarted before the comparison with the last event. Change: the comparison comes first. Ruled out: a limit on repetitions; a resumed stream may begin with one, and the stall timeout is enough. Conclusion: only a new event counts as progress.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -200,11 +200,11 @@
 			}
 			continue
 		}
-		stall.reset()
 		a.tracked.recordFirstByte()
 		if event.ID != "" && event.ID == c.lastEventID {
-			continue // a resumed stream may repeat the last event
+			continue // a resumed stream may repeat the last event, but a stalled one for ever
 		}
+		stall.reset()
 		if !c.firstByteAt.IsZero() {
 			c.gateway.Metrics.ObserveEventGap(time.Since(lastEventAt))
 		}
