Failing test: a flood of comments lasts until the stall timeout or the deadline

Cause: comments between events have no limit. Ruled out: slow comments; the stall timeout or the deadline ends them at little cost. Conclusion: a fault; it costs processor time and the caller's connection.

--- a/internal/node/gateway/endless_test.go
+++ b/internal/node/gateway/endless_test.go
@@ -259,3 +259,32 @@
 		})
 	}
 }
+
+// Comments keep a connection open; a flood of them is no stream, and must not flood the caller.
+func TestFloodOfCommentsIsRecognized(t *testing.T) {
+	event1, fill := chunk(eventText(1, 1)), strings.Repeat("y", 60)
+	for name, e := range map[string]endlessResponse{
+		"before the first event": fast(chunkedHead, chunk(": "+fill+"\n\n")),
+		"after an event":         fast(chunkedHead+event1, chunk(": "+fill+"\n\n")),
+		"blank lines":            fast(chunkedHead+event1, chunk("\n\n")),
+	} {
+		for _, route := range []string{"stream", "batch"} {
+			t.Run(name+", "+route, func(t *testing.T) {
+				p := newEndlessPair(t, e)
+				got := doStream(p.harness, t, "/"+route+"/1", "Deadline-Ms", "1100")
+				p.endless.assertClosed(t)
+				assert.DeepEqual(t, p.breakCauses(t), []string{"upstream"})
+				assert.Assert(t, len(got.body) < 128<<10)
+				switch {
+				case route == "stream":
+					assert.NilError(t, got.err)
+					assert.Assert(t, strings.HasSuffix(got.body, eventText(2, 3)))
+				case strings.Contains(e.begin, event1):
+					assert.Assert(t, got.err != nil)
+				default:
+					assert.Equal(t, got.status, http.StatusBadGateway)
+				}
+			})
+		}
+	}
+}
