A flood of comments or repeated events breaks a stream

Cause: comments and repeated events between two events had no limit. Change: after 64 KB of them the next one breaks the stream: it goes on elsewhere, or fails. A new event starts the count anew. Ruled out: a limit that counts the last comment or repetition too; the last event that a resumed stream repeats may alone be larger than that. Not forwarding comments; callers may need them. Conclusion: floods without progress are recognized at once.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -29,8 +29,13 @@
 	// firstEventFactor is the multiple of the expected time to the first byte after which
 	// a stream without a first event is sent to another engine.
 	firstEventFactor = 3
+	// maxIdleStreamBytes bounds the comments and repeated events between two new events,
+	// whatever the size of the last of them.
+	maxIdleStreamBytes = 64 << 10
 )
 
+var errNoProgress = errors.New("engine sends comments or repeated events without end")
+
 // patience returns the route's target latency and how much longer the caller waits for the
 // first event.
 func (c *call) patience() dispatch.LatencyLimits {
@@ -181,6 +186,7 @@
 func (c *call) relayEvents(ctx context.Context, a attempt, stall *handoverTimer) (bool, string) {
 	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
 	lastEventAt := time.Now()
+	idleBytes := 0 // since the last new event
 	for {
 		event, err := frames.Next()
 		switch {
@@ -194,6 +200,15 @@
 		case err != nil:
 			return c.handleBrokenStream(ctx, a, err)
 		}
+		isRepeated := event.ID != "" && event.ID == c.lastEventID // as a resumed stream may begin
+		switch {
+		case !event.IsComment && !isRepeated:
+			idleBytes = 0
+		case idleBytes > maxIdleStreamBytes:
+			return c.handleBrokenStream(ctx, a, errNoProgress)
+		default:
+			idleBytes += len(event.Raw)
+		}
 		if event.IsComment { // an engine that has stalled may send comments for ever
 			if !c.firstByteAt.IsZero() && !c.writeEvent(event) {
 				return false, ""
@@ -201,8 +216,8 @@
 			continue
 		}
 		a.tracked.recordFirstByte()
-		if event.ID != "" && event.ID == c.lastEventID {
-			continue // a resumed stream may repeat the last event, but a stalled one for ever
+		if isRepeated { // a stalled engine may repeat it for ever
+			continue
 		}
 		stall.reset()
 		if !c.firstByteAt.IsZero() {
