Failing test: idle connections with endless bytes stay open

Cause: an idle connection is looked at only when it is to be reused, or its idle timeout has passed, which the upstream announces. Ruled out: reuse; such a connection is closed then. Measured: the connection is still open 0.5 s after the cleanup, with an announced timeout of an hour. Conclusion: a fault; up to 16 connections an upstream may fill the kernel's buffers.

--- a/internal/transport/upstreamconn/endless_test.go
+++ b/internal/transport/upstreamconn/endless_test.go
@@ -77,3 +77,18 @@
 		awaitClose(t, closed)
 	}
 }
+
+// Bytes on an idle connection fill the buffers of the kernel if nobody looks, for as long as the
+// upstream has announced to keep the connection open.
+func TestIdleConnectionWithEndlessBytesIsClosed(t *testing.T) {
+	response := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\nContent-Length: 2\r\n\r\nok"
+	closed := make(chan struct{})
+	address, _ := startServer(t, sendEndlessly(response, strings.Repeat("y", 4096), 20*time.Millisecond, closed))
+	p := NewPool(func() {})
+	_, err := exchange(t, p, newRequest(address))
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	p.CloseExpired()
+	awaitClose(t, closed)
+	assert.Equal(t, len(p.idle), 0)
+}
