Idle connections on which data arrives are closed

Cause: an idle connection was looked at only when it was to be reused or its idle timeout had passed. Change: the cleanup, each 200 ms in the node, also closes connections that the upstream has closed or sent data on. Ruled out: a bound on announced idle timeouts; it would leave the bytes unread for as long. Conclusion: bytes after a response end with the next cleanup.

--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -116,7 +116,8 @@
 	return defaultIdleTimeout
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
+// CloseExpired closes the connections whose idle timeout has passed, and those that the
+// upstream has closed or sent data on, which would fill the receive buffer.
 func (p *Pool) CloseExpired() {
 	now := p.now()
 	p.mu.Lock()
@@ -124,7 +125,7 @@
 	for address, list := range p.idle {
 		var fresh []*conn
 		for _, c := range list {
-			if now.Sub(c.idleSince) < c.idleTimeout {
+			if now.Sub(c.idleSince) < c.idleTimeout && c.isReusable() {
 				fresh = append(fresh, c)
 			} else {
 				expired = append(expired, c)
