Failing test: endless bodies of engines are cut off and taken for whole

Cause: the reader of reports and answers to orders stops at 1 MB without an error. Ruled out: slow bodies and endless heads; they fail at the timeout of 0.3 s or before. Measured: a report followed by endless blanks is applied, and a 202 with an endless body counts as accepted. Conclusion: a fault.

--- a/internal/node/reconciler/endless_test.go
+++ b/internal/node/reconciler/endless_test.go
@@ -98,3 +98,14 @@
 		})
 	}
 }
+
+// A body that was cut off is no response, even if its beginning can be decoded.
+func TestEndlessBodyOfEngineFails(t *testing.T) {
+	fill := strings.Repeat(" ", 64<<10)
+	for name, fetch := range map[string]func() error{
+		"report": func() error { return fetchEndless(t, http.MethodGet, endlessReport, fill, 0) },
+		"order":  func() error { return fetchEndless(t, http.MethodPost, endlessOrder, "10000\r\n"+fill+"\r\n", 0) },
+	} {
+		t.Run(name, func(t *testing.T) { assert.Assert(t, fetch() != nil) })
+	}
+}
