Endless reports and answers to orders fail

Cause: their reader stopped at 1 MB without an error. Change: a longer body is an error. A report then counts as failed, and an order as unknown, so that it is repeated with the same expected count. Ruled out: trusting the status alone for orders; the report that follows tells what the engine did. Conclusion: no part of a body is taken for the whole.

--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -158,7 +158,7 @@
 }
 
 // roundTrip sends a request to an engine and returns the status and the body of its
-// response. The body is cut off at maxReportBytes.
+// response. It returns errResponseTooLarge if the body is longer than maxReportBytes.
 func (r *Reconciler) roundTrip(ctx context.Context, u fleet.Upstream, request upstreamconn.Request) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -169,7 +169,10 @@
 	}
 	defer x.Close()
 	r.observeResponse(&u, x.Response.StatusCode, x.Response.Header)
-	body, err := io.ReadAll(io.LimitReader(x, maxReportBytes))
+	body, err := io.ReadAll(io.LimitReader(x, maxReportBytes+1))
+	if err == nil && len(body) > maxReportBytes {
+		err = errResponseTooLarge
+	}
 	return x.Response.StatusCode, body, err
 }
 
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -19,7 +19,10 @@
 	"savoryweir/internal/transport/upstreamconn"
 )
 
-var errReportStatus = errors.New("engine report: expected status 200 OK")
+var (
+	errReportStatus     = errors.New("engine report: expected status 200 OK")
+	errResponseTooLarge = errors.New("response of the engine exceeds the size limit")
+)
 
 // planInterval is the time between two plans when nothing wakes the reconciler: a
 // fraction of the time in which demand shifts between models.
