The scanner of events searches each byte once

Cause: the whole buffered event was searched for its end after each read. Change: the search goes on where the last one ended, less the bytes that may begin an ending. A test with a random seed compares the events of a stream that is read whole and byte by byte. Ruled out: a lower limit for events; large ones may be sound, and the time would still grow with the square. Conclusion: an endless event costs time in proportion to its bytes.

--- a/internal/protocol/sseframe/endless_test.go
+++ b/internal/protocol/sseframe/endless_test.go
@@ -1,7 +1,13 @@
 package sseframe
 
 import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -32,3 +38,27 @@
 	assert.ErrorIs(t, err, errEventTooLarge)
 	assert.Assert(t, time.Since(start) < time.Second)
 }
+
+// The end of an event may be split between reads at any byte.
+func TestEventsAreTheSameHoweverTheyAreRead(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	random := rand.New(rand.NewPCG(seed, 0))
+	split := func(r io.Reader) (events []string) {
+		for s := NewScanner(r, true); ; {
+			event, err := s.Next()
+			if err != nil {
+				return events
+			}
+			events = append(events, string(event.Raw))
+		}
+	}
+	for range 2000 {
+		text := make([]byte, random.IntN(40))
+		for i := range text {
+			text[i] = "\r\n\n:x"[random.IntN(5)]
+		}
+		whole, parts := split(bytes.NewReader(text)), split(iotest.OneByteReader(bytes.NewReader(text)))
+		assert.Assert(t, slices.Equal(whole, parts), "%q, seed %d", text, seed)
+		assert.Equal(t, strings.Join(whole, ""), string(text), "seed %d", seed)
+	}
+}
--- a/internal/protocol/sseframe/sseframe.go
+++ b/internal/protocol/sseframe/sseframe.go
@@ -28,6 +28,7 @@
 	reader      io.Reader
 	buffer      []byte
 	start       int   // index in buffer of the first byte that was not returned
+	searched    int   // number of bytes after start that contain no end of an event
 	err         error // error of the last read
 	hasKnownEnd bool
 }
@@ -68,14 +69,16 @@
 	data := s.buffer[s.start:]
 	end := -1
 	for _, ending := range eventEndings {
-		if i := bytes.Index(data, ending); i >= 0 && (end < 0 || i+len(ending) < end) {
-			end = i + len(ending)
+		from := max(s.searched-len(ending)+1, 0) // the last bytes searched may begin an ending
+		if i := bytes.Index(data[from:], ending); i >= 0 && (end < 0 || from+i+len(ending) < end) {
+			end = from + i + len(ending)
 		}
 	}
 	if end < 0 {
+		s.searched = len(data)
 		return Event{}, false
 	}
-	s.start += end
+	s.start, s.searched = s.start+end, 0
 	return Event{ID: eventID(data[:end]), Raw: data[:end], IsComment: isComment(data[:end])}, true
 }
 
@@ -113,7 +116,7 @@
 	if !s.hasKnownEnd {
 		return Event{}, io.ErrUnexpectedEOF
 	}
-	s.start = len(s.buffer)
+	s.start, s.searched = len(s.buffer), 0
 	return Event{Raw: rest}, nil
 }
 
