Failing test: the buffer of an endless event grows to twice its limit

Cause: the buffer doubles until the limit of 1 MB is passed. Ruled out: a leak; the buffer goes with its stream. Measured: 2095104 bytes; with the buffer before, 3.1 MB live while it grows. Conclusion: a small fault; 50 such streams hold 100 MB on an instance of 184 MB.

--- a/internal/protocol/sseframe/endless_test.go
+++ b/internal/protocol/sseframe/endless_test.go
@@ -62,3 +62,10 @@
 		assert.Equal(t, strings.Join(whole, ""), string(text), "seed %d", seed)
 	}
 }
+
+func TestBufferOfEndlessEventStaysNearEventLimit(t *testing.T) {
+	s := NewScanner(&endlessReader{part: "y", readBytes: 4096}, true)
+	_, err := s.Next()
+	assert.ErrorIs(t, err, errEventTooLarge)
+	assert.Assert(t, cap(s.buffer) <= maxEventBytes+64<<10, "%d bytes", cap(s.buffer))
+}
