The buffer of an event stays near the limit for events

Cause: the buffer doubled until the limit of 1 MB was passed. Change: it doubles up to the limit and one read. Ruled out: a lower limit for events; how large sound ones may be isn't known here. Conclusion: an endless event holds 1 MB until it is rejected.

--- a/internal/protocol/sseframe/sseframe.go
+++ b/internal/protocol/sseframe/sseframe.go
@@ -128,7 +128,7 @@
 		s.start = 0
 	}
 	if cap(s.buffer)-len(s.buffer) < readBufferBytes/2 {
-		grown := make([]byte, len(s.buffer), 2*cap(s.buffer)+readBufferBytes)
+		grown := make([]byte, len(s.buffer), min(2*cap(s.buffer), maxEventBytes)+readBufferBytes)
 		copy(grown, s.buffer)
 		s.buffer = grown
 	}
