Failing test: a caller that stops reading holds an endless response

Cause: the write to the caller has no time limit, so that the end of the upstream's connection at the deadline isn't seen. Ruled out: the upstream; its connection is closed at the deadline. Conclusion: a fault.

--- a/internal/node/gateway/endless_test.go
+++ b/internal/node/gateway/endless_test.go
@@ -288,3 +288,28 @@
 		}
 	}
 }
+
+// A caller that stops reading blocks the write to it. The request must end nevertheless, or an
+// endless response holds it for as long as the caller stays connected.
+func TestEndlessResponseToCallerThatStopsReadingEndsAtDeadline(t *testing.T) {
+	fill := strings.Repeat("y", 600)
+	for route, e := range map[string]endlessResponse{
+		"order": fast(signedHead+"\r\n", fill),
+		"batch": fast(chunkedHead, chunk("data: "+fill+"\n\n")),
+	} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			p := newEndlessPair(t, e)
+			conn, err := net.Dial("tcp4", p.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST /%s/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r-1\r\nDeadline-Ms: 1000\r\n"+
+				"Model: %s\r\nToken-Count: 100,10\r\nContent-Length: 0\r\n\r\n", route, testModel)
+			assert.NilError(t, err)
+			_, err = conn.Read(make([]byte, 1))
+			assert.NilError(t, err)
+			time.Sleep(1500 * time.Millisecond)
+			assert.Equal(t, p.gateway.InFlight(), int64(0))
+		})
+	}
+}
