Writes of a forwarded response to the caller end soon after the deadline

Cause: a write to a caller that doesn't read blocked for as long as the caller stayed connected. Change: responses that are forwarded while they arrive get a write deadline 250 ms after the request's. A second test checks that the caller's connection serves another request after it. Ruled out: a limit for buffered responses; an answer that is ready is delivered, also late. Conclusion: an endless response ends by its deadline and 0.25 s, whatever the caller does.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -122,6 +122,14 @@
 // callerDisconnected reports whether the caller has closed its connection.
 func (c *call) callerDisconnected() bool { return c.request.Context().Err() != nil }
 
+// limitWrites makes writes to the caller fail soon after the deadline. It is called where a
+// response is forwarded while it arrives: the upstream's part ends at the deadline, but a write
+// to a caller that does not read would block for ever. net/http lifts the limit after the
+// response.
+func (c *call) limitWrites() {
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.deadline.Add(lateWriteTime))
+}
+
 // acquireRetry reports whether the request may be sent again. A retry after an attempt
 // that may have reached an upstream is taken from the service's retry budget. Sends that
 // reached none are bounded by maxFailedDials alone and leave a granted retry as it is.
@@ -148,6 +156,9 @@
 const (
 	// minAttemptTime is the least time before the deadline at which a retry is still started.
 	minAttemptTime = 10 * time.Millisecond
+	// lateWriteTime is how long after the deadline the last bytes that the upstream sent before
+	// it may be written.
+	lateWriteTime = 250 * time.Millisecond
 	// maxFailedDials bounds the failed connection attempts for one request.
 	maxFailedDials = 8
 )
--- a/internal/node/gateway/endless_test.go
+++ b/internal/node/gateway/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"runtime"
 	"strings"
 	"sync"
@@ -313,3 +314,19 @@
 		})
 	}
 }
+
+// The time limit of writes belongs to one response, not to the connection.
+func TestConnectionOfCallerIsReusedAfterDeadlineOfStream(t *testing.T) {
+	h := newHarness(t, startUpstream(t, "u1", respondWithEvents(1, 3, true)))
+	send := func() (reused bool) {
+		r := h.newRequest(t, "POST", "/stream/1", "", "Model", testModel, "Token-Count", "100,10", "Deadline-Ms", "500")
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+		got := h.send(t, r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, eventText(1, 3))
+		return reused
+	}
+	send()
+	time.Sleep(500*time.Millisecond + 2*lateWriteTime)
+	assert.Assert(t, send())
+}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -239,6 +239,7 @@
 	c.gateway.Metrics.ObserveFirstByte(routeKindLabel(c.route), c.firstByteAt.Sub(c.arrivedAt))
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
 	c.writer.Header().Del("Content-Length") // a resumed stream may differ in length
+	c.limitWrites()
 	c.writer.WriteHeader(c.status)
 }
 
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -167,6 +167,7 @@
 	c.outcome, c.status = "answered", a.exchange.Response.StatusCode
 	c.firstByteAt = time.Now()
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
+	c.limitWrites()
 	c.writer.WriteHeader(a.exchange.Response.StatusCode)
 	if _, err := io.Copy(c.writer, body); err != nil {
 		c.outcome = "broke off: " + err.Error()
