Endless responses of engines fail in engineclient

Cause: the reader of responses stopped at 1 MB without an error. Change: a longer body is an error. Ruled out: leaving orders out; the report that follows tells what the engine did.

--- a/internal/transport/engineclient/engineclient.go
+++ b/internal/transport/engineclient/engineclient.go
@@ -26,6 +26,8 @@
 	ErrConnectionLost = errors.New("connection to the engine is closed")
 	// ErrUnexpectedStatus reports a response whose status the request does not allow.
 	ErrUnexpectedStatus = errors.New("unexpected status of the engine's response")
+	// ErrTooLarge reports a response whose body exceeds the size limit.
+	ErrTooLarge = errors.New("engine's response is too large")
 	// ErrRestarted reports that the engine has restarted since the order was planned.
 	ErrRestarted = errors.New("engine has restarted")
 )
@@ -154,7 +156,10 @@
 		return engineResponse{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
+	if err == nil && len(data) > maxReportBytes {
+		err = ErrTooLarge
+	}
 	return engineResponse{status: response.StatusCode, etag: strongETag(response.Header.Get("ETag")), body: data}, err
 }
 
