--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -28,8 +29,13 @@
 	// firstEventFactor is the multiple of the expected time to the first byte after which
 	// a stream without a first event is sent to another engine.
 	firstEventFactor = 3
+	// maxIdleStreamBytes bounds the comments and repeated events between two new events,
+	// whatever the size of the last of them.
+	maxIdleStreamBytes = 64 << 10
 )
 
+var errNoProgress = errors.New("engine sends comments or repeated events without end")
+
 // patience returns the route's target latency and how much longer the caller waits for the
 // first event.
 func (c *call) patience() dispatch.LatencyLimits {
@@ -192,14 +198,17 @@
 // unless the stream has begun or the request may be sent again.
 func (c *call) handleErrorResponse(a *attempt, h *handover) attemptResult {
 	const reason = "engine failed"
-	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes))
-	if err != nil {
-		return c.handleBrokenStream(a, h, err)
-	}
 	a.tracked.recordFault()
 	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.acquireRetry(reason) {
 		a.tracked.recordUnserved()
-		return attemptResult{reason: reason, next: h.end(false)}
+		return attemptResult{reason: reason, next: h.end(false)} // the body is not read, because it may have no end
+	}
+	body, err := io.ReadAll(io.LimitReader(a.exchange, maxBufferedBodyBytes+1))
+	switch {
+	case err != nil:
+		return c.handleBrokenStream(a, h, err)
+	case len(body) > maxBufferedBodyBytes:
+		return c.relayLongResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange), h)
 	}
 	c.writeResponse(a, body)
 	return finalResult
@@ -209,6 +218,7 @@
 func (c *call) relayEvents(a *attempt, h *handover) attemptResult {
 	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
 	lastEventAt := time.Now()
+	idleBytes := 0 // since the last new event
 	for {
 		event, err := frames.Next()
 		switch {
@@ -222,22 +232,33 @@
 		case err != nil:
 			return c.handleBrokenStream(a, h, err)
 		}
+		isRepeated := event.ID != "" && event.ID == c.lastEventID // as a resumed stream may begin
+		switch {
+		case !event.IsComment && !isRepeated:
+			idleBytes = 0
+		case idleBytes > maxIdleStreamBytes:
+			return c.handleBrokenStream(a, h, errNoProgress)
+		default:
+			idleBytes += len(event.Raw)
+		}
 		if event.IsComment { // an engine that has stalled may send comments for ever
 			if !c.firstByteAt.IsZero() && !c.writeEvent(event) {
 				return finalResult
 			}
 			continue
 		}
+		if isRepeated { // a stalled engine may repeat it for ever
+			a.tracked.recordFirstByte()
+			continue
+		}
 		if !h.pause() {
 			return c.handleBrokenStream(a, h, errStalled)
 		}
 		a.tracked.recordFirstByte()
-		if event.ID == "" || event.ID != c.lastEventID { // a resumed stream may repeat the last event
-			if !c.forwardEvent(a, event, lastEventAt) {
-				return finalResult
-			}
-			lastEventAt = time.Now()
+		if !c.forwardEvent(a, event, lastEventAt) {
+			return finalResult
 		}
+		lastEventAt = time.Now()
 		h.resume()
 	}
 }
@@ -260,6 +281,7 @@
 	c.gateway.Metrics.ObserveFirstByte(routeKindLabel(c.route), c.firstByteAt.Sub(c.arrivedAt))
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
 	c.writer.Header().Del("Content-Length") // a resumed stream may differ in length
+	c.limitWrites()
 	c.writer.WriteHeader(c.status)
 }
 
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -85,6 +85,11 @@
 	}
 	defer a.exchange.Close()
 	defer a.tracked.finish()
+	const reason = "upstream failed"
+	if c.isRetryableResponse(a) && c.canRetryFailedResponse() && c.acquireRetry(reason) {
+		a.tracked.recordFault()
+		return attemptResult{reason: reason, next: h.end(false)} // the body is not read, because it may have no end
+	}
 	if a.exchange.Response.ContentLength > maxBufferedBodyBytes {
 		return c.relayLongResponse(a, a.exchange, h)
 	}
@@ -104,10 +109,6 @@
 	} else {
 		a.tracked.recordFirstByte()
 	}
-	const reason = "upstream failed"
-	if c.isRetryableResponse(a) && c.canRetryFailedResponse() && c.acquireRetry(reason) {
-		return attemptResult{reason: reason, next: h.end(false)}
-	}
 	c.writeResponse(a, body)
 	return finalResult
 }
@@ -123,9 +124,11 @@
 // request can't be handed over.
 func (c *call) relayLongResponse(a *attempt, body io.Reader, h *handover) attemptResult {
 	if !h.pause() {
-		return attemptResult{reason: errAttemptTimeout.Error(), next: h.end(false)}
+		return attemptResult{reason: h.rules.cause.Error(), next: h.end(false)}
+	}
+	if a.exchange.Response.StatusCode < http.StatusInternalServerError {
+		a.tracked.recordFirstByte()
 	}
-	a.tracked.recordFirstByte()
 	c.copyResponse(a, body)
 	return finalResult
 }
@@ -182,6 +185,7 @@
 	c.outcome, c.status = "answered", a.exchange.Response.StatusCode
 	c.firstByteAt = time.Now()
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
+	c.limitWrites()
 	c.writer.WriteHeader(a.exchange.Response.StatusCode)
 	if _, err := io.Copy(c.writer, body); err != nil {
 		if !c.callerDisconnected() {
