Upstream stand-ins tell the version of their software

Cause: engines of several versions may serve side by side, and a stream may go on only at the version that began it. The stand-ins had no version, so that no check could see this. Change: an engine writes its version into its entry; Release sets the one with which it comes back. A caller can name the stream that it takes up. Whether an upstream is an engine follows from its places, not from the models of its first start.

--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -61,12 +61,17 @@
 	mu         sync.Mutex // guards all below
 	sent       map[string]*sent
 	runs       map[string][]upstream.Run
+	written    map[string][]written // by request
+	services   map[string]*service  // by incarnation
 	orders     []upstream.Order
 	violations []Violation
 }
 
 func newLedger() *ledger {
-	return &ledger{began: time.Now(), sent: make(map[string]*sent), runs: make(map[string][]upstream.Run)}
+	return &ledger{
+		began: time.Now(), sent: make(map[string]*sent), runs: make(map[string][]upstream.Run),
+		written: make(map[string][]written), services: make(map[string]*service),
+	}
 }
 
 func (l *ledger) since(t time.Time) time.Duration { return t.Sub(l.began) }
--- a/internal/standin/upstream/caller.go
+++ b/internal/standin/upstream/caller.go
@@ -13,6 +13,11 @@
 	Model    string // MODEL or MODEL/ADAPTER, empty for plain services
 	Events   int    // that the stream shall have
 	Own      uint64 // part of the prompt that no other request has
+
+	// Resumes is the request that brought the first event of the stream that this one takes
+	// up after LastEvent; empty for a new stream.
+	Resumes   string
+	LastEvent int
 }
 
 // promptShared and promptOwn are the tokens of the two parts of a prompt.
@@ -22,6 +27,10 @@
 func (c Call) Stamp(h http.Header) {
 	h.Set("Request-Id", c.Request)
 	h.Set("Deadline-Ms", strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	if c.Resumes != "" {
+		h.Set("Resumes", c.Resumes)
+		h.Set("Last-Event-Id", strconv.Itoa(c.LastEvent))
+	}
 	if c.Model == "" {
 		return
 	}
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -19,11 +19,11 @@
 const PoisonPath = "/poison"
 
 // handler serves one incarnation.
-func (u *Upstream) handler(id string) http.Handler {
+func (u *Upstream) handler(id, version string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", u.report)
 	mux.HandleFunc("POST /v1/order", func(w http.ResponseWriter, r *http.Request) { u.order(w, r, id) })
-	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { u.serve(w, r, id) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) { u.serve(w, r, id, version) })
 	return mux
 }
 
@@ -38,7 +38,7 @@
 // Answer is the body with which a plain request is answered.
 func Answer(request, fingerprint string) string { return request + " ran as " + fingerprint + "\n" }
 
-func (u *Upstream) serve(w http.ResponseWriter, r *http.Request, id string) {
+func (u *Upstream) serve(w http.ResponseWriter, r *http.Request, id, version string) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the connection is gone
@@ -53,7 +53,10 @@
 		return
 	}
 	defer u.leave()
-	run := Run{Request: request, Upstream: id, Service: u.config.Service, Fingerprint: Fingerprint(r.Method, r.URL.Path, body), Began: time.Now()}
+	run := Run{
+		Request: request, Upstream: id, Version: version, Service: u.config.Service,
+		Fingerprint: Fingerprint(r.Method, r.URL.Path, body), Began: time.Now(),
+	}
 	u.journal.Ran(run)
 	if strings.Contains(r.URL.Path, PoisonPath) {
 		go u.restart()
@@ -63,8 +66,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	w.Header().Set("Response-Seal", seal(request))
-	if len(u.config.Models) > 0 {
-		u.stream(ctx, w, r, loses)
+	if u.config.Places > 0 {
+		u.stream(ctx, w, r, run, loses)
 		return
 	}
 	if !pause.For(ctx, u.config.Work) || loses {
@@ -135,7 +138,7 @@
 
 // stream answers by as many events as the request has output tokens. One that loses
 // its answer breaks off within an event.
-func (u *Upstream) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, loses bool) {
+func (u *Upstream) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, run Run, loses bool) {
 	_, most, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
 	last, err := strconv.Atoi(most)
 	if err != nil {
@@ -151,12 +154,13 @@
 		if !pause.For(ctx, u.config.Work) {
 			panic(http.ErrAbortHandler)
 		}
-		event := Event(r.Header.Get("Request-Id"), next)
+		event := Event(run.Request, next)
 		if loses && next >= last/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		u.journal.Wrote(run, next)
 		_, _ = io.WriteString(w, event)
 		_ = control.Flush() // a caller that is gone ends the context
 	}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -21,7 +21,8 @@
 // Run is one request that an upstream began to work on.
 type Run struct {
 	Request     string // its identifier
-	Upstream    string
+	Upstream    string // identifier of the incarnation
+	Version     string // of the upstream's software
 	Service     string
 	Fingerprint string // of method, path and body
 	Began       time.Time
@@ -38,6 +39,11 @@
 // Journal takes what upstreams see. It is safe for concurrent use.
 type Journal interface {
 	Ran(Run)
+	// Wrote tells that a run is about to write an event of its stream.
+	Wrote(r Run, event int)
+	// Serving tells that an incarnation begins to take requests, or no longer does because it
+	// has ended or is leaving.
+	Serving(upstream, version string, serving bool)
 	Ordered(Order)
 	// Overloaded tells that an engine was ordered to hold more than fits.
 	Overloaded(upstream string)
@@ -54,6 +60,7 @@
 	Name    string // first part of its identifiers; each start has one of its own
 	Service string
 	Zone    string
+	Version string // of the software that the first incarnation runs; empty for plain services
 	Slots   int
 	Work    time.Duration // of a plain request, and between two events of a stream
 	Models  []string      // resident at the first start; empty for plain services
@@ -85,7 +92,9 @@
 	random   *rand.Rand
 	up       bool
 	starts   int
+	release  string // version of the software that the next incarnation runs
 	id       string
+	version  string
 	address  string
 	born     time.Time
 	draining bool
@@ -108,7 +117,9 @@
 // New returns an upstream that is not running. via turns the address on which it
 // listens into the one that it tells in the store.
 func New(c Config, store Store, journal Journal, seed uint64, via func(address string) (string, error)) *Upstream {
-	return &Upstream{config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), onDisk: c.Models}
+	return &Upstream{
+		config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), release: c.Version, onDisk: c.Models,
+	}
 }
 
 // Start begins an incarnation. An engine holds its first models at its first start
@@ -130,6 +141,7 @@
 	u.up = true
 	u.starts++
 	u.id, u.address, u.born = fmt.Sprintf("%s-%d", u.config.Name, u.starts), address, time.Now()
+	u.version = u.release
 	u.draining, u.running, u.orders, u.busy, u.models = false, 0, 0, false, nil
 	if u.starts == 1 {
 		for _, m := range u.config.Models {
@@ -138,9 +150,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	u.cancel = cancel
-	id := u.id
-	u.server = &http.Server{Handler: u.handler(id), BaseContext: func(net.Listener) context.Context { return ctx }}
+	u.server = &http.Server{Handler: u.handler(u.id, u.version), BaseContext: func(net.Listener) context.Context { return ctx }}
 	go func(s *http.Server) { _ = s.Serve(listener) }(u.server)
+	u.journal.Serving(u.id, u.version, true)
 	u.register()
 	return nil
 }
@@ -154,6 +166,7 @@
 		return false
 	}
 	u.up = false
+	u.journal.Serving(u.id, u.version, false)
 	u.cancel()
 	_ = u.server.Close() // closes all connections whatever it reports
 	return true
@@ -164,9 +177,24 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.draining = true
+	u.journal.Serving(u.id, u.version, false)
 	u.register()
 }
 
+// Release sets the version of the software that later incarnations run.
+func (u *Upstream) Release(version string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.release = version
+}
+
+// IsUp reports whether an incarnation runs.
+func (u *Upstream) IsUp() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.up
+}
+
 // Lapse removes the entry, as the store does for upstreams that are silent.
 func (u *Upstream) Lapse() {
 	u.writing.Lock()
@@ -201,6 +229,7 @@
 	Service string     `json:"service"`
 	Address string     `json:"address"`
 	Zone    string     `json:"zone"`
+	Version string     `json:"version,omitempty"`
 	Slots   int        `json:"slots"`
 	State   string     `json:"state"`
 	Born    int64      `json:"born"`
@@ -227,8 +256,8 @@
 	defer u.writing.Unlock()
 	u.mu.Lock()
 	data, err := json.Marshal(entry{
-		Service: u.config.Service, Address: u.address, Zone: u.config.Zone, Slots: u.config.Slots, State: u.state(),
-		Born: u.born.UnixMilli(), Models: u.models, AtHand: atHand{OnDisk: u.onDisk},
+		Service: u.config.Service, Address: u.address, Zone: u.config.Zone, Version: u.version, Slots: u.config.Slots,
+		State: u.state(), Born: u.born.UnixMilli(), Models: u.models, AtHand: atHand{OnDisk: u.onDisk},
 	})
 	current := u.up && u.id == id
 	u.mu.Unlock()
