Soak: instances get ports on which nobody takes datagrams

Cause: freePort asked by a connection whether a port is taken. Instances of another soak on the machine listen for datagrams on ports that refuse connections, and both soaks counted upwards through neighbouring ports. An instance that got such a port ended at once ("listen for datagrams: address already in use"). Change: a port is free if a datagram to it is refused, too. The order of ports is random, so that two soaks don't count side by side. Ruled out: listening on the port for a try, since a process that is being started meanwhile would hold it. TestPortsOfAnyListenerAreTaken passes with the race detector. Two soaks may still draw one port in the moment before the first instance listens.

--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -56,9 +56,11 @@
 // instance that is started again must find its ports free.
 const firstPort, lastPort = 10000, 30000
 
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+// portOrder is random, so that soaks that run at the same time do not meet.
+var (
+	portOrder = rand.Perm(lastPort - firstPort)
+	nextPort  atomic.Int64
+)
 
 var errNoPort = errors.New("no port is free")
 
@@ -66,17 +68,37 @@
 // does not try to listen there: a process that is being started elsewhere at that moment
 // would hold the port until it has replaced its image.
 func freePort() (int, error) {
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1)-firstPort)%(lastPort-firstPort)
-		conn, err := net.DialTimeout("tcp4", fmt.Sprintf("127.0.0.1:%d", port), time.Second)
-		if err != nil {
-			return port, nil // refused
+	for range portOrder {
+		port := firstPort + portOrder[int(nextPort.Add(1))%len(portOrder)]
+		if address := fmt.Sprintf("127.0.0.1:%d", port); !acceptsConnections(address) && !takesDatagrams(address) {
+			return port, nil
 		}
-		_ = conn.Close()
 	}
 	return 0, errNoPort
 }
 
+func acceptsConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err == nil
+}
+
+// takesDatagrams reports whether somebody listens for datagrams: the system refuses them else.
+func takesDatagrams(address string) bool {
+	conn, err := net.Dial("udp4", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(pollEvery))
+	if _, err = conn.Write([]byte{0}); err == nil {
+		_, err = conn.Read(make([]byte, 1))
+	}
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func newInstance(number int, program, folder, store string, judge *ledger, d *disturbances) (*instance, error) {
 	i := &instance{number: number, program: program, settings: filepath.Join(folder, fmt.Sprintf("i%d.ini", number)), judge: judge, disturbances: d}
 	var err error
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -83,6 +83,19 @@
 	return l.Addr().String()
 }
 
+// Instances of another soak on the same machine listen for datagrams on ports that no connection
+// finds taken; an instance that gets one of these ends at once.
+func TestPortsOfAnyListenerAreTaken(t *testing.T) {
+	assert.Assert(t, acceptsConnections(echo(t)))
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := conn.LocalAddr().String()
+	assert.Assert(t, takesDatagrams(address))
+	assert.NilError(t, conn.Close())
+	assert.Assert(t, !takesDatagrams(address))
+	assert.Assert(t, !acceptsConnections(address))
+}
+
 func speak(t *testing.T, conn net.Conn) error {
 	t.Helper()
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(300*time.Millisecond)))
