Soak: streams keep the version of their engine, and those that are taken up go on

Cause: engines of several versions of their software may serve side by side; a stream must hold events of one version only, within an answer and over a caller's attempts, and streams that are taken up must go on about as often as new ones begin. Change: callers of the resumable route take up a stream that broke off, once or twice, at another instance, within their first deadline, and check that the events go on exactly. Faults of upstreams have a subject of their own: they call off the same bounds as before, but leave instances in touch. With Options.Versions (--versions) a share of the engines is replaced once or twice, beside kills, resets and streams that break off at their engines; callers lose connections in the middle of streams. AddReleases draws apart, so that seeds keep their faults. A request that its caller gave up counts neither as cut by a shutdown nor as unserved after the last fault; the bound of a cut follows the deadline of the request, which is shorter for a stream that is taken up. Ruled out: the order of runs as the order of events, since a run whose request was held on its way begins after the one that replaced it; so an event counts for each run that wrote it.

--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -21,11 +21,16 @@
 	callerDeadline = 3 * time.Second
 	// answerSlack is how much later than the timeout the final answer may come.
 	answerSlack = 500 * time.Millisecond
-	// callerPatience is when a caller that got no final answer leaves.
-	callerPatience = callerDeadline + 2*answerSlack
 	// kept is the mean number of requests that a caller sends to one instance.
 	kept     = 25
 	thinking = 40 * time.Millisecond // mean pause of a caller between two requests
+	// takeUps is how often a caller takes a stream up, each time after takeUpPause, unless less
+	// than takeUpLeast is left.
+	takeUps     = 2
+	takeUpPause = 100 * time.Millisecond
+	takeUpLeast = 200 * time.Millisecond
+	// linkLossShare is the share of resumable streams whose caller loses its connection.
+	linkLossShare = 0.2
 )
 
 // caller sends one request after the other on kept connections.
@@ -62,18 +67,27 @@
 	if c.at != nil && c.random.IntN(kept) > 0 {
 		return
 	}
+	c.connect(nobody)
+}
+
+// nobody is the number of no instance.
+const nobody = -1
+
+// connect chooses a ready instance other than the given one. It reports false if there is none.
+func (c *caller) connect(other int) bool {
 	c.leave()
 	var ready []*instance
 	for _, i := range c.cluster.instances {
-		if i.takesCallers() {
+		if i.takesCallers() && i.number != other {
 			ready = append(ready, i)
 		}
 	}
 	if len(ready) == 0 {
-		return
+		return false
 	}
 	c.at = ready[c.random.IntN(len(ready))]
 	c.client = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}}
+	return true
 }
 
 func (c *caller) leave() {
@@ -88,7 +102,9 @@
 	method, path, body string
 	service, model     string
 	repeatable         bool
-	events             int // zero for plain services
+	events             int    // zero for plain services
+	resumable          bool   // a stream that may be taken up
+	own                uint64 // part of the prompt
 }
 
 func (c *caller) draw() question {
@@ -102,12 +118,20 @@
 	case point < 0.55:
 		return question{method: http.MethodGet, path: fmt.Sprintf("/extra%d/%s", c.random.IntN(extraRoutes), id), service: plainService, repeatable: true}
 	case point < 0.85:
-		return question{method: http.MethodPost, path: "/tag/" + id, body: id, service: engineService, model: c.model(), repeatable: true, events: 2 + c.random.IntN(12)}
+		return question{method: http.MethodPost, path: "/tag/" + id, body: id, service: engineService, model: c.model(), repeatable: true, events: 2 + c.random.IntN(c.mostEvents()), resumable: true, own: uint64(c.number)}
 	default:
-		return question{method: http.MethodPost, path: "/notes/" + id, body: id, service: engineService, model: c.model(), events: 2 + c.random.IntN(30)}
+		return question{method: http.MethodPost, path: "/notes/" + id, body: id, service: engineService, model: c.model(), events: 2 + c.random.IntN(30), own: uint64(c.number)}
 	}
 }
 
+// mostEvents bounds the events of resumable streams. Long ones more often meet kills.
+func (c *caller) mostEvents() int {
+	if c.cluster.options.Versions {
+		return 60
+	}
+	return 12
+}
+
 // model draws a model, few of them often, and now and then an adapter of it.
 func (c *caller) model() string {
 	m := min(c.random.IntN(models), c.random.IntN(models))
@@ -117,18 +141,41 @@
 	return fmt.Sprintf("m%d", m)
 }
 
-// send asks one question and judges the answer.
+// send asks one question, and takes up a resumable stream that breaks off.
 func (c *caller) send(q question) {
-	s := &sent{
-		id: fmt.Sprintf("%s-%s-%d", c.name, "r", c.number), service: q.service, instance: c.at.number, repeatable: q.repeatable,
-		fingerprint: upstream.Fingerprint(q.method, q.path, []byte(q.body)), path: q.path, at: time.Now(),
+	first := &sent{deadline: callerDeadline}
+	c.attempt(q, first)
+	for last, n := first, 0; n < takeUps && last.isBroken(q); n++ {
+		time.Sleep(takeUpPause)
+		end := first.at.Add(callerDeadline - takeUpLeast)
+		for !c.connect(last.instance) && time.Now().Before(end) {
+			time.Sleep(pollEvery)
+		}
+		if c.at == nil || time.Now().After(end) {
+			return
+		}
+		c.number++
+		next := &sent{deadline: time.Until(first.at.Add(callerDeadline)), resumes: first.id, after: last.held, held: last.held}
+		c.attempt(q, next)
+		last = next
 	}
+}
+
+// isBroken reports whether a stream broke off between its first and its last event.
+func (s *sent) isBroken(q question) bool {
+	return q.resumable && s.err != nil && !errors.Is(s.err, errNotWhole) && s.held > 0 && s.held < q.events
+}
+
+// attempt sends a request and judges the answer.
+func (c *caller) attempt(q question, s *sent) {
+	s.id, s.service, s.instance, s.repeatable = fmt.Sprintf("%s-%s-%d", c.name, "r", c.number), q.service, c.at.number, q.repeatable
+	s.fingerprint, s.path, s.resumable, s.at = upstream.Fingerprint(q.method, q.path, []byte(q.body)), q.path, q.resumable, time.Now()
 	c.cluster.ledger.Sent(s)
-	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+2*answerSlack)
 	defer cancel()
 	status, served, err := c.ask(ctx, q, s)
 	c.cluster.ledger.Ended(s, status, served, err)
-	if late := s.ended.Sub(s.at); late > callerDeadline+answerSlack && c.cluster.disturbances.isCalm(s.instance, s.at, s.ended) {
+	if late := s.ended.Sub(s.at); late > s.deadline+answerSlack && c.cluster.disturbances.isCalm(s.instance, s.at, s.ended) {
 		c.cluster.ledger.violate(PromiseInTime, s.at, "request %s (%s) at i%d took %v: %v", s.id, q.path, s.instance, late, err)
 	}
 	if err != nil {
@@ -145,7 +192,7 @@
 	}
 	r.GetBody = nil // the client sends nothing twice by itself
 	r.Host = host
-	call := upstream.Call{Request: s.id, Deadline: callerDeadline, Model: q.model, Events: q.events, Own: uint64(c.number)}
+	call := upstream.Call{Request: s.id, Deadline: s.deadline, Model: q.model, Events: q.events, Own: q.own, Resumes: s.resumes, LastEvent: s.after}
 	call.Stamp(r.Header)
 	response, err := c.client.Do(r)
 	if err != nil {
@@ -170,12 +217,19 @@
 	return response.StatusCode, isServed && err == nil, err
 }
 
-var errEarlyEnd = errors.New("the stream ended early")
+var (
+	errNotWhole = errors.New("the stream is not what it has to be")
+	errLinkLost = errors.New("the caller lost its connection")
+)
 
 // readStream checks that events come in order and that the end is the end.
 func (c *caller) readStream(from io.Reader, q question, s *sent) error {
 	reader := bufio.NewReader(from)
-	for next := 1; ; next++ {
+	lostAfter := 0
+	if left := q.events - s.after; c.cluster.options.Versions && q.resumable && left > 1 && c.random.Float64() < linkLossShare {
+		lostAfter = s.after + 1 + c.random.IntN(left-1)
+	}
+	for next := s.after + 1; ; next++ {
 		want := upstream.Event(s.id, next)
 		got := make([]byte, len(want))
 		_, err := io.ReadFull(reader, got)
@@ -184,12 +238,15 @@
 			return nil
 		case err == io.EOF:
 			c.cluster.ledger.violate(PromiseOrder, s.at, "request %s ended as complete after %d of %d events", s.id, next-1, q.events)
-			return errEarlyEnd
+			return errNotWhole
 		case err != nil:
 			return err
 		case string(got) != want:
 			c.cluster.ledger.violate(PromiseOrder, s.at, "request %s got %q instead of event %d", s.id, got, next)
-			return errEarlyEnd
+			return errNotWhole
+		}
+		if s.held = next; next == lostAfter {
+			return errLinkLost
 		}
 	}
 }
--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savoryweir/internal/standin/objectapi"
@@ -53,7 +55,10 @@
 	Engines   int
 	Plain     int
 	Callers   int
-	Progress  func(format string, arguments ...any)
+	// Versions has engines replaced by ones of other versions, and callers lose their connections
+	// in the middle of streams.
+	Versions bool
+	Progress func(format string, arguments ...any)
 }
 
 // DefaultOptions are those of a usual run.
@@ -64,6 +69,13 @@
 	}
 }
 
+// ReleaseOptions are those of a run in which engines of several versions serve side by side.
+func ReleaseOptions(seed uint64) Options {
+	o := DefaultOptions(seed)
+	o.Versions, o.Engines = true, 6
+	return o
+}
+
 // Report is what a run showed.
 type Report struct {
 	Plan       []Fault
@@ -72,7 +84,8 @@
 	Violations []Violation
 	// Stalls is how often the machine gave the soak no processor time for a while. Promises
 	// with a time bound are not judged around these moments.
-	Stalls int
+	Stalls  int
+	Streams streamCounts
 }
 
 // configuration is one version that the operator has sent.
@@ -89,9 +102,11 @@
 	store        *objectapi.Memory
 	server       *httptest.Server
 	instances    []*instance
-	upstreams    []*station
 
 	mu             sync.Mutex // guards all below
+	upstreams      []*station // those that have replaced others stand in their places
+	replaced       []*station
+	releases       int
 	configurations []configuration
 	extras         [extraRoutes]bool
 	left           map[string]time.Time // when upstreams began to leave, by identifier
@@ -100,9 +115,9 @@
 // station is an upstream with its proxy, the address of which changes with each start.
 type station struct {
 	*upstream.Upstream
-	engine bool
-	mu     sync.Mutex
-	link   *Proxy
+	retired atomic.Bool // does not come back once it has left
+	mu      sync.Mutex
+	link    *Proxy
 }
 
 func (s *station) via(address string) (string, error) {
@@ -143,6 +158,9 @@
 	}
 	c.ledger.began = time.Now()
 	plan := AddRestore(NewPlan(o.Seed, o.Faults, o.Faulted), o.Seed, o.Faulted)
+	if o.Versions {
+		plan = AddReleases(plan, o.Seed, o.Faulted)
+	}
 	c.play(plan, stop)
 	lifted := time.Now()
 	time.Sleep(recoveryBound + recoveryLook)
@@ -151,6 +169,7 @@
 	c.judge(lifted)
 	report := Report{Plan: plan, Violations: c.ledger.found(), Stalls: c.disturbances.stallCount()}
 	requests, _, _ := c.ledger.all()
+	report.Streams = c.countStreams(requests)
 	for _, s := range requests {
 		report.Requests++
 		if s.served {
@@ -167,26 +186,56 @@
 )
 
 func (c *cluster) startUpstreams(stop <-chan struct{}) error {
-	for n := range c.options.Engines + c.options.Plain {
-		s := &station{engine: n < c.options.Engines}
-		config := upstream.Config{Name: fmt.Sprintf("p%d", n), Service: plainService, Zone: fmt.Sprintf("z%d", n%zones), Slots: plainSlots, Work: plainWork}
-		if s.engine {
-			config.Name, config.Service, config.Slots, config.Work = fmt.Sprintf("e%d", n), engineService, engineSlots, eventWork
-			config.Places, config.LoadTime = places, loadTime
-			for m := range 2 {
-				config.Models = append(config.Models, fmt.Sprintf("m%d", (2*n+m)%models))
-			}
+	for n := range c.options.Engines {
+		s, err := c.startEngine(fmt.Sprintf("e%d", n), n, firstVersion, stop)
+		if err != nil {
+			return err
 		}
-		s.Upstream = upstream.New(config, c.store, c.ledger, c.options.Seed+uint64(n), s.via)
-		if err := s.Start(); err != nil {
+		c.upstreams = append(c.upstreams, s)
+	}
+	for n := c.options.Engines; n < c.options.Engines+c.options.Plain; n++ {
+		s, err := c.startUpstream(upstream.Config{Name: fmt.Sprintf("p%d", n), Service: plainService, Slots: plainSlots, Work: plainWork}, n, stop)
+		if err != nil {
 			return err
 		}
 		c.upstreams = append(c.upstreams, s)
-		go s.beat(stop)
 	}
 	return nil
 }
 
+// startEngine starts an engine that holds two models, which its number tells.
+func (c *cluster) startEngine(name string, number int, version string, stop <-chan struct{}) (*station, error) {
+	held := []string{fmt.Sprintf("m%d", 2*number%models), fmt.Sprintf("m%d", (2*number+1)%models)}
+	return c.startUpstream(upstream.Config{
+		Name: name, Service: engineService, Version: version, Slots: engineSlots, Work: eventWork, Models: held, Places: places, LoadTime: loadTime,
+	}, number, stop)
+}
+
+func (c *cluster) startUpstream(config upstream.Config, number int, stop <-chan struct{}) (*station, error) {
+	s := &station{}
+	config.Zone = fmt.Sprintf("z%d", number%zones)
+	s.Upstream = upstream.New(config, c.store, c.ledger, c.options.Seed+uint64(number), s.via)
+	if err := s.Start(); err != nil {
+		return nil, err
+	}
+	go s.beat(stop)
+	return s, nil
+}
+
+// station returns the upstream that is the target of a fault.
+func (c *cluster) station(target int) *station {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.upstreams[target%len(c.upstreams)]
+}
+
+// stations returns all upstreams, those that have been replaced too.
+func (c *cluster) stations() []*station {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Concat(c.upstreams, c.replaced)
+}
+
 // beat writes the entry at each heartbeat.
 func (s *station) beat(stop <-chan struct{}) {
 	ticker := time.NewTicker(heartbeat)
@@ -220,7 +269,7 @@
 	for _, i := range c.instances {
 		i.close()
 	}
-	for _, s := range c.upstreams {
+	for _, s := range c.stations() {
 		s.Crash()
 		_ = s.proxy().Close()
 	}
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	Engines   int           `help:"Model engines." default:"4"`
 	Plain     int           `help:"Plain upstreams." default:"3"`
 	Callers   int           `help:"Callers." default:"12"`
+	Versions  bool          `help:"Has engines replaced by ones of other versions; needs 6 engines or so."`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
@@ -87,6 +88,7 @@
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
+	o.Versions = f.Versions
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
@@ -99,6 +101,7 @@
 
 func show(seed uint64, r soak.Report, folder string, err error) {
 	fmt.Printf("seed %d: %d of %d requests served, %d violations, %d stalls\n", seed, r.Served, r.Requests, len(r.Violations), r.Stalls)
+	fmt.Printf("  in touch: %d of %d new streams began, %d of %d that were taken up went on\n", r.Streams.Began, r.Streams.New, r.Streams.WentOn, r.Streams.TakenUp)
 	if err != nil {
 		fmt.Printf("  failed: %v\n", err)
 	}
@@ -109,6 +112,13 @@
 	for _, f := range r.Plan {
 		fmt.Printf("  plan %s\n", f)
 	}
+	counts := make(map[soak.Promise]int)
+	for _, v := range r.Violations {
+		counts[v.Promise]++
+	}
+	for promise, n := range counts {
+		fmt.Printf("  %d times: %s\n", n, promise)
+	}
 	for n, v := range r.Violations {
 		if n == shown {
 			fmt.Printf("  and %d more\n", len(r.Violations)-shown)
--- a/internal/bench/soak/disturbances.go
+++ b/internal/bench/soak/disturbances.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -8,8 +9,12 @@
 // stable is the time without a fault after which a promise with a time bound holds again.
 const stable = 3 * time.Second
 
-// everywhere is the subject of faults that concern all instances.
-const everywhere = -1
+// Subjects of faults that concern all instances. Those atUpstreams leave the instances in touch
+// with the store and with each other.
+const (
+	everywhere  = -1
+	atUpstreams = -2
+)
 
 // plannedness tells planned work from faults.
 type plannedness bool
@@ -97,7 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.spans {
-		concerns := s.subject == subject || s.subject == everywhere || subject == everywhere
+		concerns := s.subject == subject || s.subject == everywhere || s.subject == atUpstreams || subject == everywhere
 		if concerns && s.kind == kind && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
 			return true
 		}
@@ -117,6 +122,16 @@
 	return false
 }
 
+// isInTouch reports whether no fault touched an instance, or the ways between instances, in a
+// span of time nor in the stable time before it.
+func (d *disturbances) isInTouch(subject int, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !slices.ContainsFunc(d.spans, func(s span) bool {
+		return (s.subject == subject || s.subject == everywhere) && s.from.Before(to) && (s.to.IsZero() || s.to.After(from.Add(-stable)))
+	})
+}
+
 // isCalm reports whether neither faults nor planned work touched an instance in a
 // span of time nor in the stable time before it.
 func (d *disturbances) isCalm(subject int, from, to time.Time) bool {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -69,6 +69,8 @@
 		c.disturb(everywhere, 0, c.store.DropHistory, func() {})
 	case KindStoreRestored:
 		c.restoreStore(f.Lasts)
+	case KindVersionRelease:
+		c.release(f, stop)
 	default:
 		c.causeAtUpstream(f)
 	}
@@ -84,28 +86,28 @@
 )
 
 func (c *cluster) causeAtUpstream(f Fault) {
-	s := c.upstreams[f.Target%len(c.upstreams)]
+	s := c.station(f.Target)
 	switch f.Kind {
 	case KindUpstreamCut:
-		c.harm(everywhere, s.proxy(), heldLink(f.Share), f.Lasts)
+		c.harm(atUpstreams, s.proxy(), heldLink(f.Share), f.Lasts)
 	case KindUpstreamReset:
-		c.disturb(everywhere, 0, s.proxy().Reset, func() {})
+		c.disturb(atUpstreams, 0, s.proxy().Reset, func() {})
 	case KindUpstreamSilent:
-		c.disturb(everywhere, 0, s.proxy().Silence, func() {})
+		c.disturb(atUpstreams, 0, s.proxy().Silence, func() {})
 	case KindUpstreamDelay:
-		c.harm(everywhere, s.proxy(), Link{Delay: linkDelay}, f.Lasts)
+		c.harm(atUpstreams, s.proxy(), Link{Delay: linkDelay}, f.Lasts)
 	case KindUpstreamCrash:
-		c.disturb(everywhere, f.Lasts, func() { s.Crash() }, func() { s.Lapse(); c.restart(s) })
+		c.disturb(atUpstreams, f.Lasts, func() { s.Crash() }, func() { s.Lapse(); c.restart(s) })
 	case KindUpstreamLeaves:
 		c.drain(s, f.Lasts)
 	case KindUpstreamGrey:
-		c.disturb(everywhere, f.Lasts, func() { s.SetFaults(upstream.Faults{FailShare: greyShare * f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
+		c.disturb(atUpstreams, f.Lasts, func() { s.SetFaults(upstream.Faults{FailShare: greyShare * f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
 	case KindAnswersLost:
-		c.disturb(everywhere, f.Lasts, func() { s.SetFaults(upstream.Faults{LoseShare: greyShare * f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
+		c.disturb(atUpstreams, f.Lasts, func() { s.SetFaults(upstream.Faults{LoseShare: greyShare * f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
 	case KindOrdersLate:
-		c.disturb(everywhere, f.Lasts, func() { s.SetFaults(upstream.Faults{LateShare: f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
+		c.disturb(atUpstreams, f.Lasts, func() { s.SetFaults(upstream.Faults{LateShare: f.Share}) }, func() { s.SetFaults(upstream.Faults{}) })
 	case KindEntryLapses:
-		c.disturb(everywhere, f.Lasts, s.Lapse, s.Register)
+		c.disturb(atUpstreams, f.Lasts, s.Lapse, s.Register)
 	}
 }
 
@@ -144,8 +146,9 @@
 	if err != nil {
 		return // the store is away again; its next copy lacks them or the next restore removes them
 	}
+	stations := c.stations()
 	for _, e := range entries {
-		if !slices.ContainsFunc(c.upstreams, func(s *station) bool { return s.ID() == string(e.Name) }) {
+		if !slices.ContainsFunc(stations, func(s *station) bool { return s.ID() == string(e.Name) && (s.IsUp() || !s.retired.Load()) }) {
 			_ = c.store.Delete(context.Background(), e.Kind, e.Name, e.Version) // changed meanwhile: it lives
 		}
 	}
@@ -179,14 +182,19 @@
 	}
 }
 
-// restart starts an upstream anew; the run goes on without one that does not start.
+// restart starts an upstream anew unless another one has replaced it; the run goes on without
+// one that does not start.
 func (c *cluster) restart(s *station) {
+	if s.retired.Load() {
+		return
+	}
 	if err := s.Start(); err != nil {
 		c.options.Progress("seed %d: an upstream did not start again: %v", c.options.Seed, err)
 	}
 }
 
-// drain lets an upstream leave as planned: it tells so, serves on, ends and comes back.
+// drain lets an upstream leave as planned: it tells so, serves on, ends and comes back unless
+// another one has replaced it.
 func (c *cluster) drain(s *station, lasts time.Duration) {
 	id := s.ID()
 	s.Drain()
@@ -197,5 +205,5 @@
 	if s.ID() != id {
 		return // it has crashed meanwhile and is back
 	}
-	c.disturb(everywhere, 0, func() { s.Crash() }, func() { s.Lapse(); c.restart(s) })
+	c.disturb(atUpstreams, 0, func() { s.Crash() }, func() { s.Lapse(); c.restart(s) })
 }
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -29,6 +29,9 @@
 	PromiseAlive     Promise = "processes end by signals only, and in their grace time"
 	PromiseRecovery  Promise = "service is back soon after the last fault"
 	PromiseContained Promise = "a request that breaks whatever runs it is contained"
+
+	PromiseOneVersion Promise = "engines of one version write all events of a stream"
+	PromiseTakenUp    Promise = "streams that are taken up again go on"
 )
 
 // Violation is one broken promise.
@@ -47,10 +50,16 @@
 	repeatable  bool
 	fingerprint string
 	at          time.Time
-	ended       time.Time
-	status      int   // zero without an answer
-	err         error // of a request without a whole answer
-	served      bool
+	deadline    time.Duration
+
+	resumable bool   // a stream that may be taken up
+	resumes   string // first request of the stream that this one takes up; empty for a new one
+	after     int    // last event that the caller held before
+	held      int    // last event that it holds now
+	ended     time.Time
+	status    int   // zero without an answer
+	err       error // of a request without a whole answer
+	served    bool
 }
 
 // ledger holds what callers and upstreams saw. It is safe for concurrent use and
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -52,6 +52,7 @@
 	KindEntryLapses    Kind = "entry-lapses"    // its entry is gone for a while though it lives
 	KindConfig         Kind = "config"          // a route comes or goes
 	KindPoison         Kind = "poison"          // a request that crashes what runs it
+	KindVersionRelease Kind = "version-release" // a share of the engines is replaced by another version
 )
 
 // kinds are all kinds with their weights in a random plan, and how long they last at
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -44,18 +45,32 @@
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
 			t.Logf("failed once for this cause: %s", r.cause)
-			o := DefaultOptions(r.seed)
-			o.Program, o.Folder = program, t.TempDir()
-			report, err := Run(o)
-			assert.NilError(t, err)
-			t.Logf("%d of %d requests served, the machine stalled %d times", report.Served, report.Requests, report.Stalls)
-			for _, v := range report.Violations {
-				t.Errorf("%v %s: %s", v.At, v.Promise, v.Text)
-			}
+			play(t, DefaultOptions(r.seed), program)
 		})
 	}
 }
 
+// play runs the processes and fails for each broken promise.
+func play(t *testing.T, o Options, program string) {
+	t.Helper()
+	o.Program, o.Folder = program, t.TempDir()
+	report, err := Run(o)
+	assert.NilError(t, err)
+	t.Logf("seed %d: %d of %d requests served, the machine stalled %d times; streams %+v", o.Seed, report.Served, report.Requests, report.Stalls, report.Streams)
+	for _, v := range report.Violations {
+		t.Errorf("%v %s: %s", v.At, v.Promise, v.Text)
+	}
+}
+
+// What two versions of an engine's software write does not fit together. Streams that break off
+// while both serve go on at the version that began them, or not at all.
+func TestStreamsKeepTheirVersionThroughReleasesAndKills(t *testing.T) {
+	t.Parallel()
+	o := ReleaseOptions(fresh)
+	o.Faulted, o.Faults = 6*time.Second, 4
+	play(t, o, build(t))
+}
+
 func TestPlansRepeatBySeed(t *testing.T) {
 	a, b := NewPlan(7, 20, 10*time.Second), NewPlan(7, 20, 10*time.Second)
 	assert.DeepEqual(t, a, b)
@@ -65,6 +80,47 @@
 	}
 }
 
+// Seeds keep their other faults, so that regressions stay what they were.
+func TestReleasesAreAddedToThePlanOfASeed(t *testing.T) {
+	const length = 12 * time.Second
+	twice, once := 0, 0
+	for seed := range uint64(50) {
+		base := NewPlan(seed, 14, length)
+		plan := AddReleases(base, seed, length)
+		assert.DeepEqual(t, plan, AddReleases(base, seed, length))
+		kept := slices.DeleteFunc(slices.Clone(plan), func(f Fault) bool { return !slices.Contains(base, f) })
+		assert.DeepEqual(t, kept, base)
+		count := make(map[Kind]int)
+		var first time.Duration
+		for n, f := range plan {
+			assert.Assert(t, n == 0 || f.At >= plan[n-1].At)
+			if slices.Contains(base, f) {
+				continue
+			}
+			assert.Assert(t, f.At >= 0 && f.At+f.Lasts <= length, "%s", f)
+			if count[f.Kind]++; f.Kind == KindVersionRelease && count[f.Kind] == 1 {
+				first = f.At
+				assert.Assert(t, f.Share >= releasedLeast && f.Share <= releasedMost && f.Lasts > 0, "%s", f)
+			}
+			assert.Assert(t, count[KindVersionRelease] > 0 && f.At >= first, "%s comes before any release", f)
+		}
+		releases := count[KindVersionRelease]
+		assert.DeepEqual(t, count, map[Kind]int{
+			KindVersionRelease: releases, KindKill: 2 * releases, KindKillAll: releases,
+			KindCallersReset: 2 * releases, KindUpstreamReset: 2 * releases, KindAnswersLost: 2 * releases,
+		})
+		switch releases {
+		case 1:
+			once++
+		case 2:
+			twice++
+		default:
+			t.Errorf("seed %d has %d releases", seed, releases)
+		}
+	}
+	assert.Assert(t, once > 10 && twice > 10, "%d seeds have one release, %d two", once, twice)
+}
+
 // echo answers each byte that it gets.
 func echo(t *testing.T) string {
 	t.Helper()
@@ -155,7 +211,7 @@
 func TestChecksFindBrokenPromises(t *testing.T) {
 	at := time.Now().Add(-time.Minute)
 	request := func(id string, repeatable bool) *sent {
-		return &sent{id: id, path: "/book/1", fingerprint: "f", repeatable: repeatable, at: at, ended: at.Add(time.Second)}
+		return &sent{id: id, path: "/book/1", fingerprint: "f", repeatable: repeatable, at: at, deadline: callerDeadline, ended: at.Add(time.Second)}
 	}
 	run := func(id string, after time.Duration) upstream.Run {
 		return upstream.Run{Request: id, Upstream: "p1-1", Fingerprint: "f", Began: at.Add(after)}
@@ -207,6 +263,20 @@
 			}
 		}},
 		{PromiseRecovery, func(c *cluster) {}},
+		{PromiseOneVersion, func(c *cluster) { // within one answer
+			c.stream("a", "", 0, 4, at)
+			c.wrote("a", "v1", 1, 3)
+			c.wrote("a", "v2", 3, 4)
+		}},
+		{PromiseOneVersion, func(c *cluster) { // over the attempts of a caller
+			c.stream("a", "", 0, 2, at)
+			c.stream("b", "a", 2, 4, at.Add(time.Second))
+			c.stream("c", "a", 4, 6, at.Add(2*time.Second))
+			c.wrote("a", "v1", 1, 3)
+			c.wrote("b", "v1", 3, 5)
+			c.wrote("c", "v2", 5, 6)
+		}},
+		{PromiseTakenUp, func(c *cluster) { c.takeUp(at, takenUpLeast/2-1, takenUpLeast) }},
 	}
 	for _, test := range cases {
 		c := observed()
@@ -221,3 +291,107 @@
 		assert.Assert(t, strings.Contains(c.promises(), string(test.promise)), "%s: found %q", test.promise, c.promises())
 	}
 }
+
+// stream records a request for a stream, of which the caller held events up to after before and
+// up to held in the end.
+func (c *cluster) stream(id, resumes string, after, held int, at time.Time) {
+	c.ledger.Sent(&sent{
+		id: id, path: "/tag/1", fingerprint: "f", repeatable: true, at: at, deadline: callerDeadline, ended: at.Add(time.Second),
+		resumable: true, resumes: resumes, after: after, held: held,
+	})
+}
+
+// wrote records a run that wrote events of an answer.
+func (c *cluster) wrote(id, version string, from, to int) {
+	run := upstream.Run{Request: id, Upstream: "e1-" + version, Version: version, Fingerprint: "f", Began: time.Now()}
+	c.ledger.Ran(run)
+	for event := from; event <= to; event++ {
+		c.ledger.Wrote(run, event)
+	}
+}
+
+// takeUp records streams that began at a version that two engines serve and are taken up again,
+// and how many of them went on.
+func (c *cluster) takeUp(at time.Time, wentOn, takenUp int) {
+	for _, engine := range []string{"e1-v1", "e2-v1"} {
+		c.ledger.services[engine] = &service{version: "v1", from: at.Add(-time.Second)}
+	}
+	for n := range takenUp {
+		first, second := fmt.Sprint("first", n), fmt.Sprint("second", n)
+		c.stream(first, "", 0, 2, at)
+		c.wrote(first, "v1", 1, 2)
+		if n < wentOn {
+			c.stream(second, first, 2, 4, at.Add(time.Second))
+			c.wrote(second, "v1", 3, 4)
+		} else {
+			c.stream(second, first, 2, 2, at.Add(time.Second))
+		}
+	}
+}
+
+// Each check accepts what its promise allows.
+func TestChecksAcceptWhatPromisesAllow(t *testing.T) {
+	at := time.Now().Add(-time.Minute)
+	cases := []struct {
+		name string
+		see  func(*cluster)
+	}{
+		{"a run of another version wrote only events that the caller has from the first", func(c *cluster) {
+			c.stream("a", "", 0, 4, at)
+			c.wrote("a", "v2", 1, 1)
+			c.wrote("a", "v1", 1, 4)
+		}},
+		{"a run of another version wrote only events that did not reach the caller", func(c *cluster) {
+			c.stream("a", "", 0, 2, at)
+			c.wrote("a", "v1", 1, 2)
+			c.wrote("a", "v2", 3, 4)
+		}},
+		{"streams of their own at two versions", func(c *cluster) {
+			c.stream("a", "", 0, 2, at)
+			c.stream("b", "", 0, 2, at)
+			c.wrote("a", "v1", 1, 2)
+			c.wrote("b", "v2", 1, 2)
+		}},
+		{"half of the streams that were taken up went on", func(c *cluster) { c.takeUp(at, takenUpLeast/2, takenUpLeast) }},
+		{"too few streams were taken up", func(c *cluster) { c.takeUp(at, 0, takenUpLeast-1) }},
+		{"the instances had a fault", func(c *cluster) {
+			c.takeUp(at, 0, takenUpLeast)
+			c.disturbances.spans = []span{{subject: everywhere, from: at.Add(-time.Second), to: at}}
+		}},
+		{"one engine of the version leaves", func(c *cluster) {
+			c.takeUp(at, 0, takenUpLeast)
+			c.ledger.services["e2-v1"].to = at
+		}},
+		{"a caller lost its connection while planned work went on", func(c *cluster) {
+			c.stream("a", "", 0, 2, at)
+			c.wrote("a", "v1", 1, 2)
+			c.ledger.sent["a"].err = errLinkLost
+			c.disturbances.spans = []span{{kind: planned, from: at, to: at.Add(time.Second)}}
+		}},
+	}
+	for _, test := range cases {
+		c := observed()
+		test.see(c)
+		for n := range 1000 {
+			c.ledger.Sent(&sent{id: fmt.Sprint("calm", n), path: "/status/", at: at, ended: at, served: true})
+		}
+		c.judge(at.Add(-time.Hour))
+		assert.Equal(t, c.promises(), "", test.name)
+	}
+}
+
+// A fault of an upstream leaves an instance in touch with the others, but calls off the bounds
+// that hold while it is calm.
+func TestFaultsOfUpstreamsLeaveInstancesInTouch(t *testing.T) {
+	at := time.Now().Add(-time.Minute)
+	cases := []struct {
+		subject         int
+		inTouch, isCalm bool
+	}{{atUpstreams, true, false}, {everywhere, false, false}, {1, false, false}, {2, true, true}}
+	for _, test := range cases {
+		d := &disturbances{spans: []span{{subject: test.subject, from: at, to: at.Add(time.Second)}}}
+		assert.Equal(t, d.isInTouch(1, at.Add(2*time.Second), at.Add(3*time.Second)), test.inTouch, "subject %d", test.subject)
+		assert.Equal(t, d.isCalm(1, at.Add(2*time.Second), at.Add(3*time.Second)), test.isCalm, "subject %d", test.subject)
+		assert.Assert(t, d.isInTouch(1, at.Add(5*time.Second), at.Add(6*time.Second)), "the fault is over for long")
+	}
+}
--- a/internal/bench/soak/verdict.go
+++ b/internal/bench/soak/verdict.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -35,6 +36,8 @@
 	c.judgeOrders(orders)
 	c.judgePoison(requests, runs)
 	c.judgeRecovery(requests, lifted)
+	c.judgeVersions(requests)
+	c.judgeTakenUp(requests)
 }
 
 func (c *cluster) judgeRefusals(requests []*sent, runs map[string][]upstream.Run) {
@@ -47,7 +50,7 @@
 			}
 		}
 		from := s.at.Add(-stable)
-		isCut := s.err != nil && len(ran) > 0 && s.ended.Sub(s.at) < callerDeadline*7/10
+		isCut := s.err != nil && !errors.Is(s.err, errLinkLost) && len(ran) > 0 && s.ended.Sub(s.at) < s.deadline*7/10
 		if isCut && c.disturbances.between(s.instance, s.at.Add(-grace), s.ended, planned) && !c.disturbances.between(s.instance, from, s.ended, unplanned) &&
 			!c.disturbances.between(everywhere, from, s.ended, unplanned) {
 			c.ledger.violate(PromiseGraceful, s.at, "request %s (%s) at i%d was cut: %v", s.id, s.path, s.instance, s.err)
@@ -199,7 +202,7 @@
 	}
 	asked, served := 0, 0
 	for _, s := range requests {
-		if s.at.After(lifted.Add(recoveryBound)) && !strings.HasPrefix(s.path, "/extra") && !s.ended.IsZero() {
+		if s.at.After(lifted.Add(recoveryBound)) && !strings.HasPrefix(s.path, "/extra") && !s.ended.IsZero() && !errors.Is(s.err, errLinkLost) {
 			asked++
 			if s.served {
 				served++
