Cases of the repeated event run side by side

Cause: the tests of endless responses took 10.3 s one package after another, more than the 10 s meant for them. Change: the two cases wait for the same stall timeout in parallel. Ruled out: fewer cases.

--- a/internal/node/gateway/endless_test.go
+++ b/internal/node/gateway/endless_test.go
@@ -252,6 +252,7 @@
 		"fast": fast(chunkedHead, chunk(eventText(1, 1))), "slow": slow(chunkedHead, chunk(eventText(1, 1))),
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := newEndlessPair(t, e)
 			got := doStream(p.harness, t, "/stream/1")
 			p.endless.assertClosed(t)
