A raised idle timeout applies to open connections of callers

Callers that reuse their connections by the idle timeout in force met connections that had closed by an earlier, shorter one. Cause: http.Server doesn't allow its limits to change, so that a change replaces it, and earlier servers keep the former timeout. Change: the connection that is handed to a server looks, once the read deadline of its idle time has passed, whether the timeout in force, now or when it became idle, is longer, and waits for the rest of it. A lowered timeout applies to new connections alone, since callers may still count on the former one. The limit of header bytes of open connections still is the former one.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -17,6 +17,7 @@
 // callerServers serves the connections of callers. The limits of the configuration that is in
 // force when a connection opens apply to it. Since http.Server does not allow its limits to
 // change, a change of the limits replaces the server; earlier servers keep their connections.
+// Only a longer idle timeout applies to these as well, see callerConn.
 type callerServers struct {
 	gateway  *gateway.Gateway
 	listener net.Listener
@@ -62,6 +63,9 @@
 			time.Sleep(acceptRetryDelay) // usually out of file descriptors; connections that close meanwhile free some
 			continue
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			conn = &callerConn{TCPConn: tcp, idleTimeout: c.idleTimeout}
+		}
 		c.currentListener().deliver(conn)
 	}
 }
@@ -69,10 +73,7 @@
 // currentListener returns the listener of the server with the limits in force, and starts a
 // new server if the limits have changed.
 func (c *callerServers) currentListener() *queueListener {
-	limits := fleet.Limits{MaxHeaderBytes: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
-	if config := c.gateway.Config(); config != nil {
-		limits = config.Limits
-	}
+	limits := c.limitsInForce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.server != nil && c.limits == limits {
@@ -84,13 +85,22 @@
 	c.limits, c.serverListener = limits, newQueueListener(c.listener.Addr())
 	c.server = &http.Server{
 		Handler: c.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.MaxHeaderBytes,
+		MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: recordIdle,
 	}
 	server, listener := c.server, c.serverListener
 	go func() { _ = server.Serve(listener) }() // returns when the listener or the server is closed, as the process stops
 	return c.serverListener
 }
 
+func (c *callerServers) limitsInForce() fleet.Limits {
+	if config := c.gateway.Config(); config != nil {
+		return config.Limits
+	}
+	return fleet.Limits{MaxHeaderBytes: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
+}
+
+func (c *callerServers) idleTimeout() time.Duration { return c.limitsInForce().IdleTimeout }
+
 // refuseNewRequests makes the gateway refuse new requests on connections that are still open,
 // and closes the port after the connections that wait to be accepted have been accepted. The
 // kernel would reset these, with requests that callers may have sent on them already.
@@ -123,6 +133,46 @@
 	return err
 }
 
+// callerConn is a connection of a caller. Callers reuse it by the idle timeout in force, so that
+// it stays open if that is longer than the timeout of its server.
+type callerConn struct {
+	*net.TCPConn
+	idleTimeout func() time.Duration // in force
+	idleSince   time.Time            // zero unless the connection waits for the next request
+	idleLimit   time.Duration        // idle timeout in force at idleSince
+}
+
+// recordIdle is the ConnState hook of the servers. http.Server calls it before it sets the
+// deadline of an idle connection, in the goroutine that reads from the connection next.
+func recordIdle(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		c.idleSince, c.idleLimit = time.Now(), c.idleTimeout()
+	}
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+		n, err = c.TCPConn.Read(p)
+	}
+	if n > 0 {
+		c.idleSince = time.Time{}
+	}
+	return n, err
+}
+
+// extendIdle moves the read deadline of an idle connection to the end of the idle timeout that
+// its caller may count on: the one in force or the one when it became idle. It returns false if
+// the connection is not idle or that time has passed.
+func (c *callerConn) extendIdle() bool {
+	if c.idleSince.IsZero() {
+		return false
+	}
+	deadline := c.idleSince.Add(max(c.idleLimit, c.idleTimeout()))
+	return time.Now().Before(deadline) && c.SetReadDeadline(deadline) == nil
+}
+
 // queueListener is a net.Listener whose connections are supplied by deliver.
 type queueListener struct {
 	address net.Addr
