Failing test: a stream is cut when the next engine refuses it

A stream whose engine is sound but silent is handed over with the last attempt of its route; the next engine has unloaded the model (421) or has no slot (503, not run). The caller's connection is closed in the middle of the answer, though the first engine would have gone on. Cause: the handover makes sure of a retry and of an engine that looks usable, not of an engine that accepts; the refused attempt counts. The fix is a choice: no handover with the last attempt once the answer has begun, or the former exchange is kept until the next engine accepts.

--- a/internal/node/gateway/silence_test.go
+++ b/internal/node/gateway/silence_test.go
@@ -96,6 +96,33 @@
 	assert.Equal(t, one.requestCount()+two.requestCount(), 2)
 }
 
+// The engine that shall continue a stream refuses it: it has unloaded the model or has no slot
+// left. The first engine is sound and must get the stream back.
+func TestStreamIsContinuedAfterRefusalOfTheNextEngine(t *testing.T) {
+	for name, status := range map[string]int{"model unloaded": 421, "no slot": 503} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := fallSilent(engineSilence)
+			refuseResumed := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+				if r.Header.Get("Last-Event-Id") == "" {
+					return engine(u, r, body, conn)
+				}
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status)
+				return err == nil
+			}
+			one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", refuseResumed)
+			h := newHarness(t, one, two)
+			h.gateway.Tracker.RecordPeerPause("u2", engineSilence/2) // avoided at first
+			done := make(chan result, 1)
+			go func() { done <- doStream(h, t, "/stream/1", "Deadline-Ms", "3000") }()
+			eventually(t, "the request at the first engine", func() bool { return one.requestCount() > 0 })
+			got := <-done
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 3))
+		})
+	}
+}
+
 // A safe request without a response is sent to another upstream, but the first one may still
 // respond if no retry is allowed.
 func TestSafeRequestAtSilentUpstreamIsAnsweredIfNoRetryIsAllowed(t *testing.T) {
