Failing test: all dials of a stream go to the one engine that can't be reached

A stream is handed over because its engine is silent. The other engine has crashed and its entry is still there. All eight dials go to it within a millisecond, and the caller's connection is closed, though the first engine is sound and a retry was granted. Cause: once all engines have been tried, all are eligible again, also those that could not be reached; the best score decides.

--- a/internal/node/gateway/silence_test.go
+++ b/internal/node/gateway/silence_test.go
@@ -14,6 +14,7 @@
 
 	"savoryweir/internal/coordination/retry"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/state/loads"
 )
 
 // engineSilence is longer than the stall timeout of the test routes and shorter than callers
@@ -96,6 +97,26 @@
 	assert.Equal(t, one.requestCount()+two.requestCount(), 2)
 }
 
+// The entry of a crashed engine looks better than the silent engine itself. When it can't be
+// reached, the stream must go back to the engine that can.
+func TestStreamGoesBackToSilentEngineIfTheOtherIsUnreachable(t *testing.T) {
+	one, unreachable := startUpstream(t, "u1", fallSilent(engineSilence)), startUpstream(t, "u2", fallSilent(0))
+	assert.NilError(t, unreachable.listener.Close())
+	h := newHarness(t, one, unreachable)
+	h.gateway.Tracker.RecordPeerPause("u2", engineSilence/2) // avoided at first
+	done := make(chan result, 1)
+	go func() { done <- doStream(h, t, "/stream/1", "Deadline-Ms", "3000") }()
+	eventually(t, "the request at the engine", func() bool { return one.requestCount() > 0 })
+	tracker := h.gateway.Tracker
+	tracker.mu.Lock()
+	tracker.inFlight.UpdateLocal("u1", func(l *loads.Load) { l.PendingPrefill[0] += time.Hour })
+	tracker.mu.Unlock()
+	got := <-done
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Equal(t, one.requestCount(), 2)
+}
+
 // The engine that shall continue a stream refuses it: it has unloaded the model or has no slot
 // left. The first engine is sound and must get the stream back.
 func TestStreamIsContinuedAfterRefusalOfTheNextEngine(t *testing.T) {
