Streams and safe requests go back to an upstream that can be reached

A stream of a sound, silent engine was cut because all its dials went to the entry of a crashed one. Change: once all upstreams have been tried, those that could not be reached by this request are left out unless no other remains. Ruled out: more dials, which go to the same engine; a higher score for unreachable upstreams, since the score of a busy engine has no bound. A next engine that can be reached and refuses still ends the stream (the known red test).

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -33,7 +33,8 @@
 	retryGranted    bool // a retry was taken from the budget and has not reached an upstream yet
 	mayHaveExecuted bool
 	triedUpstreams  map[fleet.UpstreamID]bool
-	lastEventID     string // ID of the last event forwarded to the caller
+	unreachable     map[fleet.UpstreamID]bool // tried, and the last connection attempt failed
+	lastEventID     string                    // ID of the last event forwarded to the caller
 
 	outcome     string
 	status      int
@@ -62,6 +63,7 @@
 	c.body = body
 	c.gateway.countRequest(c.service)
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
+	c.unreachable = make(map[fleet.UpstreamID]bool)
 	if c.gateway.crashGuard.isBlocked(c.fingerprint(), c.arrivedAt) {
 		c.refuse(http.StatusServiceUnavailable, 0, "crashed several upstreams")
 		return
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -148,6 +148,7 @@
 	g := c.gateway
 	id := a.tracked.upstream.ID
 	c.triedUpstreams[id] = true
+	c.unreachable[id] = a.failure == failureConnect
 	g.Metrics.CountSend(a.failure.String())
 	if a.failure == failureConnect {
 		c.failedDials++
@@ -202,11 +203,27 @@
 // untried returns the upstreams to which this request has not been sent, nil if there are
 // none.
 func (c *call) untried(upstreams []*fleet.Upstream) []*fleet.Upstream {
-	var untried []*fleet.Upstream
+	return without(upstreams, c.triedUpstreams)
+}
+
+// retryCandidates returns the upstreams that a repeatable request may be sent to: the untried
+// ones, else those that could be reached, else all.
+func (c *call) retryCandidates(upstreams []*fleet.Upstream) []*fleet.Upstream {
+	for _, candidates := range [][]*fleet.Upstream{c.untried(upstreams), without(upstreams, c.unreachable)} {
+		if len(candidates) > 0 {
+			return candidates
+		}
+	}
+	return upstreams
+}
+
+// without returns the upstreams that are not excluded, nil if there are none.
+func without(upstreams []*fleet.Upstream, excluded map[fleet.UpstreamID]bool) []*fleet.Upstream {
+	var rest []*fleet.Upstream
 	for _, u := range upstreams {
-		if !c.triedUpstreams[u.ID] {
-			untried = append(untried, u)
+		if !excluded[u.ID] {
+			rest = append(rest, u)
 		}
 	}
-	return untried
+	return rest
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -93,11 +93,7 @@
 		c.refusePaused(wait)
 		return nil, false
 	}
-	candidates := c.untried(available)
-	if len(candidates) == 0 {
-		candidates = available
-	}
-	tracked, ok := g.Tracker.choose(c, candidates, g.Zone)
+	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
 	if !ok {
 		c.failStream(ctx, "no engine")
 		return nil, false
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -56,8 +56,8 @@
 		return nil, wait
 	}
 	candidates := c.untried(usable)
-	if len(candidates) == 0 && c.route.IsRepeatable() {
-		candidates = usable
+	if c.route.IsRepeatable() {
+		candidates = c.retryCandidates(usable)
 	}
 	tracked, _ := g.Tracker.choose(c, candidates, g.Zone)
 	return tracked, 0
