--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -46,6 +46,7 @@
 	retryGranted    bool       // a retry was taken from the budget and has not reached an upstream yet
 	mayHaveExecuted bool
 	triedUpstreams  map[fleet.UpstreamID]bool
+	unreachable     map[fleet.UpstreamID]bool // tried, and the last connection attempt failed
 }
 
 // serve reads the request body and forwards the request to an upstream. The final
@@ -70,6 +71,7 @@
 	c.body = body
 	c.gateway.countRequest(c.service)
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
+	c.unreachable = make(map[fleet.UpstreamID]bool)
 	if c.gateway.crashGuard.isBlocked(c.fingerprint(), c.arrivedAt) {
 		c.refuse(http.StatusServiceUnavailable, 0, "crashed several upstreams")
 		return
@@ -191,6 +193,7 @@
 func (c *call) countAttempt(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unreachable[a.tracked.upstream.ID] = a.failure == failureConnect
 	switch a.failure {
 	case failureConnect:
 		c.failedDials++
@@ -224,13 +227,31 @@
 func (c *call) untried(upstreams []*fleet.Upstream) []*fleet.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var untried []*fleet.Upstream
+	return without(upstreams, c.triedUpstreams)
+}
+
+// retryCandidates returns the upstreams that a repeatable request may be sent to: the untried
+// ones, else those that could be reached, else all.
+func (c *call) retryCandidates(upstreams []*fleet.Upstream) []*fleet.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, candidates := range [][]*fleet.Upstream{without(upstreams, c.triedUpstreams), without(upstreams, c.unreachable)} {
+		if len(candidates) > 0 {
+			return candidates
+		}
+	}
+	return upstreams
+}
+
+// without returns the upstreams that are not excluded, nil if there are none.
+func without(upstreams []*fleet.Upstream, excluded map[fleet.UpstreamID]bool) []*fleet.Upstream {
+	var rest []*fleet.Upstream
 	for _, u := range upstreams {
-		if !c.triedUpstreams[u.ID] {
-			untried = append(untried, u)
+		if !excluded[u.ID] {
+			rest = append(rest, u)
 		}
 	}
-	return untried
+	return rest
 }
 
 const (
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -105,11 +105,7 @@
 		c.refusePaused(wait)
 		return nil, false
 	}
-	candidates := c.untried(available)
-	if len(candidates) == 0 {
-		candidates = available
-	}
-	tracked, ok := g.Tracker.choose(c, candidates, g.Zone)
+	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
 	if !ok {
 		c.failStream(ctx, "no engine")
 		return nil, false
@@ -180,11 +176,7 @@
 func (c *call) chooseNextEngine(hasBegun bool) *trackedRequest {
 	g := c.gateway
 	available, _ := g.pauses.available(c.usableEngines(c.params.Model, c.params.Adapter))
-	candidates := c.untried(available)
-	if len(candidates) == 0 {
-		candidates = available
-	}
-	tracked, ok := g.Tracker.choose(c, candidates, g.Zone)
+	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
 	switch {
 	case !ok || tracked.expectedTTFB > time.Until(c.deadline):
 		return nil
