--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,6 +56,8 @@
 	// contentionDelay returns the longest random delay before an instance tries to acquire
 	// the lease, so that not all instances of a large fleet try at the same time.
 	contentionDelay func() time.Duration
+	// jitter returns a random duration that is not negative and less than limit.
+	jitter func(limit time.Duration) time.Duration
 
 	lease     *lease.Lease
 	leaseLock chan struct{} // serves as a mutex for lease; Run holds it only briefly
@@ -64,8 +65,8 @@
 
 // NewLeaseManager returns a lease manager for an instance. nonce identifies the
 // process.
-func NewLeaseManager(store LeaseStore, log zerolog.Logger, clock func() (time.Duration, error), retryDelay, contentionDelay func() time.Duration, s lease.Settings, instance, nonce string) *LeaseManager {
-	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, contentionDelay: contentionDelay, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
+func NewLeaseManager(store LeaseStore, log zerolog.Logger, clock func() (time.Duration, error), retryDelay, contentionDelay func() time.Duration, jitter func(limit time.Duration) time.Duration, s lease.Settings, instance, nonce string) *LeaseManager {
+	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, contentionDelay: contentionDelay, jitter: jitter, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
 }
 
 // withLease calls f while it holds the lock of the lease, which knows the newest era of the
@@ -135,7 +136,7 @@
 		m.withLease(func(l *lease.Lease) { step, until = l.Next(now) })
 		switch step {
 		case lease.StepWait:
-			pause.For(ctx, min(until-now, time.Second)+rand.N(m.contentionDelay()))
+			pause.For(ctx, min(until-now, time.Second)+m.jitter(m.contentionDelay()))
 		case lease.StepRead:
 			m.readRecord(ctx, now)
 		default:
@@ -161,7 +162,7 @@
 	if err != nil {
 		m.log.Debug().Err(err).Str("event", "lease.unread").Msg("failed to read the lease record")
 		delay := m.retryDelay()
-		pause.For(ctx, delay/2+rand.N(delay))
+		pause.For(ctx, delay/2+m.jitter(delay))
 		return
 	}
 	record.Version = o.Version
@@ -206,7 +207,7 @@
 		if step == lease.StepRenew {
 			delay = renewRetryDelay
 		}
-		pause.For(ctx, delay/2+rand.N(delay))
+		pause.For(ctx, delay/2+m.jitter(delay))
 	}
 }
 
