Failing tests: a successor trusts a read of the lease that took long

A lease manager counts a record as unchanged from the time at which it requested the read, not from the answer. The holder may renew or release the lease until the store serves the read. If the read takes long, or the process is suspended before it is sent, the waits of lifetime and turn gap have passed by then and the successor takes the lease and acts at once, beside a holder that still acts. How the model showed it: the first fault of a history came at the instant of the start.

--- a/internal/node/reconciler/leaseera_test.go
+++ b/internal/node/reconciler/leaseera_test.go
@@ -25,6 +25,8 @@
 // freezer suspends a process: what passes through it waits until the process is thawed.
 type freezer struct {
 	mu     sync.Mutex
+	frozen bool
+	passes int           // number of passes until the process is suspended; zero if it is not to be
 	thawed chan struct{} // closed unless frozen
 }
 
@@ -34,20 +36,43 @@
 	return f
 }
 
-func (f *freezer) freeze() {
+// freeze suspends the process at the given pass from now on, or at once if passes is zero.
+func (f *freezer) freeze(passes int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.thawed = make(chan struct{})
+	f.passes = passes
+	if passes == 0 {
+		f.suspend()
+	}
 }
 
+// suspend suspends the process. The caller holds f.mu.
+func (f *freezer) suspend() { f.frozen, f.thawed = true, make(chan struct{}) }
+
 func (f *freezer) thaw() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	close(f.thawed)
+	f.passes = 0
+	if f.frozen {
+		f.frozen = false
+		close(f.thawed)
+	}
+}
+
+func (f *freezer) isFrozen() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen
 }
 
 func (f *freezer) pass() {
 	f.mu.Lock()
+	if f.passes > 0 {
+		f.passes--
+		if f.passes == 0 {
+			f.suspend()
+		}
+	}
 	thawed := f.thawed
 	f.mu.Unlock()
 	<-thawed
@@ -84,7 +109,7 @@
 	manager *LeaseManager
 	link    *objectapi.Link
 	freezer *freezer
-	frozen  bool
+	frozen  bool // suspended, or about to be
 	stop    context.CancelFunc
 }
 
@@ -144,7 +169,7 @@
 // thaw lets a contender go on. It may act before its lease manager sees what has changed.
 func (m *leaseModel) thaw(c *contender) {
 	c.frozen = false
-	m.observe()
+	m.act(c)
 	c.freezer.thaw()
 	synctest.Wait()
 }
@@ -153,28 +178,32 @@
 
 // observe lets each contender that is not frozen act if it may.
 func (m *leaseModel) observe() {
+	for _, c := range m.contenders {
+		if c != nil && !c.freezer.isFrozen() {
+			m.act(c)
+		}
+	}
+}
+
+// act lets a contender act if it may.
+func (m *leaseModel) act(c *contender) {
 	synctest.Wait()
 	m.observing.Store(true)
 	defer m.observing.Store(false)
-	for _, c := range m.contenders {
-		if c == nil || c.frozen {
-			continue
-		}
-		token, mayAct := c.manager.FencingToken()
-		if !mayAct {
-			continue
-		}
-		m.acts++
-		now := time.Now()
-		if c.name != m.lastHolder || token != m.lastToken {
-			m.terms = append(m.terms, term{holder: c.name, token: token, at: now})
-			assert.Assert(m.t, token > m.lastToken, "token %v of %s after token %v of %s", token, c.name, m.lastToken, m.lastHolder)
-		}
-		if m.lastHolder != "" && c.name != m.lastHolder {
-			assert.Assert(m.t, now.Sub(m.lastActAt) >= turnGap, "%s acts %v after %s", c.name, now.Sub(m.lastActAt), m.lastHolder)
-		}
-		m.lastHolder, m.lastToken, m.lastActAt = c.name, token, now
+	token, mayAct := c.manager.FencingToken()
+	if !mayAct {
+		return
+	}
+	m.acts++
+	now := time.Now()
+	if c.name != m.lastHolder || token != m.lastToken {
+		m.terms = append(m.terms, term{holder: c.name, token: token, at: now})
+		assert.Assert(m.t, token > m.lastToken, "token %v of %s after token %v of %s", token, c.name, m.lastToken, m.lastHolder)
+	}
+	if m.lastHolder != "" && c.name != m.lastHolder {
+		assert.Assert(m.t, now.Sub(m.lastActAt) >= turnGap, "%s acts %v after %s", c.name, now.Sub(m.lastActAt), m.lastHolder)
 	}
+	m.lastHolder, m.lastToken, m.lastActAt = c.name, token, now
 }
 
 // disturb applies one random fault, or ends one.
@@ -194,7 +223,7 @@
 		if c.frozen {
 			m.thaw(c)
 		} else {
-			c.freezer.freeze()
+			c.freezer.freeze(m.random.IntN(6)) // also between the steps of a call
 			c.frozen = true
 		}
 	case 6:
--- a/internal/node/reconciler/leasemanager_test.go
+++ b/internal/node/reconciler/leasemanager_test.go
@@ -115,3 +115,53 @@
 		synctest.Wait()
 	})
 }
+
+// What a read answers was true when the store served it, not when it was requested: the holder
+// may have renewed or released the lease in between.
+func TestTurnGapIsKeptWhenReadOfRecordTakesLong(t *testing.T) {
+	const step = 10 * time.Millisecond
+	for name, test := range map[string]struct {
+		readDelay      time.Duration
+		holderStopsAt  time.Duration // after the successor has requested the read
+		expectTakeover bool
+	}{
+		"suspended beside a live holder":           {readDelay: 10 * time.Second, holderStopsAt: time.Hour},
+		"suspended until a holder released":        {readDelay: 10 * time.Second, holderStopsAt: 10*time.Second - step, expectTakeover: true},
+		"slow store, released just before it read": {readDelay: 2 * time.Second, holderStopsAt: 2*time.Second - step, expectTakeover: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := objectapi.New(time.Now, objectapi.Limits{})
+				link := objectapi.NewLink(store)
+				first, second := newTestLeaseManager(store, "a"), newTestLeaseManager(link, "b")
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				firstCtx, stopFirst := context.WithCancel(ctx)
+				go first.Run(firstCtx)
+				time.Sleep(5 * time.Second)
+
+				link.SetFaults(objectapi.LinkFaults{Delay: test.readDelay})
+				go second.Run(ctx)
+				synctest.Wait() // the read has been requested
+				link.SetFaults(objectapi.LinkFaults{})
+				time.AfterFunc(test.holderStopsAt, stopFirst)
+				var lastActOfFirst time.Time
+				takenOver := false
+				for start := time.Now(); time.Since(start) < 20*time.Second; time.Sleep(step) {
+					synctest.Wait()
+					if _, mayAct := first.FencingToken(); mayAct {
+						assert.Assert(t, !takenOver, "both instances act")
+						lastActOfFirst = time.Now()
+					}
+					if _, mayAct := second.FencingToken(); mayAct {
+						takenOver = true
+						gap := time.Since(lastActOfFirst)
+						assert.Assert(t, gap >= 3*time.Second, "the successor acts %v after the holder, %v after it requested the read", gap, time.Since(start))
+					}
+				}
+				assert.Equal(t, takenOver, test.expectTakeover)
+			})
+		})
+	}
+}
