Lease: a record counts as unchanged from the answer of its read

A successor counted lifetime and turn gap from the time at which it requested the read of the record. If the read took long, or the process was suspended before it was sent, the holder had renewed or released the lease since. Change: Lease.RecordRead takes only the time of the answer, and lease managers no longer pass on the time of the request. Why it is safe: a version that the answer shows was written before the answer, so its holder sent the write before and may act until less than a lifetime after; a later renewal changes the version, and the conditional write fails. The time can only become later than it was, so no successor acts earlier than before. Ruled out: to discard reads that take long, since a limit would still allow turns to come closer by as much, and needs one more constant; a second read before the lease is taken, since the conditional write already shows that the version is the same. Cost: a takeover comes later by the time of one read.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -71,7 +71,7 @@
 
 	hasRecord      bool // record is known and has not become doubtful since
 	record         Record
-	unchangedSince time.Duration // time since which the version has not changed; zero if unknown
+	unchangedSince time.Duration // time since which the version is known not to have changed; zero if unknown
 	holderSeenAt   time.Duration // time of the last sign of life from another holder
 	hasSeenHolder  bool
 	fencingToken   object.Version // zero if this instance does not hold the lease
@@ -146,15 +146,16 @@
 	return l.record.Version == 0 || l.record.Released || l.record.Holder == l.instance
 }
 
-// RecordRead records the result of a read that was sent at requestedAt and answered at now. A
-// record with version zero means that the store has none.
-func (l *Lease) RecordRead(requestedAt, now time.Duration, r Record) {
+// RecordRead records the result of a read that was answered at now. A record with version zero
+// means that the store has none. The holder may have written the record, or released the lease,
+// until the answer, however long ago the read was requested.
+func (l *Lease) RecordRead(now time.Duration, r Record) {
 	if r.Nonce == l.nonce && !r.Released && r.Version != 0 {
 		l.adopt(now, r)
 		return
 	}
 	if r.Version != l.record.Version || l.unchangedSince == 0 {
-		l.unchangedSince = requestedAt
+		l.unchangedSince = now
 	}
 	l.hasRecord, l.record, l.fencingToken = true, r, 0
 }
--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -138,7 +138,7 @@
 		case lease.StepWait:
 			pause.For(ctx, min(until-now, time.Second)+m.jitter(m.contentionDelay()))
 		case lease.StepRead:
-			m.readRecord(ctx, now)
+			m.readRecord(ctx)
 		default:
 			m.writeRecord(ctx, step, now)
 		}
@@ -146,10 +146,10 @@
 	m.release()
 }
 
-func (m *LeaseManager) readRecord(ctx context.Context, requestedAt time.Duration) {
+func (m *LeaseManager) readRecord(ctx context.Context) {
 	o, err := m.store.Get(ctx, leaseKind, leaseName)
 	if errors.Is(err, object.ErrNotFound) {
-		m.recordRead(requestedAt, lease.Record{})
+		m.recordRead(lease.Record{})
 		return
 	}
 	var record lease.Record
@@ -166,7 +166,7 @@
 		return
 	}
 	record.Version = o.Version
-	m.recordRead(requestedAt, record)
+	m.recordRead(record)
 }
 
 // errOutdatedRecord reports that the store is known to have come back from an older copy
@@ -175,14 +175,14 @@
 
 // recordRead records the result of a read that has just been answered, unless the store is
 // known to have come back from an older copy since.
-func (m *LeaseManager) recordRead(requestedAt time.Duration, record lease.Record) {
+func (m *LeaseManager) recordRead(record lease.Record) {
 	now, ok := m.now()
 	if !ok {
 		return
 	}
 	m.withLease(func(l *lease.Lease) {
 		if record.Version == 0 || record.Version.Era() == m.store.Era() {
-			l.RecordRead(requestedAt, now, record)
+			l.RecordRead(now, record)
 		}
 	})
 }
@@ -242,13 +242,9 @@
 // another instance has changed it or an earlier write of this process whose response
 // was lost.
 func (m *LeaseManager) resolveConflict(ctx context.Context) {
-	requestedAt, ok := m.now()
-	if !ok {
-		return
-	}
 	heldBefore := false
 	m.withLease(func(l *lease.Lease) { heldBefore = l.Holds() })
-	m.readRecord(ctx, requestedAt)
+	m.readRecord(ctx)
 	stillHeld := false
 	m.withLease(func(l *lease.Lease) { stillHeld = l.Holds() })
 	if heldBefore && !stillHeld {
