--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,6 +56,8 @@
 	// contentionDelay returns the longest random delay before an instance tries to acquire
 	// the lease, so that not all instances of a large fleet try at the same time.
 	contentionDelay func() time.Duration
+	// jitter returns a random duration that is not negative and less than limit.
+	jitter func(limit time.Duration) time.Duration
 
 	lease     *lease.Lease
 	leaseLock chan struct{} // serves as a mutex for lease; Run holds it only briefly
@@ -64,8 +65,8 @@
 
 // NewLeaseManager returns a lease manager for an instance. nonce identifies the
 // process.
-func NewLeaseManager(store LeaseStore, log zerolog.Logger, clock func() (time.Duration, error), retryDelay, contentionDelay func() time.Duration, s lease.Settings, instance, nonce string) *LeaseManager {
-	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, contentionDelay: contentionDelay, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
+func NewLeaseManager(store LeaseStore, log zerolog.Logger, clock func() (time.Duration, error), retryDelay, contentionDelay func() time.Duration, jitter func(limit time.Duration) time.Duration, s lease.Settings, instance, nonce string) *LeaseManager {
+	return &LeaseManager{store: store, log: log, clock: clock, retryDelay: retryDelay, contentionDelay: contentionDelay, jitter: jitter, lease: lease.New(s, instance, nonce), leaseLock: make(chan struct{}, 1)}
 }
 
 // withLease calls f while it holds the lock of the lease, which knows the newest era of the
@@ -135,9 +136,9 @@
 		m.withLease(func(l *lease.Lease) { step, until = l.Next(now) })
 		switch step {
 		case lease.StepWait:
-			pause.For(ctx, min(until-now, time.Second)+rand.N(m.contentionDelay()))
+			pause.For(ctx, min(until-now, time.Second)+m.jitter(m.contentionDelay()))
 		case lease.StepRead:
-			m.readRecord(ctx, now)
+			m.readRecord(ctx)
 		default:
 			m.writeRecord(ctx, step, now)
 		}
@@ -145,10 +146,10 @@
 	m.release()
 }
 
-func (m *LeaseManager) readRecord(ctx context.Context, requestedAt time.Duration) {
+func (m *LeaseManager) readRecord(ctx context.Context) {
 	o, err := m.store.Get(ctx, leaseKind, leaseName)
 	if errors.Is(err, object.ErrNotFound) {
-		m.recordRead(requestedAt, lease.Record{})
+		m.recordRead(lease.Record{})
 		return
 	}
 	var record lease.Record
@@ -161,11 +162,11 @@
 	if err != nil {
 		m.log.Debug().Err(err).Str("event", "lease.unread").Msg("failed to read the lease record")
 		delay := m.retryDelay()
-		pause.For(ctx, delay/2+rand.N(delay))
+		pause.For(ctx, delay/2+m.jitter(delay))
 		return
 	}
 	record.Version = o.Version
-	m.recordRead(requestedAt, record)
+	m.recordRead(record)
 }
 
 // errOutdatedRecord reports that the store is known to have come back from an older copy
@@ -174,14 +175,14 @@
 
 // recordRead records the result of a read that has just been answered, unless the store is
 // known to have come back from an older copy since.
-func (m *LeaseManager) recordRead(requestedAt time.Duration, record lease.Record) {
+func (m *LeaseManager) recordRead(record lease.Record) {
 	now, ok := m.now()
 	if !ok {
 		return
 	}
 	m.withLease(func(l *lease.Lease) {
 		if record.Version == 0 || record.Version.Era() == m.store.Era() {
-			l.RecordRead(requestedAt, now, record)
+			l.RecordRead(now, record)
 		}
 	})
 }
@@ -206,7 +207,7 @@
 		if step == lease.StepRenew {
 			delay = renewRetryDelay
 		}
-		pause.For(ctx, delay/2+rand.N(delay))
+		pause.For(ctx, delay/2+m.jitter(delay))
 	}
 }
 
@@ -241,13 +242,9 @@
 // another instance has changed it or an earlier write of this process whose response
 // was lost.
 func (m *LeaseManager) resolveConflict(ctx context.Context) {
-	requestedAt, ok := m.now()
-	if !ok {
-		return
-	}
 	heldBefore := false
 	m.withLease(func(l *lease.Lease) { heldBefore = l.Holds() })
-	m.readRecord(ctx, requestedAt)
+	m.readRecord(ctx)
 	stillHeld := false
 	m.withLease(func(l *lease.Lease) { stillHeld = l.Holds() })
 	if heldBefore && !stillHeld {
