Retry budget keeps its counts when the window changes

Callers saw: after a reload that shortened the window, requests without their retries (502) beside planned work, and up to twice the retries. Cause: buckets are numbered by the window's length, so that a change filed all counts under wrong times. Ruled out: buckets of a fixed length, since the window may be set from 100 ms to 10 min. Change: Configure files the counts of the former buckets anew. Within its bucket, a request counts as the oldest and a retry as the newest possible, so that the limit holds. Counts from before the former window are not known, so a longer window starts with those of the former one. A window made more than ten times shorter still forgets requests of the bucket being filled, to the safe side.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -21,6 +21,7 @@
 type WindowBudget struct {
 	settings WindowSettings
 	buckets  [windowBucketCount]windowBucket
+	latest   int64 // latest time of a call, in Unix nanoseconds
 }
 
 // windowBucketCount covers one window and the bucket that is being filled.
@@ -35,13 +36,47 @@
 // NewWindowBudget returns a WindowBudget without requests.
 func NewWindowBudget(s WindowSettings) *WindowBudget { return &WindowBudget{settings: s} }
 
-// Configure changes the limits and keeps the counts.
-func (w *WindowBudget) Configure(s WindowSettings) { w.settings = s }
+// Configure changes the limits and keeps the counts. The exact time of a count within its
+// bucket is unknown if the window changes: requests are taken to be as old and retries as
+// recent as possible, so that the limit holds.
+func (w *WindowBudget) Configure(s WindowSettings) {
+	if s.Window == w.settings.Window {
+		w.settings = s
+		return
+	}
+	former, formerLength := w.buckets, w.bucketLength()
+	w.settings, w.buckets = s, [windowBucketCount]windowBucket{}
+	for _, b := range former {
+		start := b.number * formerLength
+		end := min(start+formerLength-1, w.latest)
+		w.add(start, windowBucket{requests: b.requests})
+		w.add(end, windowBucket{retries: b.retries})
+	}
+}
+
+// bucketLength returns the time that a bucket covers, in nanoseconds.
+func (w *WindowBudget) bucketLength() int64 {
+	return int64(w.settings.Window / (windowBucketCount - 1))
+}
+
+// add adds counts of a time that is not after the latest call. Counts from before the window
+// are dropped.
+func (w *WindowBudget) add(at int64, counts windowBucket) {
+	number := at / w.bucketLength()
+	if w.latest/w.bucketLength()-number >= windowBucketCount {
+		return
+	}
+	b := &w.buckets[number%windowBucketCount]
+	b.number = number
+	b.requests += counts.requests
+	b.retries += counts.retries
+}
 
 // bucket returns the bucket for now. It clears the bucket first if it holds the counts of
 // an earlier time.
 func (w *WindowBudget) bucket(now time.Time) *windowBucket {
-	number := now.UnixNano() / int64(w.settings.Window/(windowBucketCount-1))
+	w.latest = max(w.latest, now.UnixNano())
+	number := now.UnixNano() / w.bucketLength()
 	b := &w.buckets[number%windowBucketCount]
 	if b.number != number {
 		*b = windowBucket{number: number}
