A model stays announced as unloading until a report shows the outcome

Callers saw: requests sent to an engine that had just unloaded their model, after an unload whose response was lost. Cause: the lost response leaves the outcome unknown; the repeated order conflicts with the first, and a conflict was taken for a refusal, upon which all instances were told that the model stays. Ruled out: waiting for the report in executeAction, which would keep other orders from the engine; announcing nothing more, since the announcement lasts 20 s and callers would wait that long for a model that is there. Change: an unload that may have been accepted, or that conflicted, is kept as unresolved. A report decides it that counts an order accepted in its place, or that was requested late enough to include it; the first is requested after 250 ms instead of 500 ms. Until then the model counts as no replica in plans either. An instance that has lost the lease meanwhile asks all the same. Refusals are announced at once, as before. If an order in progress may be the unload, the model stays away until the engine is idle, 20 s at most, as for any unload.

--- a/internal/node/reconciler/engine.go
+++ b/internal/node/reconciler/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/rebalance"
+	"savoryweir/internal/node/registry"
 	"savoryweir/internal/state/fleet"
 )
 
@@ -24,6 +25,16 @@
 	pendingDeadline   time.Time            // time by which the pending order should be complete
 	drainingModels    map[string]time.Time // time at which the unload of a model was announced
 	loadOrderedAt     map[string]time.Time // time at which the load of a resident or loading model was ordered
+	// unresolvedUnloads are unloads of which only a report can show whether the engine carries
+	// them out. Until then they stay announced.
+	unresolvedUnloads map[registry.ResidentKey]unresolvedUnload
+}
+
+// unresolvedUnload is an unload that conflicted, or whose response was lost.
+type unresolvedUnload struct {
+	mayBeAccepted  bool      // an attempt got no response
+	expectedOrders uint64    // number of orders that the engine must have accepted before
+	sentAt         time.Time // time of the last attempt
 }
 
 // modelUnloadDelay is the delay between the announcement that a model will be unloaded
@@ -146,3 +157,43 @@
 		return
 	}
 }
+
+// addUnresolvedUnload records an unload without a known outcome. The model doesn't count as a
+// replica meanwhile.
+func (e *engineState) addUnresolvedUnload(key registry.ResidentKey, u unresolvedUnload) {
+	if e.unresolvedUnloads == nil {
+		e.unresolvedUnloads = make(map[registry.ResidentKey]unresolvedUnload)
+	}
+	e.unresolvedUnloads[key] = u
+	if key.Adapter == "" {
+		e.drainingModels[key.Model] = u.sentAt
+	}
+	e.backoffUntil = time.Now().Add(orderBackoff / 2)
+}
+
+// resolveUnloads decides the unloads without a known outcome by a report that was applied, and
+// returns the models and adapters that stay loaded. If the report may be older than one of the
+// unloads, the engine has to report again before its next order.
+func (e *engineState) resolveUnloads(report fleet.Upstream, requestedAt, now time.Time) []registry.ResidentKey {
+	var loaded []registry.ResidentKey
+	for key, u := range e.unresolvedUnloads {
+		// Once the engine has accepted an order with the same expected count, it accepts this one no more.
+		isCounted := report.AcceptedOrders > u.expectedOrders
+		switch {
+		case !report.Holds(key.Model, key.Adapter):
+			delete(e.unresolvedUnloads, key)
+		case !isCounted && requestedAt.Sub(u.sentAt) < maxReportAge:
+			e.confirmed = false
+			e.backoffUntil = now.Add(orderBackoff / 2)
+		case isCounted && u.mayBeAccepted && report.OrderInProgress && key.Adapter == "":
+			e.pending = &rebalance.Action{Model: key.Model} // the order in progress may be the unload
+		default:
+			delete(e.unresolvedUnloads, key)
+			if key.Adapter == "" {
+				delete(e.drainingModels, key.Model)
+			}
+			loaded = append(loaded, key)
+		}
+	}
+	return loaded
+}
--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -45,8 +45,10 @@
 			pause.For(ctx, modelUnloadDelay)
 		}
 	}
-	result := platform.OrderUnknown
-	for attempt := 0; attempt < maxOrderAttempts && result == platform.OrderUnknown; attempt++ {
+	result, attempts := platform.OrderUnknown, 0
+	var sentAt time.Time
+	for ; attempts < maxOrderAttempts && result == platform.OrderUnknown; attempts++ {
+		sentAt = time.Now()
 		result = r.sendOrder(ctx, u, a)
 	}
 	if result == platform.OrderAccepted && a.Load && a.Adapter != "" {
@@ -60,11 +62,16 @@
 	}
 	e.inFlight = false
 	succeeded := r.recordResult(e, class, a, result)
+	mayBeAccepted := result == platform.OrderUnknown || attempts > 1
+	isUnresolved := !a.Load && !succeeded && (mayBeAccepted || result == platform.OrderConflict)
+	if isUnresolved {
+		e.addUnresolvedUnload(key, unresolvedUnload{mayBeAccepted: mayBeAccepted, expectedOrders: u.AcceptedOrders, sentAt: sentAt})
+	}
 	r.mu.Unlock()
 	switch {
 	case succeeded && a.Load && a.Adapter != "":
 		r.announce(service, key, true)
-	case !succeeded && !a.Load:
+	case !succeeded && !a.Load && !isUnresolved:
 		r.announce(service, key, true) // the model or adapter stays loaded
 	}
 	r.wake()
@@ -174,8 +181,23 @@
 }
 
 // fetchReport requests the state of an engine whose inFlight flag is set and applies
-// it.
+// it. It announces the models and adapters that stay loaded after an unload without a known
+// outcome, before the engine can get another order.
 func (r *Reconciler) fetchReport(ctx context.Context, u fleet.Upstream) {
+	for _, key := range r.fetchAndApplyReport(ctx, u) {
+		r.announce(u.Service, key, true)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.engines[u.ID]; e != nil && e.upstream.StartedAt.Equal(u.StartedAt) {
+		e.inFlight = false
+	}
+}
+
+// fetchAndApplyReport requests and applies the state of an engine, and returns the models and
+// adapters that stay loaded after an unload without a known outcome.
+func (r *Reconciler) fetchAndApplyReport(ctx context.Context, u fleet.Upstream) []registry.ResidentKey {
+	requestedAt := time.Now()
 	status, body, err := r.roundTrip(ctx, u, upstreamconn.Request{Method: http.MethodGet, Target: platform.ReportPath})
 	if err == nil && status != http.StatusOK {
 		err = errReportStatus
@@ -188,9 +210,8 @@
 	defer r.mu.Unlock()
 	e := r.engines[u.ID]
 	if e == nil || !e.upstream.StartedAt.Equal(u.StartedAt) {
-		return
+		return nil
 	}
-	e.inFlight = false
 	if err != nil || !report.StartedAt.Equal(u.StartedAt) {
 		e.backoffUntil = time.Now().Add(orderBackoff)
 		e.confirmed = false
@@ -198,13 +219,18 @@
 			e.unreachableSince = time.Now()
 		}
 		r.log.Info().Str("event", "report.failed").Str("upstream", string(u.ID)).Int("status", status).Err(err).Msg("engine report failed; no orders are sent until the engine reports")
-		return
+		return nil
 	}
 	if !e.unreachableSince.IsZero() {
 		r.log.Info().Str("event", "report.regained").Str("upstream", string(u.ID)).Dur("away", time.Since(e.unreachableSince)).Msg("engine reports again")
 		e.unreachableSince = time.Time{}
 	}
-	r.applyReport(e, report, time.Now())
+	now := time.Now()
+	r.applyReport(e, report, now)
+	if !e.confirmed {
+		return nil
+	}
+	return e.resolveUnloads(report, requestedAt, now)
 }
 
 // applyReport adopts the state that an engine reports. Reports are some hundred
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -176,7 +176,11 @@
 		r.startTerm(maySendOrders)
 	}
 	config := r.config()
-	if !maySendOrders || config == nil {
+	if config == nil {
+		return
+	}
+	if !maySendOrders {
+		r.resolveFormerUnloads(ctx)
 		return
 	}
 	for name, service := range config.Services {
@@ -186,6 +190,25 @@
 	}
 }
 
+// resolveFormerUnloads requests reports from engines with an unload without a known outcome,
+// which this instance sent while it held the lease: its announcement may be wrong.
+func (r *Reconciler) resolveFormerUnloads(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	view := r.registry.View()
+	for id, e := range r.engines {
+		u := view.Get(id)
+		if len(e.unresolvedUnloads) == 0 || u == nil || !u.StartedAt.Equal(e.upstream.StartedAt) {
+			continue
+		}
+		if !e.inFlight && !u.Draining && !r.isPaused(u) && now.After(e.backoffUntil) {
+			e.inFlight, e.reportRequestedAt = true, now
+			go r.fetchReportAndWake(ctx, e.upstream)
+		}
+	}
+}
+
 // startTerm resets the engine states after this instance has acquired or lost the
 // lease, so that each engine's state is read before it receives an order.
 func (r *Reconciler) startTerm(maySendOrders bool) {
