An order waits for a silent upstream until its caller's deadline

Callers saw: 502 "outcome unknown" for orders whose upstream was sound but silent, after the first byte timeout or the idle timeout, long before their deadline. Nothing can replace an order that may have been sent, and its result was lost for resends, too. Cause: orders shared the timeouts of reads, whose next attempt is their point. Ruled out: dropping the timeouts for orders altogether: a call after whose caller's deadline the upstream stays silent would run on to the maximum wait, and a handshake that hangs would hold an order of which no byte was sent; ending orders at the first failed probe. Change: once an order has its connection, silence before the deadline probes the upstream, so that one that can't be reached gets no further calls, and ends nothing. Before it has a connection, and after the deadline, the timeouts apply as before; the maximum wait applies always.

--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -128,6 +128,20 @@
 	return true
 }
 
+// probeSilent probes an upstream that is silent under a call which goes on, so that no further
+// calls are sent to it if it can't be reached.
+func (s *Server) probeSilent(c *call, a *attempt) {
+	s.drain.runInBackground(func() {
+		fault := &upstreamFault{kind: faultSilent, err: errUpstreamIdle}
+		s.metrics.faults.WithLabelValues(string(a.upstream.ID), string(fault.kind)).Inc()
+		ctx, cancel := context.WithTimeout(context.Background(), s.settings.Upstreams.ProbeTimeout)
+		defer cancel()
+		if s.repeatClient.Probe(ctx, a.upstream.Address) != nil {
+			s.recordFault(c, a.upstream.ID, true, fault)
+		}
+	})
+}
+
 // recordCrash records that an upstream's process ended, and reports the requests that ran on it
 // as suspects.
 func (s *Server) recordCrash(c *call, a *attempt) {
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -222,7 +222,8 @@
 	s := g.server
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timeouts := newWatchdog(s.settings.Upstreams.FirstByteTimeout, s.settings.Upstreams.IdleTimeout, cancel)
+	timeouts := newWatchdog(s.settings.Upstreams.IdleTimeout, cancel)
+	timeouts.start(s.settings.Upstreams.FirstByteTimeout)
 	defer timeouts.stop()
 	response, sent, err := s.repeatClient.Do(ctx, g.request(a))
 	if err != nil {
--- a/internal/entry/plainanswer.go
+++ b/internal/entry/plainanswer.go
@@ -12,12 +12,17 @@
 )
 
 // sendPlain makes one attempt. The returned boolean reports whether a byte may have been sent; it
-// is false only if the call did not run and will not run.
+// is false only if the call did not run and will not run. Silence of the upstream does not end an
+// attempt that can't be repeated before the caller's deadline.
 func (s *Server) sendPlain(ctx context.Context, client *upstreamhttp.Client, p *plainCall, a *attempt, once bool) (*plainAnswer, bool, error) {
 	limits := s.settings.Upstreams
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timeouts := newWatchdog(limits.FirstByteTimeout, limits.IdleTimeout, cancel)
+	timeouts := newWatchdog(limits.IdleTimeout, cancel)
+	if once {
+		ctx = timeouts.tolerateSilence(ctx, p.request.Deadline, func() { s.probeSilent(p.call, a) })
+	}
+	timeouts.start(limits.FirstByteTimeout)
 	defer timeouts.stop()
 	upstreamID := p.upstreamID()
 	h := p.header.Clone()
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,14 +14,39 @@
 
 // watchdog cancels a context when no byte arrives from an upstream in time.
 type watchdog struct {
-	timer *time.Timer
-	idle  time.Duration
+	timer  *time.Timer
+	idle   time.Duration
+	cancel context.CancelCauseFunc
+
+	toleratedUntil time.Time   // silence after the connection is open is no reason to cancel before this time
+	onSilence      func()      // called when silence is tolerated; nil if it never is
+	connected      atomic.Bool // the request has a connection
+}
+
+// newWatchdog returns a watchdog that calls cancel with errUpstreamIdle. It allows the duration
+// idle between later reads; start sets that until the first byte.
+func newWatchdog(idle time.Duration, cancel context.CancelCauseFunc) *watchdog {
+	return &watchdog{idle: idle, cancel: cancel}
 }
 
-// newWatchdog starts a watchdog that calls cancel with errUpstreamIdle. It allows the duration
-// first until the first byte and idle between later reads.
-func newWatchdog(first, idle time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	return &watchdog{timer: time.AfterFunc(first, func() { cancel(errUpstreamIdle) }), idle: idle}
+// tolerateSilence makes the watchdog call onSilence instead of cancel until a time, if the request
+// has a connection. It returns the context with which the request is to be sent.
+func (w *watchdog) tolerateSilence(ctx context.Context, until time.Time, onSilence func()) context.Context {
+	w.toleratedUntil, w.onSilence = until, onSilence
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { w.connected.Store(true) }})
+}
+
+// start allows the duration first until the first byte.
+func (w *watchdog) start(first time.Duration) { w.timer = time.AfterFunc(first, w.expire) }
+
+func (w *watchdog) expire() {
+	wait := time.Until(w.toleratedUntil)
+	if wait <= 0 || !w.connected.Load() {
+		w.cancel(errUpstreamIdle)
+		return
+	}
+	w.onSilence()
+	w.timer.Reset(wait)
 }
 
 func (w *watchdog) stop() { w.timer.Stop() }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -44,8 +44,8 @@
 type UpstreamSettings struct {
 	Protocol         upstreamhttp.Protocol `help:"HTTP version of generation requests and reads: http1 or h2c. Orders use http1." default:"http1" enum:"http1,h2c"`
 	ConnectTimeout   time.Duration         `help:"Timeout to open a connection." default:"500ms" min:"10ms" max:"30s"`
-	FirstByteTimeout time.Duration         `help:"Timeout for the first byte of an answer." default:"10s" min:"100ms" max:"10m"`
-	IdleTimeout      time.Duration         `help:"Time without a byte within an answer after which its connection counts as broken." default:"2s" min:"50ms" max:"5m"`
+	FirstByteTimeout time.Duration         `help:"Timeout for the first byte of an answer. Orders wait for it until their deadline." default:"10s" min:"100ms" max:"10m"`
+	IdleTimeout      time.Duration         `help:"Time without a byte within an answer after which its connection counts as broken. Orders wait until their deadline." default:"2s" min:"50ms" max:"5m"`
 	ProbeTimeout     time.Duration         `help:"Timeout for the answer to a probe on a new connection." default:"500ms" min:"10ms" max:"30s"`
 	PingAfter        time.Duration         `help:"Time without a frame after which an HTTP/2 connection is pinged." default:"1s" min:"50ms" max:"5m"`
 	MaxAttempts      int                   `help:"Maximum number of attempts for one repeatable request." default:"3" min:"1" max:"20"`
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,11 @@
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/standin/certs"
+	"savoryweir/internal/standin/serve"
+	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/order"
+	"savoryweir/internal/transport/tlsconf"
 	"savoryweir/internal/transport/upstreamhttp"
 )
 
@@ -166,3 +172,67 @@
 	assert.Assert(t, second.complete)
 	assertCompleteStream(t, first, "first", 600)
 }
+
+// An upstream that never answers must not hold an order and its claim for longer than the maximum
+// wait, however late the caller's deadline is.
+func TestHungUpstreamHoldsOrderUntilMaximumWait(t *testing.T) {
+	u := startService(t, "s1")
+	u.service.Inject(service.Fault{Kind: service.FaultHang})
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, newMemoryClaims(), func(s *Settings) { s.Orders.MaxWait = time.Second })
+	got := e.sendOrder("o1", idempotencyKey("o1"))
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeOrderUnknown)
+	waitForRuns(t, e, 0, u)
+	assert.Equal(t, e.sendOrder("o1", idempotencyKey("o1")).failure(t).Outcome, order.OutcomeUnknown)
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	assert.Equal(t, len(e.table.state(u.id).attempts), 0)
+}
+
+// An order waits for an upstream that is stopped. The upstream must count as down meanwhile, so
+// that no further calls are sent to it.
+func TestStoppedUpstreamOfWaitingOrderCountsAsDown(t *testing.T) {
+	u := startService(t, "s1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, newMemoryClaims(), nil)
+	assert.Equal(t, e.sendOrder("o1", idempotencyKey("o1")).status, http.StatusOK)
+	go proxy.pause(2 * time.Second)
+	time.Sleep(20 * time.Millisecond)
+	answered := make(chan testResponse, 1)
+	go func() { answered <- e.sendOrder("o2", idempotencyKey("o2")) }()
+	eventually(t, "the upstream counts as down", func() bool { return len(e.table.downUpstreams()) == 1 })
+	got := <-answered
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, u.service.RunsOf("o2"), 1)
+}
+
+// An upstream accepts connections but doesn't answer the TLS handshake. No byte of the order was
+// sent, so it goes to another upstream instead of waiting for its deadline.
+func TestOrderGoesToAnotherUpstreamIfHandshakeHangs(t *testing.T) {
+	files := certs.In(t.TempDir())
+	assert.NilError(t, files.Write(1))
+	settings := tlsconf.Settings{Certificate: files.Certificate, Key: files.Key, CA: files.Authority}
+	source, err := tlsconf.NewSource(settings)
+	assert.NilError(t, err)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	sound := &testUpstream{id: "s2", address: listener.Addr().String(), service: service.New()}
+	server := serve.NewServer(sound.service.Handler())
+	go func() { _ = server.Serve(tls.NewListener(listener, source.ServerConfig())) }()
+	t.Cleanup(func() { _ = server.Close() })
+	views := &sharedView{data: viewWithUpstreams(&testUpstream{id: "s1", address: silent.Addr().String()}, sound)}
+	e := startEntry(t, views, newMemoryClaims(), func(s *Settings) { s.Upstreams.TLS = settings })
+	e.fillRetryBudgets()
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			id := fmt.Sprint("o", i)
+			got := e.sendOrder(id, idempotencyKey(id))
+			assert.Check(t, got.status == http.StatusOK, got.body)
+		})
+	}
+	group.Wait()
+}
