HTTP/2 connections outlast a pause of their upstream

Callers saw: 502 for all requests at an upstream that was stopped for 1.7 s, over HTTP/2 only. Cause: a ping without an answer for 0.5 s ended the connection that all requests to the upstream share, without knowing whether the connection or the upstream was silent; with no retry allowed nothing replaced it. Ruled out: a longer ping timeout alone, since all new requests would be sent on a dead connection until it passes. Change: net/http still pings, with a bound of 60 s. A monitor of each such connection notices that it receives nothing, probes the upstream on a new connection, and closes the silent one only if the probe is answered and still nothing arrives. Sentinel connections, which carry no pings, have no monitor. Measured: TestCallIsAnsweredAfterPauseOfUpstream failed in 2 of 2 runs before (both h2c cases), passes in 4 of 4 with the race detector. New tests, 3 of 3 with the race detector: a connection forgotten by its path is closed, one with a slow answer is kept, a sentinel is kept (it breaks if it is monitored).

--- a/internal/transport/upstreamhttp/client.go
+++ b/internal/transport/upstreamhttp/client.go
@@ -32,13 +32,14 @@
 	Protocol       Protocol      // HTTP version of generation requests and reads
 	ConnectTimeout time.Duration // time limit for opening a connection
 	PingAfter      time.Duration // time without received frames after which an HTTP/2 connection is pinged
-	PingTimeout    time.Duration // time limit for the response to a ping
+	PingTimeout    time.Duration // time limit for the response to a ping, and for that to a probe
 	TLS            *tlsconf.Source
 }
 
 const (
 	maxIdlePerUpstream = 256
 	idleConnTimeout    = 60 * time.Second
+	maxPingTimeout     = 60 * time.Second // bounds a ping whose upstream does not answer probes either
 	maxHeaderBytes     = 64 << 10
 	writeBufferBytes   = 8 << 10
 )
@@ -64,37 +65,58 @@
 
 // NewClient returns a client. CloseIdle closes its idle connections.
 func NewClient(s Settings) *Client {
-	unpooled := newTransport(s)
-	unpooled.DisableKeepAlives = true
-	client := &Client{
-		scheme: schemeHTTP, oneRequestPerConn: s.Protocol != ProtocolH2C, pooled: newTransport(s), unpooled: unpooled, dial: unpooled.DialContext,
-	}
+	client := &Client{scheme: schemeHTTP, oneRequestPerConn: s.Protocol != ProtocolH2C, dial: newDial(s, nil)}
 	if s.TLS != nil {
 		client.scheme = schemeTLS
-		client.dial = unpooled.DialTLSContext
 	}
+	dial := newDial(s, client.monitor(s))
+	client.pooled, client.unpooled = newTransport(s, dial), newTransport(s, dial)
+	client.unpooled.DisableKeepAlives = true
 	return client
 }
 
-func newTransport(s Settings) *http.Transport {
+// monitor returns the function that starts to monitor a connection, or nil over HTTP/1.
+func (c *Client) monitor(s Settings) func(conn *trackedConn, address string) {
+	if c.oneRequestPerConn {
+		return nil
+	}
+	return func(conn *trackedConn, address string) {
+		conn.monitor = newConnMonitor(s, func(ctx context.Context) error { return c.Probe(ctx, address) })
+		go conn.monitor.run(func() { _ = conn.Conn.Close() })
+	}
+}
+
+// newDial returns a DialFunc that opens a trackedConn, over TLS if TLS is enabled, and calls
+// monitor with it unless that is nil.
+func newDial(s Settings, monitor func(conn *trackedConn, address string)) tlsconf.DialFunc {
 	dialer := &net.Dialer{Timeout: s.ConnectTimeout}
-	protocols := new(http.Protocols)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		tracked := &trackedConn{Conn: conn}
+		if monitor != nil {
+			monitor(tracked, address)
+		}
+		return tracked, nil
+	}
+	if s.TLS != nil {
+		return s.TLS.WrapDial(dial, alpnProtocols(s.Protocol)...)
 	}
+	return dial
+}
+
+func newTransport(s Settings, dial tlsconf.DialFunc) *http.Transport {
+	protocols := new(http.Protocols)
 	transport := &http.Transport{
-		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		WriteBufferSize:        writeBufferBytes,
 		Protocols:              protocols,
-		HTTP2:                  &http.HTTP2Config{SendPingTimeout: s.PingAfter, PingTimeout: s.PingTimeout},
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: s.PingAfter, PingTimeout: maxPingTimeout},
 	}
 	switch {
 	case s.Protocol != ProtocolH2C:
@@ -105,7 +127,9 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	if s.TLS != nil {
-		transport.DialTLSContext = s.TLS.WrapDial(dial, alpnProtocols(s.Protocol)...)
+		transport.DialTLSContext = dial
+	} else {
+		transport.DialContext = dial
 	}
 	return transport
 }
--- a/internal/transport/upstreamhttp/sent.go
+++ b/internal/transport/upstreamhttp/sent.go
@@ -13,6 +13,7 @@
 // trackedConn counts the started writes and rejects further writes once it is sealed.
 type trackedConn struct {
 	net.Conn
+	monitor *connMonitor // nil over HTTP/1
 
 	mu     sync.Mutex // guards writes and sealed
 	writes uint64
@@ -31,6 +32,23 @@
 	return c.Conn.Write(p)
 }
 
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.monitor != nil {
+		c.monitor.recordReceived()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	if c.monitor != nil {
+		c.monitor.stop()
+	}
+	return c.Conn.Close()
+}
+
 func (c *trackedConn) writeCount() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
