A silent stream ends only once its continuation is certain

Callers saw: a stream whose engine was sound but silent for 0.4 s ended with 502: a waiting request took its place at the engine, and the stream waited for one until the queue's maximum wait. A chat without its first event got 502 where no retry was allowed. Cause: silence ended the attempt and gave back its place; the engine, the retry limits and the queue were asked afterwards. Ruled out: putting the stream first in the queue alone: a connection on which bytes may still come would be ended for a place that may not become free. Change: the watchdog judges silence before it ends an attempt. It probes the engine and gives it one more probe timeout to go on. If nothing arrives, the attempt ends for a new connection in the same place, or for a place at another engine that is reserved before; if a retry is needed, it is asked for last. Otherwise the attempt stays: until its deadline at an engine that answers probes, for the queue's maximum wait at one that doesn't. A broken connection also keeps its place. A dead connection is replaced one probe timeout later than before (0.5 s by default).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -160,13 +160,18 @@
 	if !ok {
 		return grant{}
 	}
+	return grant{attempt: t.startAttempt(now, c, id)}
+}
+
+// startAttempt returns a new attempt of the call at an upstream. The caller holds mu.
+func (t *upstreamTable) startAttempt(now time.Time, c *call, id bundle.UpstreamID) *attempt {
 	state := t.state(id)
 	a := &attempt{upstream: c.view.byID[id], call: c, started: now, newConnection: id == c.reconnectUpstream, inFlightAtStart: len(state.attempts)}
 	c.reconnectUpstream = ""
 	state.attempts[a] = struct{}{}
 	state.sentSinceReport++
 	t.suspects.AttemptStarted(c.suspectID(), id)
-	return grant{attempt: a}
+	return a
 }
 
 // excludeForSuspect marks the candidates that a suspect request must not run on as ejected. The caller holds mu.
--- a/internal/entry/faults.go
+++ b/internal/entry/faults.go
@@ -79,9 +79,11 @@
 // mayRetry reports whether the call continues: either the retry limits allow one more attempt,
 // or the call is a suspect that is held or refused, which acquire decides.
 func (s *Server) mayRetry(c *call, failed int) bool {
-	if s.table.isSuspect(s.now(), c) {
-		return true
-	}
+	return s.table.isSuspect(s.now(), c) || s.spendRetry(c, failed)
+}
+
+// spendRetry reports whether the retry limits allow one more attempt, and counts it.
+func (s *Server) spendRetry(c *call, failed int) bool {
 	if !s.table.spendRetry(c, failed+1) {
 		return false
 	}
@@ -94,6 +96,9 @@
 func (s *Server) handleFault(c *call, a *attempt, fault *upstreamFault, maybeSent bool) bool {
 	id := a.upstream.ID
 	s.metrics.faults.WithLabelValues(string(id), string(fault.kind)).Inc()
+	if a.continuation.granted {
+		return s.recordContinuation(c, a, fault)
+	}
 	switch fault.kind {
 	case faultConnect:
 		s.recordFault(c, id, true, fault)
@@ -111,9 +116,7 @@
 // caller may send the request again.
 func (s *Server) handleBrokenConnection(c *call, a *attempt, fault *upstreamFault, maybeSent bool) bool {
 	brokenAt := s.now()
-	probeCtx, cancel := context.WithTimeout(context.Background(), s.settings.Upstreams.ProbeTimeout)
-	defer cancel()
-	probeErr := s.repeatClient.Probe(probeCtx, a.upstream.Address)
+	probeErr := s.probe(context.Background(), a.upstream)
 	var timeout net.Error
 	unreachable := probeErr != nil && errors.As(probeErr, &timeout) && timeout.Timeout()
 	crashed := fault.kind == faultCut && maybeSent && !unreachable && (probeErr != nil || s.processEnded(a, brokenAt))
@@ -128,15 +131,20 @@
 	return true
 }
 
+// probe checks over a new connection whether an upstream answers within the probe's timeout.
+func (s *Server) probe(ctx context.Context, u bundle.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Upstreams.ProbeTimeout)
+	defer cancel()
+	return s.repeatClient.Probe(ctx, u.Address)
+}
+
 // probeSilent probes an upstream that is silent under a call which goes on, so that no further
 // calls are sent to it if it can't be reached.
 func (s *Server) probeSilent(c *call, a *attempt) {
 	s.drain.runInBackground(func() {
 		fault := &upstreamFault{kind: faultSilent, err: errUpstreamIdle}
 		s.metrics.faults.WithLabelValues(string(a.upstream.ID), string(fault.kind)).Inc()
-		ctx, cancel := context.WithTimeout(context.Background(), s.settings.Upstreams.ProbeTimeout)
-		defer cancel()
-		if s.repeatClient.Probe(ctx, a.upstream.Address) != nil {
+		if s.probe(context.Background(), a.upstream) != nil {
 			s.recordFault(c, a.upstream.ID, true, fault)
 		}
 	})
@@ -170,10 +178,15 @@
 // releaseAttempt ends an attempt and reports the suspect records that it refuted.
 func (s *Server) releaseAttempt(a *attempt, r attemptResult) {
 	s.table.release(s.now(), a, r)
-	for _, record := range a.call.refutedSuspects {
+	s.reportRefuted(a.call)
+}
+
+// reportRefuted reports the suspect records that the attempts of a call refuted.
+func (s *Server) reportRefuted(c *call) {
+	for _, record := range c.refutedSuspects {
 		s.reports.addSuspect(record)
 	}
-	a.call.refutedSuspects = nil
+	c.refutedSuspects = nil
 }
 
 // attemptResultOf returns what the end of an attempt says about its upstream.
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"savoryweir/internal/coordination/routing"
 	"savoryweir/internal/protocol/httpapi"
@@ -112,21 +113,26 @@
 // the failure if the request is not retried any more.
 func (g *generationRun) run(ctx context.Context) *Failure {
 	s := g.server
+	var a *attempt
 	for {
 		g.call.request.Tokens = float64(max(g.call.headers.AnswerTokens-g.reader.offset, 0))
-		a, err := s.waitForUpstream(ctx, g.call)
-		if err != nil {
-			return g.acquireFailure(ctx, err)
+		if a == nil {
+			var err error
+			if a, err = s.waitForUpstream(ctx, g.call); err != nil {
+				return g.acquireFailure(ctx, err)
+			}
 		}
 		s.recordEvent(g.call, timeline.KindRequestRouted, a.upstream.ID, "")
 		offsetBefore := g.reader.offset
-		err = g.send(ctx, a)
+		err := g.send(ctx, a)
 		failure := g.handleSendResult(ctx, a, err, offsetBefore)
-		s.releaseAttempt(a, attemptResultOf(ctx, err, g.reader.offset-offsetBefore))
+		result := attemptResultOf(ctx, err, g.reader.offset-offsetBefore)
 		if err == nil || failure != nil {
+			s.releaseAttempt(a, result)
 			return failure
 		}
 		s.recordEvent(g.call, timeline.KindRequestRetried, a.upstream.ID, err.Error())
+		a = s.nextAttempt(ctx, a, result)
 	}
 }
 
@@ -195,7 +201,7 @@
 	if errors.As(err, &statusErr) {
 		return g.failureAfterStatus(a, statusErr)
 	}
-	if g.attemptsWithoutProgress > 0 && !s.mayRetry(g.call, g.attemptsWithoutProgress) {
+	if g.attemptsWithoutProgress > 0 && !a.continuation.granted && !s.mayRetry(g.call, g.attemptsWithoutProgress) {
 		return upstreamFailure(err, g.outcome(), s.settings.Queue.RetryAfter)
 	}
 	return nil
@@ -221,10 +227,15 @@
 func (g *generationRun) send(ctx context.Context, a *attempt) error {
 	s := g.server
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	timeouts := newWatchdog(s.settings.Upstreams.IdleTimeout, cancel)
+	timeouts.tolerate = func() time.Duration {
+		return s.tolerateSilence(ctx, a, timeouts, func() bool {
+			return s.table.hasEvents(a) || s.spendRetry(g.call, g.attemptsWithoutProgress+1)
+		})
+	}
 	timeouts.start(s.settings.Upstreams.FirstByteTimeout)
 	defer timeouts.stop()
+	defer cancel(nil) // ends a probe for which stop would wait
 	response, sent, err := s.repeatClient.Do(ctx, g.request(a))
 	if err != nil {
 		maybeSent := sent.MaybeSent()
--- a/internal/entry/plainanswer.go
+++ b/internal/entry/plainanswer.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"time"
 
 	"savoryweir/internal/protocol/httpapi"
 	"savoryweir/internal/state/order"
@@ -17,13 +18,14 @@
 func (s *Server) sendPlain(ctx context.Context, client *upstreamhttp.Client, p *plainCall, a *attempt, once bool) (*plainAnswer, bool, error) {
 	limits := s.settings.Upstreams
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	timeouts := newWatchdog(limits.IdleTimeout, cancel)
+	timeouts.tolerate = func() time.Duration { return 0 }
 	if once {
-		ctx = timeouts.tolerateSilence(ctx, p.request.Deadline, func() { s.probeSilent(p.call, a) })
+		ctx = timeouts.tolerateUntil(ctx, p.request.Deadline, func() { s.probeSilent(p.call, a) })
 	}
 	timeouts.start(limits.FirstByteTimeout)
 	defer timeouts.stop()
+	defer cancel(nil)
 	upstreamID := p.upstreamID()
 	h := p.header.Clone()
 	h.Set(httpapi.HeaderRequestID, upstreamID)
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,13 +15,17 @@
 
 // watchdog cancels a context when no byte arrives from an upstream in time.
 type watchdog struct {
-	timer  *time.Timer
 	idle   time.Duration
 	cancel context.CancelCauseFunc
+	// tolerate is called when no byte arrived in time. It returns for how long the silence is
+	// tolerated, and zero if it is not.
+	tolerate func() time.Duration
+	reads    atomic.Int64 // reads that returned bytes
+	lastRead atomic.Int64 // time of the last such read or of the start, in Unix nanoseconds
 
-	toleratedUntil time.Time   // silence after the connection is open is no reason to cancel before this time
-	onSilence      func()      // called when silence is tolerated; nil if it never is
-	connected      atomic.Bool // the request has a connection
+	mu      sync.Mutex // guards the fields below; held while silence is judged
+	timer   *time.Timer
+	stopped bool
 }
 
 // newWatchdog returns a watchdog that calls cancel with errUpstreamIdle. It allows the duration
@@ -29,27 +34,52 @@
 	return &watchdog{idle: idle, cancel: cancel}
 }
 
-// tolerateSilence makes the watchdog call onSilence instead of cancel until a time, if the request
+// tolerateUntil makes the watchdog call onSilence instead of cancel before a time, if the request
 // has a connection. It returns the context with which the request is to be sent.
-func (w *watchdog) tolerateSilence(ctx context.Context, until time.Time, onSilence func()) context.Context {
-	w.toleratedUntil, w.onSilence = until, onSilence
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { w.connected.Store(true) }})
+func (w *watchdog) tolerateUntil(ctx context.Context, end time.Time, onSilence func()) context.Context {
+	var connected atomic.Bool
+	w.tolerate = func() time.Duration {
+		wait := time.Until(end)
+		if wait <= 0 || !connected.Load() {
+			return 0
+		}
+		onSilence()
+		return wait
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 }
 
 // start allows the duration first until the first byte.
-func (w *watchdog) start(first time.Duration) { w.timer = time.AfterFunc(first, w.expire) }
+func (w *watchdog) start(first time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastRead.Store(time.Now().UnixNano())
+	w.timer = time.AfterFunc(first, w.expire)
+}
+
+// silence returns the time since the last byte, or since the start.
+func (w *watchdog) silence() time.Duration { return time.Since(time.Unix(0, w.lastRead.Load())) }
 
 func (w *watchdog) expire() {
-	wait := time.Until(w.toleratedUntil)
-	if wait <= 0 || !w.connected.Load() {
-		w.cancel(errUpstreamIdle)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
 		return
 	}
-	w.onSilence()
-	w.timer.Reset(wait)
+	if wait := w.tolerate(); wait > 0 {
+		w.timer.Reset(wait)
+		return
+	}
+	w.cancel(errUpstreamIdle)
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
+// stop ends the watchdog. It waits while silence is judged.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
 
 // progressReader restarts a watchdog's timer after each read that returns bytes.
 type progressReader struct {
@@ -61,6 +91,8 @@
 func (p progressReader) Read(buffer []byte) (int, error) {
 	n, err := p.Reader.Read(buffer)
 	if n > 0 {
+		p.watchdog.reads.Add(1)
+		p.watchdog.lastRead.Store(time.Now().UnixNano())
 		p.watchdog.timer.Reset(p.watchdog.idle)
 	}
 	return n, err
--- a/internal/entry/release.go
+++ b/internal/entry/release.go
@@ -12,18 +12,26 @@
 func (t *upstreamTable) release(now time.Time, a *attempt, r attemptResult) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if a.continuation.next != nil {
+		t.abandon(now, a.continuation.next)
+	}
+	t.end(now, a, r)
 	s := t.service(a.call)
+	s.queue.Done(a.call.queueID)
+	t.dispatch(now, s)
+}
+
+// end ends an attempt and updates what is known of its upstream. The caller holds mu.
+func (t *upstreamTable) end(now time.Time, a *attempt, r attemptResult) {
 	state := t.state(a.upstream.ID)
 	delete(state.attempts, a)
-	s.queue.Done(a.call.queueID)
 	if !state.processEndedAt.After(a.started) {
 		completed := !r.failed && !r.overloaded && !r.deadlineMissed && !r.abandoned
 		if record, changed := t.suspects.AttemptEnded(now, a.call.suspectID(), a.upstream.ID, completed); changed {
 			a.call.refutedSuspects = append(a.call.refutedSuspects, record)
 		}
 	}
-	t.updateEstimates(now, s, state, a, r)
-	t.dispatch(now, s)
+	t.updateEstimates(now, t.service(a.call), state, a, r)
 }
 
 // updateEstimates feeds the result of an attempt to the concurrency limiter, the outlier detector and
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -17,6 +17,7 @@
 	"savoryweir/internal/standin/certs"
 	"savoryweir/internal/standin/serve"
 	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/order"
 	"savoryweir/internal/transport/tlsconf"
 	"savoryweir/internal/transport/upstreamhttp"
@@ -236,3 +237,79 @@
 	}
 	group.Wait()
 }
+
+// The first event of a chat takes longer than the first byte timeout, and no retry is allowed. The attempt was ended first, so that the caller got 502.
+func TestSilentAttemptGoesOnIfNoRetryIsAllowed(t *testing.T) {
+	withoutRetries := func(s *Settings) { s.Upstreams.RetryShare, s.Upstreams.RetryBurst = 0, 0 }
+	t.Run("chat", func(t *testing.T) {
+		t.Parallel()
+		u := startEngine(t, "e1")
+		proxy := startPausingProxy(t, u.address)
+		u.address = proxy.address
+		e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, withoutRetries)
+		assertCompleteStream(t, e.streamChat(t, "r1", "hello", 5), "hello", 5)
+		go proxy.pause(900 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
+		assertCompleteStream(t, e.streamChat(t, "r2", "hello", 20), "hello", 20)
+	})
+}
+
+// An engine is stopped for longer than a probe waits, and no other one is free. Its stream must
+// not make place for a waiting request.
+func TestStreamOfUnreachableEngineKeepsItsPlace(t *testing.T) {
+	u := startEngine(t, "e1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, func(s *Settings) {
+		s.Upstreams.MaxInFlight = 1
+		s.Queue.MaxWait = 2 * time.Second
+	})
+	var first streamResult
+	var group sync.WaitGroup
+	group.Go(func() { first = e.streamChat(t, "r1", "first", 600) })
+	eventually(t, "the first stream at the engine", func() bool { return u.engine.Started() == 1 })
+	group.Go(func() { e.streamChat(t, "r2", "second", 5000) })
+	time.Sleep(100 * time.Millisecond)
+	proxy.pause(1200 * time.Millisecond) // idle timeout: 200 ms, probe timeout: 500 ms
+	group.Wait()
+	assertCompleteStream(t, first, "first", 600)
+}
+
+// An engine is stopped while another one is free, which continues the stream.
+func TestStreamMovesFromUnreachableEngineToFreeOne(t *testing.T) {
+	engines := startEngines(t, 2)
+	proxies := make(map[bundle.UpstreamID]*pausingProxy)
+	for _, u := range engines {
+		proxies[u.id] = startPausingProxy(t, u.address)
+		u.address = proxies[u.id].address
+	}
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(engines...)}, nil, nil)
+	e.fillRetryBudgets()
+	var got streamResult
+	var group sync.WaitGroup
+	group.Go(func() { got = e.streamChat(t, "r1", "hello", 600) })
+	eventually(t, "the stream at an engine", func() bool { return engines[0].engine.Started()+engines[1].engine.Started() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	proxies[bundle.UpstreamID(e.routedUpstreams("r1")[0])].pause(4 * time.Second)
+	group.Wait()
+	assertCompleteStream(t, got, "hello", 600)
+	assert.Equal(t, engines[0].engine.Started(), 1)
+	assert.Equal(t, engines[1].engine.Started(), 1)
+}
+
+// A stream waits for an engine that can't be reached no longer than a request waits for an upstream.
+func TestStreamOfUnreachableEngineEndsAfterMaximumWait(t *testing.T) {
+	u := startEngine(t, "e1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, func(s *Settings) { s.Queue.MaxWait = time.Second })
+	e.fillRetryBudgets()
+	var got streamResult
+	var group sync.WaitGroup
+	group.Go(func() { got = e.streamChat(t, "r1", "hello", 600) })
+	eventually(t, "the stream at the engine", func() bool { return u.engine.Started() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	proxy.pause(6 * time.Second)
+	group.Wait()
+	assert.Assert(t, got.failure != nil && got.failure.Code == httpapi.CodeUpstreamFailed, "%+v", got)
+}
--- a/internal/entry/upstreams.go
+++ b/internal/entry/upstreams.go
@@ -25,6 +25,7 @@
 	newConnection   bool            // the request must use a new connection
 	inFlightAtStart int             // other attempts at the upstream when this one started
 	stream          *streamProgress // nil until the answer begins, and for plain calls
+	continuation    continuation
 }
 
 // upstreamState is the state of one upstream as this entry knows it.
