A silent read ends only once its repeat is certain

Callers saw: 502 for a read whose answer took longer than the first byte timeout, where no retry was allowed or its method can't be repeated. Cause: silence ended the attempt first; the retry limits were asked afterwards. Ruled out: longer timeouts for reads, which would delay the replacement of dead connections. Change: reads judge silence as streams do, and a repeat keeps the place of the attempt. A call that can't be repeated still goes elsewhere while it has no connection: the test of the handshake that hangs now sends such reads beside orders, and fails without that check.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -242,7 +242,7 @@
 			return nil, deadlineFailure(order.OutcomeNotRun, s.settings.Queue.RetryAfter)
 		}
 		s.recordEvent(p.call, timeline.KindRequestRouted, a.upstream.ID, "")
-		answer, maybeSent, err := s.sendPlain(ctx, s.onceClient, p, a, true)
+		answer, maybeSent, err := s.sendPlain(ctx, s.onceClient, p, a, nil)
 		if err == nil && maybeSent {
 			s.releaseAttempt(a, attemptResult{failed: answer.status >= http.StatusInternalServerError})
 			return o.checkAnswer(answer)
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -142,13 +142,19 @@
 // error, or the call must not be retried.
 func (s *Server) read(ctx context.Context, p *plainCall) (*plainAnswer, *Failure) {
 	outcome := order.OutcomeNotRun
+	var a *attempt
 	for failed := 1; ; failed++ {
-		a, err := s.waitForUpstream(ctx, p.call)
-		if err != nil {
-			return nil, s.plainFailure(ctx, err, outcome)
+		if a == nil {
+			var err error
+			if a, err = s.waitForUpstream(ctx, p.call); err != nil {
+				return nil, s.plainFailure(ctx, err, outcome)
+			}
 		}
 		s.recordEvent(p.call, timeline.KindRequestRouted, a.upstream.ID, "")
-		answer, maybeSent, err := s.sendPlain(ctx, s.repeatClient, p, a, false)
+		mayRepeat := func(connected bool) bool {
+			return (isRepeatable(p.method) || !connected) && s.spendRetry(p.call, failed)
+		}
+		answer, maybeSent, err := s.sendPlain(ctx, s.repeatClient, p, a, mayRepeat)
 		if err == nil && answer.status < http.StatusInternalServerError {
 			s.releaseAttempt(a, attemptResult{})
 			return answer, nil
@@ -157,14 +163,16 @@
 			outcome = order.OutcomeUnknown
 		}
 		s.handlePlainFailure(p, a, answer, err, maybeSent)
-		s.releaseAttempt(a, failedPlainResult(ctx, answer))
 		if cause := endCause(ctx); cause != nil {
+			s.releaseAttempt(a, failedPlainResult(ctx, answer))
 			return nil, s.plainFailure(ctx, cause, outcome)
 		}
-		if !s.mayRetry(p.call, failed) || !isRepeatable(p.method) && maybeSent {
+		if !isRepeatable(p.method) && maybeSent || !a.continuation.granted && !s.mayRetry(p.call, failed) {
+			s.releaseAttempt(a, failedPlainResult(ctx, answer))
 			return s.finalReadAnswer(answer, err, outcome)
 		}
 		s.recordEvent(p.call, timeline.KindRequestRetried, a.upstream.ID, "")
+		a = s.nextAttempt(ctx, a, failedPlainResult(ctx, answer))
 	}
 }
 
--- a/internal/entry/plainanswer.go
+++ b/internal/entry/plainanswer.go
@@ -13,23 +13,27 @@
 )
 
 // sendPlain makes one attempt. The returned boolean reports whether a byte may have been sent; it
-// is false only if the call did not run and will not run. Silence of the upstream does not end an
-// attempt that can't be repeated before the caller's deadline.
-func (s *Server) sendPlain(ctx context.Context, client *upstreamhttp.Client, p *plainCall, a *attempt, once bool) (*plainAnswer, bool, error) {
+// is false only if the call did not run and will not run. A silent attempt ends before the caller's
+// deadline only if mayRepeat, which is nil for orders, allows another one.
+func (s *Server) sendPlain(ctx context.Context, client *upstreamhttp.Client, p *plainCall, a *attempt, mayRepeat func(connected bool) bool) (*plainAnswer, bool, error) {
 	limits := s.settings.Upstreams
+	once := mayRepeat == nil
 	ctx, cancel := context.WithCancelCause(ctx)
 	timeouts := newWatchdog(limits.IdleTimeout, cancel)
-	timeouts.tolerate = func() time.Duration { return 0 }
 	if once {
-		ctx = timeouts.tolerateUntil(ctx, p.request.Deadline, func() { s.probeSilent(p.call, a) })
+		timeouts.tolerateUntil(p.request.Deadline, func() { s.probeSilent(p.call, a) })
+	} else {
+		timeouts.tolerate = func() time.Duration {
+			return s.tolerateSilence(ctx, a, timeouts, func() bool { return mayRepeat(timeouts.connected.Load()) })
+		}
 	}
 	timeouts.start(limits.FirstByteTimeout)
 	defer timeouts.stop()
-	defer cancel(nil)
+	defer cancel(nil) // ends a probe for which stop would wait
 	upstreamID := p.upstreamID()
 	h := p.header.Clone()
 	h.Set(httpapi.HeaderRequestID, upstreamID)
-	response, sent, err := client.Do(ctx, upstreamhttp.Request{
+	response, sent, err := client.Do(timeouts.traceConnection(ctx), upstreamhttp.Request{
 		Method: p.method, Address: a.upstream.Address, Path: p.path, Header: h, Body: p.body, AtMostOnce: once, NewConnection: a.newConnection,
 	})
 	if err != nil {
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -19,9 +19,10 @@
 	cancel context.CancelCauseFunc
 	// tolerate is called when no byte arrived in time. It returns for how long the silence is
 	// tolerated, and zero if it is not.
-	tolerate func() time.Duration
-	reads    atomic.Int64 // reads that returned bytes
-	lastRead atomic.Int64 // time of the last such read or of the start, in Unix nanoseconds
+	tolerate  func() time.Duration
+	connected atomic.Bool  // the request has a connection
+	reads     atomic.Int64 // reads that returned bytes
+	lastRead  atomic.Int64 // time of the last such read or of the start, in Unix nanoseconds
 
 	mu      sync.Mutex // guards the fields below; held while silence is judged
 	timer   *time.Timer
@@ -34,19 +35,23 @@
 	return &watchdog{idle: idle, cancel: cancel}
 }
 
+// traceConnection returns the context with which a request is to be sent, so that the watchdog
+// knows when it has a connection.
+func (w *watchdog) traceConnection(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { w.connected.Store(true) }})
+}
+
 // tolerateUntil makes the watchdog call onSilence instead of cancel before a time, if the request
-// has a connection. It returns the context with which the request is to be sent.
-func (w *watchdog) tolerateUntil(ctx context.Context, end time.Time, onSilence func()) context.Context {
-	var connected atomic.Bool
+// has a connection.
+func (w *watchdog) tolerateUntil(end time.Time, onSilence func()) {
 	w.tolerate = func() time.Duration {
 		wait := time.Until(end)
-		if wait <= 0 || !connected.Load() {
+		if wait <= 0 || !w.connected.Load() {
 			return 0
 		}
 		onSilence()
 		return wait
 	}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 }
 
 // start allows the duration first until the first byte.
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -207,9 +207,9 @@
 	assert.Equal(t, u.service.RunsOf("o2"), 1)
 }
 
-// An upstream accepts connections but doesn't answer the TLS handshake. No byte of the order was
+// An upstream accepts connections but doesn't answer the TLS handshake. No byte of the call was
 // sent, so it goes to another upstream instead of waiting for its deadline.
-func TestOrderGoesToAnotherUpstreamIfHandshakeHangs(t *testing.T) {
+func TestUnrepeatableCallGoesToAnotherUpstreamIfHandshakeHangs(t *testing.T) {
 	files := certs.In(t.TempDir())
 	assert.NilError(t, files.Write(1))
 	settings := tlsconf.Settings{Certificate: files.Certificate, Key: files.Key, CA: files.Authority}
@@ -234,13 +234,26 @@
 			got := e.sendOrder(id, idempotencyKey(id))
 			assert.Check(t, got.status == http.StatusOK, got.body)
 		})
+		group.Go(func() {
+			got := e.do(http.MethodPost, fmt.Sprint("/services/booking/slots/", i), "x")
+			assert.Check(t, got.status == http.StatusOK, got.body)
+		})
 	}
 	group.Wait()
 }
 
-// The first event of a chat takes longer than the first byte timeout, and no retry is allowed. The attempt was ended first, so that the caller got 502.
+// The answer to a read, and the first event of a chat, take longer than the first byte timeout, and
+// no retry is allowed. The attempt was ended first, so that the caller got 502.
 func TestSilentAttemptGoesOnIfNoRetryIsAllowed(t *testing.T) {
 	withoutRetries := func(s *Settings) { s.Upstreams.RetryShare, s.Upstreams.RetryBurst = 0, 0 }
+	t.Run("read", func(t *testing.T) {
+		t.Parallel()
+		u := startService(t, "s1")
+		u.service.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 900})
+		e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, withoutRetries)
+		got := e.do(http.MethodGet, "/services/booking/slots", "")
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	})
 	t.Run("chat", func(t *testing.T) {
 		t.Parallel()
 		u := startEngine(t, "e1")
