--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,12 @@
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/protocol/httpapi"
+	"savoryweir/internal/standin/certs"
+	"savoryweir/internal/standin/serve"
+	"savoryweir/internal/standin/service"
+	"savoryweir/internal/state/bundle"
+	"savoryweir/internal/state/order"
+	"savoryweir/internal/transport/tlsconf"
 	"savoryweir/internal/transport/upstreamhttp"
 )
 
@@ -166,3 +173,156 @@
 	assert.Assert(t, second.complete)
 	assertCompleteStream(t, first, "first", 600)
 }
+
+// An upstream that never answers must not hold an order and its claim for longer than the maximum
+// wait, however late the caller's deadline is.
+func TestHungUpstreamHoldsOrderUntilMaximumWait(t *testing.T) {
+	u := startService(t, "s1")
+	u.service.Inject(service.Fault{Kind: service.FaultHang})
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, newMemoryClaims(), func(s *Settings) { s.Orders.MaxWait = time.Second })
+	got := e.sendOrder("o1", idempotencyKey("o1"))
+	assert.Equal(t, got.failure(t).Code, httpapi.CodeOrderUnknown)
+	waitForRuns(t, e, 0, u)
+	assert.Equal(t, e.sendOrder("o1", idempotencyKey("o1")).failure(t).Outcome, order.OutcomeUnknown)
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	assert.Equal(t, len(e.table.state(u.id).attempts), 0)
+}
+
+// An order waits for an upstream that is stopped. The upstream must count as down meanwhile, so
+// that no further calls are sent to it.
+func TestStoppedUpstreamOfWaitingOrderCountsAsDown(t *testing.T) {
+	u := startService(t, "s1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, newMemoryClaims(), nil)
+	assert.Equal(t, e.sendOrder("o1", idempotencyKey("o1")).status, http.StatusOK)
+	go proxy.pause(2 * time.Second)
+	time.Sleep(20 * time.Millisecond)
+	answered := make(chan testResponse, 1)
+	go func() { answered <- e.sendOrder("o2", idempotencyKey("o2")) }()
+	eventually(t, "the upstream counts as down", func() bool { return len(e.table.downUpstreams()) == 1 })
+	got := <-answered
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	assert.Equal(t, u.service.RunsOf("o2"), 1)
+}
+
+// An upstream accepts connections but doesn't answer the TLS handshake. No byte of the call was
+// sent, so it goes to another upstream instead of waiting for its deadline.
+func TestUnrepeatableCallGoesToAnotherUpstreamIfHandshakeHangs(t *testing.T) {
+	files := certs.In(t.TempDir())
+	assert.NilError(t, files.Write(1))
+	settings := tlsconf.Settings{Certificate: files.Certificate, Key: files.Key, CA: files.Authority}
+	source, err := tlsconf.NewSource(settings)
+	assert.NilError(t, err)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	sound := &testUpstream{id: "s2", address: listener.Addr().String(), service: service.New()}
+	server := serve.NewServer(sound.service.Handler())
+	go func() { _ = server.Serve(tls.NewListener(listener, source.ServerConfig())) }()
+	t.Cleanup(func() { _ = server.Close() })
+	views := &sharedView{data: viewWithUpstreams(&testUpstream{id: "s1", address: silent.Addr().String()}, sound)}
+	e := startEntry(t, views, newMemoryClaims(), func(s *Settings) { s.Upstreams.TLS = settings })
+	e.fillRetryBudgets()
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			id := fmt.Sprint("o", i)
+			got := e.sendOrder(id, idempotencyKey(id))
+			assert.Check(t, got.status == http.StatusOK, got.body)
+		})
+		group.Go(func() {
+			got := e.do(http.MethodPost, fmt.Sprint("/services/booking/slots/", i), "x")
+			assert.Check(t, got.status == http.StatusOK, got.body)
+		})
+	}
+	group.Wait()
+}
+
+// The answer to a read, and the first event of a chat, take longer than the first byte timeout, and
+// no retry is allowed. The attempt was ended first, so that the caller got 502.
+func TestSilentAttemptGoesOnIfNoRetryIsAllowed(t *testing.T) {
+	withoutRetries := func(s *Settings) { s.Upstreams.RetryShare, s.Upstreams.RetryBurst = 0, 0 }
+	t.Run("read", func(t *testing.T) {
+		t.Parallel()
+		u := startService(t, "s1")
+		u.service.Inject(service.Fault{Kind: service.FaultSlow, DelayMillis: 900})
+		e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, withoutRetries)
+		got := e.do(http.MethodGet, "/services/booking/slots", "")
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+	})
+	t.Run("chat", func(t *testing.T) {
+		t.Parallel()
+		u := startEngine(t, "e1")
+		proxy := startPausingProxy(t, u.address)
+		u.address = proxy.address
+		e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, withoutRetries)
+		assertCompleteStream(t, e.streamChat(t, "r1", "hello", 5), "hello", 5)
+		go proxy.pause(900 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
+		assertCompleteStream(t, e.streamChat(t, "r2", "hello", 20), "hello", 20)
+	})
+}
+
+// An engine is stopped for longer than a probe waits, and no other one is free. Its stream must
+// not make place for a waiting request.
+func TestStreamOfUnreachableEngineKeepsItsPlace(t *testing.T) {
+	u := startEngine(t, "e1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, func(s *Settings) {
+		s.Upstreams.MaxInFlight = 1
+		s.Queue.MaxWait = 2 * time.Second
+	})
+	var first streamResult
+	var group sync.WaitGroup
+	group.Go(func() { first = e.streamChat(t, "r1", "first", 600) })
+	eventually(t, "the first stream at the engine", func() bool { return u.engine.Started() == 1 })
+	group.Go(func() { e.streamChat(t, "r2", "second", 5000) })
+	time.Sleep(100 * time.Millisecond)
+	proxy.pause(1200 * time.Millisecond) // idle timeout: 200 ms, probe timeout: 500 ms
+	group.Wait()
+	assertCompleteStream(t, first, "first", 600)
+}
+
+// An engine is stopped while another one is free, which continues the stream.
+func TestStreamMovesFromUnreachableEngineToFreeOne(t *testing.T) {
+	engines := startEngines(t, 2)
+	proxies := make(map[bundle.UpstreamID]*pausingProxy)
+	for _, u := range engines {
+		proxies[u.id] = startPausingProxy(t, u.address)
+		u.address = proxies[u.id].address
+	}
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(engines...)}, nil, nil)
+	e.fillRetryBudgets()
+	var got streamResult
+	var group sync.WaitGroup
+	group.Go(func() { got = e.streamChat(t, "r1", "hello", 600) })
+	eventually(t, "the stream at an engine", func() bool { return engines[0].engine.Started()+engines[1].engine.Started() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	proxies[bundle.UpstreamID(e.routedUpstreams("r1")[0])].pause(4 * time.Second)
+	group.Wait()
+	assertCompleteStream(t, got, "hello", 600)
+	assert.Equal(t, engines[0].engine.Started(), 1)
+	assert.Equal(t, engines[1].engine.Started(), 1)
+}
+
+// A stream waits for an engine that can't be reached no longer than a request waits for an upstream.
+func TestStreamOfUnreachableEngineEndsAfterMaximumWait(t *testing.T) {
+	u := startEngine(t, "e1")
+	proxy := startPausingProxy(t, u.address)
+	u.address = proxy.address
+	e := startEntry(t, &sharedView{data: viewWithUpstreams(u)}, nil, func(s *Settings) { s.Queue.MaxWait = time.Second })
+	e.fillRetryBudgets()
+	var got streamResult
+	var group sync.WaitGroup
+	group.Go(func() { got = e.streamChat(t, "r1", "hello", 600) })
+	eventually(t, "the stream at the engine", func() bool { return u.engine.Started() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	proxy.pause(6 * time.Second)
+	group.Wait()
+	assert.Assert(t, got.failure != nil && got.failure.Code == httpapi.CodeUpstreamFailed, "%+v", got)
+}
