Soak: sound engines pause while configurations change the limits

The users' report of requests lost beside a change of the configuration: the soak had no sound engine that is silent for a while, and looked for cut requests beside SIGTERM and SIGHUP only. Change: from 4 s after the last fault, within the time for recovery, engines pause 8 times for 0.8 to 1.8 s, while 7 configurations change the idle timeout and the timeouts of routes; for every second seed a SIGHUP turns retries off before. Drawn apart, so that earlier plans stay the same. A request that a process has run, or that ends later than 200 ms after it was sent, without an answer beside a change of the configuration breaks a promise; the check beside SIGTERM and SIGHUP counts these too, and until 1 s after the grace time. No check is looser. Streams that the next engine refuses remain open and may show in a soak with retries on.

--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,6 +95,8 @@
 	mu             sync.Mutex // guards all below
 	configurations []configuration
 	extras         [extraRoutes]bool
+	idleTimeout    time.Duration
+	routeTimeout   time.Duration
 	left           map[string]time.Time // when upstreams began to leave, by identifier
 }
 
@@ -127,7 +130,7 @@
 
 // Run plays one seed.
 func Run(o Options) (Report, error) {
-	c := &cluster{options: o, ledger: newLedger(), disturbances: &disturbances{}, store: objectapi.New(time.Now, objectapi.Limits{}), left: make(map[string]time.Time)}
+	c := &cluster{options: o, ledger: newLedger(), disturbances: &disturbances{}, store: objectapi.New(time.Now, objectapi.Limits{}), left: make(map[string]time.Time), idleTimeout: usualIdle, routeTimeout: callerDeadline}
 	c.server = httptest.NewServer(objectapi.Handler(c.store))
 	defer c.server.Close()
 	stop := make(chan struct{})
@@ -145,11 +148,13 @@
 	plan := AddRestore(NewPlan(o.Seed, o.Faults, o.Faulted), o.Seed, o.Faulted)
 	c.play(plan, stop)
 	lifted := time.Now()
-	time.Sleep(recoveryBound + recoveryLook)
+	pauses := NewPauses(o.Seed)
+	c.play(pauses, stop)
+	time.Sleep(time.Until(lifted.Add(recoveryBound + recoveryLook)))
 	close(stop)
 	traffic.Wait()
 	c.judge(lifted)
-	report := Report{Plan: plan, Violations: c.ledger.found(), Stalls: c.disturbances.stallCount()}
+	report := Report{Plan: slices.Concat(plan, pauses), Violations: c.ledger.found(), Stalls: c.disturbances.stallCount()}
 	requests, _, _ := c.ledger.all()
 	for _, s := range requests {
 		report.Requests++
@@ -288,9 +293,11 @@
 
 // document is the next configuration as the operator writes it.
 func (c *cluster) document(prefixes []string) operator.Document {
-	d := operator.Document{Version: 10 + 3*len(c.configurations)}
+	d := operator.Document{Version: 10 + 3*len(c.configurations), IdleTimeout: c.idleTimeout}
 	for _, prefix := range prefixes {
-		d.Routes = append(d.Routes, routeOf(prefix))
+		r := routeOf(prefix)
+		r.Timeout = c.routeTimeout
+		d.Routes = append(d.Routes, r)
 	}
 	engines := operator.Engines{Service: engineService, WeightsMB: weightsMB, AdapterSlots: adapterSlots, LoadsPerS: loadsPerS}
 	for m := range models {
@@ -304,7 +311,7 @@
 
 // routeOf returns the route of a prefix; the routes that come and go are safe ones.
 func routeOf(prefix string) operator.Route {
-	r := operator.Route{Prefix: prefix, Host: host, Kind: "safe", Service: plainService, Attempts: 2, Timeout: callerDeadline, Target: routeTarget}
+	r := operator.Route{Prefix: prefix, Host: host, Kind: "safe", Service: plainService, Attempts: 2, Target: routeTarget}
 	switch prefix {
 	case "/book/":
 		r.Kind, r.Attempts = "unsafe", 1
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -39,14 +39,22 @@
 	case KindPause:
 		i.pause(f.Lasts)
 	case KindReload:
-		c.reload(i, f)
+		c.reload(i, retryRatio, retrySlack+f.Target%2, f.Share < 0.5)
 	case KindConfig:
 		c.mu.Lock()
 		c.extras[f.Target%extraRoutes] = !c.extras[f.Target%extraRoutes]
 		c.mu.Unlock()
-		if err := c.configure(); err != nil {
-			c.options.Progress("seed %d: the store took no configuration: %v", c.options.Seed, err)
+		c.tryConfigure()
+	case KindNoRetries:
+		for _, each := range c.instances {
+			c.reload(each, 0, 0, true)
 		}
+	case KindLimits:
+		c.mu.Lock()
+		c.idleTimeout = shortestIdle + time.Duration(f.Share*float64(usualIdle-shortestIdle))
+		c.routeTimeout = shortestRoute + time.Duration(f.Target%2)*(callerDeadline-shortestRoute)
+		c.mu.Unlock()
+		c.tryConfigure()
 	case KindPoison:
 		newCaller(c, poisonCallers+number).poison(stop)
 	case KindCallersReset:
@@ -81,11 +89,17 @@
 	lostAnswers   = 6
 	// greyShare is the largest share of requests that a grey upstream fails.
 	greyShare = 0.6
+	// Configurations that change the limits have idle timeouts from shortestIdle to usualIdle, and
+	// the routes have shortestRoute or the usual timeout.
+	shortestIdle, usualIdle = 300 * time.Millisecond, 15 * time.Second
+	shortestRoute           = 2500 * time.Millisecond
 )
 
 func (c *cluster) causeAtUpstream(f Fault) {
 	s := c.upstreams[f.Target%len(c.upstreams)]
 	switch f.Kind {
+	case KindEnginePause:
+		c.pauseEngine(c.upstreams[f.Target%c.options.Engines], f.Lasts)
 	case KindUpstreamCut:
 		c.harm(everywhere, s.proxy(), heldLink(f.Share), f.Lasts)
 	case KindUpstreamReset:
@@ -129,9 +143,7 @@
 	time.Sleep(age)
 	c.disturbStore(objectapi.Faults{Outage: true}, restorePause)
 	c.disturb(everywhere, restorePause, func() { c.store.Restore(backup) }, func() {
-		if err := c.configure(); err != nil {
-			c.options.Progress("seed %d: the store took no configuration: %v", c.options.Seed, err)
-		}
+		c.tryConfigure()
 	})
 	time.Sleep(missedHeartbeats * heartbeat)
 	c.removeGoneEntries()
@@ -167,18 +179,34 @@
 	return Link{HoldToServer: share < 2.0/3, HoldToClient: share > 1.0/3}
 }
 
-// reload changes the settings of an instance, and tells it so half of the time.
-func (c *cluster) reload(i *instance, f Fault) {
+// reload changes the settings of an instance, and tells it so by SIGHUP or not.
+func (c *cluster) reload(i *instance, ratio float64, slack int, tells bool) {
 	c.disturbances.begin(i.number, planned)
 	defer c.disturbances.end(i.number, planned)
-	if err := i.configure(retrySlack + f.Target%2); err != nil {
+	if err := i.configure(ratio, slack); err != nil {
 		c.ledger.violate(PromiseAlive, time.Now(), "the settings of i%d were not written: %v", i.number, err)
 	}
-	if f.Share < 0.5 {
+	if tells {
 		i.signal(syscall.SIGHUP, false)
 	}
 }
 
+// tryConfigure sends the next configuration; a store that is away takes none.
+func (c *cluster) tryConfigure() {
+	if err := c.configure(); err != nil {
+		c.options.Progress("seed %d: the store took no configuration: %v", c.options.Seed, err)
+	}
+}
+
+// pauseEngine holds both directions of an engine's link for a time. That is no disturbance: the
+// engine is sound and goes on, so that its requests must not suffer.
+func (c *cluster) pauseEngine(s *station, lasts time.Duration) {
+	p := s.proxy()
+	p.Set(Link{HoldToServer: true, HoldToClient: true})
+	time.Sleep(lasts)
+	p.Set(Link{})
+}
+
 // restart starts an upstream anew; the run goes on without one that does not start.
 func (c *cluster) restart(s *station) {
 	if err := s.Start(); err != nil {
--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -94,11 +94,11 @@
 	if i.log, err = os.Create(filepath.Join(folder, fmt.Sprintf("i%d.log", number))); err != nil {
 		return nil, err
 	}
-	return i, i.configure(retrySlack)
+	return i, i.configure(retryRatio, retrySlack)
 }
 
 // configure writes the settings file.
-func (i *instance) configure(slack int) error {
+func (i *instance) configure(ratio float64, slack int) error {
 	text := fmt.Sprintf(`[instance]
 id = i%d
 zone = z%d
@@ -121,7 +121,7 @@
 retry-ratio = %g
 retry-window = %s
 retry-slack = %d
-`, i.number, i.number%zones, i.inner, i.ready, i.mesh, i.ops, i.store.Address(), grace, configApply, drainBound, turnGap, retryRatio, retryWindow, slack)
+`, i.number, i.number%zones, i.inner, i.ready, i.mesh, i.ops, i.store.Address(), grace, configApply, drainBound, turnGap, ratio, retryWindow, slack)
 	return os.WriteFile(i.settings, []byte(text), 0o600)
 }
 
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -21,6 +21,7 @@
 	PromiseOrder     Promise = "events come in order, and a stream that broke off does not look complete"
 	PromiseInTime    Promise = "the final answer comes in the time of the route"
 	PromiseGraceful  Promise = "a shutdown cuts no request in flight"
+	PromiseAnswered  Promise = "a request that was read gets its answer or a refusal beside a change of the configuration"
 	PromiseConfig    Promise = "a configuration is in force within its bound and stays"
 	PromiseDrain     Promise = "an upstream that leaves gets no more requests"
 	PromiseRepeats   Promise = "repeats keep to their budget"
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -52,6 +52,9 @@
 	KindEntryLapses    Kind = "entry-lapses"    // its entry is gone for a while though it lives
 	KindConfig         Kind = "config"          // a route comes or goes
 	KindPoison         Kind = "poison"          // a request that crashes what runs it
+	KindLimits         Kind = "limits"          // a configuration changes the idle timeout and the timeouts of routes
+	KindNoRetries      Kind = "no-retries"      // the settings of all instances allow no retries from now on
+	KindEnginePause    Kind = "engine-pause"    // a sound engine sends and reads nothing for a while and goes on
 )
 
 // kinds are all kinds with their weights in a random plan, and how long they last at
@@ -93,6 +96,36 @@
 	return plan
 }
 
+const (
+	// pausesFrom is the time after the last fault at which its effects are over.
+	pausesFrom   = stable + time.Second
+	pausesLength = 5 * time.Second
+	pauseCount   = 8
+	limitsCount  = 7
+	// An engine pauses for minPause to maxPause.
+	minPause, maxPause = 800 * time.Millisecond, 1800 * time.Millisecond
+)
+
+// NewPauses returns the part of a seed's plan that follows its faults, in which no instance is
+// disturbed: engines pause while the operator changes the limits. For every second seed
+// retries are off meanwhile. Times count from the end of the last fault.
+func NewPauses(seed uint64) []Fault {
+	random := rand.New(rand.NewPCG(seed, 9))
+	var plan []Fault
+	if random.IntN(2) == 0 {
+		plan = append(plan, Fault{At: pausesFrom, Kind: KindNoRetries})
+	}
+	for n := range pauseCount + limitsCount {
+		f := Fault{At: pausesFrom + time.Duration(random.Int64N(int64(pausesLength))), Kind: KindLimits, Target: random.IntN(1 << 10), Share: random.Float64()}
+		if n < pauseCount {
+			f.Kind, f.Lasts = KindEnginePause, minPause+time.Duration(random.Int64N(int64(maxPause-minPause)))
+		}
+		plan = append(plan, f)
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	return plan
+}
+
 // NewPlan returns the faults of a seed: count of them within length.
 func NewPlan(seed uint64, count int, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 7))
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -22,9 +22,11 @@
 }
 
 var regressions = []regression{
-	{105, ghostEntry}, {130, ghostEntry}, {140, ghostEntry},
+	{105, ghostEntry}, {130, ghostEntry + "; a stream went to such an engine alone"}, {140, ghostEntry}, {681204102, cutStream},
 }
 
+const cutStream = "streams of engines that were silent for a while were ended though no retry was allowed"
+
 const ghostEntry = "the entry of a crashed engine outlived it (its removal met a store that was away), and its models stayed with it for good"
 
 // fresh is the seed that CI plays besides the regressions.
@@ -63,6 +65,10 @@
 	for n := 1; n < len(a); n++ {
 		assert.Assert(t, a[n].At >= a[n-1].At)
 	}
+	assert.DeepEqual(t, NewPauses(7), NewPauses(7))
+	for _, f := range NewPauses(7) {
+		assert.Assert(t, f.At+f.Lasts < recoveryBound, "%s goes on when service must be back", f)
+	}
 }
 
 // echo answers each byte that it gets.
@@ -170,6 +176,12 @@
 			c.ledger.Ran(run("a", 0))
 			c.disturbances.spans = []span{{kind: planned, from: at, to: at.Add(time.Second)}}
 		}},
+		{PromiseAnswered, func(c *cluster) {
+			s := request("a", true)
+			s.err = io.ErrUnexpectedEOF
+			c.ledger.Sent(s)
+			c.configurations = []configuration{{sent: at.Add(-time.Second), acknowledged: at.Add(-time.Second)}}
+		}},
 		{PromiseConfig, func(c *cluster) {
 			s := request("a", true)
 			s.status = 404
--- a/internal/bench/soak/verdict.go
+++ b/internal/bench/soak/verdict.go
@@ -23,6 +23,10 @@
 	containedRuns = 3
 	// drainMargin is the time of a request's way to its upstream.
 	drainMargin = 500 * time.Millisecond
+	// plannedMargin is the time after planned work in which it still counts.
+	plannedMargin = time.Second
+	// unreadBound is the time from which a request without an answer counts as read.
+	unreadBound = 200 * time.Millisecond
 )
 
 // judge checks the promises that show only over a whole run.
@@ -47,14 +51,28 @@
 			}
 		}
 		from := s.at.Add(-stable)
-		isCut := s.err != nil && len(ran) > 0 && s.ended.Sub(s.at) < callerDeadline*7/10
-		if isCut && c.disturbances.between(s.instance, s.at.Add(-grace), s.ended, planned) && !c.disturbances.between(s.instance, from, s.ended, unplanned) &&
-			!c.disturbances.between(everywhere, from, s.ended, unplanned) {
+		took := s.ended.Sub(s.at)
+		isCut := s.err != nil && (len(ran) > 0 || took > unreadBound) && took < callerDeadline*7/10
+		if !isCut || c.disturbances.between(s.instance, from, s.ended, unplanned) || c.disturbances.between(everywhere, from, s.ended, unplanned) {
+			continue
+		}
+		if c.disturbances.between(s.instance, s.at.Add(-grace-plannedMargin), s.ended, planned) {
 			c.ledger.violate(PromiseGraceful, s.at, "request %s (%s) at i%d was cut: %v", s.id, s.path, s.instance, s.err)
 		}
+		if c.isBesideConfiguration(s) {
+			c.ledger.violate(PromiseAnswered, s.at, "request %s (%s) at i%d was cut after %v: %v", s.id, s.path, s.instance, took, s.err)
+		}
 	}
 }
 
+// isBesideConfiguration reports whether a configuration was sent, or came into force, while a
+// request was under way.
+func (c *cluster) isBesideConfiguration(s *sent) bool {
+	return slices.ContainsFunc(c.history(), func(v configuration) bool {
+		return v.sent.Before(s.ended) && v.acknowledged.Add(configApply+plannedMargin).After(s.at)
+	})
+}
+
 // judgeConfigurations checks requests on routes that come and go.
 func (c *cluster) judgeConfigurations(requests []*sent) {
 	for _, s := range requests {
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -12,6 +12,8 @@
 	Routes  []Route
 	Plain   []string // services without models
 	Engines []Engines
+	// IdleTimeout of callers' connections.
+	IdleTimeout time.Duration
 }
 
 // Route is a route to one service.
@@ -70,6 +72,6 @@
 	}
 	return json.Marshal(map[string]any{
 		"version": d.Version, "routes": routes, "services": services,
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": d.IdleTimeout.Milliseconds()},
 	})
 }
