An event during an overlap restarts the whole gap; the end of a response ends its handover

A stream whose engine went on while another engine had the request was handed over again 0.2 s later, and cut where that one did not respond. Cause: when the other attempt was dropped, the timer was set to the interval of the checks, also when an event had restarted it. Besides, the head of a response without events, and a final response, were written while the timer could still read whether the response had begun: a data race. Evidence: TestEventDuringOverlapRestartsWholeGap was cut (unexpected EOF) with the code before and passes now. Change: the timer is set only if the same silence lasts; a handover ends before the final response is written. Ruled out: a lock around the fields of the response, which only one goroutine needs once the handover has ended. Measured: tests of streams, silence and handover with the race detector, twice.

--- a/internal/node/gateway/handover.go
+++ b/internal/node/gateway/handover.go
@@ -124,7 +124,7 @@
 		return
 	}
 	h.next, h.settled = h.call.newAttempt(h.ctx, tracked), make(chan struct{})
-	go h.send(h.next, resumeAfter)
+	go h.send(h.next, silence, resumeAfter)
 }
 
 // acquireRetry takes a retry from the budget unless the request has one already.
@@ -141,7 +141,7 @@
 // send sends the request to the other upstream, and gives the present attempt up if that one
 // continues the request. The same upstream may have the request twice for longer than another:
 // its new connection shows whether only the former one has gone silent.
-func (h *handover) send(next *attempt, resumeAfter string) {
+func (h *handover) send(next *attempt, silence int, resumeAfter string) {
 	if next.tracked.upstream.ID != h.present.tracked.upstream.ID {
 		defer time.AfterFunc(maxOverlap, h.giveUpPresent).Stop()
 	}
@@ -161,7 +161,7 @@
 	if next.failure != failureConnect && next.failure != failureCanceled {
 		h.left--
 	}
-	if !h.isOver && !h.isPaused && h.left > 0 {
+	if !h.isOver && silence == h.silence && h.left > 0 {
 		h.timer.Reset(handoverRecheckInterval)
 	}
 }
--- a/internal/node/gateway/handover_test.go
+++ b/internal/node/gateway/handover_test.go
@@ -255,6 +255,36 @@
 	assert.Equal(t, one.requestCount()+two.requestCount(), 1)
 }
 
+// The silent engine sends an event while another engine has the request, too. The timer restarted
+// at the interval of its checks when that one was dropped.
+func TestEventDuringOverlapRestartsWholeGap(t *testing.T) {
+	engine := func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		if r.Header.Get("Last-Event-Id") != "" {
+			_, _ = conn.Read(make([]byte, 1)) // until the gateway closes the connection
+			return false
+		}
+		writeResponseHead(conn, r, 200, "Transfer-Encoding: chunked\r\n")
+		for i, wait := range []time.Duration{0, 1300 * time.Millisecond, 600 * time.Millisecond} {
+			time.Sleep(wait)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(eventText(i+1, i+1)), eventText(i+1, i+1))
+		}
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		return false
+	}
+	one, two, three := startUpstream(t, "u1", engine), startUpstream(t, "u2", engine), startUpstream(t, "u3", engine)
+	h := newHarness(t, one, two, three)
+	config := *h.gateway.Config()
+	config.Routes = testRoutes()
+	for i := range config.Routes {
+		config.Routes[i].MaxAttempts = 3
+	}
+	h.gateway.ApplyConfig(&config)
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Equal(t, one.requestCount()+two.requestCount()+three.requestCount(), 2)
+}
+
 // A retry becomes free 0.1 s before the deadline, when another engine can't even read the
 // prompt in time. The stream was given up for it.
 func TestStreamIsNotHandedOverJustBeforeItsDeadline(t *testing.T) {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -202,6 +202,7 @@
 	case len(body) > maxBufferedBodyBytes:
 		return c.relayLongResponse(a, io.MultiReader(bytes.NewReader(body), a.exchange), h)
 	}
+	h.end(true)
 	c.writeResponse(a, body)
 	return finalResult
 }
@@ -215,6 +216,7 @@
 		event, err := frames.Next()
 		switch {
 		case errors.Is(err, io.EOF):
+			h.end(true)
 			a.tracked.recordFirstByte()
 			if c.firstByteAt.IsZero() {
 				c.startResponse(a)
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -109,6 +109,7 @@
 	} else {
 		a.tracked.recordFirstByte()
 	}
+	h.end(true)
 	c.writeResponse(a, body)
 	return finalResult
 }
