Names: a request that is sent to a second upstream during silence is hedged

Cause: handover also names the passing of connections in savoryweir-entry and of the lease; the field's term for a second send beside the first is a hedge. Ruled out: nothing.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -159,15 +159,15 @@
 	return c.retryGranted
 }
 
-// acquireHandoverRetry reports whether the request may be sent to another upstream while the
+// acquireHedgeRetry reports whether the request may be sent to another upstream while the
 // present one is silent.
-func (c *call) acquireHandoverRetry() bool {
+func (c *call) acquireHedgeRetry() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Until(c.deadline) < minAttemptTime {
 		return false
 	}
-	c.retryGranted = c.retryGranted || c.gateway.spendHandoverRetry(c.service)
+	c.retryGranted = c.retryGranted || c.gateway.spendHedgeRetry(c.service)
 	return c.retryGranted
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -209,9 +209,9 @@
 	return g.spend(service, (*retry.WindowBudget).Spend)
 }
 
-// spendHandoverRetry does the same for a request whose upstream is only silent. It leaves a part
+// spendHedgeRetry does the same for a request whose upstream is only silent. It leaves a part
 // of the budget to requests whose upstream has failed.
-func (g *Gateway) spendHandoverRetry(service string) bool {
+func (g *Gateway) spendHedgeRetry(service string) bool {
 	return g.spend(service, (*retry.WindowBudget).SpendSpare)
 }
 
--- a/internal/node/gateway/handover.go
+++ b/internal/node/gateway/hedge.go
@@ -14,26 +14,26 @@
 )
 
 const (
-	// handoverRecheckInterval is the interval at which a handover that was not possible is
+	// hedgeRecheckInterval is the interval at which a second send that was not possible is
 	// tried again: the retry budget and the engines change within a fraction of a second.
-	handoverRecheckInterval = 200 * time.Millisecond
+	hedgeRecheckInterval = 200 * time.Millisecond
 	// maxOverlap is how long two upstreams may have the request. An upstream that refuses does
 	// so much sooner; an engine must not go on while another still works on the request.
 	maxOverlap = 250 * time.Millisecond
 )
 
-// handover continues a request at another upstream while that of the present attempt is silent.
+// hedge sends a request to another upstream as well while that of the present attempt is silent.
 // Since a sound upstream may be silent for a while and another one may refuse, the present
 // attempt ends only when the other one has begun to respond or has had the request for
 // maxOverlap. If the present one responds before, it goes on.
-type handover struct {
+type hedge struct {
 	call    *call
 	ctx     context.Context // of the request
 	present *attempt
-	rules   handoverRules
+	rules   hedgeRules
 
 	mu       sync.Mutex    // guards the fields below
-	timer    *time.Timer   // nil if the request can't be handed over
+	timer    *time.Timer   // nil if the request can't be sent again
 	silence  int           // number of the current silence; it rises with each sign of the upstream
 	left     int           // sends that the route still allows
 	isDenied bool          // the latest retry was denied
@@ -44,9 +44,9 @@
 	settled  chan struct{} // closed when the result of next is known; nil before the first one
 }
 
-// handoverRules hold what differs between the kinds of requests.
-type handoverRules struct {
-	first, gap time.Duration // silence after which the request is handed over, at first and later
+// hedgeRules hold what differs between the kinds of requests.
+type hedgeRules struct {
+	first, gap time.Duration // silence after which the request is sent again, at first and later
 	cause      error         // with which the present attempt ends
 	// choose chooses the upstream that continues the request, nil if there is none. hasBegun
 	// means that a part of the response has been forwarded.
@@ -55,10 +55,10 @@
 	accepts func(*attempt) bool
 }
 
-// startHandover watches an attempt. The caller has to call end after the attempt. Requests that
-// can't be repeated, or have no attempt left, are not handed over.
-func (c *call) startHandover(ctx context.Context, present *attempt, rules handoverRules) *handover {
-	h := &handover{call: c, ctx: ctx, present: present, rules: rules, left: c.attemptsLeft()}
+// startHedge watches an attempt. The caller has to call end after the attempt. Requests that
+// can't be repeated, or have no attempt left, are not hedged.
+func (c *call) startHedge(ctx context.Context, present *attempt, rules hedgeRules) *hedge {
+	h := &hedge{call: c, ctx: ctx, present: present, rules: rules, left: c.attemptsLeft()}
 	if !present.isSent {
 		h.left--
 	}
@@ -73,7 +73,7 @@
 
 // pause records a sign of the upstream and stops the timer until resume is called. It returns
 // false if the attempt has been given up, so that what has arrived must not be forwarded.
-func (h *handover) pause() bool {
+func (h *hedge) pause() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.isOver {
@@ -91,7 +91,7 @@
 }
 
 // resume starts the timer again after pause.
-func (h *handover) resume() {
+func (h *hedge) resume() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.isPaused = false
@@ -100,8 +100,8 @@
 	}
 }
 
-// expire tries to hand the request over. It runs beside the present attempt.
-func (h *handover) expire() {
+// expire tries to send the request to another upstream. It runs beside the present attempt.
+func (h *hedge) expire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.isOver || h.isPaused || h.next != nil || h.left <= 0 {
@@ -120,7 +120,7 @@
 	case h.isOver || silence != h.silence:
 		return
 	case !isGranted:
-		h.timer.Reset(handoverRecheckInterval)
+		h.timer.Reset(hedgeRecheckInterval)
 		return
 	}
 	h.next, h.settled = h.call.newAttempt(h.ctx, tracked), make(chan struct{})
@@ -128,9 +128,9 @@
 }
 
 // acquireRetry takes a retry from the budget unless the request has one already.
-func (h *handover) acquireRetry() bool {
+func (h *hedge) acquireRetry() bool {
 	c := h.call
-	isGranted := !c.callerDisconnected() && c.acquireHandoverRetry()
+	isGranted := !c.callerDisconnected() && c.acquireHedgeRetry()
 	if isGranted || !h.isDenied {
 		c.logRetryDecision(h.rules.cause.Error(), c.sendCount(), isGranted)
 	}
@@ -141,7 +141,7 @@
 // send sends the request to the other upstream, and gives the present attempt up if that one
 // continues the request. The same upstream may have the request twice for longer than another:
 // its new connection shows whether only the former one has gone silent.
-func (h *handover) send(next *attempt, silence int, resumeAfter string) {
+func (h *hedge) send(next *attempt, silence int, resumeAfter string) {
 	if next.tracked.upstream.ID != h.present.tracked.upstream.ID {
 		defer time.AfterFunc(maxOverlap, h.giveUpPresent).Stop()
 	}
@@ -162,12 +162,12 @@
 		h.left--
 	}
 	if !h.isOver && silence == h.silence && h.left > 0 {
-		h.timer.Reset(handoverRecheckInterval)
+		h.timer.Reset(hedgeRecheckInterval)
 	}
 }
 
 // giveUpPresent ends the present attempt although the other upstream has not responded yet.
-func (h *handover) giveUpPresent() {
+func (h *hedge) giveUpPresent() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.next != nil && context.Cause(h.next.ctx) == nil {
@@ -176,16 +176,16 @@
 }
 
 // endPresent gives the present attempt up unless it has ended. The caller holds h.mu.
-func (h *handover) endPresent() {
+func (h *hedge) endPresent() {
 	if !h.isOver {
 		h.isOver, h.present.isGivenUp = true, true
 		h.present.cancel(h.rules.cause)
 	}
 }
 
-// end ends the handover after the present attempt. Unless that was served, end returns the
+// end ends the hedge after the present attempt. Unless that was served, end returns the
 // attempt at the other upstream, nil if there is none. Only the first call has an effect.
-func (h *handover) end(isServed bool) *attempt {
+func (h *hedge) end(isServed bool) *attempt {
 	settled := h.stop(isServed)
 	if settled != nil {
 		<-settled
@@ -203,9 +203,9 @@
 	return h.next
 }
 
-// stop keeps the handover from sending the request again, and returns a channel that is closed
+// stop keeps the hedge from sending the request again, and returns a channel that is closed
 // when the result of the last send is known, nil if there was none.
-func (h *handover) stop(isServed bool) <-chan struct{} {
+func (h *hedge) stop(isServed bool) <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.isOver = true
--- a/internal/node/gateway/handover_test.go
+++ b/internal/node/gateway/hedge_test.go
@@ -209,14 +209,14 @@
 	c.params = platform.Request{ID: "r-1", Model: testModel}
 	present := c.newAttempt(t.Context(), c.chooseNextEngine(true))
 	c.markTried(present.tracked.upstream.ID)
-	handover := c.startHandover(t.Context(), present, handoverRules{
+	hedged := c.startHedge(t.Context(), present, hedgeRules{
 		first: 50 * time.Millisecond, gap: 50 * time.Millisecond, cause: errStalled, choose: c.chooseNextEngine, accepts: func(*attempt) bool { return true },
 	})
 	<-present.ctx.Done()
-	assert.Assert(t, !handover.pause())
-	handover.resume()
+	assert.Assert(t, !hedged.pause())
+	hedged.resume()
 	time.Sleep(400 * time.Millisecond)
-	next := handover.end(false)
+	next := hedged.end(false)
 	assert.Assert(t, next != nil && next.failure == failureNone)
 	next.discard()
 	assert.Equal(t, spendAllRetries(h), 4)
@@ -399,7 +399,7 @@
 }
 
 // The caller leaves while two engines have its request.
-func TestCallerDisconnectDuringHandoverCancelsBothEngines(t *testing.T) {
+func TestCallerDisconnectDuringHedgeCancelsBothEngines(t *testing.T) {
 	closed := make(chan time.Time, 2)
 	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
 		if r.Header.Get("Last-Event-Id") == "" {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -142,7 +142,7 @@
 type attemptResult struct {
 	isFinal bool     // the response has been forwarded, or the caller has disconnected
 	reason  string   // why the request has to be sent again
-	next    *attempt // continues the request; nil if it has not been handed over
+	next    *attempt // continues the request; nil if no other upstream has it
 }
 
 var finalResult = attemptResult{isFinal: true}
@@ -152,7 +152,7 @@
 func (c *call) attemptStream(ctx context.Context, a *attempt) attemptResult {
 	defer a.cancel(nil)
 	gap := max(stallGaps*c.route.TargetEventGap, minStallTimeout)
-	h := c.startHandover(ctx, a, handoverRules{
+	h := c.startHedge(ctx, a, hedgeRules{
 		first: max(firstEventFactor*a.tracked.expectedTTFB, gap), gap: gap, cause: errStalled, choose: c.chooseNextEngine,
 		accepts: func(next *attempt) bool { return next.exchange.Response.StatusCode == http.StatusOK },
 	})
@@ -171,7 +171,7 @@
 	return c.relayEvents(a, h)
 }
 
-// chooseNextEngine chooses the engine to which a stream is handed over: one that the request has
+// chooseNextEngine chooses the engine to which a stream is sent as well: one that the request has
 // not been sent to, if there is one, from which the rest of the stream is expected in time.
 func (c *call) chooseNextEngine(hasBegun bool) *trackedRequest {
 	g := c.gateway
@@ -188,7 +188,7 @@
 
 // handleErrorResponse handles a response whose status is not 200. It forwards the response
 // unless the stream has begun or the request may be sent again.
-func (c *call) handleErrorResponse(a *attempt, h *handover) attemptResult {
+func (c *call) handleErrorResponse(a *attempt, h *hedge) attemptResult {
 	const reason = "engine failed"
 	a.tracked.recordFault()
 	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.acquireRetry(reason) {
@@ -208,7 +208,7 @@
 }
 
 // relayEvents forwards the events of a response as they arrive.
-func (c *call) relayEvents(a *attempt, h *handover) attemptResult {
+func (c *call) relayEvents(a *attempt, h *hedge) attemptResult {
 	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
 	lastEventAt := time.Now()
 	idleBytes := 0 // since the last new event
@@ -298,7 +298,7 @@
 
 // handleBrokenStream handles a stream that ended early. It counts as a possible crash unless the
 // gateway itself canceled the attempt. If the caller has disconnected, it aborts the handler.
-func (c *call) handleBrokenStream(a *attempt, h *handover, err error) attemptResult {
+func (c *call) handleBrokenStream(a *attempt, h *hedge, err error) attemptResult {
 	cause := context.Cause(a.ctx)
 	c.gateway.Metrics.CountBreak(breakCause(a.ctx))
 	c.gateway.Log.Info().Str("event", "stream.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -72,7 +72,7 @@
 func (c *call) attemptUnary(ctx context.Context, a *attempt) attemptResult {
 	defer a.cancel(nil)
 	timeout := c.attemptTimeout()
-	h := c.startHandover(ctx, a, handoverRules{
+	h := c.startHedge(ctx, a, hedgeRules{
 		first: timeout, gap: timeout, cause: errAttemptTimeout, choose: c.chooseNextUpstream,
 		accepts: func(next *attempt) bool { return !c.isRetryableResponse(next) },
 	})
@@ -114,16 +114,16 @@
 	return finalResult
 }
 
-// chooseNextUpstream chooses the upstream to which a safe request is handed over, nil if there
-// is none.
+// chooseNextUpstream chooses the upstream to which a safe request is sent as well, nil if there is
+// none.
 func (c *call) chooseNextUpstream(bool) *trackedRequest {
 	tracked, _ := c.chooseUnaryUpstream()
 	return tracked
 }
 
 // relayLongResponse forwards a response whose body is too long to be buffered. From then on the
-// request can't be handed over.
-func (c *call) relayLongResponse(a *attempt, body io.Reader, h *handover) attemptResult {
+// request can't be sent again.
+func (c *call) relayLongResponse(a *attempt, body io.Reader, h *hedge) attemptResult {
 	if !h.pause() {
 		return attemptResult{reason: h.rules.cause.Error(), next: h.end(false)}
 	}
@@ -134,7 +134,7 @@
 	return finalResult
 }
 
-// attemptTimeout returns the time after which a request without a response is handed over, so that
+// attemptTimeout returns the time after which a request without a response is hedged, so that
 // another upstream can still respond before the deadline. It is zero for requests that are
 // not safe or have less than twice that time left.
 func (c *call) attemptTimeout() time.Duration {
