--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -118,14 +118,14 @@
 	return true
 }
 
-// spareShare is the share of the allowance that may be spent on retries that are not needed
-// with certainty.
-const spareShare = 0.5
-
-// SpendSpare counts one retry and returns true if a retry is allowed now and leaves the rest of
-// the allowance for those that are needed.
-func (w *WindowBudget) SpendSpare(now time.Time, instances int) bool {
-	if allowance, retries := w.usage(now, instances); retries+1 > spareShare*allowance {
+// hedgeShare is the share of the allowance that hedges may use. The rest is left to requests
+// whose upstream has failed.
+const hedgeShare = 0.5
+
+// SpendHedge counts one retry and returns true if a request may be sent a second time although its
+// upstream may still respond.
+func (w *WindowBudget) SpendHedge(now time.Time, instances int) bool {
+	if allowance, retries := w.usage(now, instances); retries+1 > hedgeShare*allowance {
 		return false
 	}
 	return w.Spend(now, instances)
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -33,7 +33,8 @@
 	deadline      time.Time // time by which the final response must be sent
 
 	lastEventID string // ID of the last event forwarded to the caller
-	// origin is the software version that began the stream; nil before its first event.
+	// origin is the software version that began the stream. It is nil before the first event of
+	// a stream that the caller has not taken up from an earlier request.
 	origin atomic.Pointer[streams.Origin]
 
 	outcome     string
@@ -208,8 +209,8 @@
 	c.retryGranted = c.retryGranted && !a.isRetry
 }
 
-// mayRun reports whether the request may have been executed, or may be later.
-func (c *call) mayRun() bool {
+// possiblyExecuted reports whether the request may have been executed, or may be later.
+func (c *call) possiblyExecuted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.mayHaveExecuted
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -212,7 +212,7 @@
 // spendHedgeRetry does the same for a request whose upstream is only silent. It leaves a part
 // of the budget to requests whose upstream has failed.
 func (g *Gateway) spendHedgeRetry(service string) bool {
-	return g.spend(service, (*retry.WindowBudget).SpendSpare)
+	return g.spend(service, (*retry.WindowBudget).SpendHedge)
 }
 
 func (g *Gateway) spend(service string, spend func(b *retry.WindowBudget, now time.Time, instances int) bool) bool {
--- a/internal/node/gateway/hedge.go
+++ b/internal/node/gateway/hedge.go
@@ -17,8 +17,8 @@
 	// hedgeRecheckInterval is the interval at which a second send that was not possible is
 	// tried again: the retry budget and the engines change within a fraction of a second.
 	hedgeRecheckInterval = 200 * time.Millisecond
-	// maxOverlap is how long two upstreams may have the request. An upstream that refuses does
-	// so much sooner; an engine must not go on while another still works on the request.
+	// maxOverlap is how long two upstreams may have the request. An upstream that refuses it does
+	// so sooner. It is short because an engine must stop soon after another one has begun.
 	maxOverlap = 250 * time.Millisecond
 )
 
--- a/internal/node/gateway/refuse.go
+++ b/internal/node/gateway/refuse.go
@@ -15,7 +15,7 @@
 // have been executed, it responds with 502 instead. The header Retry-After is set if
 // retryAfter is positive.
 func (c *call) refuse(status int, retryAfter time.Duration, reason string) {
-	if c.mayRun() {
+	if c.possiblyExecuted() {
 		c.respond(http.StatusBadGateway, reason)
 		return
 	}
@@ -51,7 +51,7 @@
 	case c.callerDisconnected():
 		c.outcome = outcomeCallerDisconnected
 		panic(http.ErrAbortHandler)
-	case !c.mayRun():
+	case !c.possiblyExecuted():
 		c.refuse(http.StatusServiceUnavailable, unservedRetryAfter, reason)
 	case ctx.Err() != nil:
 		c.respond(http.StatusGatewayTimeout, reason)
--- a/internal/node/gateway/residency.go
+++ b/internal/node/gateway/residency.go
@@ -107,7 +107,7 @@
 func (c *call) refuseNotLoaded(ctx context.Context, expected time.Duration) {
 	c.gateway.Log.Info().Str("event", "request.not_resident").Str("request", c.params.ID).Str("model", c.params.Model).
 		Str("adapter", c.params.Adapter).Dur("expected", expected).Dur("waited", time.Since(c.arrivedAt)).Msg("request not served; no engine holds the model and adapter")
-	if !c.firstByteAt.IsZero() || c.mayRun() {
+	if !c.firstByteAt.IsZero() || c.possiblyExecuted() {
 		c.failStream(ctx, "no engine holds the model")
 		return
 	}
