Log which shared parts of a prompt a broken request had

Each crash ends all requests in flight at the engine; the logs named their upstream and whether an event had arrived, but nothing by which requests of different content could be compared. That a part of their prompts was the cause could not be told from one crash after another by chance.

request.send_failed (if the upstream may have run the request), request.broke_off and stream.broke_off have the field parts now: the IDs of the parts that other requests may share. Only broken requests carry it, so that the volume of logs stays as it is.

--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -195,6 +195,9 @@
 	if a.exchange != nil {
 		entry = entry.Int("status", a.exchange.Response.StatusCode)
 	}
+	if a.failure == failureIndeterminate {
+		entry = entry.Strs("parts", c.sharedPartIDs())
+	}
 	entry.Err(a.err).Msg("attempt failed")
 	a.tracked.finish()
 	if a.exchange != nil {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
@@ -73,15 +74,29 @@
 }
 
 // unsharedPromptTokens returns the number of prompt tokens that other requests do not
-// share, at least 1. All parts of the prompt but the last count as shared.
+// share, at least 1.
 func (c *call) unsharedPromptTokens() int {
 	tokens := c.params.PromptTokens
-	for i := 0; i < len(c.params.Parts)-1; i++ {
-		tokens -= c.params.Parts[i].Tokens
+	for _, p := range c.sharedParts() {
+		tokens -= p.Tokens
 	}
 	return max(tokens, 1)
 }
 
+// sharedParts returns the parts of the prompt that other requests may share: all but the last.
+func (c *call) sharedParts() []platform.PromptPart {
+	return c.params.Parts[:max(len(c.params.Parts)-1, 0)]
+}
+
+// sharedPartIDs returns the IDs of the shared parts of the prompt as callers write them.
+func (c *call) sharedPartIDs() []string {
+	var ids []string
+	for _, p := range c.sharedParts() {
+		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	}
+	return ids
+}
+
 // expectedOutputTokens returns the expected length of the response in tokens: the caller's
 // hint up to the maximum, or half of the maximum without a hint.
 func (c *call) expectedOutputTokens() int {
@@ -302,7 +317,7 @@
 	cause := context.Cause(a.ctx)
 	c.gateway.Metrics.CountBreak(breakCause(a.ctx))
 	c.gateway.Log.Info().Str("event", "stream.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
-		Str("last_event", c.lastEventID).AnErr("cause", cause).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("event stream of the engine ended early")
+		Str("last_event", c.lastEventID).Strs("parts", c.sharedPartIDs()).AnErr("cause", cause).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("event stream of the engine ended early")
 	if c.callerDisconnected() {
 		c.outcome = outcomeCallerDisconnected
 		panic(http.ErrAbortHandler)
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -161,7 +161,7 @@
 // logBrokenResponse logs that the response body of an upstream was incomplete.
 func (c *call) logBrokenResponse(a *attempt, err error) {
 	c.gateway.Log.Info().Str("event", "request.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
-		Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("response body incomplete; reading from the upstream failed")
+		Strs("parts", c.sharedPartIDs()).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("response body incomplete; reading from the upstream failed")
 }
 
 // writeResponse forwards a response with a buffered body to the caller. Content-Length is
