Failing tests: what crashes engines reaches more of them

TestRequestThatCrashesUpstreamsIsBlocked did not show these: its requests are all the same, its six engines end once each, and it asks for the block only when a request arrives.

--- /dev/null
+++ b/internal/node/gateway/crashguard_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/state/fleet"
+)
+
+const crashingPart = "dead"
+
+// crashingEngines are test engines that crash when they begin to answer a request with a certain
+// part in its prompt. A crash resets all connections of the engine.
+type crashingEngines struct {
+	list []*testUpstream
+
+	mu      sync.Mutex // guards the fields below
+	conns   map[*testUpstream]map[net.Conn]bool
+	crashes int
+}
+
+func startCrashingEngines(t *testing.T, count int) *crashingEngines {
+	e := &crashingEngines{conns: make(map[*testUpstream]map[net.Conn]bool)}
+	for i := range count {
+		e.list = append(e.list, startUpstream(t, fmt.Sprintf("u%d", i), e.respond))
+	}
+	return e
+}
+
+func (e *crashingEngines) respond(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+	e.mu.Lock()
+	if e.conns[u] == nil {
+		e.conns[u] = make(map[net.Conn]bool)
+	}
+	e.conns[u][conn] = true
+	e.mu.Unlock()
+	if !strings.Contains(r.Header.Get("Prompt-Prefix"), crashingPart+":") {
+		time.Sleep(2 * time.Millisecond)
+		return respondWithEvents(1, 3, true)(u, r, body, conn)
+	}
+	writeResponseHead(conn, r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+	_, _ = io.WriteString(conn, "9\r\nid: 1\nda")
+	time.Sleep(time.Millisecond)
+	e.crash(u)
+	return false
+}
+
+func (e *crashingEngines) crash(u *testUpstream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashes++
+	for conn := range e.conns[u] {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	e.conns[u] = nil
+}
+
+func (e *crashingEngines) crashCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// doPrompt sends a stream request of its own content with the given shared parts.
+func doPrompt(h *harness, t *testing.T, number int, parts ...string) result {
+	t.Helper()
+	prefix := strings.Join(append(parts, fmt.Sprintf("%x", 0xf0000+number)), ":30,") + ":30"
+	return h.do(t, "POST", fmt.Sprintf("/stream/%d", number), fmt.Sprint("prompt ", number), "Model", testModel, "Token-Count", "100,10", "Prompt-Prefix", prefix)
+}
+
+func TestDifferentRequestsWithCrashingPartAreBlocked(t *testing.T) {
+	engines := startCrashingEngines(t, 8)
+	h := newHarness(t, engines.list...)
+	for i := range 40 {
+		doPrompt(h, t, i, "a1", crashingPart)
+		doPrompt(h, t, 100+i, "a1", "b2")
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Assert(t, engines.crashCount() <= 5, "%d crashes", engines.crashCount())
+	for i := range 20 {
+		assert.Equal(t, doPrompt(h, t, 200+i, "a1", "b2").status, http.StatusOK)
+	}
+}
+
+func TestRepeatedCrashesOfFewEnginesBlockRequest(t *testing.T) {
+	engines := startCrashingEngines(t, 2)
+	h := newHarness(t, engines.list...)
+	for range 5 {
+		doPrompt(h, t, 1, crashingPart)
+		time.Sleep(600 * time.Millisecond)
+	}
+	assert.Assert(t, engines.crashCount() <= 4, "%d crashes", engines.crashCount())
+}
+
+func TestRequestBlockedDuringItsAttemptIsNotRetried(t *testing.T) {
+	isRunning, crash := make(chan struct{}, 2), make(chan struct{})
+	slow := func(_ *testUpstream, _ *http.Request, _ []byte, conn net.Conn) bool {
+		isRunning <- struct{}{}
+		<-crash
+		return resetConnection(nil, nil, nil, conn)
+	}
+	one, two := startUpstream(t, "u1", slow), startUpstream(t, "u2", slow)
+	h := newHarness(t, one, two)
+	done := make(chan result)
+	go func() { done <- h.do(t, "POST", "/stream/1", "prompt", "Model", testModel, "Token-Count", "100,10") }()
+	<-isRunning
+	c := &call{gateway: h.gateway, request: h.newRequest(t, "POST", "/stream/1", ""), requestURI: "/stream/1", body: []byte("prompt")}
+	for i := range 3 {
+		h.gateway.RecordCrash(c.fingerprint(), fleet.UpstreamID(fmt.Sprint("other", i)))
+	}
+	close(crash)
+	assert.Equal(t, (<-done).status, http.StatusBadGateway)
+	assert.Equal(t, one.requestCount()+two.requestCount(), 1)
+}
