Count each crash of an upstream that starts again under its name

What callers saw: where few upstreams serve, a request that crashes them was never blocked, and ended all other requests in flight at each crash. Cause: crashes were counted by the upstream's name, and two upstreams that start again under their names are two for ever.

Change: each crash of an upstream counts. Connections that it closes within half a second of a crash belong to it; an upstream takes longer to start again. A record still ends a minute after its last crash.

--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// crashUpstreamLimit is the number of upstreams that must have closed the connection
-	// while processing the same request before the request is refused. A single
-	// upstream may close it for reasons unrelated to the request.
-	crashUpstreamLimit = 3
+	// crashLimit is the number of crashes of upstreams that were processing the same request
+	// after which the request is refused. One or two may be unrelated to the request.
+	crashLimit = 3
+	// crashMergeWindow is the time within which all connections that an upstream closes belong to
+	// one crash. An upstream takes longer to start again.
+	crashMergeWindow = 500 * time.Millisecond
 	// crashRecordTTL is how long a record is kept after its last crash. It spans several
 	// restarts of an engine.
 	crashRecordTTL = 60 * time.Second
@@ -25,18 +27,18 @@
 	crashEvictionThreshold = 4096
 )
 
-// crashGuard counts the upstreams that closed the connection while processing the same
-// request, and blocks requests that seem to crash every upstream that processes them.
+// crashGuard counts the crashes of upstreams while they processed the same request, and blocks requests that seem to crash every upstream that processes them.
 // It is safe for concurrent use.
 type crashGuard struct {
 	mu      sync.Mutex
 	records map[uint64]*crashRecord
 }
 
-// crashRecord holds the upstreams that one request is assumed to have crashed.
+// crashRecord holds the crashes that one request is assumed to have caused.
 type crashRecord struct {
+	crashes   int
 	lastCrash time.Time
-	upstreams map[fleet.UpstreamID]bool
+	crashedAt map[fleet.UpstreamID]time.Time // last crash of each upstream
 }
 
 func newCrashGuard() *crashGuard { return &crashGuard{records: make(map[uint64]*crashRecord)} }
@@ -67,34 +69,37 @@
 // RecordCrash records that an upstream closed the connection while processing a request
 // of this or of another instance.
 func (g *Gateway) RecordCrash(fingerprint uint64, id fleet.UpstreamID) {
-	if n := g.crashGuard.recordCrash(fingerprint, time.Now(), id); n == crashUpstreamLimit {
-		g.Log.Warn().Str("event", "request.blocked").Uint64("fingerprint", fingerprint).Int("upstreams", n).Msg("request blocked; several upstreams closed the connection while processing it")
+	if n := g.crashGuard.recordCrash(fingerprint, time.Now(), id); n == crashLimit {
+		g.Log.Warn().Str("event", "request.blocked").Uint64("fingerprint", fingerprint).Int("crashes", n).Msg("request blocked; upstreams closed the connection while processing it")
 	}
 }
 
-// isBlocked reports whether the request has crashed crashUpstreamLimit upstreams and the
+// isBlocked reports whether the request has caused crashLimit crashes and the
 // last crash is more recent than crashRecordTTL.
 func (g *crashGuard) isBlocked(fingerprint uint64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	record := g.records[fingerprint]
-	return record != nil && now.Sub(record.lastCrash) < crashRecordTTL && len(record.upstreams) >= crashUpstreamLimit
+	return record != nil && now.Sub(record.lastCrash) < crashRecordTTL && record.crashes >= crashLimit
 }
 
 // recordCrash records that an upstream closed the connection while processing the
-// request. It returns the number of upstreams that have done so.
+// request. It returns the number of crashes, or zero if the crash has been counted before.
 func (g *crashGuard) recordCrash(fingerprint uint64, now time.Time, id fleet.UpstreamID) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	record := g.records[fingerprint]
 	if record == nil || now.Sub(record.lastCrash) > crashRecordTTL {
 		g.evictExpired(now)
-		record = &crashRecord{upstreams: make(map[fleet.UpstreamID]bool)}
+		record = &crashRecord{crashedAt: make(map[fleet.UpstreamID]time.Time)}
 		g.records[fingerprint] = record
 	}
-	record.lastCrash = now
-	record.upstreams[id] = true
-	return len(record.upstreams)
+	if now.Sub(record.crashedAt[id]) < crashMergeWindow {
+		return 0
+	}
+	record.crashes++
+	record.lastCrash, record.crashedAt[id] = now, now
+	return record.crashes
 }
 
 // evictExpired removes expired records if there are at least crashEvictionThreshold
