Ask before each attempt whether a request is blocked

What callers saw: an upstream ended although it was known already that the request would end it, and with it all other requests in flight there. Cause: whether a request is blocked was looked up only at its arrival. While it waits for a load or has its first attempt, other instances may report the crashes that block it; its retry and its hedge were sent all the same.

Change: the question is asked after the wait for a load and before each retry and hedge too. The hash of the request is computed once.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -30,6 +30,7 @@
 	service       string
 	engineClass   *fleet.EngineClass // nil if the service has no engines
 	body          []byte
+	contentHash   uint64    // by which the same request is recognized when it is sent again
 	deadline      time.Time // time by which the final response must be sent
 
 	lastEventID string // ID of the last event forwarded to the caller
@@ -73,8 +74,9 @@
 	c.gateway.countRequest(c.service)
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
 	c.unreachable = make(map[fleet.UpstreamID]bool)
-	if c.gateway.crashGuard.isBlocked(c.fingerprint(), c.arrivedAt) {
-		c.refuse(http.StatusServiceUnavailable, 0, "crashed several upstreams")
+	c.contentHash = c.fingerprint()
+	if c.isBlocked() {
+		c.refuseBlocked()
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errDeadlineExceeded)
@@ -148,7 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime:
+	case c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime || c.isBlocked():
 		return false
 	case c.attempts == 0 || c.retryGranted:
 		return c.failedDials < maxFailedDials
@@ -165,7 +167,7 @@
 func (c *call) acquireHedgeRetry() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Until(c.deadline) < minAttemptTime {
+	if time.Until(c.deadline) < minAttemptTime || c.isBlocked() {
 		return false
 	}
 	c.retryGranted = c.retryGranted || c.gateway.spendHedgeRetry(c.service)
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -61,9 +62,21 @@
 		return
 	}
 	tracked.recordFault()
-	id, fingerprint := tracked.upstream.ID, c.fingerprint()
-	c.gateway.RecordCrash(fingerprint, id)
-	c.gateway.BroadcastCrash(fingerprint, id)
+	c.gateway.RecordCrash(c.contentHash, tracked.upstream.ID)
+	c.gateway.BroadcastCrash(c.contentHash, tracked.upstream.ID)
+}
+
+// isBlocked reports whether the request must not be sent to a further upstream. The answer may
+// change while it waits for a load or for the result of an attempt.
+func (c *call) isBlocked() bool { return c.gateway.crashGuard.isBlocked(c.contentHash, time.Now()) }
+
+// refuseBlocked ends a request that is blocked.
+func (c *call) refuseBlocked() {
+	const reason = "crashed several upstreams"
+	if !c.firstByteAt.IsZero() {
+		c.abortStream(reason)
+	}
+	c.refuse(http.StatusServiceUnavailable, 0, reason)
 }
 
 // RecordCrash records that an upstream closed the connection while processing a request
--- a/internal/node/gateway/crashguard_test.go
+++ b/internal/node/gateway/crashguard_test.go
@@ -113,9 +113,9 @@
 	done := make(chan result)
 	go func() { done <- h.do(t, "POST", "/stream/1", "prompt", "Model", testModel, "Token-Count", "100,10") }()
 	<-isRunning
-	c := &call{gateway: h.gateway, request: h.newRequest(t, "POST", "/stream/1", ""), requestURI: "/stream/1", body: []byte("prompt")}
+	same := &call{gateway: h.gateway, request: h.newRequest(t, "POST", "/stream/1", ""), requestURI: "/stream/1", body: []byte("prompt")}
 	for i := range 3 {
-		h.gateway.RecordCrash(c.fingerprint(), fleet.UpstreamID(fmt.Sprint("other", i)))
+		h.gateway.RecordCrash(same.fingerprint(), fleet.UpstreamID(fmt.Sprint("other", i)))
 	}
 	close(crash)
 	assert.Equal(t, (<-done).status, http.StatusBadGateway)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -115,6 +115,10 @@
 	if !ok {
 		return nil, false
 	}
+	if c.isBlocked() {
+		c.refuseBlocked()
+		return nil, false
+	}
 	available, wait := g.pauses.available(usable)
 	if wait > 0 {
 		c.refusePaused(wait)
