Find out which part of prompts crashes upstreams, and block it

Cause: crashes were counted by the content of a whole request; different requests with the same part never added up. Class of fault: what is learnt is kept under too narrow a key.

Change: coordination/quarantine takes each crash with the traits of all requests in flight there, as all instances report them: the content of a request and the parts of its prompt that others may share. A trait is blocked at the third crash if no request with it has completed lately, else after five crashes and 2 s since its last completion. It then accounts for the crashes at which it was present. Of several the one with most crashes is taken, then the most specific. A completed request releases its traits, at all instances. After a term one request may pass. Blocked requests are told when the term ends.

Ruled out: blocking all parts that were present (the first part is shared by all sound requests of a route); a threshold on the share of failed requests (during the crashes most sound requests fail too).

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
+	"savoryweir/internal/coordination/quarantine"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/streams"
 	"savoryweir/platform"
@@ -30,7 +31,7 @@
 	service       string
 	engineClass   *fleet.EngineClass // nil if the service has no engines
 	body          []byte
-	contentHash   uint64    // by which the same request is recognized when it is sent again
+	traits        quarantine.Traits
 	deadline      time.Time // time by which the final response must be sent
 
 	lastEventID string // ID of the last event forwarded to the caller
@@ -74,9 +75,9 @@
 	c.gateway.countRequest(c.service)
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
 	c.unreachable = make(map[fleet.UpstreamID]bool)
-	c.contentHash = c.fingerprint()
-	if c.isBlocked() {
-		c.refuseBlocked()
+	c.findTraits()
+	if wait := c.admit(); wait > 0 {
+		c.refuseBlocked(wait)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errDeadlineExceeded)
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -10,39 +11,17 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/coordination/quarantine"
 )
 
-const (
-	// crashLimit is the number of crashes of upstreams that were processing the same request
-	// after which the request is refused. One or two may be unrelated to the request.
-	crashLimit = 3
-	// crashMergeWindow is the time within which all connections that an upstream closes belong to
-	// one crash. An upstream takes longer to start again.
-	crashMergeWindow = 500 * time.Millisecond
-	// crashRecordTTL is how long a record is kept after its last crash. It spans several
-	// restarts of an engine.
-	crashRecordTTL = 60 * time.Second
-	// crashEvictionThreshold is the number of records from which expired ones are evicted
-	// before another is added.
-	crashEvictionThreshold = 4096
-)
-
-// crashGuard counts the crashes of upstreams while they processed the same request, and blocks requests that seem to crash every upstream that processes them.
-// It is safe for concurrent use.
+// crashGuard holds the crashes of upstreams and what is quarantined for them. It is safe for
+// concurrent use.
 type crashGuard struct {
-	mu      sync.Mutex
-	records map[uint64]*crashRecord
-}
-
-// crashRecord holds the crashes that one request is assumed to have caused.
-type crashRecord struct {
-	crashes   int
-	lastCrash time.Time
-	crashedAt map[fleet.UpstreamID]time.Time // last crash of each upstream
+	mu       sync.Mutex
+	detector *quarantine.Detector
 }
 
-func newCrashGuard() *crashGuard { return &crashGuard{records: make(map[uint64]*crashRecord)} }
+func newCrashGuard() *crashGuard { return &crashGuard{detector: quarantine.New(rand.N[time.Duration])} }
 
 // fingerprint returns a hash of the host, method, request URI and body, by which the
 // same request is recognized when it is sent again.
@@ -53,6 +32,14 @@
 	return digest.Sum64()
 }
 
+// findTraits sets by what the request may be quarantined.
+func (c *call) findTraits() {
+	c.traits = quarantine.Traits{Content: quarantine.Trait(c.fingerprint())}
+	for _, p := range c.sharedParts() {
+		c.traits.Parts = append(c.traits.Parts, quarantine.Trait(p.ID))
+	}
+}
+
 // reportCrash records an error of an upstream that may have been executing the request.
 // Only a closed connection counts as a crash; other errors are ignored. The crash is
 // recorded here and broadcast to the other instances.
@@ -62,68 +49,92 @@
 		return
 	}
 	tracked.recordFault()
-	c.gateway.RecordCrash(c.contentHash, tracked.upstream.ID)
-	c.gateway.BroadcastCrash(c.contentHash, tracked.upstream.ID)
+	broken := c.gateway.crashGuard.describe(c.traits)
+	broken.Upstream = tracked.upstream.ID
+	c.gateway.RecordBroken(broken)
+	c.gateway.BroadcastBroken(broken)
 }
 
-// isBlocked reports whether the request must not be sent to a further upstream. The answer may
-// change while it waits for a load or for the result of an attempt.
-func (c *call) isBlocked() bool { return c.gateway.crashGuard.isBlocked(c.contentHash, time.Now()) }
-
-// refuseBlocked ends a request that is blocked.
-func (c *call) refuseBlocked() {
-	const reason = "crashed several upstreams"
-	if !c.firstByteAt.IsZero() {
-		c.abortStream(reason)
+// describe returns what is known of the traits of a request that was broken off.
+func (g *crashGuard) describe(traits quarantine.Traits) quarantine.BrokenRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	broken := quarantine.BrokenRequest{Content: traits.Content}
+	for _, trait := range traits.Parts {
+		broken.Parts = append(broken.Parts, quarantine.Part{Trait: trait, CompletedAt: g.detector.PartCompletedAt(trait)})
 	}
-	c.refuse(http.StatusServiceUnavailable, 0, reason)
+	return broken
+}
+
+// RecordBroken records that an upstream closed the connection while processing a request of this
+// or of another instance.
+func (g *Gateway) RecordBroken(broken quarantine.BrokenRequest) {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	now := time.Now()
+	g.crashGuard.detector.RecordBroken(now, broken)
+	g.judgeCrashes(now)
 }
 
-// RecordCrash records that an upstream closed the connection while processing a request
-// of this or of another instance.
-func (g *Gateway) RecordCrash(fingerprint uint64, id fleet.UpstreamID) {
-	if n := g.crashGuard.recordCrash(fingerprint, time.Now(), id); n == crashLimit {
-		g.Log.Warn().Str("event", "request.blocked").Uint64("fingerprint", fingerprint).Int("crashes", n).Msg("request blocked; upstreams closed the connection while processing it")
+// judgeCrashes quarantines what the crashes are due to. The caller holds the lock of the crash guard.
+func (g *Gateway) judgeCrashes(now time.Time) {
+	for _, f := range g.crashGuard.detector.Judge(now) {
+		g.Log.Warn().Str("event", "request.blocked").Hex("trait", f.Trait.Bytes()).Bool("part", f.IsPart).Int("crashes", f.Crashes).Dur("term", f.Until.Sub(now)).
+			Msg("requests with this content or part of a prompt are blocked; several upstreams crashed while processing them")
 	}
 }
 
-// isBlocked reports whether the request has caused crashLimit crashes and the
-// last crash is more recent than crashRecordTTL.
-func (g *crashGuard) isBlocked(fingerprint uint64, now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	record := g.records[fingerprint]
-	return record != nil && now.Sub(record.lastCrash) < crashRecordTTL && record.crashes >= crashLimit
+// admit returns for how long the request is blocked when it arrives, zero if it is not.
+func (c *call) admit() time.Duration {
+	g := c.gateway
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	now := time.Now()
+	g.judgeCrashes(now)
+	return g.crashGuard.detector.Admit(now, c.traits)
 }
 
-// recordCrash records that an upstream closed the connection while processing the
-// request. It returns the number of crashes, or zero if the crash has been counted before.
-func (g *crashGuard) recordCrash(fingerprint uint64, now time.Time, id fleet.UpstreamID) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	record := g.records[fingerprint]
-	if record == nil || now.Sub(record.lastCrash) > crashRecordTTL {
-		g.evictExpired(now)
-		record = &crashRecord{crashedAt: make(map[fleet.UpstreamID]time.Time)}
-		g.records[fingerprint] = record
-	}
-	if now.Sub(record.crashedAt[id]) < crashMergeWindow {
-		return 0
+// blockedFor returns for how long the request must not be sent to a further upstream, zero if it
+// may be sent. That may change while it waits for a load or for the result of an attempt.
+func (c *call) blockedFor() time.Duration {
+	g := c.gateway
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	now := time.Now()
+	g.judgeCrashes(now)
+	return g.crashGuard.detector.Blocked(now, c.traits)
+}
+
+func (c *call) isBlocked() bool { return c.blockedFor() > 0 }
+
+// refuseBlocked ends a request that is blocked. The caller is told when that ends.
+func (c *call) refuseBlocked(wait time.Duration) {
+	const reason = "crashed several upstreams"
+	if !c.firstByteAt.IsZero() {
+		c.abortStream(reason)
 	}
-	record.crashes++
-	record.lastCrash, record.crashedAt[id] = now, now
-	return record.crashes
+	c.refuse(http.StatusServiceUnavailable, wait, reason)
 }
 
-// evictExpired removes expired records if there are at least crashEvictionThreshold
-// records. The caller holds g.mu.
-func (g *crashGuard) evictExpired(now time.Time) {
-	if len(g.records) < crashEvictionThreshold {
+// recordCompleted records that an upstream has processed the request to its end. If that shows
+// that the request was blocked wrongly, the other instances are told.
+func (c *call) recordCompleted() {
+	g := c.gateway
+	if c.status >= http.StatusMultipleChoices {
 		return
 	}
-	for fingerprint, record := range g.records {
-		if now.Sub(record.lastCrash) > crashRecordTTL {
-			delete(g.records, fingerprint)
-		}
+	g.crashGuard.mu.Lock()
+	released := g.crashGuard.detector.RecordCompleted(time.Now(), c.traits)
+	g.crashGuard.mu.Unlock()
+	for _, trait := range released {
+		g.Log.Info().Str("event", "request.released").Str("request", c.params.ID).Hex("trait", trait.Bytes()).Msg("request completed; what it was blocked for is released")
+		g.BroadcastRelease(trait)
 	}
 }
+
+// Release ends the quarantine of a trait after another instance has seen a request with it complete.
+func (g *Gateway) Release(trait quarantine.Trait) {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	g.crashGuard.detector.Release(time.Now(), trait)
+}
--- a/internal/node/gateway/crashguard_test.go
+++ b/internal/node/gateway/crashguard_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/coordination/quarantine"
 	"savoryweir/internal/state/fleet"
 )
 
@@ -114,8 +115,9 @@
 	go func() { done <- h.do(t, "POST", "/stream/1", "prompt", "Model", testModel, "Token-Count", "100,10") }()
 	<-isRunning
 	same := &call{gateway: h.gateway, request: h.newRequest(t, "POST", "/stream/1", ""), requestURI: "/stream/1", body: []byte("prompt")}
+	same.findTraits()
 	for i := range 3 {
-		h.gateway.RecordCrash(same.fingerprint(), fleet.UpstreamID(fmt.Sprint("other", i)))
+		h.gateway.RecordBroken(quarantine.BrokenRequest{Upstream: fleet.UpstreamID(fmt.Sprint("other", i)), Content: same.traits.Content})
 	}
 	close(crash)
 	assert.Equal(t, (<-done).status, http.StatusBadGateway)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"savoryweir/internal/coordination/quarantine"
 	"savoryweir/internal/coordination/retry"
 	"savoryweir/internal/coordination/routetable"
 	"savoryweir/internal/node/registry"
@@ -45,9 +46,12 @@
 	// RequestLoad tells the instance that issues load orders that a request waits for a
 	// model or adapter.
 	RequestLoad func(service, model, adapter string)
-	// BroadcastCrash tells the other instances that an upstream closed the connection
+	// BroadcastBroken tells the other instances that an upstream closed the connection
 	// while processing a request.
-	BroadcastCrash func(fingerprint uint64, upstream fleet.UpstreamID)
+	BroadcastBroken func(quarantine.BrokenRequest)
+	// BroadcastRelease tells the other instances that a request with a blocked trait has
+	// completed.
+	BroadcastRelease func(quarantine.Trait)
 	// BroadcastLeaving tells the other instances that an upstream has said that it is
 	// leaving.
 	BroadcastLeaving func(*fleet.Upstream)
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/coordination/quarantine"
 	"savoryweir/internal/coordination/retry"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/node/telemetry"
@@ -186,13 +187,14 @@
 	h.gateway = New(Options{
 		Zone: "z", Log: zerolog.Nop(), Metrics: telemetry.New(func() uint64 { return 0 }), Registry: h.registry,
 		Tracker: NewUpstreamTracker(time.Now, rand.New(rand.NewPCG(1, 2))), Pool: upstreamconn.NewPool(func() {}),
-		RetrySettings:  func() retry.WindowSettings { return *h.retryLimits.Load() },
-		InstanceCount:  func() int { return 1 },
-		RequestLoad:    func(_, model, adapter string) { h.loadRequests <- model + "/" + adapter },
-		RecordDemand:   func(string, string, string, int) {},
-		BroadcastCrash: func(uint64, fleet.UpstreamID) {},
-		Streams:        newKnownStreams(h.registry),
-		BootTime:       func() time.Duration { return time.Duration(h.bootTime.Load()) },
+		RetrySettings:    func() retry.WindowSettings { return *h.retryLimits.Load() },
+		InstanceCount:    func() int { return 1 },
+		RequestLoad:      func(_, model, adapter string) { h.loadRequests <- model + "/" + adapter },
+		RecordDemand:     func(string, string, string, int) {},
+		BroadcastBroken:  func(quarantine.BrokenRequest) {},
+		BroadcastRelease: func(quarantine.Trait) {},
+		Streams:          newKnownStreams(h.registry),
+		BootTime:         func() time.Duration { return time.Duration(h.bootTime.Load()) },
 		BroadcastLeaving: func(u *fleet.Upstream) {
 			h.notices <- "leaving " + string(u.ID)
 		},
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -115,8 +115,8 @@
 	if !ok {
 		return nil, false
 	}
-	if c.isBlocked() {
-		c.refuseBlocked()
+	if wait := c.blockedFor(); wait > 0 {
+		c.refuseBlocked(wait)
 		return nil, false
 	}
 	available, wait := g.pauses.available(usable)
@@ -241,6 +241,7 @@
 				c.startResponse(a)
 			}
 			c.outcome = "answered"
+			c.recordCompleted()
 			return finalResult
 		case err != nil:
 			return c.handleBrokenStream(a, h, err)
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -178,6 +178,7 @@
 	if _, err := c.writer.Write(body); err != nil {
 		c.outcome = outcomeCallerDisconnected
 	}
+	c.recordCompleted()
 }
 
 // copyResponse forwards a response whose body is too long to be buffered. If the copy
@@ -195,4 +196,5 @@
 		c.outcome = "broke off: " + err.Error()
 		panic(http.ErrAbortHandler)
 	}
+	c.recordCompleted()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Zone: n.settings.Instance.Zone, Log: logging.WithComponent(n.log, "gateway"), Metrics: n.metrics,
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, RetrySettings: n.retrySettings, InstanceCount: n.instanceCount,
-		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastCrash: n.reporter.broadcastCrash,
+		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastBroken: n.reporter.broadcastBroken, BroadcastRelease: n.reporter.broadcastRelease,
 		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Streams: n.streams, BootTime: n.bootTime,
 	})
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -138,11 +138,6 @@
 	}
 }
 
-// broadcastCrash informs the other instances that an upstream broke off a request.
-func (r *reporter) broadcastCrash(fingerprint uint64, upstream fleet.UpstreamID) {
-	r.node.mesh.Broadcast(&pb.FleetMessage{Breaks: []*pb.RequestBreak{{Fingerprint: fingerprint, Upstream: string(upstream)}}})
-}
-
 // broadcastLeaving informs the other instances that an upstream has said that it is leaving.
 func (r *reporter) broadcastLeaving(u *fleet.Upstream) {
 	r.broadcastNotice(u, &pb.UpstreamNotice{Leaving: true})
@@ -319,9 +314,7 @@
 	for _, c := range m.PackedRelays {
 		r.receivePacked(c)
 	}
-	for _, b := range m.Breaks {
-		r.node.gateway.RecordCrash(b.Fingerprint, fleet.UpstreamID(b.Upstream))
-	}
+	r.receiveCrashes(m)
 	for _, notice := range m.Notices {
 		r.receiveNotice(notice)
 	}
