Tell instances that have started what is blocked

Cause: what is blocked was told by the reports of crashes only, once; an instance that starts later had to learn it by three more crashes.

Change: an instance that hears a new process of another one sends it the blocked traits with the time left, again each half second for 3 s since datagrams may be lost. The new one blocks them for that time and up to a minute more, so that instances don't all end the term at once.

What remains: if all instances are lost at once, what is blocked is lost with them.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -387,12 +387,14 @@
 	return list
 }
 
-// Adopt quarantines a trait that another instance has quarantined for the time left, unless it is
-// known here.
-func (d *Detector) Adopt(now time.Time, trait Trait, left time.Duration) {
-	if d.terms[trait] == nil && left > 0 {
-		d.terms[trait] = &term{length: firstTerm, until: now.Add(min(left, 2*maxTerm))}
+// Adopt quarantines a trait that another instance has quarantined, for at least the time left
+// there. It returns false if the trait is known here.
+func (d *Detector) Adopt(now time.Time, trait Trait, left time.Duration) bool {
+	if d.terms[trait] != nil {
+		return false
 	}
+	d.terms[trait] = &term{length: firstTerm, until: now.Add(min(left, 2*maxTerm) + d.random(firstTerm))}
+	return true
 }
 
 // Release ends the quarantine of a trait after another instance has seen a request with it complete.
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -140,6 +140,18 @@
 	assert.Equal(t, d.Admit(at(185), traits), time.Duration(0))
 }
 
+func TestAdoptedQuarantineEndsAsAnOwnOneDoes(t *testing.T) {
+	d := newDetector()
+	traits := Traits{Content: 9, Parts: []Trait{crashingPart}}
+	assert.Assert(t, d.Adopt(at(0), crashingPart, 20*time.Second))
+	assert.Assert(t, !d.Adopt(at(1), crashingPart, time.Hour), "the own term stands")
+	assert.Equal(t, d.Admit(at(15), traits), 5*time.Second)
+	assert.DeepEqual(t, d.Quarantined(at(15)), map[Trait]time.Duration{crashingPart: 5 * time.Second})
+	assert.Equal(t, d.Admit(at(21), traits), time.Duration(0))
+	d.Release(at(22), crashingPart)
+	assert.Equal(t, d.Admit(at(22), traits), time.Duration(0))
+}
+
 // Crashes at random times among many sound requests, some of whose parts are rare. Instances
 // learn of completions only by the reports.
 func TestOnlyCrashingPartIsQuarantinedAmongMixedTraffic(t *testing.T) {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -18,6 +18,55 @@
 	r.node.mesh.Broadcast(&pb.FleetMessage{Quarantines: []*pb.QuarantineNotice{{Trait: uint64(trait)}}})
 }
 
+const (
+	// startedPeriod is how long after the first message of a process it is told what is blocked.
+	startedPeriod = 3 * time.Second
+	// startedTellInterval is the interval at which it is told, because datagrams may be lost.
+	startedTellInterval = 500 * time.Millisecond
+)
+
+// startedPeers tracks which instances have started lately, as they don't know what is blocked. It is
+// not safe for concurrent use.
+type startedPeers map[string]*startedPeer
+
+type startedPeer struct {
+	incarnation int64
+	seenAt      time.Time // time of the first message of the incarnation
+	toldAt      time.Time
+}
+
+// isDue reports whether the sender of a message has to be told what is blocked, and takes it as
+// told then.
+func (s startedPeers) isDue(now time.Time, instance string, incarnation int64) bool {
+	p := s[instance]
+	if p == nil || incarnation > p.incarnation {
+		p = &startedPeer{incarnation: incarnation, seenAt: now}
+		s[instance] = p
+	}
+	if now.Sub(p.seenAt) > startedPeriod || now.Sub(p.toldAt) < startedTellInterval {
+		return false
+	}
+	p.toldAt = now
+	return true
+}
+
+// tellQuarantines tells an instance that has started lately what is blocked.
+func (r *reporter) tellQuarantines(m *pb.FleetMessage) {
+	r.mu.Lock()
+	isDue := r.startedPeers.isDue(time.Now(), m.Instance, m.Incarnation)
+	r.mu.Unlock()
+	if !isDue {
+		return
+	}
+	notice := &pb.FleetMessage{}
+	for trait, left := range r.node.gateway.Quarantined() {
+		notice.Quarantines = append(notice.Quarantines, &pb.QuarantineNotice{Trait: uint64(trait), LeftMillis: uint64(max(left.Milliseconds(), 1))})
+	}
+	if len(notice.Quarantines) > 0 {
+		r.node.mesh.Send(m.Instance, notice)
+	}
+}
+
 // receiveCrashes records the requests that upstreams broke off at another instance, and what it
 // says of quarantines.
 func (r *reporter) receiveCrashes(m *pb.FleetMessage) {
@@ -26,8 +75,11 @@
 		r.node.gateway.RecordBroken(decodeBroken(now, b))
 	}
 	for _, q := range m.Quarantines {
-		if q.LeftMillis == 0 {
-			r.node.gateway.Release(quarantine.Trait(q.Trait))
+		trait, left := quarantine.Trait(q.Trait), time.Duration(q.LeftMillis)*time.Millisecond
+		if left > 0 {
+			r.node.gateway.AdoptQuarantine(trait, left)
+		} else {
+			r.node.gateway.Release(trait)
 		}
 	}
 }
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -138,3 +138,19 @@
 	defer g.crashGuard.mu.Unlock()
 	g.crashGuard.detector.Release(time.Now(), trait)
 }
+
+// Quarantined returns the traits whose requests are blocked, with the time left.
+func (g *Gateway) Quarantined() map[quarantine.Trait]time.Duration {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	return g.crashGuard.detector.Quarantined(time.Now())
+}
+
+// AdoptQuarantine blocks requests with a trait because another instance does.
+func (g *Gateway) AdoptQuarantine(trait quarantine.Trait, left time.Duration) {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	if g.crashGuard.detector.Adopt(time.Now(), trait, left) {
+		g.Log.Info().Str("event", "request.block_adopted").Hex("trait", trait.Bytes()).Dur("term", left).Msg("requests with this content or part of a prompt are blocked, as at another instance")
+	}
+}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -50,6 +50,7 @@
 	watchersSeenAt    map[string]time.Time // last report of each instance that watches the store and gets responses
 	wantSentAt        map[rebalance.DemandKey]time.Time
 	pendingChanges    []*pb.ResidencyChange // announced with the next tick of the report loop
+	startedPeers      startedPeers
 
 	aggregator *aggregator
 }
@@ -58,7 +59,7 @@
 	return &reporter{
 		node: n, incarnation: time.Now().UnixMilli(),
 		demand: make(map[rebalance.DemandKey]rebalance.Counts), unreportedDemand: make(map[rebalance.DemandKey]bool),
-		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n),
+		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n), startedPeers: make(startedPeers),
 	}
 }
 
@@ -315,6 +316,7 @@
 		r.receivePacked(c)
 	}
 	r.receiveCrashes(m)
+	r.tellQuarantines(m)
 	for _, notice := range m.Notices {
 		r.receiveNotice(notice)
 	}
