A response that ends with its connection releases no quarantine

What callers would see: a part of prompts that crashes engines is released and crashes three more. Cause: a response with neither a length nor chunks ends with its connection; one that a crash ends after a whole event looks complete, and a completed request releases its traits.

Evidence: TestResponseThatEndsWithItsConnectionReleasesNothing, 200 before, refused now.

Change: only responses whose end is known from their length or chunks show that their upstream has lived through them.

--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -117,10 +117,11 @@
 }
 
 // recordCompleted records that an upstream has processed the request to its end. If that shows
-// that the request was blocked wrongly, the other instances are told.
-func (c *call) recordCompleted() {
+// that the request was blocked wrongly, the other instances are told. A response whose end is that
+// of its connection shows nothing: the upstream may have crashed.
+func (c *call) recordCompleted(response *http.Response) {
 	g := c.gateway
-	if c.status >= http.StatusMultipleChoices {
+	if response.StatusCode >= http.StatusMultipleChoices || !isFramed(response) {
 		return
 	}
 	g.crashGuard.mu.Lock()
--- a/internal/node/gateway/crashguard_test.go
+++ b/internal/node/gateway/crashguard_test.go
@@ -123,3 +123,25 @@
 	assert.Equal(t, (<-done).status, http.StatusBadGateway)
 	assert.Equal(t, one.requestCount()+two.requestCount(), 1)
 }
+
+// A crash may close the connection after a whole event. Without a length or chunks the response looks complete.
+func TestResponseThatEndsWithItsConnectionReleasesNothing(t *testing.T) {
+	crash := func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		if strings.HasPrefix(r.URL.Path, "/stream/1") {
+			return resetConnection(nil, nil, nil, conn)
+		}
+		writeResponseHead(conn, r, http.StatusOK, "Content-Type: text/event-stream\r\n")
+		_, _ = io.WriteString(conn, eventText(1, 1))
+		return false
+	}
+	var engines []*testUpstream
+	for i := range 4 {
+		engines = append(engines, startUpstream(t, fmt.Sprint("u", i), crash))
+	}
+	h := newHarness(t, engines...)
+	assert.Equal(t, doPrompt(h, t, 1, crashingPart).status, http.StatusBadGateway)
+	assert.Equal(t, doPrompt(h, t, 2, crashingPart).status, http.StatusOK)
+	time.Sleep(60 * time.Millisecond)
+	doPrompt(h, t, 10, crashingPart)
+	assert.Equal(t, doPrompt(h, t, 3, crashingPart).status, http.StatusServiceUnavailable)
+}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -241,7 +241,7 @@
 				c.startResponse(a)
 			}
 			c.outcome = "answered"
-			c.recordCompleted()
+			c.recordCompleted(a.exchange.Response)
 			return finalResult
 		case err != nil:
 			return c.handleBrokenStream(a, h, err)
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -178,7 +178,7 @@
 	if _, err := c.writer.Write(body); err != nil {
 		c.outcome = outcomeCallerDisconnected
 	}
-	c.recordCompleted()
+	c.recordCompleted(a.exchange.Response)
 }
 
 // copyResponse forwards a response whose body is too long to be buffered. If the copy
@@ -196,5 +196,5 @@
 		c.outcome = "broke off: " + err.Error()
 		panic(http.ErrAbortHandler)
 	}
-	c.recordCompleted()
+	c.recordCompleted(a.exchange.Response)
 }
