--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -11,9 +11,9 @@
 package quarantine
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"savoryweir/internal/state/fleet"
@@ -22,8 +22,8 @@
 // Trait identifies what requests have in common: their whole content or a part of their prompts.
 type Trait uint64
 
-// Bytes returns the trait in the order in which callers write the ID of a part.
-func (t Trait) Bytes() []byte { return binary.BigEndian.AppendUint64(nil, uint64(t)) }
+// String returns the trait as callers write the ID of a part.
+func (t Trait) String() string { return strconv.FormatUint(uint64(t), 16) }
 
 // Traits are the traits of one request.
 type Traits struct {
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -79,7 +79,7 @@
 // judgeCrashes quarantines what the crashes are due to. The caller holds the lock of the crash guard.
 func (g *Gateway) judgeCrashes(now time.Time) {
 	for _, f := range g.crashGuard.detector.Judge(now) {
-		g.Log.Warn().Str("event", "request.blocked").Hex("trait", f.Trait.Bytes()).Bool("part", f.IsPart).Int("crashes", f.Crashes).Dur("term", f.Until.Sub(now)).
+		g.Log.Warn().Str("event", "request.blocked").Stringer("trait", f.Trait).Bool("part", f.IsPart).Int("crashes", f.Crashes).Dur("term", f.Until.Sub(now)).
 			Msg("requests with this content or part of a prompt are blocked; several upstreams crashed while processing them")
 	}
 }
@@ -128,7 +128,7 @@
 	released := g.crashGuard.detector.RecordCompleted(time.Now(), c.traits)
 	g.crashGuard.mu.Unlock()
 	for _, trait := range released {
-		g.Log.Info().Str("event", "request.released").Str("request", c.params.ID).Hex("trait", trait.Bytes()).Msg("request completed; what it was blocked for is released")
+		g.Log.Info().Str("event", "request.released").Str("request", c.params.ID).Stringer("trait", trait).Msg("request completed; what it was blocked for is released")
 		g.BroadcastRelease(trait)
 	}
 }
@@ -152,6 +152,6 @@
 	g.crashGuard.mu.Lock()
 	defer g.crashGuard.mu.Unlock()
 	if g.crashGuard.detector.Adopt(time.Now(), trait, left) {
-		g.Log.Info().Str("event", "request.block_adopted").Hex("trait", trait.Bytes()).Dur("term", left).Msg("requests with this content or part of a prompt are blocked, as at another instance")
+		g.Log.Info().Str("event", "request.block_adopted").Stringer("trait", trait).Dur("term", left).Msg("requests with this content or part of a prompt are blocked, as at another instance")
 	}
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
@@ -91,8 +90,8 @@
 // sharedPartIDs returns the IDs of the shared parts of the prompt as callers write them.
 func (c *call) sharedPartIDs() []string {
 	var ids []string
-	for _, p := range c.sharedParts() {
-		ids = append(ids, strconv.FormatUint(p.ID, 16))
+	for _, trait := range c.traits.Parts {
+		ids = append(ids, trait.String())
 	}
 	return ids
 }
