--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 package quarantine
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strconv"
@@ -31,7 +32,19 @@
 	Parts   []Trait // shared parts of its prompt, in their order
 }
 
-func (t Traits) all() []Trait { return append(slices.Clone(t.Parts), t.Content) }
+// all returns an iterator over the traits.
+func (t Traits) all() iter.Seq[Trait] {
+	return func(yield func(Trait) bool) {
+		if !yield(t.Content) {
+			return
+		}
+		for _, part := range t.Parts {
+			if !yield(part) {
+				return
+			}
+		}
+	}
+}
 
 const (
 	// minCrashes is the number of crashes after which a trait is quarantined. Fewer may have
@@ -174,7 +187,7 @@
 	for _, trait := range traits.Parts {
 		d.parts.record(trait, now)
 	}
-	for _, trait := range traits.all() {
+	for trait := range traits.all() {
 		if d.terms[trait] != nil {
 			delete(d.terms, trait)
 			released = append(released, trait)
@@ -351,7 +364,7 @@
 // are not.
 func (d *Detector) Blocked(now time.Time, traits Traits) time.Duration {
 	var left time.Duration
-	for _, trait := range traits.all() {
+	for trait := range traits.all() {
 		if t := d.terms[trait]; t != nil {
 			left = max(left, t.until.Sub(now))
 		}
@@ -365,7 +378,7 @@
 	if left := d.Blocked(now, traits); left > 0 {
 		return left
 	}
-	for _, trait := range traits.all() {
+	for trait := range traits.all() {
 		if t := d.terms[trait]; t != nil {
 			if left := t.trialAt.Add(trialInterval).Sub(now); left > 0 {
 				return left
