--- /dev/null
+++ b/internal/node/gateway/handover_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The silent engine was given up after maxOverlap, and no attempt was left when the next one failed.
+func TestStreamIsNotCutIfNextEngineFailsLate(t *testing.T) {
+	for name, fail := range map[string]responder{
+		"full":                respondNotExecuted(http.StatusTooManyRequests),
+		"model has moved":     respondNotExecuted(http.StatusMisdirectedRequest),
+		"fails":               respondWith(http.StatusInternalServerError, "x"),
+		"connection is reset": resetConnection,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+				if u.requestCount() == 1 && r.Header.Get("Last-Event-Id") != "" {
+					time.Sleep(maxOverlap + 100*time.Millisecond)
+					return fail(u, r, body, conn)
+				}
+				return fallSilent(engineSilence)(u, r, body, conn)
+			}
+			h := newHarness(t, startUpstream(t, "u1", engine), startUpstream(t, "u2", engine))
+			got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, eventText(1, 3))
+		})
+	}
+}
