An unframed stream that ends before its first event was broken off

An engine's response may have neither length nor chunks and end with its connection. If the engine ended between the head and the first event, the end of the connection passed for the end of the stream; within an event it did not.

A stream has at least one event, unless its caller takes it up after the last one. So such an end now counts as any other early end: the request goes to another engine if it may be repeated, or else gets 502. Between two whole events such an end still can't be told from the end of the stream.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -215,6 +215,8 @@
 	for {
 		event, err := frames.Next()
 		switch {
+		case errors.Is(err, io.EOF) && c.isCutBeforeFirstEvent(a):
+			return c.handleBrokenStream(a, h, io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			h.end(true)
 			a.tracked.recordFirstByte()
@@ -322,6 +324,12 @@
 	return [...]string{"unsafe", "safe", "stream"}[r.Kind]
 }
 
+// isCutBeforeFirstEvent reports whether a response that has ended without events was broken off.
+// Only a stream that the caller takes up after its last event has none left.
+func (c *call) isCutBeforeFirstEvent(a *attempt) bool {
+	return c.firstByteAt.IsZero() && c.params.LastEventID == "" && !isFramed(a.exchange.Response)
+}
+
 // isFramed reports whether the end of a response body is known from its length or its
 // chunks, rather than by the end of the connection.
 func isFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
