A stream returns to its silent engine if the next one fails late

A sound engine fell silent, its stream was handed over after a quarter of a second of overlap, and the next engine then refused, failed or was reset. The attempt at the silent engine must end soon after another engine has the request, so that it can't be kept until the other one responds; and with two attempts allowed there was none left.

A route's attempts limit how many engines get a request. The engine that was given up has had it, so a return to it adds none. It takes a retry from the budget as any other, is made once, goes to no other engine, and can't be hedged: one further send at most. Safe requests return in the same way instead of getting 502.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	mayHaveExecuted bool
 	triedUpstreams  map[fleet.UpstreamID]bool
 	unreachable     map[fleet.UpstreamID]bool // tried, and the last connection attempt failed
+	givenUp         fleet.UpstreamID          // was only silent, so that the request may return to it once
+	returnsTo       fleet.UpstreamID          // the only upstream that the request may still be sent to; empty for any
 }
 
 // serve reads the request body and forwards the request to an upstream. The final
@@ -152,14 +155,26 @@
 		return false
 	case c.attempts == 0 || c.retryGranted:
 		return c.failedDials < maxFailedDials
-	case c.attempts >= c.route.MaxAttempts || c.mayHaveExecuted && !c.route.IsRepeatable():
+	case c.mayHaveExecuted && !c.route.IsRepeatable():
 		return false
+	case c.attempts >= c.route.MaxAttempts && c.givenUp == "":
+		return false
+	case c.attempts >= c.route.MaxAttempts:
+		c.returnsTo, c.givenUp = c.givenUp, ""
 	}
 	c.retryGranted = c.gateway.spendRetry(c.service)
 	c.logRetryDecision(reason, c.attempts, c.retryGranted)
 	return c.retryGranted
 }
 
+// recordGivenUp records that the request was handed over by an upstream that was silent. Returning
+// to it adds no upstream to those that have the request, so that the route allows it.
+func (c *call) recordGivenUp(id fleet.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.givenUp = id
+}
+
 // acquireHedgeRetry reports whether the request may be sent to another upstream while the
 // present one is silent.
 func (c *call) acquireHedgeRetry() bool {
@@ -231,11 +246,14 @@
 	return without(upstreams, c.triedUpstreams)
 }
 
-// retryCandidates returns the upstreams that a repeatable request may be sent to: the untried
-// ones, else those that could be reached, else all.
+// retryCandidates returns the upstreams that a repeatable request may be sent to: the one that it
+// returns to, else the untried ones, else those that could be reached, else all.
 func (c *call) retryCandidates(upstreams []*fleet.Upstream) []*fleet.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.returnsTo != "" {
+		return slices.DeleteFunc(slices.Clone(upstreams), func(u *fleet.Upstream) bool { return u.ID != c.returnsTo })
+	}
 	for _, candidates := range [][]*fleet.Upstream{without(upstreams, c.triedUpstreams), without(upstreams, c.unreachable)} {
 		if len(candidates) > 0 {
 			return candidates
--- a/internal/node/gateway/hedge.go
+++ b/internal/node/gateway/hedge.go
@@ -179,6 +179,7 @@
 func (h *hedge) endPresent() {
 	if !h.isOver {
 		h.isOver, h.present.isGivenUp = true, true
+		h.call.recordGivenUp(h.present.tracked.upstream.ID)
 		h.present.cancel(h.rules.cause)
 	}
 }
