A request whose body is late gets 408 at its time

The handler lifted the read deadline and aborted; net/http then read the rest of a body of known length without a limit, and closed the connection after it.

The request has reached no upstream, so that "not run" is true. The read deadline stays after an error, so that net/http gives up the rest at once.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -68,6 +69,10 @@
 	case errors.As(err, &tooLarge):
 		c.respond(http.StatusRequestEntityTooLarge, "body too large")
 		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.writer.Header().Set("Connection", "close")
+		c.refuse(http.StatusRequestTimeout, 0, "body not received in time")
+		return
 	case err != nil:
 		c.outcome = "body not read: " + err.Error()
 		panic(http.ErrAbortHandler)
@@ -93,7 +98,8 @@
 var errDeadlineExceeded = errors.New("request deadline exceeded")
 
 // readBody reads the request body, which must arrive before the request's deadline.
-// It returns an *http.MaxBytesError if the body is longer than limit bytes.
+// It returns an *http.MaxBytesError if the body is longer than limit bytes. After an error the
+// read deadline stays, since net/http would else wait for the rest of the body.
 func (c *call) readBody(limit int64) ([]byte, error) {
 	if c.request.Body == nil || c.request.ContentLength == 0 {
 		return nil, nil
@@ -117,7 +123,10 @@
 	} else {
 		body, err = io.ReadAll(reader)
 	}
-	return body, errors.Join(err, controller.SetReadDeadline(time.Time{}))
+	if err != nil {
+		return nil, err
+	}
+	return body, controller.SetReadDeadline(time.Time{})
 }
 
 // modelClass returns the class of the request's model. Its weights have size zero if
