--- a/internal/node/callers_limits_test.go
+++ b/internal/node/callers_limits_test.go
@@ -239,3 +239,36 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// The header timeout of the configuration under which the connection was opened ended the request.
+func TestRaisedHeaderTimeoutAppliesToOpenConnections(t *testing.T) {
+	const short, long = 400 * time.Millisecond, 5 * time.Second
+	for name, isUsed := range map[string]bool{"new connection": false, "used connection": true} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, respondSealed)
+			i := c.startInstance(t, "i1")
+			defer i.terminate(t)
+			limits := usualLimits
+			limits.headerTimeout = short
+			c.applyLimits(t, i, 1, limits)
+			conn, err := i.dialKept()
+			assert.NilError(t, err)
+			if isUsed {
+				conn.mustServe(t)
+			}
+			raised := *i.node.gateway.Config()
+			raised.Version, raised.Limits.HeaderTimeout = 2, long
+			i.node.gateway.ApplyConfig(&raised) // without the way through the store, which may take longer than short
+			_, err = io.WriteString(conn, "POST /a/1 HTTP/1.1\r\nHost: h\r\n")
+			assert.NilError(t, err)
+			time.Sleep(short * 3 / 2)
+			_, err = io.WriteString(conn, "Request-Id: r1\r\nContent-Length: 1\r\n\r\nx")
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(conn.reader, nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
