A raised header timeout applies to open connections

The limits of a server can't change while it runs, and only a longer idle timeout was extended on its connections.

A connection knows by its state which timeout bounds its reads, and extends both in the same way: to the one in force or the one when it began, whichever is longer. Reads of a request's body have the deadline of the request and are not extended.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -17,7 +17,7 @@
 // callerServers serves the connections of callers. The limits of the configuration that is in
 // force when a connection opens apply to it. Since http.Server does not allow its limits to
 // change, a change of the limits replaces the server; earlier servers keep their connections.
-// Only a longer idle timeout applies to these as well, see callerConn.
+// Only longer timeouts apply to these as well, see callerConn.
 type callerServers struct {
 	gateway  *gateway.Gateway
 	listener net.Listener
@@ -64,7 +64,7 @@
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = &callerConn{TCPConn: tcp, idleTimeout: c.idleTimeout}
+			conn = newCallerConn(tcp, c.limitsInForce)
 		}
 		c.currentListener().deliver(conn)
 	}
@@ -85,7 +85,7 @@
 	c.limits, c.serverListener = limits, newQueueListener(c.listener.Addr())
 	c.server = &http.Server{
 		Handler: c.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: recordIdle,
+		MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: recordState,
 	}
 	server, listener := c.server, c.serverListener
 	go func() { _ = server.Serve(listener) }() // returns when the listener or the server is closed, as the process stops
@@ -99,8 +99,6 @@
 	return fleet.Limits{MaxHeaderBytes: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
 }
 
-func (c *callerServers) idleTimeout() time.Duration { return c.limitsInForce().IdleTimeout }
-
 // refuseNewRequests makes the gateway refuse new requests on connections that are still open,
 // and closes the port after the connections that wait to be accepted have been accepted. The
 // kernel would reset these, with requests that callers may have sent on them already.
@@ -133,43 +131,82 @@
 	return err
 }
 
-// callerConn is a connection of a caller. Callers reuse it by the idle timeout in force, so that
-// it stays open if that is longer than the timeout of its server.
+// callerConn is a connection of a caller. Callers use it by the limits in force, so that it stays
+// open if these allow more time than the limits of its server.
 type callerConn struct {
 	*net.TCPConn
-	idleTimeout func() time.Duration // in force
-	idleSince   time.Time            // zero unless the connection waits for the next request
-	idleLimit   time.Duration        // idle timeout in force at idleSince
+	limits  func() fleet.Limits // in force
+	timeout connTimeout
+	since   time.Time     // when the timeout began
+	atLeast time.Duration // length of the timeout in force at that time
+}
+
+// connTimeout is the timeout that bounds reading from a connection of a caller.
+type connTimeout uint8
+
+const (
+	noTimeout     connTimeout = iota // of the connection; the request has its own
+	headerTimeout                    // reading the head of a request
+	idleTimeout                      // waiting for the next request
+)
+
+func newCallerConn(tcp *net.TCPConn, limits func() fleet.Limits) *callerConn {
+	c := &callerConn{TCPConn: tcp, limits: limits}
+	c.begin(headerTimeout)
+	return c
+}
+
+// begin records that a timeout begins.
+func (c *callerConn) begin(t connTimeout) {
+	c.timeout, c.since = t, time.Now()
+	c.atLeast = c.inForce()
+}
+
+// inForce returns the length of the present timeout by the limits in force.
+func (c *callerConn) inForce() time.Duration {
+	switch c.timeout {
+	case headerTimeout:
+		return c.limits().HeaderTimeout
+	case idleTimeout:
+		return c.limits().IdleTimeout
+	default:
+		return 0
+	}
 }
 
-// recordIdle is the ConnState hook of the servers. http.Server calls it before it sets the
-// deadline of an idle connection, in the goroutine that reads from the connection next.
-func recordIdle(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
-		c.idleSince, c.idleLimit = time.Now(), c.idleTimeout()
+// recordState is the ConnState hook of the servers. http.Server calls it in the goroutine that
+// reads from the connection next: as idle before it sets the deadline, as active after the head
+// of a request.
+func recordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	switch {
+	case ok && state == http.StateIdle:
+		c.begin(idleTimeout)
+	case ok && state == http.StateActive:
+		c.begin(noTimeout)
 	}
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendTimeout() {
 		n, err = c.TCPConn.Read(p)
 	}
-	if n > 0 {
-		c.idleSince = time.Time{}
+	if n > 0 && c.timeout == idleTimeout {
+		c.begin(headerTimeout)
 	}
 	return n, err
 }
 
-// extendIdle moves the read deadline of an idle connection to the end of the idle timeout that
-// its caller may count on: the one in force or the one when it became idle. It returns false if
-// the connection is not idle or that time has passed.
-func (c *callerConn) extendIdle() bool {
-	if c.idleSince.IsZero() {
+// extendTimeout moves the read deadline to the end of the timeout that the caller may count on: by
+// the limits in force or by those when it began. It returns false if there is no timeout or that
+// time has passed.
+func (c *callerConn) extendTimeout() bool {
+	if c.timeout == noTimeout {
 		return false
 	}
-	deadline := c.idleSince.Add(max(c.idleLimit, c.idleTimeout()))
+	deadline := c.since.Add(max(c.atLeast, c.inForce()))
 	return time.Now().Before(deadline) && c.SetReadDeadline(deadline) == nil
 }
 
