--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +52,8 @@
 	mayHaveExecuted bool
 	triedUpstreams  map[fleet.UpstreamID]bool
 	unreachable     map[fleet.UpstreamID]bool // tried, and the last connection attempt failed
+	givenUp         fleet.UpstreamID          // was only silent, so that the request may return to it once
+	returnsTo       fleet.UpstreamID          // the only upstream that the request may still be sent to; empty for any
 }
 
 // serve reads the request body and forwards the request to an upstream. The final
@@ -67,6 +71,10 @@
 	case errors.As(err, &tooLarge):
 		c.respond(http.StatusRequestEntityTooLarge, "body too large")
 		return
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.writer.Header().Set("Connection", "close")
+		c.refuse(http.StatusRequestTimeout, 0, "body not received in time")
+		return
 	case err != nil:
 		c.outcome = "body not read: " + err.Error()
 		panic(http.ErrAbortHandler)
@@ -93,7 +101,8 @@
 var errDeadlineExceeded = errors.New("request deadline exceeded")
 
 // readBody reads the request body, which must arrive before the request's deadline.
-// It returns an *http.MaxBytesError if the body is longer than limit bytes.
+// It returns an *http.MaxBytesError if the body is longer than limit bytes. After an error the
+// read deadline stays, since net/http would else wait for the rest of the body.
 func (c *call) readBody(limit int64) ([]byte, error) {
 	if c.request.Body == nil || c.request.ContentLength == 0 {
 		return nil, nil
@@ -117,7 +126,10 @@
 	} else {
 		body, err = io.ReadAll(reader)
 	}
-	return body, errors.Join(err, controller.SetReadDeadline(time.Time{}))
+	if err != nil {
+		return nil, err
+	}
+	return body, controller.SetReadDeadline(time.Time{})
 }
 
 // modelClass returns the class of the request's model. Its weights have size zero if
@@ -155,14 +167,26 @@
 		return false
 	case c.attempts == 0 || c.retryGranted:
 		return c.failedDials < maxFailedDials
-	case c.attempts >= c.route.MaxAttempts || c.mayHaveExecuted && !c.route.IsRepeatable():
+	case c.mayHaveExecuted && !c.route.IsRepeatable():
 		return false
+	case c.attempts >= c.route.MaxAttempts && c.givenUp == "":
+		return false
+	case c.attempts >= c.route.MaxAttempts:
+		c.returnsTo, c.givenUp = c.givenUp, ""
 	}
 	c.retryGranted = c.gateway.spendRetry(c.service)
 	c.logRetryDecision(reason, c.attempts, c.retryGranted)
 	return c.retryGranted
 }
 
+// recordGivenUp records that the request was handed over by an upstream that was silent. Returning
+// to it adds no upstream to those that have the request, so that the route allows it.
+func (c *call) recordGivenUp(id fleet.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.givenUp = id
+}
+
 // acquireHedgeRetry reports whether the request may be sent to another upstream while the
 // present one is silent.
 func (c *call) acquireHedgeRetry() bool {
@@ -234,11 +258,14 @@
 	return without(upstreams, c.triedUpstreams)
 }
 
-// retryCandidates returns the upstreams that a repeatable request may be sent to: the untried
-// ones, else those that could be reached, else all.
+// retryCandidates returns the upstreams that a repeatable request may be sent to: the one that it
+// returns to, else the untried ones, else those that could be reached, else all.
 func (c *call) retryCandidates(upstreams []*fleet.Upstream) []*fleet.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.returnsTo != "" {
+		return slices.DeleteFunc(slices.Clone(upstreams), func(u *fleet.Upstream) bool { return u.ID != c.returnsTo })
+	}
 	for _, candidates := range [][]*fleet.Upstream{without(upstreams, c.triedUpstreams), without(upstreams, c.unreachable)} {
 		if len(candidates) > 0 {
 			return candidates
