--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
+	"savoryweir/internal/coordination/quarantine"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/streams"
 	"savoryweir/platform"
@@ -32,6 +33,7 @@
 	service       string
 	engineClass   *fleet.EngineClass // nil if the service has no engines
 	body          []byte
+	traits        quarantine.Traits
 	deadline      time.Time // time by which the final response must be sent
 
 	lastEventID string // ID of the last event forwarded to the caller
@@ -81,8 +83,9 @@
 	c.gateway.countRequest(c.service)
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
 	c.unreachable = make(map[fleet.UpstreamID]bool)
-	if c.gateway.crashGuard.isBlocked(c.fingerprint(), c.arrivedAt) {
-		c.refuse(http.StatusServiceUnavailable, 0, "crashed several upstreams")
+	c.findTraits()
+	if wait := c.admit(); wait > 0 {
+		c.refuseBlocked(wait)
 		return
 	}
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errDeadlineExceeded)
@@ -160,7 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime:
+	case c.callerDisconnected() || time.Until(c.deadline) < minAttemptTime || c.isBlocked():
 		return false
 	case c.attempts == 0 || c.retryGranted:
 		return c.failedDials < maxFailedDials
@@ -189,7 +192,7 @@
 func (c *call) acquireHedgeRetry() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Until(c.deadline) < minAttemptTime {
+	if time.Until(c.deadline) < minAttemptTime || c.isBlocked() {
 		return false
 	}
 	c.retryGranted = c.retryGranted || c.gateway.spendHedgeRetry(c.service)
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -3,43 +3,25 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/coordination/quarantine"
 )
 
-const (
-	// crashUpstreamLimit is the number of upstreams that must have closed the connection
-	// while processing the same request before the request is refused. A single
-	// upstream may close it for reasons unrelated to the request.
-	crashUpstreamLimit = 3
-	// crashRecordTTL is how long a record is kept after its last crash. It spans several
-	// restarts of an engine.
-	crashRecordTTL = 60 * time.Second
-	// crashEvictionThreshold is the number of records from which expired ones are evicted
-	// before another is added.
-	crashEvictionThreshold = 4096
-)
-
-// crashGuard counts the upstreams that closed the connection while processing the same
-// request, and blocks requests that seem to crash every upstream that processes them.
-// It is safe for concurrent use.
+// crashGuard holds the crashes of upstreams and what is quarantined for them. It is safe for
+// concurrent use.
 type crashGuard struct {
-	mu      sync.Mutex
-	records map[uint64]*crashRecord
-}
-
-// crashRecord holds the upstreams that one request is assumed to have crashed.
-type crashRecord struct {
-	lastCrash time.Time
-	upstreams map[fleet.UpstreamID]bool
+	mu       sync.Mutex
+	detector *quarantine.Detector
 }
 
-func newCrashGuard() *crashGuard { return &crashGuard{records: make(map[uint64]*crashRecord)} }
+func newCrashGuard() *crashGuard { return &crashGuard{detector: quarantine.New(rand.N[time.Duration])} }
 
 // fingerprint returns a hash of the host, method, request URI and body, by which the
 // same request is recognized when it is sent again.
@@ -50,6 +32,14 @@
 	return digest.Sum64()
 }
 
+// findTraits sets by what the request may be quarantined.
+func (c *call) findTraits() {
+	c.traits = quarantine.Traits{Content: quarantine.Trait(c.fingerprint())}
+	for _, p := range c.sharedParts() {
+		c.traits.Parts = append(c.traits.Parts, quarantine.Trait(p.ID))
+	}
+}
+
 // reportCrash records an error of an upstream that may have been executing the request.
 // Only a closed connection counts as a crash; other errors are ignored. The crash is
 // recorded here and broadcast to the other instances.
@@ -59,53 +49,109 @@
 		return
 	}
 	tracked.recordFault()
-	id, fingerprint := tracked.upstream.ID, c.fingerprint()
-	c.gateway.RecordCrash(fingerprint, id)
-	c.gateway.BroadcastCrash(fingerprint, id)
+	broken := c.gateway.crashGuard.describe(c.traits)
+	broken.Upstream = tracked.upstream.ID
+	c.gateway.RecordBroken(broken)
+	c.gateway.BroadcastBroken(broken)
 }
 
-// RecordCrash records that an upstream closed the connection while processing a request
-// of this or of another instance.
-func (g *Gateway) RecordCrash(fingerprint uint64, id fleet.UpstreamID) {
-	if n := g.crashGuard.recordCrash(fingerprint, time.Now(), id); n == crashUpstreamLimit {
-		g.Log.Warn().Str("event", "request.blocked").Uint64("fingerprint", fingerprint).Int("upstreams", n).Msg("request blocked; several upstreams closed the connection while processing it")
+// describe returns what is known of the traits of a request that was broken off.
+func (g *crashGuard) describe(traits quarantine.Traits) quarantine.BrokenRequest {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	broken := quarantine.BrokenRequest{Content: traits.Content}
+	for _, trait := range traits.Parts {
+		broken.Parts = append(broken.Parts, quarantine.Part{Trait: trait, CompletedAt: g.detector.PartCompletedAt(trait)})
 	}
+	return broken
 }
 
-// isBlocked reports whether the request has crashed crashUpstreamLimit upstreams and the
-// last crash is more recent than crashRecordTTL.
-func (g *crashGuard) isBlocked(fingerprint uint64, now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	record := g.records[fingerprint]
-	return record != nil && now.Sub(record.lastCrash) < crashRecordTTL && len(record.upstreams) >= crashUpstreamLimit
+// RecordBroken records that an upstream closed the connection while processing a request of this
+// or of another instance.
+func (g *Gateway) RecordBroken(broken quarantine.BrokenRequest) {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	now := time.Now()
+	g.crashGuard.detector.RecordBroken(now, broken)
+	g.judgeCrashes(now)
 }
 
-// recordCrash records that an upstream closed the connection while processing the
-// request. It returns the number of upstreams that have done so.
-func (g *crashGuard) recordCrash(fingerprint uint64, now time.Time, id fleet.UpstreamID) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	record := g.records[fingerprint]
-	if record == nil || now.Sub(record.lastCrash) > crashRecordTTL {
-		g.evictExpired(now)
-		record = &crashRecord{upstreams: make(map[fleet.UpstreamID]bool)}
-		g.records[fingerprint] = record
+// judgeCrashes quarantines what the crashes are due to. The caller holds the lock of the crash guard.
+func (g *Gateway) judgeCrashes(now time.Time) {
+	for _, f := range g.crashGuard.detector.Judge(now) {
+		g.Log.Warn().Str("event", "request.blocked").Stringer("trait", f.Trait).Bool("part", f.IsPart).Int("crashes", f.Crashes).Dur("term", f.Until.Sub(now)).
+			Msg("requests with this content or part of a prompt are blocked; several upstreams crashed while processing them")
+	}
+}
+
+// admit returns for how long the request is blocked when it arrives, zero if it is not.
+func (c *call) admit() time.Duration {
+	g := c.gateway
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	now := time.Now()
+	g.judgeCrashes(now)
+	return g.crashGuard.detector.Admit(now, c.traits)
+}
+
+// blockedFor returns for how long the request must not be sent to a further upstream, zero if it
+// may be sent. That may change while it waits for a load or for the result of an attempt.
+func (c *call) blockedFor() time.Duration {
+	g := c.gateway
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	now := time.Now()
+	g.judgeCrashes(now)
+	return g.crashGuard.detector.Blocked(now, c.traits)
+}
+
+func (c *call) isBlocked() bool { return c.blockedFor() > 0 }
+
+// refuseBlocked ends a request that is blocked. The caller is told when that ends.
+func (c *call) refuseBlocked(wait time.Duration) {
+	const reason = "crashed several upstreams"
+	if !c.firstByteAt.IsZero() {
+		c.abortStream(reason)
 	}
-	record.lastCrash = now
-	record.upstreams[id] = true
-	return len(record.upstreams)
+	c.refuse(http.StatusServiceUnavailable, wait, reason)
 }
 
-// evictExpired removes expired records if there are at least crashEvictionThreshold
-// records. The caller holds g.mu.
-func (g *crashGuard) evictExpired(now time.Time) {
-	if len(g.records) < crashEvictionThreshold {
+// recordCompleted records that an upstream has processed the request to its end. If that shows
+// that the request was blocked wrongly, the other instances are told. A response whose end is that
+// of its connection shows nothing: the upstream may have crashed.
+func (c *call) recordCompleted(response *http.Response) {
+	g := c.gateway
+	if response.StatusCode >= http.StatusMultipleChoices || !isFramed(response) {
 		return
 	}
-	for fingerprint, record := range g.records {
-		if now.Sub(record.lastCrash) > crashRecordTTL {
-			delete(g.records, fingerprint)
-		}
+	g.crashGuard.mu.Lock()
+	released := g.crashGuard.detector.RecordCompleted(time.Now(), c.traits)
+	g.crashGuard.mu.Unlock()
+	for _, trait := range released {
+		g.Log.Info().Str("event", "request.released").Str("request", c.params.ID).Stringer("trait", trait).Msg("request completed; what it was blocked for is released")
+		g.BroadcastRelease(trait)
+	}
+}
+
+// Release ends the quarantine of a trait after another instance has seen a request with it complete.
+func (g *Gateway) Release(trait quarantine.Trait) {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	g.crashGuard.detector.Release(time.Now(), trait)
+}
+
+// Quarantined returns the traits whose requests are blocked, with the time left.
+func (g *Gateway) Quarantined() map[quarantine.Trait]time.Duration {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	return g.crashGuard.detector.Quarantined(time.Now())
+}
+
+// AdoptQuarantine blocks requests with a trait because another instance does.
+func (g *Gateway) AdoptQuarantine(trait quarantine.Trait, left time.Duration) {
+	g.crashGuard.mu.Lock()
+	defer g.crashGuard.mu.Unlock()
+	if g.crashGuard.detector.Adopt(time.Now(), trait, left) {
+		g.Log.Info().Str("event", "request.block_adopted").Stringer("trait", trait).Dur("term", left).Msg("requests with this content or part of a prompt are blocked, as at another instance")
 	}
 }
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -161,7 +161,7 @@
 // logBrokenResponse logs that the response body of an upstream was incomplete.
 func (c *call) logBrokenResponse(a *attempt, err error) {
 	c.gateway.Log.Info().Str("event", "request.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
-		Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("response body incomplete; reading from the upstream failed")
+		Strs("parts", c.sharedPartIDs()).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("response body incomplete; reading from the upstream failed")
 }
 
 // writeResponse forwards a response with a buffered body to the caller. Content-Length is
@@ -178,6 +178,7 @@
 	if _, err := c.writer.Write(body); err != nil {
 		c.outcome = outcomeCallerDisconnected
 	}
+	c.recordCompleted(a.exchange.Response)
 }
 
 // copyResponse forwards a response whose body is too long to be buffered. If the copy
@@ -195,4 +196,5 @@
 		c.outcome = "broke off: " + err.Error()
 		panic(http.ErrAbortHandler)
 	}
+	c.recordCompleted(a.exchange.Response)
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -50,6 +50,7 @@
 	watchersSeenAt    map[string]time.Time // last report of each instance that watches the store and gets responses
 	wantSentAt        map[rebalance.DemandKey]time.Time
 	pendingChanges    []*pb.ResidencyChange // announced with the next tick of the report loop
+	startedPeers      startedPeers
 
 	aggregator *aggregator
 }
@@ -58,7 +59,7 @@
 	return &reporter{
 		node: n, incarnation: time.Now().UnixMilli(),
 		demand: make(map[rebalance.DemandKey]rebalance.Counts), unreportedDemand: make(map[rebalance.DemandKey]bool),
-		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n),
+		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n), startedPeers: make(startedPeers),
 	}
 }
 
@@ -138,11 +139,6 @@
 	}
 }
 
-// broadcastCrash informs the other instances that an upstream broke off a request.
-func (r *reporter) broadcastCrash(fingerprint uint64, upstream fleet.UpstreamID) {
-	r.node.mesh.Broadcast(&pb.FleetMessage{Breaks: []*pb.RequestBreak{{Fingerprint: fingerprint, Upstream: string(upstream)}}})
-}
-
 // broadcastLeaving informs the other instances that an upstream has said that it is leaving.
 func (r *reporter) broadcastLeaving(u *fleet.Upstream) {
 	r.broadcastNotice(u, &pb.UpstreamNotice{Leaving: true})
@@ -319,9 +315,8 @@
 	for _, c := range m.PackedRelays {
 		r.receivePacked(c)
 	}
-	for _, b := range m.Breaks {
-		r.node.gateway.RecordCrash(b.Fingerprint, fleet.UpstreamID(b.Upstream))
-	}
+	r.receiveCrashes(m)
+	r.tellQuarantines(m)
 	for _, notice := range m.Notices {
 		r.receiveNotice(notice)
 	}
