Refuse a request that waits for a load before its caller leaves

What callers saw: neither a response nor a refusal. A stream request whose model had to be loaded waited as long as its caller does, so that its refusal was due just when the caller had left (2.4 s on most routes).

Cause: awaitLoadedEngines waited for the caller's whole patience, counted from the arrival of the request at the instance. Class of fault: a limit of the caller is taken as the time to act, rather than the time by which the action must have reached it.

Evidence: TestRequestThatWaitsForLoadIsRefusedBeforeCallerLeaves, no response within 2.4 s before; passes now, two runs of two.

Change: the wait ends 150 ms before the caller leaves; a load that is expected later than that is refused at once.

--- a/internal/node/gateway/residency.go
+++ b/internal/node/gateway/residency.go
@@ -13,6 +13,8 @@
 	// of an adapter is. It covers the transfer of the load order and several turnovers of
 	// the engine's adapter slots, each at the load time of an adapter.
 	maxAdapterWait = time.Second
+	// refusalLeadTime is how long before the caller leaves a refusal is sent, so that it arrives.
+	refusalLeadTime = 150 * time.Millisecond
 	// loadRequestInterval is the time between two load requests for the same request. They
 	// are repeated because they are sent as datagrams, which may be lost.
 	loadRequestInterval = 60 * time.Millisecond
@@ -33,7 +35,7 @@
 		return usable, true
 	}
 	expected := c.expectedLoadTime()
-	maxWait := c.patience().Remaining
+	maxWait := c.patience().Remaining - refusalLeadTime
 	g.RequestLoad(c.service, c.params.Model, c.params.Adapter)
 	if expected > maxWait || !c.mayBeLoaded() {
 		c.refuseNotLoaded(ctx, expected)
