Instances that have just started judge no part by crashes alone

What callers would see: requests with the first part of all prompts of a route refused fleet-wide. Cause: an instance that has just started can't know which parts are sound, and the others took its word.

Change: for ten seconds after its start an instance takes each part for one with which requests have completed, so that it needs five crashes and two seconds; only such an instance takes over what others block, and tells no one what it has taken over.

--- a/internal/coordination/quarantine/evidence.go
+++ b/internal/coordination/quarantine/evidence.go
@@ -85,7 +85,7 @@
 
 // suffices reports whether the evidence is enough for a quarantine.
 func (d *Detector) suffices(now time.Time, trait Trait, e evidence) bool {
-	if !d.hasCompleted(now, trait) {
+	if !d.hasCompleted(now, trait) && !(e.isOfPart() && d.IsLearning(now)) {
 		return e.crashes >= minCrashes
 	}
 	return e.crashes >= minCrashesAfterCompletion && now.Sub(e.firstAt) >= minTimeAfterCompletion
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -56,6 +56,9 @@
 	minTimeAfterCompletion    = 2 * time.Second
 	// completionTTL is how long a completed request speaks for its traits.
 	completionTTL = 10 * time.Minute
+	// learningTime is how long after its start a detector takes each part for one with which
+	// requests have completed, and adopts what others have quarantined.
+	learningTime = 10 * time.Second
 	// crashTTL is how long a crash counts. It spans several restarts of an engine.
 	crashTTL = time.Minute
 	// mergeWindow is the time within which requests broken off at an upstream belong to the same
@@ -83,7 +86,9 @@
 	Upstream fleet.UpstreamID
 	// Content is the trait of the whole request.
 	Content Trait
-	// Parts are the traits of the shared parts of its prompt, in the order of the prompt.
+	// Parts are the traits of the shared parts of its prompt, in the order of the prompt. There are
+	// none if it is not known that the upstream has crashed: a single connection may break for
+	// other reasons, and a part is present at far more breaks than a content.
 	Parts []Part
 }
 
@@ -98,6 +103,7 @@
 // Detector holds the crashes of all upstreams that are known to this instance, and what is
 // quarantined. It is not safe for concurrent use.
 type Detector struct {
+	startedAt  time.Time
 	random     func(limit time.Duration) time.Duration // random duration below limit
 	crashes    []*crash                                // oldest first
 	parts      completions                             // of requests with a part
@@ -123,12 +129,14 @@
 	length  time.Duration
 	until   time.Time
 	trialAt time.Time // when the last request passed after the end of the term
+	// isAdopted means that another instance has judged.
+	isAdopted bool
 }
 
 // New returns a detector that knows no crashes. random returns a random duration below its
 // argument.
-func New(random func(limit time.Duration) time.Duration) *Detector {
-	return &Detector{random: random, terms: make(map[Trait]*term), isJudged: true}
+func New(now time.Time, random func(limit time.Duration) time.Duration) *Detector {
+	return &Detector{startedAt: now, random: random, terms: make(map[Trait]*term), isJudged: true}
 }
 
 // RecordBroken records a request that an upstream broke off, as observed by any instance.
@@ -282,11 +290,12 @@
 	return 0
 }
 
-// Quarantined returns the quarantined traits with the time left.
+// Quarantined returns the quarantined traits with the time left. While the detector is learning it
+// leaves out those that it has adopted.
 func (d *Detector) Quarantined(now time.Time) map[Trait]time.Duration {
 	list := make(map[Trait]time.Duration)
 	for trait, t := range d.terms {
-		if left := t.until.Sub(now); left > 0 {
+		if left := t.until.Sub(now); left > 0 && !(t.isAdopted && d.IsLearning(now)) {
 			list[trait] = left
 		}
 	}
@@ -294,15 +303,18 @@
 }
 
 // Adopt quarantines a trait that another instance has quarantined, for at least the time left
-// there. It returns false if the trait is known here.
+// there. It returns false if the detector judges for itself.
 func (d *Detector) Adopt(now time.Time, trait Trait, left time.Duration) bool {
-	if d.terms[trait] != nil {
+	if d.terms[trait] != nil || !d.IsLearning(now) {
 		return false
 	}
-	d.terms[trait] = &term{length: firstTerm, until: now.Add(min(left, 2*maxTerm) + d.random(firstTerm))}
+	d.terms[trait] = &term{length: firstTerm, until: now.Add(min(left, 2*maxTerm) + d.random(firstTerm)), isAdopted: true}
 	return true
 }
 
+// IsLearning reports whether the detector has just started.
+func (d *Detector) IsLearning(now time.Time) bool { return now.Sub(d.startedAt) < learningTime }
+
 // Release ends the quarantine of a trait after another instance has seen a request with it complete.
 func (d *Detector) Release(now time.Time, trait Trait) {
 	d.parts.record(trait, now)
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -21,7 +21,7 @@
 	detector *quarantine.Detector
 }
 
-func newCrashGuard() *crashGuard { return &crashGuard{detector: quarantine.New(rand.N[time.Duration])} }
+func newCrashGuard() *crashGuard { return &crashGuard{detector: quarantine.New(time.Now(), rand.N[time.Duration])} }
 
 // fingerprint returns a hash of the host, method, request URI and body, by which the
 // same request is recognized when it is sent again.
