A broken connection counts against a part of prompts only if its upstream is gone

What callers would see: requests with a popular part refused while upstreams lose answers. Cause: each closed connection was taken for the crash of its upstream. Class of fault: a sign that has many causes is taken as proof of one.

The content of a request counts at each break as before, as it is present at few of them.

--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"savoryweir/internal/coordination/quarantine"
+	"savoryweir/internal/state/fleet"
 )
 
 // crashGuard holds the crashes of upstreams and what is quarantined for them. It is safe for
@@ -21,7 +22,9 @@
 	detector *quarantine.Detector
 }
 
-func newCrashGuard() *crashGuard { return &crashGuard{detector: quarantine.New(time.Now(), rand.N[time.Duration])} }
+func newCrashGuard() *crashGuard {
+	return &crashGuard{detector: quarantine.New(time.Now(), rand.N[time.Duration])}
+}
 
 // fingerprint returns a hash of the host, method, request URI and body, by which the
 // same request is recognized when it is sent again.
@@ -41,7 +44,8 @@
 }
 
 // reportCrash records an error of an upstream that may have been executing the request.
-// Only a closed connection counts as a crash; other errors are ignored. The crash is
+// Only a closed connection counts as a crash of the request's; other errors are ignored. If the
+// upstream accepts no other connection, the parts of the prompt may be the cause as well. Both are
 // recorded here and broadcast to the other instances.
 func (c *call) reportCrash(tracked *trackedRequest, err error) {
 	connectionClosed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
@@ -49,17 +53,28 @@
 		return
 	}
 	tracked.recordFault()
-	broken := c.gateway.crashGuard.describe(c.traits)
-	broken.Upstream = tracked.upstream.ID
-	c.gateway.RecordBroken(broken)
-	c.gateway.BroadcastBroken(broken)
+	g, u, traits := c.gateway, tracked.upstream, c.traits
+	g.publishBroken(quarantine.BrokenRequest{Upstream: u.ID, Content: traits.Content})
+	if len(traits.Parts) > 0 {
+		go func() {
+			if g.crashProbes.hasCrashed(u) {
+				g.publishBroken(g.crashGuard.describe(u.ID, traits))
+			}
+		}()
+	}
+}
+
+// publishBroken records that an upstream broke off a request and tells the other instances.
+func (g *Gateway) publishBroken(broken quarantine.BrokenRequest) {
+	g.RecordBroken(broken)
+	g.BroadcastBroken(broken)
 }
 
-// describe returns what is known of the traits of a request that was broken off.
-func (g *crashGuard) describe(traits quarantine.Traits) quarantine.BrokenRequest {
+// describe returns what is known of the traits of a request that a crash broke off.
+func (g *crashGuard) describe(upstream fleet.UpstreamID, traits quarantine.Traits) quarantine.BrokenRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	broken := quarantine.BrokenRequest{Content: traits.Content}
+	broken := quarantine.BrokenRequest{Upstream: upstream, Content: traits.Content}
 	for _, trait := range traits.Parts {
 		broken.Parts = append(broken.Parts, quarantine.Part{Trait: trait, CompletedAt: g.detector.PartCompletedAt(trait)})
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -70,11 +70,12 @@
 // Gateway is the HTTP handler that serves callers. It is safe for concurrent use.
 type Gateway struct {
 	Options
-	active     atomic.Pointer[activeConfig]
-	inFlight   atomic.Int64
-	crashGuard *crashGuard
-	pauses     *pauses
-	refusesNew atomic.Bool
+	active      atomic.Pointer[activeConfig]
+	inFlight    atomic.Int64
+	crashGuard  *crashGuard
+	crashProbes *crashProbes
+	pauses      *pauses
+	refusesNew  atomic.Bool
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
 	inFlightContext   context.Context // canceled by CancelInFlight
@@ -88,7 +89,7 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	return &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), crashProbes: newCrashProbes(o.Pool.IsReachable), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
 }
 
 // ApplyConfig puts a configuration in force for the requests that arrive after the call.
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -52,18 +52,21 @@
 	assert.NilError(t, err)
 	u := &testUpstream{id: fleet.UpstreamID(id), listener: listener, respond: respond}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(conn)
-		}
-	}()
+	go u.acceptConnections(listener)
 	return u
 }
 
+// acceptConnections serves the connections to a listener until it is closed.
+func (u *testUpstream) acceptConnections(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go u.serve(conn)
+	}
+}
+
 func (u *testUpstream) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
