Tests of requests that return to a silent upstream

Guard the rest of: requests without a response return, too (without the return 502 for safe requests and for streams before their first event), and the return is the last send and reaches no third upstream.

--- a/internal/node/gateway/handover_test.go
+++ b/internal/node/gateway/handover_test.go
@@ -33,3 +33,50 @@
 		})
 	}
 }
+
+// The engine sends nothing before it is done pausing, however often it gets the request.
+func TestRequestWithoutResponseReturnsToPausedUpstreamIfNextFailsLate(t *testing.T) {
+	for path, sound := range map[string]responder{"/stream/1": respondWithEvents(1, 3, true), "/read/1": respondWith(http.StatusOK, eventText(1, 3))} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			end := time.Now().Add(engineSilence)
+			paused := startUpstream(t, "u1", func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+				time.Sleep(time.Until(end))
+				return sound(u, r, body, conn)
+			})
+			next := startUpstream(t, "u2", func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+				time.Sleep(maxOverlap + 50*time.Millisecond)
+				return resetConnection(u, r, body, conn)
+			})
+			h := newHarness(t, paused, next)
+			h.gateway.Tracker.RecordPeerPause("u2", engineSilence/3) // avoided at first
+			got := doStream(h, t, path)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Equal(t, next.requestCount(), 1)
+		})
+	}
+}
+
+// The route allows two upstreams, so that neither the return nor anything after it goes to a third.
+func TestReturnToSilentUpstreamIsLastSend(t *testing.T) {
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if r.Header.Get("Last-Event-Id") == "" {
+			return fallSilent(2*engineSilence)(u, r, body, conn)
+		}
+		time.Sleep(maxOverlap + 50*time.Millisecond)
+		return resetConnection(u, r, body, conn)
+	}
+	upstreams := []*testUpstream{startUpstream(t, "u1", engine), startUpstream(t, "u2", engine), startUpstream(t, "u3", engine)}
+	h := newHarness(t, upstreams...)
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+	assert.Assert(t, got.err != nil, "%q", got.body)
+	used, requests := 0, 0
+	for _, u := range upstreams {
+		requests += u.requestCount()
+		used += min(u.requestCount(), 1)
+	}
+	assert.Equal(t, used, 2)
+	assert.Equal(t, requests, 3)
+}
