Stand-in upstreams send answers without a length

Upstreams may answer with neither a length nor chunks, and end the answer with their connection. The stand-ins framed every answer, so that no test and no soak showed whether such answers reach callers whole, or whether a broken one passes as complete.

A broken stream ends within an event, a broken plain answer is reset: without a length nothing else tells it from a whole one. The share is drawn apart from the other draws, and is zero unless it is asked for.

Evidence: go test -race -count=5 ./internal/standin/upstream passes.

--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -58,6 +58,8 @@
 	// Versions has engines replaced by ones of other versions, and callers lose their connections
 	// in the middle of streams.
 	Versions bool
+	// Unframed is the share of upstreams' answers that have neither a length nor chunks.
+	Unframed float64
 	Progress func(format string, arguments ...any)
 }
 
@@ -217,7 +219,7 @@
 
 func (c *cluster) startUpstream(config upstream.Config, number int, stop <-chan struct{}) (*station, error) {
 	s := &station{}
-	config.Zone = fmt.Sprintf("z%d", number%zones)
+	config.Zone, config.UnframedShare = fmt.Sprintf("z%d", number%zones), c.options.Unframed
 	s.Upstream = upstream.New(config, c.store, c.ledger, c.options.Seed+uint64(number), s.via)
 	if err := s.Start(); err != nil {
 		return nil, err
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	Plain     int           `help:"Plain upstreams." default:"3"`
 	Callers   int           `help:"Callers." default:"12"`
 	Versions  bool          `help:"Has engines replaced by ones of other versions; needs 6 engines or so."`
+	Unframed  float64       `help:"Share of upstreams' answers that have neither a length nor chunks and end with their connection." default:"0"`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
@@ -88,7 +89,7 @@
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
-	o.Versions = f.Versions
+	o.Versions, o.Unframed = f.Versions, f.Unframed
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -66,11 +66,22 @@
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	w.Header().Set("Response-Seal", seal(request))
+	if u.drawUnframed() {
+		answer, err := hijack(w, cancel)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer answer.end()
+		w = answer
+	}
 	if u.config.Places > 0 {
 		u.stream(ctx, w, r, run, loses)
 		return
 	}
 	if !pause.For(ctx, u.config.Work) || loses {
+		if answer, ok := w.(*unframed); ok {
+			answer.reset(Answer(request, run.Fingerprint))
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if fails {
@@ -119,6 +130,12 @@
 	return u.random.Float64() < u.faults.FailShare, u.random.Float64() < u.faults.LoseShare
 }
 
+func (u *Upstream) drawUnframed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.framing.Float64() < u.config.UnframedShare
+}
+
 // restart is what a request does that crashes its upstream.
 func (u *Upstream) restart() {
 	if !u.Crash() {
@@ -136,8 +153,8 @@
 	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", number, request, number)
 }
 
-// stream answers by as many events as the request has output tokens. One that loses
-// its answer breaks off within an event.
+// stream answers by as many events as the request has output tokens. One that loses its
+// answer, or has no frames and ends early, breaks off within an event.
 func (u *Upstream) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, run Run, loses bool) {
 	_, most, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
 	last, err := strconv.Atoi(most)
@@ -151,11 +168,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	for ; next <= last; next++ {
-		if !pause.For(ctx, u.config.Work) {
+		event := Event(run.Request, next)
+		worked := pause.For(ctx, u.config.Work)
+		if _, isUnframed := w.(*unframed); !worked && !isUnframed {
 			panic(http.ErrAbortHandler)
 		}
-		event := Event(run.Request, next)
-		if loses && next >= last/2 {
+		if !worked || loses && next >= last/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -67,6 +67,9 @@
 	// Places is how many models fit into memory; zero for plain services.
 	Places   int
 	LoadTime time.Duration
+	// UnframedShare is the share of answers that have neither a length nor chunks and end with
+	// their connection.
+	UnframedShare float64
 }
 
 // Faults are the failures that an upstream shows.
@@ -90,6 +93,7 @@
 
 	mu       sync.Mutex // guards all below
 	random   *rand.Rand
+	framing  *rand.Rand // apart, so that the other draws of a seed stay the same
 	up       bool
 	starts   int
 	release  string // version of the software that the next incarnation runs
@@ -118,7 +122,8 @@
 // listens into the one that it tells in the store.
 func New(c Config, store Store, journal Journal, seed uint64, via func(address string) (string, error)) *Upstream {
 	return &Upstream{
-		config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), release: c.Version, onDisk: c.Models,
+		config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), framing: rand.New(rand.NewPCG(seed, 2)),
+		release: c.Version, onDisk: c.Models,
 	}
 }
 
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"bufio"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -111,3 +114,70 @@
 	assert.Equal(t, journal.runs[1].Version, "v2")
 	assert.DeepEqual(t, journal.wrote, map[string][]int{"e0-1": {1, 2, 3, 4}, "e0-2": {3, 4}})
 }
+
+// start starts an upstream until the end of the test.
+func start(t *testing.T, u *Upstream) {
+	t.Helper()
+	assert.NilError(t, u.Start())
+	t.Cleanup(func() { u.Crash() })
+}
+
+// exchange sends a request on a connection of its own and returns the head and the body as they
+// came, with the error that ended them.
+func exchange(t *testing.T, address, id string, call Call) (head, body string, failed error) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/tag/1", nil)
+	assert.NilError(t, err)
+	call.Stamp(r.Header)
+	r.Header.Set("Expect-Instance", id)
+	assert.NilError(t, r.Write(conn))
+	data, failed := io.ReadAll(bufio.NewReader(conn))
+	head, body, _ = strings.Cut(string(data), "\r\n\r\n")
+	return head, body, failed
+}
+
+// A reader that waits for a length or a last chunk never sees the end of such answers, and one that
+// takes the end of the connection for the end of the answer delivers broken ones as whole.
+func TestUnframedAnswersEndWithTheirConnection(t *testing.T) {
+	const events = 4
+	cases := []struct {
+		name         string
+		places       int
+		loses, reset bool
+		body         string
+	}{
+		{"plain", 0, false, false, Answer("a", Fingerprint(http.MethodPost, "/tag/1", nil))},
+		{"stream", 1, false, false, Event("a", 1) + Event("a", 2) + Event("a", 3) + Event("a", 4)},
+		{"broken stream", 1, true, false, Event("a", 1) + Event("a", 2)[:len(Event("a", 2))/2]},
+		{"broken plain answer", 0, true, true, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			journal := &notes{wrote: make(map[string][]int), serving: make(map[string]bool)}
+			var address string
+			u := New(Config{Name: "e0", Service: "tagger", Slots: 2, Work: time.Millisecond, Places: test.places, UnframedShare: 1},
+				objectapi.New(time.Now, objectapi.Limits{}), journal, 1, func(a string) (string, error) { address = a; return a, nil })
+			start(t, u)
+			if test.loses {
+				u.SetFaults(Faults{LoseShare: 1})
+			}
+			call := Call{Request: "a", Deadline: time.Second}
+			if test.places > 0 {
+				call.Model, call.Events = "m", events
+				u.models = []resident{{Name: "m"}}
+			}
+			head, body, err := exchange(t, address, u.ID(), call)
+			if test.reset {
+				assert.ErrorContains(t, err, "reset")
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(head, "HTTP/1.1 200 OK\r\n"), head)
+			assert.Assert(t, !strings.Contains(head, "Content-Length") && !strings.Contains(head, "Transfer-Encoding"), head)
+			assert.Equal(t, body, test.body)
+		})
+	}
+}
