Stand-in engines crash by a part of a prompt

The stand-ins crashed only by whole requests (PoisonPath), always before an answer. Nothing played a part of prompts that crashes each engine that begins to write an answer on it, whatever else the request holds.

An engine with a CrashingPart now sends the head, or half of the first event, and ends with all its connections; it is back on another port after RestartTime. The last part of a prompt crashes nothing. Callers name the shared parts of their prompts.

Evidence: TestCrashingPartOfPromptEndsEngineWithAllItsStreams, framed and unframed: go test -race -count=5 ./internal/standin/upstream passes.

--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// Crashed implements upstream.Journal.
+func (l *ledger) Crashed(r upstream.Run) {}
+
 // Ordered implements upstream.Journal.
 func (l *ledger) Ordered(o upstream.Order) {
 	l.mu.Lock()
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -59,7 +59,9 @@
 	}
 	u.journal.Ran(run)
 	if strings.Contains(r.URL.Path, PoisonPath) {
-		go u.restart()
+		if u.Crash() {
+			go u.restart(crashedFor)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	fails, loses := u.fate()
@@ -136,13 +138,10 @@
 	return u.framing.Float64() < u.config.UnframedShare
 }
 
-// restart is what a request does that crashes its upstream.
-func (u *Upstream) restart() {
-	if !u.Crash() {
-		return // it is down already
-	}
+// restart starts a crashed upstream again after a time.
+func (u *Upstream) restart(after time.Duration) {
 	u.Lapse()
-	time.Sleep(crashedFor)
+	time.Sleep(after)
 	_ = u.Start() // the port is chosen anew; without one the upstream stays away
 }
 
@@ -166,6 +165,7 @@
 		next = after + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	crashes := u.config.CrashingPart != "" && slices.Contains(sharedParts(r.Header), u.config.CrashingPart)
 	control := http.NewResponseController(w)
 	for ; next <= last; next++ {
 		event := Event(run.Request, next)
@@ -173,6 +173,9 @@
 		if _, isUnframed := w.(*unframed); !worked && !isUnframed {
 			panic(http.ErrAbortHandler)
 		}
+		if crashes && worked {
+			u.crashBy(w, run, event)
+		}
 		if !worked || loses && next >= last/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = control.Flush()
@@ -184,6 +187,26 @@
 	}
 }
 
+// crashBy crashes the upstream as it begins to write an answer: after the head, or in the
+// middle of the event. All other answers of the upstream end too.
+func (u *Upstream) crashBy(w http.ResponseWriter, run Run, event string) {
+	w.WriteHeader(http.StatusOK)
+	if _, isUnframed := w.(*unframed); isUnframed || u.drawHalfEvent() {
+		_, _ = io.WriteString(w, event[:len(event)/2])
+	}
+	_ = http.NewResponseController(w).Flush()
+	if u.crash(func() { u.journal.Crashed(run) }) {
+		go u.restart(u.config.RestartTime)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (u *Upstream) drawHalfEvent() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.framing.IntN(2) == 0
+}
+
 func deadline(r *http.Request) time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
 	if err != nil {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -44,6 +44,8 @@
 	// Serving tells that an incarnation begins to take requests, or no longer does because it
 	// has ended or is leaving.
 	Serving(upstream, version string, serving bool)
+	// Crashed tells that a run is about to crash its upstream by a part of its prompt.
+	Crashed(Run)
 	Ordered(Order)
 	// Overloaded tells that an engine was ordered to hold more than fits.
 	Overloaded(upstream string)
@@ -70,6 +72,10 @@
 	// UnframedShare is the share of answers that have neither a length nor chunks and end with
 	// their connection.
 	UnframedShare float64
+	// CrashingPart is the ID of a part of prompts. An engine that begins to write an answer to a
+	// prompt that holds it, other than as the last part, crashes and is away for RestartTime.
+	CrashingPart string
+	RestartTime  time.Duration
 }
 
 // Faults are the failures that an upstream shows.
@@ -164,12 +170,16 @@
 
 // Crash ends the incarnation at once and sends nothing more. Its entry stays until
 // it is removed with Lapse. It reports false if the upstream was not running.
-func (u *Upstream) Crash() bool {
+func (u *Upstream) Crash() bool { return u.crash(func() {}) }
+
+// crash calls announce before it ends an incarnation that runs.
+func (u *Upstream) crash(announce func()) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.up {
 		return false
 	}
+	announce()
 	u.up = false
 	u.journal.Serving(u.id, u.version, false)
 	u.cancel()
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -24,6 +24,7 @@
 	runs    []Run
 	wrote   map[string][]int // events by incarnation
 	serving map[string]bool  // by incarnation and version
+	crashed []string         // requests that crashed their upstream
 }
 
 func (n *notes) Ran(r Run) {
@@ -44,10 +45,29 @@
 	n.serving[id+" "+version] = serving
 }
 
+func (n *notes) Crashed(r Run) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.crashed = append(n.crashed, r.Request)
+}
+
 func (n *notes) Ordered(Order) {}
 
 func (n *notes) Overloaded(string) {}
 
+func (n *notes) crashes() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.crashed
+}
+
+// events returns how many events an incarnation wrote.
+func (n *notes) events(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.wrote[id])
+}
+
 func (n *notes) isServing(id, version string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -133,6 +153,8 @@
 	assert.NilError(t, err)
 	call.Stamp(r.Header)
 	r.Header.Set("Expect-Instance", id)
+	r.Close = true
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
 	assert.NilError(t, r.Write(conn))
 	data, failed := io.ReadAll(bufio.NewReader(conn))
 	head, body, _ = strings.Cut(string(data), "\r\n\r\n")
@@ -181,3 +203,54 @@
 		})
 	}
 }
+
+// A crash that only cut its own request, came after the answer or kept the port would hide what
+// such prompts do to the other callers of the engine.
+func TestCrashingPartOfPromptEndsEngineWithAllItsStreams(t *testing.T) {
+	const events = 500
+	for _, share := range []float64{0, 1} {
+		journal := &notes{wrote: make(map[string][]int), serving: make(map[string]bool)}
+		var mu sync.Mutex
+		var addresses []string
+		u := New(Config{
+			Name: "e0", Service: "tagger", Slots: 4, Work: 2 * time.Millisecond, Models: []string{"m"}, Places: 1,
+			UnframedShare: share, CrashingPart: "c7", RestartTime: 50 * time.Millisecond,
+		}, objectapi.New(time.Now, objectapi.Limits{}), journal, 1, func(a string) (string, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			addresses = append(addresses, a)
+			return a, nil
+		})
+		start(t, u)
+		address, id := addresses[0], u.ID()
+		call := func(request string, events int, own uint64, shared ...string) Call {
+			return Call{Request: request, Deadline: 10 * time.Second, Model: "m", Events: events, Shared: shared, Own: own}
+		}
+		_, body, err := exchange(t, address, id, call("last", 1, 0xc7, "a1", "b2"))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(body, Event("last", 1)), "the last part crashes nothing: %q", body)
+
+		bystander := make(chan string)
+		go func() {
+			_, body, _ := exchange(t, address, id, call("bystander", events, 1, "a1"))
+			bystander <- body
+		}()
+		for journal.events(id) < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		head, body, _ := exchange(t, address, id, call("crashing", 4, 2, "a1", "c7"))
+		assert.Assert(t, head == "" || strings.HasPrefix(head, "HTTP/1.1 200 OK\r\n"), head)
+		assert.Assert(t, !strings.Contains(body, Event("crashing", 1)), body)
+		got := <-bystander
+		assert.Assert(t, strings.Contains(got, Event("bystander", 1)) && !strings.Contains(got, Event("bystander", events)))
+		assert.Assert(t, !strings.HasSuffix(got, "\n0\r\n\r\n"), "it looks complete")
+		for !u.IsUp() {
+			time.Sleep(time.Millisecond)
+		}
+		assert.DeepEqual(t, journal.crashes(), []string{"crashing"})
+		mu.Lock()
+		assert.Equal(t, len(addresses), 2)
+		assert.Assert(t, addresses[1] != address && u.ID() != id)
+		mu.Unlock()
+	}
+}
