Soak plays a part of prompts that crashes engines

Callers of routes to engines saw most of their streams not begin while requests kept coming whose prompts share one part that crashes engines. The soak played only whole requests that crash what runs them, which the gateway knows by method and path, so it did not show this.

Two checks: at most three of them run later than 3 s after the fifth crash, sent by instances in touch; from 6 s after it sound requests of the route with the same first part begin at least half as often as outside unplanned disruption. Crashes by the part leave instances in touch.

--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -102,9 +102,11 @@
 	method, path, body string
 	service, model     string
 	repeatable         bool
-	events             int    // zero for plain services
-	resumable          bool   // a stream that may be taken up
-	own                uint64 // part of the prompt
+	events             int      // zero for plain services
+	resumable          bool     // a stream that may be taken up
+	own                uint64   // last part of the prompt
+	shared             []string // parts of the prompt before the last
+	crashing           bool     // the prompt holds the crashing part
 }
 
 func (c *caller) draw() question {
@@ -118,9 +120,9 @@
 	case point < 0.55:
 		return question{method: http.MethodGet, path: fmt.Sprintf("/extra%d/%s", c.random.IntN(extraRoutes), id), service: plainService, repeatable: true}
 	case point < 0.85:
-		return question{method: http.MethodPost, path: "/tag/" + id, body: id, service: engineService, model: c.model(), repeatable: true, events: 2 + c.random.IntN(c.mostEvents()), resumable: true, own: uint64(c.number)}
+		return question{method: http.MethodPost, path: "/tag/" + id, body: id, service: engineService, model: c.model(), repeatable: true, events: 2 + c.random.IntN(c.mostEvents()), resumable: true, own: uint64(c.number), shared: c.sharedParts(tagPart)}
 	default:
-		return question{method: http.MethodPost, path: "/notes/" + id, body: id, service: engineService, model: c.model(), events: 2 + c.random.IntN(30), own: uint64(c.number)}
+		return question{method: http.MethodPost, path: "/notes/" + id, body: id, service: engineService, model: c.model(), events: 2 + c.random.IntN(30), own: uint64(c.number), shared: c.sharedParts(notesPart)}
 	}
 }
 
@@ -170,6 +172,10 @@
 func (c *caller) attempt(q question, s *sent) {
 	s.id, s.service, s.instance, s.repeatable = fmt.Sprintf("%s-%s-%d", c.name, "r", c.number), q.service, c.at.number, q.repeatable
 	s.fingerprint, s.path, s.resumable, s.at = upstream.Fingerprint(q.method, q.path, []byte(q.body)), q.path, q.resumable, time.Now()
+	s.crashing, s.isStream = q.crashing, q.events > 0
+	if len(q.shared) > 0 {
+		s.firstPart = q.shared[0]
+	}
 	c.cluster.ledger.Sent(s)
 	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+2*answerSlack)
 	defer cancel()
@@ -192,7 +198,7 @@
 	}
 	r.GetBody = nil // the client sends nothing twice by itself
 	r.Host = host
-	call := upstream.Call{Request: s.id, Deadline: s.deadline, Model: q.model, Events: q.events, Own: q.own, Resumes: s.resumes, LastEvent: s.after}
+	call := upstream.Call{Request: s.id, Deadline: s.deadline, Model: q.model, Events: q.events, Shared: q.shared, Own: q.own, Resumes: s.resumes, LastEvent: s.after}
 	call.Stamp(r.Header)
 	response, err := c.client.Do(r)
 	if err != nil {
--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -60,6 +60,8 @@
 	Versions bool
 	// Unframed is the share of upstreams' answers that have neither a length nor chunks.
 	Unframed float64
+	// Parts has callers share parts of prompts, and requests with one of them crash engines.
+	Parts    bool
 	Progress func(format string, arguments ...any)
 }
 
@@ -88,6 +90,7 @@
 	// with a time bound are not judged around these moments.
 	Stalls  int
 	Streams streamCounts
+	Parts   partCounts
 }
 
 // configuration is one version that the operator has sent.
@@ -146,7 +149,8 @@
 
 // Run plays one seed.
 func Run(o Options) (Report, error) {
-	c := &cluster{options: o, ledger: newLedger(), disturbances: &disturbances{}, store: objectapi.New(time.Now, objectapi.Limits{}), left: make(map[string]time.Time), idleTimeout: usualIdle, routeTimeout: callerDeadline}
+	d := &disturbances{}
+	c := &cluster{options: o, ledger: newLedger(d), disturbances: d, store: objectapi.New(time.Now, objectapi.Limits{}), left: make(map[string]time.Time), idleTimeout: usualIdle, routeTimeout: callerDeadline}
 	c.server = httptest.NewServer(objectapi.Handler(c.store))
 	defer c.server.Close()
 	stop := make(chan struct{})
@@ -165,6 +169,9 @@
 	if o.Versions {
 		plan = AddReleases(plan, o.Seed, o.Faulted)
 	}
+	if o.Parts {
+		plan = AddCrashingPart(plan, o.Seed, o.Faulted)
+	}
 	c.play(plan, stop)
 	lifted := time.Now()
 	pauses := NewPauses(o.Seed)
@@ -174,8 +181,9 @@
 	traffic.Wait()
 	c.judge(lifted)
 	report := Report{Plan: slices.Concat(plan, pauses), Violations: c.ledger.found(), Stalls: c.disturbances.stallCount()}
-	requests, _, _ := c.ledger.all()
+	requests, runs, _ := c.ledger.all()
 	report.Streams = c.countStreams(requests)
+	report.Parts = c.countParts(requests, runs)
 	for _, s := range requests {
 		report.Requests++
 		if s.served {
@@ -214,6 +222,7 @@
 	held := []string{fmt.Sprintf("m%d", 2*number%models), fmt.Sprintf("m%d", (2*number+1)%models)}
 	return c.startUpstream(upstream.Config{
 		Name: name, Service: engineService, Version: version, Slots: engineSlots, Work: eventWork, Models: held, Places: places, LoadTime: loadTime,
+		CrashingPart: crashingPart, RestartTime: engineRestart,
 	}, number, stop)
 }
 
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Callers   int           `help:"Callers." default:"12"`
 	Versions  bool          `help:"Has engines replaced by ones of other versions; needs 6 engines or so."`
 	Unframed  float64       `help:"Share of upstreams' answers that have neither a length nor chunks and end with their connection." default:"0"`
+	Parts     bool          `help:"Has callers share parts of prompts, one of which crashes engines."`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
@@ -89,7 +90,7 @@
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
-	o.Versions, o.Unframed = f.Versions, f.Unframed
+	o.Versions, o.Unframed, o.Parts = f.Versions, f.Unframed, f.Parts
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
@@ -103,6 +104,9 @@
 func show(seed uint64, r soak.Report, folder string, err error) {
 	fmt.Printf("seed %d: %d of %d requests served, %d violations, %d stalls\n", seed, r.Served, r.Requests, len(r.Violations), r.Stalls)
 	fmt.Printf("  in touch: %d of %d new streams began, %d of %d that were taken up went on\n", r.Streams.Began, r.Streams.New, r.Streams.WentOn, r.Streams.TakenUp)
+	if r.Parts.Crashes > 0 {
+		fmt.Printf("  crashing part: %+v\n", r.Parts)
+	}
 	if err != nil {
 		fmt.Printf("  failed: %v\n", err)
 	}
--- a/internal/bench/soak/disturbances.go
+++ b/internal/bench/soak/disturbances.go
@@ -9,11 +9,12 @@
 // stable is the time without a fault after which a promise with a time bound holds again.
 const stable = 3 * time.Second
 
-// Subjects of faults that concern all instances. Those atUpstreams leave the instances in touch
-// with the store and with each other.
+// Subjects of faults that concern all instances. Those atUpstreams, and the engines that requests
+// have crashed, leave the instances in touch with the store and with each other.
 const (
 	everywhere  = -1
 	atUpstreams = -2
+	atCrashed   = -3
 )
 
 // plannedness tells planned work from faults.
@@ -38,9 +39,13 @@
 }
 
 func (d *disturbances) begin(subject int, kind plannedness) {
+	d.add(span{subject: subject, kind: kind, from: time.Now()})
+}
+
+func (d *disturbances) add(s span) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.spans = append(d.spans, span{subject: subject, kind: kind, from: time.Now()})
+	d.spans = append(d.spans, s)
 }
 
 const (
@@ -102,7 +107,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.spans {
-		concerns := s.subject == subject || s.subject == everywhere || s.subject == atUpstreams || subject == everywhere
+		concerns := s.subject == subject || s.subject == everywhere || s.subject == atUpstreams || s.subject == atCrashed || subject == everywhere
 		if concerns && s.kind == kind && s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
 			return true
 		}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -57,6 +57,8 @@
 		c.tryConfigure()
 	case KindPoison:
 		newCaller(c, poisonCallers+number).poison(stop)
+	case KindCrashingPart:
+		c.sendCrashingParts(f, stop)
 	case KindCallersReset:
 		c.disturb(i.number, 0, i.callers.Reset, func() {})
 	case KindCallersDelay:
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -33,6 +33,9 @@
 
 	PromiseOneVersion Promise = "engines of one version write all events of a stream"
 	PromiseTakenUp    Promise = "streams that are taken up again go on"
+
+	PromisePartContained Promise = "requests with a part of a prompt that crashes engines are contained"
+	PromiseSoundBegin    Promise = "sound requests that share other parts with crashing ones begin"
 )
 
 // Violation is one broken promise.
@@ -53,6 +56,9 @@
 	at          time.Time
 	deadline    time.Duration
 
+	crashing  bool // its prompt holds the crashing part
+	isStream  bool
+	firstPart string // of the prompt
 	resumable bool   // a stream that may be taken up
 	resumes   string // first request of the stream that this one takes up; empty for a new one
 	after     int    // last event that the caller held before
@@ -66,7 +72,8 @@
 // ledger holds what callers and upstreams saw. It is safe for concurrent use and
 // implements upstream.Journal.
 type ledger struct {
-	began time.Time
+	began        time.Time
+	disturbances *disturbances
 
 	mu         sync.Mutex // guards all below
 	sent       map[string]*sent
@@ -74,12 +81,13 @@
 	written    map[string][]written // by request
 	services   map[string]*service  // by incarnation
 	orders     []upstream.Order
+	crashes    []time.Time // by the crashing part
 	violations []Violation
 }
 
-func newLedger() *ledger {
+func newLedger(d *disturbances) *ledger {
 	return &ledger{
-		began: time.Now(), sent: make(map[string]*sent), runs: make(map[string][]upstream.Run),
+		began: time.Now(), disturbances: d, sent: make(map[string]*sent), runs: make(map[string][]upstream.Run),
 		written: make(map[string][]written), services: make(map[string]*service),
 	}
 }
@@ -124,7 +132,13 @@
 }
 
 // Crashed implements upstream.Journal.
-func (l *ledger) Crashed(r upstream.Run) {}
+func (l *ledger) Crashed(upstream.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.crashes = append(l.crashes, now)
+	l.disturbances.add(span{subject: atCrashed, kind: unplanned, from: now, to: now.Add(engineRestart)})
+}
 
 // Ordered implements upstream.Journal.
 func (l *ledger) Ordered(o upstream.Order) {
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -52,6 +52,7 @@
 	KindEntryLapses    Kind = "entry-lapses"    // its entry is gone for a while though it lives
 	KindConfig         Kind = "config"          // a route comes or goes
 	KindPoison         Kind = "poison"          // a request that crashes what runs it
+	KindCrashingPart   Kind = "crashing-part"   // requests come one part of whose prompts crashes engines
 	KindVersionRelease Kind = "version-release" // a share of the engines is replaced by another version
 	KindLimits         Kind = "limits"          // a configuration changes the idle timeout and the timeouts of routes
 	KindNoRetries      Kind = "no-retries"      // the settings of all instances allow no retries from now on
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -41,6 +41,9 @@
 	return program
 }
 
+// crashingSeed is one without a restore of the store, after which no instance is in touch for a while.
+const crashingSeed = 4201
+
 func TestPromisesHoldUnderFaultsFromOutside(t *testing.T) {
 	program := build(t)
 	for _, r := range append(regressions, regression{fresh, "none: the short run of CI"}) {
@@ -58,7 +61,7 @@
 	o.Program, o.Folder = program, t.TempDir()
 	report, err := Run(o)
 	assert.NilError(t, err)
-	t.Logf("seed %d: %d of %d requests served, the machine stalled %d times; streams %+v", o.Seed, report.Served, report.Requests, report.Stalls, report.Streams)
+	t.Logf("seed %d: %d of %d requests served, the machine stalled %d times; streams %+v; crashing part %+v", o.Seed, report.Served, report.Requests, report.Stalls, report.Streams, report.Parts)
 	for _, v := range report.Violations {
 		t.Errorf("%v %s: %s", v.At, v.Promise, v.Text)
 	}
@@ -73,6 +76,30 @@
 	play(t, o, build(t))
 }
 
+// No two of these requests are alike, so that what contains requests by their path and body lets
+// each of them crash an engine.
+func TestRequestsWithCrashingPartOfPromptAreContained(t *testing.T) {
+	t.Parallel()
+	o := DefaultOptions(crashingSeed)
+	o.Parts, o.Faults, o.Faulted = true, 0, 16*time.Second
+	play(t, o, build(t))
+}
+
+// Seeds keep their other faults, so that regressions stay what they were.
+func TestCrashingPartIsAddedToThePlanOfASeed(t *testing.T) {
+	const length = 10 * time.Second
+	for seed := range uint64(50) {
+		base := NewPlan(seed, 14, length)
+		plan := AddCrashingPart(base, seed, length)
+		assert.DeepEqual(t, plan, AddCrashingPart(base, seed, length))
+		assert.DeepEqual(t, slices.DeleteFunc(slices.Clone(plan), func(f Fault) bool { return f.Kind == KindCrashingPart }), base)
+		added := plan[slices.IndexFunc(plan, func(f Fault) bool { return f.Kind == KindCrashingPart })]
+		assert.Equal(t, len(plan), len(base)+1)
+		assert.Equal(t, added.At+added.Lasts, length)
+		assert.Assert(t, added.At > 0 && added.At <= length/4)
+	}
+}
+
 func TestPlansRepeatBySeed(t *testing.T) {
 	a, b := NewPlan(7, 20, 10*time.Second), NewPlan(7, 20, 10*time.Second)
 	assert.DeepEqual(t, a, b)
@@ -202,7 +229,8 @@
 
 // observed returns a cluster that ran nothing, for the checks alone.
 func observed() *cluster {
-	return &cluster{ledger: newLedger(), disturbances: &disturbances{}, left: make(map[string]time.Time)}
+	d := &disturbances{}
+	return &cluster{ledger: newLedger(d), disturbances: d, left: make(map[string]time.Time)}
 }
 
 func (c *cluster) promises() string {
@@ -289,6 +317,17 @@
 			c.wrote("c", "v2", 5, 6)
 		}},
 		{PromiseTakenUp, func(c *cluster) { c.takeUp(at, takenUpLeast/2-1, takenUpLeast) }},
+		{PromisePartContained, func(c *cluster) { c.crashByPart(at, partCrashes, containedArrivals+1, stable+time.Second) }},
+		{PromiseSoundBegin, func(c *cluster) {
+			c.crashByPart(at, partCrashes, 1, time.Minute)
+			c.begin("usual", at.Add(-time.Minute), soundLeast, soundLeast)
+			c.begin("late", at.Add(2*stable+time.Second), soundLeast/2-1, soundLeast)
+		}},
+		{PromiseSoundBegin, func(c *cluster) { // the part crashed fewer engines
+			c.crashByPart(at, 1, 1, time.Minute)
+			c.begin("usual", at.Add(-time.Minute), soundLeast, soundLeast)
+			c.begin("late", at.Add(2*stable+time.Second), soundLeast/2-1, soundLeast)
+		}},
 	}
 	for _, test := range cases {
 		c := observed()
@@ -341,6 +380,30 @@
 	}
 }
 
+// crashByPart records crashes by the crashing part, and requests with it that ran after a time.
+func (c *cluster) crashByPart(at time.Time, crashes, ran int, after time.Duration) {
+	for range crashes {
+		c.ledger.crashes = append(c.ledger.crashes, at)
+	}
+	for n := range ran {
+		id := fmt.Sprint("crashing", n)
+		c.ledger.Sent(&sent{id: id, path: "/tag/" + id, fingerprint: id, repeatable: true, at: at.Add(after), ended: at.Add(after), crashing: true, isStream: true, firstPart: tagPart})
+		c.ledger.Ran(upstream.Run{Request: id, Upstream: "e1-1", Fingerprint: id, Began: at.Add(after)})
+	}
+}
+
+// begin records sound streams, of which some brought an event.
+func (c *cluster) begin(name string, at time.Time, began, sentCount int) {
+	for n := range sentCount {
+		s := &sent{id: fmt.Sprint(name, n), path: "/tag/", at: at, ended: at, isStream: true, firstPart: tagPart}
+		c.ledger.Sent(s)
+		if n < began {
+			s.held = 1
+			c.ledger.Wrote(upstream.Run{Request: s.id, Upstream: "e1-1"}, 1)
+		}
+	}
+}
+
 // Each check accepts what its promise allows.
 func TestChecksAcceptWhatPromisesAllow(t *testing.T) {
 	at := time.Now().Add(-time.Minute)
@@ -374,6 +437,35 @@
 			c.takeUp(at, 0, takenUpLeast)
 			c.ledger.services["e2-v1"].to = at
 		}},
+		{"three requests with the crashing part ran once it was known", func(c *cluster) {
+			c.crashByPart(at, partCrashes, containedArrivals, stable+time.Second)
+		}},
+		{"requests with the crashing part ran before it was known", func(c *cluster) {
+			c.crashByPart(at, partCrashes, 10*containedArrivals, stable-time.Second)
+		}},
+		{"the part crashed fewer engines", func(c *cluster) {
+			c.crashByPart(at, partCrashes-1, 10*containedArrivals, stable+time.Second)
+		}},
+		{"the instances that sent requests with the crashing part had a fault", func(c *cluster) {
+			c.crashByPart(at, partCrashes, 10*containedArrivals, stable+time.Second)
+			c.disturbances.spans = []span{{subject: everywhere, from: at, to: at.Add(2 * time.Second)}}
+		}},
+		{"half of the sound requests began", func(c *cluster) {
+			c.crashByPart(at, partCrashes, 1, time.Minute)
+			c.begin("usual", at.Add(-time.Minute), soundLeast, soundLeast)
+			c.begin("late", at.Add(2*stable+time.Second), soundLeast/2, soundLeast)
+		}},
+		{"too few sound requests were sent", func(c *cluster) {
+			c.crashByPart(at, partCrashes, 1, time.Minute)
+			c.begin("usual", at.Add(-time.Minute), soundLeast, soundLeast)
+			c.begin("late", at.Add(2*stable+time.Second), 0, soundLeast-1)
+		}},
+		{"sound requests did not begin before the part was known for long", func(c *cluster) {
+			c.crashByPart(at, partCrashes, 1, time.Minute)
+			c.disturbances.spans = []span{{subject: atCrashed, from: at, to: at.Add(engineRestart)}}
+			c.begin("usual", at.Add(-time.Minute), soundLeast, soundLeast)
+			c.begin("early", at.Add(time.Second), 0, soundLeast)
+		}},
 		{"a caller lost its connection while planned work went on", func(c *cluster) {
 			c.stream("a", "", 0, 2, at)
 			c.wrote("a", "v1", 1, 2)
--- a/internal/bench/soak/verdict.go
+++ b/internal/bench/soak/verdict.go
@@ -42,6 +42,7 @@
 	c.judgeRecovery(requests, lifted)
 	c.judgeVersions(requests)
 	c.judgeTakenUp(requests)
+	c.judgeParts(requests, runs)
 }
 
 func (c *cluster) judgeRefusals(requests []*sent, runs map[string][]upstream.Run) {
@@ -220,7 +221,7 @@
 	}
 	asked, served := 0, 0
 	for _, s := range requests {
-		if s.at.After(lifted.Add(recoveryBound)) && !strings.HasPrefix(s.path, "/extra") && !s.ended.IsZero() && !errors.Is(s.err, errLinkLost) {
+		if s.at.After(lifted.Add(recoveryBound)) && !s.crashing && !strings.HasPrefix(s.path, "/extra") && !s.ended.IsZero() && !errors.Is(s.err, errLinkLost) {
 			asked++
 			if s.served {
 				served++
