--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -44,6 +44,8 @@
 	// Serving tells that an incarnation begins to take requests, or no longer does because it
 	// has ended or is leaving.
 	Serving(upstream, version string, serving bool)
+	// Crashed tells that a run is about to crash its upstream by a part of its prompt.
+	Crashed(Run)
 	Ordered(Order)
 	// Overloaded tells that an engine was ordered to hold more than fits.
 	Overloaded(upstream string)
@@ -67,6 +69,13 @@
 	// Places is how many models fit into memory; zero for plain services.
 	Places   int
 	LoadTime time.Duration
+	// UnframedShare is the share of answers that have neither a length nor chunks and end with
+	// their connection.
+	UnframedShare float64
+	// CrashingPart is the ID of a part of prompts. An engine that begins to write an answer to a
+	// prompt that holds it, other than as the last part, crashes and is away for RestartTime.
+	CrashingPart string
+	RestartTime  time.Duration
 }
 
 // Faults are the failures that an upstream shows.
@@ -90,6 +99,7 @@
 
 	mu       sync.Mutex // guards all below
 	random   *rand.Rand
+	framing  *rand.Rand // apart, so that the other draws of a seed stay the same
 	up       bool
 	starts   int
 	release  string // version of the software that the next incarnation runs
@@ -118,7 +128,8 @@
 // listens into the one that it tells in the store.
 func New(c Config, store Store, journal Journal, seed uint64, via func(address string) (string, error)) *Upstream {
 	return &Upstream{
-		config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), release: c.Version, onDisk: c.Models,
+		config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), framing: rand.New(rand.NewPCG(seed, 2)),
+		release: c.Version, onDisk: c.Models,
 	}
 }
 
@@ -159,12 +170,16 @@
 
 // Crash ends the incarnation at once and sends nothing more. Its entry stays until
 // it is removed with Lapse. It reports false if the upstream was not running.
-func (u *Upstream) Crash() bool {
+func (u *Upstream) Crash() bool { return u.crash(func() {}) }
+
+// crash calls announce before it ends an incarnation that runs.
+func (u *Upstream) crash(announce func()) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.up {
 		return false
 	}
+	announce()
 	u.up = false
 	u.journal.Serving(u.id, u.version, false)
 	u.cancel()
