A crash is confirmed by a request rather than a connection

Cause: an accepted connection was taken for a sign of life of the upstream.

Change: the probe is a request for the report of the upstream. A connection that is refused or breaks, or another upstream at the address, confirms the crash; silence doesn't, and an upstream that has asked for a pause is not probed.

--- a/internal/node/gateway/crashprobe.go
+++ b/internal/node/gateway/crashprobe.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/transport/upstreamconn"
+	"savoryweir/platform"
 )
 
 const (
-	// crashProbeDelay is the time between a broken connection and the attempt to open another one.
-	// A process that ends may close its connections before its port.
+	// crashProbeDelay is the time between a broken connection and the probe. A process that ends may
+	// close its connections before its port.
 	crashProbeDelay = 20 * time.Millisecond
+	// crashProbeTimeout is how long the probe waits for a response.
+	crashProbeTimeout = 250 * time.Millisecond
 	// crashProbeTTL is how long the result of a probe holds. All connections that a crash breaks
 	// have broken by then, and the upstream has not started again.
 	crashProbeTTL = 500 * time.Millisecond
@@ -19,10 +24,10 @@
 	crashProbeLimit = 64
 )
 
-// crashProbes tell crashed upstreams from broken connections by opening another connection. They
+// crashProbes tell crashed upstreams from broken connections by a request to the upstream. They
 // are safe for concurrent use.
 type crashProbes struct {
-	isReachable func(ctx context.Context, address string) bool
+	isGone func(*fleet.Upstream) bool
 
 	mu     sync.Mutex // guards probes
 	probes map[fleet.UpstreamID]*crashProbe
@@ -34,12 +39,12 @@
 	hasCrashed bool
 }
 
-func newCrashProbes(isReachable func(ctx context.Context, address string) bool) *crashProbes {
-	return &crashProbes{isReachable: isReachable, probes: make(map[fleet.UpstreamID]*crashProbe)}
+func newCrashProbes(isGone func(*fleet.Upstream) bool) *crashProbes {
+	return &crashProbes{isGone: isGone, probes: make(map[fleet.UpstreamID]*crashProbe)}
 }
 
-// hasCrashed reports whether an upstream that has broken a connection accepts no other one.
-// Several calls at a time share a probe.
+// hasCrashed reports whether an upstream that has broken a connection is gone. Several calls at a
+// time share a probe.
 func (c *crashProbes) hasCrashed(u *fleet.Upstream) bool {
 	now := time.Now()
 	c.mu.Lock()
@@ -53,7 +58,7 @@
 	c.mu.Unlock()
 	if isNew {
 		time.Sleep(crashProbeDelay)
-		p.hasCrashed = !c.isReachable(context.Background(), u.Address)
+		p.hasCrashed = c.isGone(u)
 		close(p.done)
 	}
 	<-p.done
@@ -71,3 +76,23 @@
 		}
 	}
 }
+
+// isGone reports whether an upstream refuses or breaks the connection of a request for its report,
+// or another one has its address. An upstream that sends nothing may only be silent.
+func (g *Gateway) isGone(u *fleet.Upstream) bool {
+	if g.IsPaused(u) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	x, err := g.Pool.Do(ctx, upstreamconn.Request{
+		Address: u.Address, Method: http.MethodGet, Target: platform.ReportPath, Host: u.Address, Header: platform.OrderHeaders(string(u.ID)),
+		AtMostOnce: true, // an older idle connection may break for other reasons
+	})
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	defer x.Close()
+	g.ObserveResponse(u, x.Response.StatusCode, x.Response.Header)
+	return x.Response.StatusCode == http.StatusMisdirectedRequest
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -89,7 +89,9 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), crashProbes: newCrashProbes(o.Pool.IsReachable), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	g.crashProbes = newCrashProbes(g.isGone)
+	return g
 }
 
 // ApplyConfig puts a configuration in force for the requests that arrive after the call.
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -26,13 +26,15 @@
 	"savoryweir/internal/state/loads"
 	"savoryweir/internal/state/streams"
 	"savoryweir/internal/transport/upstreamconn"
+	"savoryweir/platform"
 )
 
 // responder responds to one request on a connection to a test upstream. It returns false
 // to close the connection.
 type responder func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool
 
-// testUpstream is an upstream that records its requests and responds by a responder.
+// testUpstream is an upstream that records the requests of callers and responds by a responder. It
+// answers each request for its report.
 type testUpstream struct {
 	id       fleet.UpstreamID
 	listener net.Listener
@@ -79,6 +81,12 @@
 		if err != nil {
 			return
 		}
+		if request.URL.Path == platform.ReportPath {
+			if !respondWith(http.StatusOK, "{}")(u, request, body, conn) {
+				return
+			}
+			continue
+		}
 		u.mu.Lock()
 		u.requests = append(u.requests, request)
 		u.bodies = append(u.bodies, string(body))
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -151,15 +151,3 @@
 		_ = c.Close()
 	}
 }
-
-// IsReachable reports whether a connection to address can be opened. The connection is kept for the
-// next request.
-func (p *Pool) IsReachable(ctx context.Context, address string) bool {
-	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return false
-	}
-	p.onOpen()
-	p.put(address, newConn(raw), &http.Response{})
-	return true
-}
--- a/internal/transport/upstreamconn/upstreamconn_test.go
+++ b/internal/transport/upstreamconn/upstreamconn_test.go
@@ -245,18 +245,3 @@
 	_, err := exchange(t, NewPool(func() {}), newRequest(address))
 	assert.ErrorIs(t, err, errHeadTooLarge)
 }
-
-func TestProbedConnectionIsUsedForNextRequest(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := listener.Addr().String()
-	opened := 0
-	p := NewPool(func() { opened++ })
-	assert.Assert(t, p.IsReachable(t.Context(), address))
-	c, err := p.get(t.Context(), address, false)
-	assert.NilError(t, err)
-	assert.Equal(t, opened, 1)
-	assert.NilError(t, c.Close())
-	assert.NilError(t, listener.Close())
-	assert.Assert(t, !p.IsReachable(t.Context(), address))
-}
