Test of an unframed continuation that ends before its first event

An engine breaks off a stream after its first event, and the engine that continues it ends a response without length or chunks before it has sent one.

--- a/internal/node/gateway/unframed_test.go
+++ b/internal/node/gateway/unframed_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// The rest of a stream from the next engine, which crashed as it began, passed for complete.
+func TestUnframedContinuationWithoutEventsIsNotComplete(t *testing.T) {
+	for name, rest := range map[string]string{"no bytes": "", "comment": ": ping\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+				if r.Header.Get("Last-Event-Id") != "" {
+					return respondUnframed(rest, true)(u, r, body, conn)
+				}
+				return respondUnframed(eventText(1, 1), false)(u, r, body, conn)
+			}
+			h := newHarness(t, startUpstream(t, "u1", engine), startUpstream(t, "u2", engine))
+			got := doStream(h, t, "/stream/1")
+			assert.Assert(t, got.err != nil, "status %d, %q looks complete", got.status, got.body)
+		})
+	}
+}
+
 // A stream that its caller has taken up after the last event has no events left.
 func TestUnframedEmptyRestOfStreamIsComplete(t *testing.T) {
 	u := startUpstream(t, "u1", respondUnframed("", true))
