An unframed continuation that ends before its first event was broken off

If the engine that continues a stream sends a response without length or chunks, and its process ends before the first event, the end of the connection passed for the end of the stream, since only streams that had not begun were checked.

Such an end now counts as any other early end: a retry if one is left, or else the caller's connection is closed. A stream that broke off just after its last event is now also cut if its continuation is unframed and empty, as the two can't be told apart; its caller can take it up. If the caller itself takes a stream up after the last event, an empty rest stays complete.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -212,10 +212,11 @@
 	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
 	lastEventAt := time.Now()
 	idleBytes := 0 // since the last new event
+	hasEvents := false
 	for {
 		event, err := frames.Next()
 		switch {
-		case errors.Is(err, io.EOF) && c.isCutBeforeFirstEvent(a):
+		case errors.Is(err, io.EOF) && !hasEvents && c.isCutBeforeFirstEvent(a):
 			return c.handleBrokenStream(a, h, io.ErrUnexpectedEOF)
 		case errors.Is(err, io.EOF):
 			h.end(true)
@@ -243,6 +244,7 @@
 			}
 			continue
 		}
+		hasEvents = true
 		if isRepeated { // a stalled engine may repeat it for ever
 			a.tracked.recordFirstByte()
 			continue
@@ -325,9 +327,10 @@
 }
 
 // isCutBeforeFirstEvent reports whether a response that has ended without events was broken off.
-// Only a stream that the caller takes up after its last event has none left.
+// Only a stream that the caller itself takes up after its last event has none left.
 func (c *call) isCutBeforeFirstEvent(a *attempt) bool {
-	return c.firstByteAt.IsZero() && c.params.LastEventID == "" && !isFramed(a.exchange.Response)
+	isTakenUp := c.firstByteAt.IsZero() && c.params.LastEventID != ""
+	return !isTakenUp && !isFramed(a.exchange.Response)
 }
 
 // isFramed reports whether the end of a response body is known from its length or its
