Test of the retries that a hedged retry takes from the budget

A request is refused by its first engine, and the engine of its retry is silent, so that it is sent to a third one. The retry budget counts one retry instead of two, so that all instances together may send more than the service's budget allows.

--- a/internal/node/gateway/hedge_test.go
+++ b/internal/node/gateway/hedge_test.go
@@ -423,3 +423,28 @@
 	}
 	eventually(t, "the end of the requests in flight", func() bool { return len(h.inFlight()) == 0 })
 }
+
+// A retry at a silent engine and the send to a further engine took one retry from the budget together.
+func TestHedgeOfRetryTakesRetryOfItsOwn(t *testing.T) {
+	var sends atomic.Int64
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if sends.Add(1) == 1 {
+			return respondNotExecuted(http.StatusTooManyRequests)(u, r, body, conn)
+		}
+		time.Sleep(engineSilence)
+		return respondWithEvents(1, 3, true)(u, r, body, conn)
+	}
+	h := newHarness(t, startUpstream(t, "u1", engine), startUpstream(t, "u2", engine), startUpstream(t, "u3", engine))
+	config := *h.gateway.Config()
+	config.Routes = testRoutes()
+	for i := range config.Routes {
+		config.Routes[i].MaxAttempts = 3
+	}
+	h.gateway.ApplyConfig(&config)
+	const allowed = 10
+	allowRetries(h, allowed)
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, sends.Load(), int64(3))
+	assert.Equal(t, allowed-spendAllRetries(h), 2)
+}
