A hedged retry takes a retry of its own from the budget

Requests whose retry met a silent engine were sent to a further engine without taking a retry from the budget, so that instances could send more together than a service's budget allows. The retry that was granted counts as available until a response to it begins, and the hedge took it again.

A hedge begins only after its present attempt has been silent for longer than opening a connection may take, so that the retry of that attempt has been used by then.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -184,14 +184,15 @@
 	c.givenUp = id
 }
 
-// acquireHedgeRetry reports whether the request may be sent to another upstream while the
-// present one is silent.
-func (c *call) acquireHedgeRetry() bool {
+// acquireHedgeRetry reports whether the request may be sent to another upstream while that of
+// the present attempt is silent. The present attempt keeps the retry that it uses.
+func (c *call) acquireHedgeRetry(present *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Until(c.deadline) < minAttemptTime {
 		return false
 	}
+	c.consumeRetry(present)
 	c.retryGranted = c.retryGranted || c.gateway.spendHedgeRetry(c.service)
 	return c.retryGranted
 }
@@ -230,7 +231,14 @@
 	case failureNotExecuted:
 	}
 	c.attempts++
+	c.consumeRetry(a)
+}
+
+// consumeRetry records that the retry which an attempt uses, if any, is not available to others.
+// The caller holds c.mu.
+func (c *call) consumeRetry(a *attempt) {
 	c.retryGranted = c.retryGranted && !a.isRetry
+	a.isRetry = false
 }
 
 // possiblyExecuted reports whether the request may have been executed, or may be later.
--- a/internal/node/gateway/hedge.go
+++ b/internal/node/gateway/hedge.go
@@ -130,7 +130,7 @@
 // acquireRetry takes a retry from the budget unless the request has one already.
 func (h *hedge) acquireRetry() bool {
 	c := h.call
-	isGranted := !c.callerDisconnected() && c.acquireHedgeRetry()
+	isGranted := !c.callerDisconnected() && c.acquireHedgeRetry(h.present)
 	if isGranted || !h.isDenied {
 		c.logRetryDecision(h.rules.cause.Error(), c.sendCount(), isGranted)
 	}
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -17,7 +17,7 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc // ends the attempt
 	tracked   *trackedRequest
-	isRetry   bool // the attempt uses the retry that the request was granted
+	isRetry   bool // the attempt uses the retry that the request was granted; guarded by the mutex of the call
 	isSent    bool // the fields below hold the result
 	exchange  *upstreamconn.Exchange
 	response  platform.Response
