Test that a return to a silent engine reaches no further engine

With three engines this one also checks that two engines get the request, in three sends that take two retries from the budget.

--- a/internal/node/gateway/handover_test.go
+++ b/internal/node/gateway/handover_test.go
@@ -33,3 +33,29 @@
 		})
 	}
 }
+
+// The return to the silent engine must not send the request to more engines than its route allows.
+func TestStreamThatReturnsToSilentEngineReachesNoFurtherEngine(t *testing.T) {
+	engine := func(u *testUpstream, r *http.Request, body []byte, conn net.Conn) bool {
+		if u.requestCount() == 1 && r.Header.Get("Last-Event-Id") != "" {
+			time.Sleep(maxOverlap + 100*time.Millisecond)
+			return resetConnection(u, r, body, conn)
+		}
+		return fallSilent(engineSilence)(u, r, body, conn)
+	}
+	upstreams := []*testUpstream{startUpstream(t, "u1", engine), startUpstream(t, "u2", engine), startUpstream(t, "u3", engine)}
+	h := newHarness(t, upstreams...)
+	const allowed = 10
+	allowRetries(h, allowed)
+	got := doStream(h, t, "/stream/1", "Deadline-Ms", "3000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, eventText(1, 3))
+	reached, sends := 0, 0
+	for _, u := range upstreams {
+		sends += u.requestCount()
+		reached += min(u.requestCount(), 1)
+	}
+	assert.Equal(t, reached, 2)
+	assert.Equal(t, sends, 3)
+	assert.Equal(t, allowed-spendAllRetries(h), 2)
+}
