Tests of a second silent upstream and of refusals beside late bodies

- A safe request at a silent upstream is handed over to another silent one.
It gets 504 at its deadline, although an attempt is left and a third upstream is sound: nothing watches the second upstream until its response begins.
- A request without a route, or at an instance that leaves, gets its 404 or 503 only after its body, however long that takes, and keeps its connection until then.

--- a/internal/node/gateway/handover_test.go
+++ b/internal/node/gateway/handover_test.go
@@ -59,3 +59,23 @@
 	assert.Equal(t, sends, 3)
 	assert.Equal(t, allowed-spendAllRetries(h), 2)
 }
+
+// The first silent upstream was left for another one, whose silence was not watched before its response began.
+func TestSafeRequestLeavesSecondSilentUpstreamToo(t *testing.T) {
+	sound := respondWith(http.StatusOK, "ok")
+	silent := func(_ *testUpstream, _ *http.Request, _ []byte, _ net.Conn) bool {
+		time.Sleep(4 * time.Second)
+		return false
+	}
+	h := newHarness(t, startUpstream(t, "u1", silent), startUpstream(t, "u2", silent), startUpstream(t, "u3", sound))
+	h.gateway.Tracker.RecordPeerPause("u3", time.Minute) // chosen last
+	config := *h.gateway.Config()
+	config.Routes = testRoutes()
+	for i := range config.Routes {
+		config.Routes[i].MaxAttempts = 3
+	}
+	h.gateway.ApplyConfig(&config)
+	got := h.do(t, "GET", "/read/1", "", "Deadline-Ms", "3000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+}
--- a/internal/node/gateway/slow_body_test.go
+++ b/internal/node/gateway/slow_body_test.go
@@ -43,3 +43,33 @@
 		}
 	}
 }
+
+// The response waited without a limit for the body that the gateway does not read.
+func TestRefusalDoesNotWaitForBodyWithoutLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		path    string
+		prepare func(*harness)
+		status  int
+	}{
+		"no route":            {"/none/1", func(*harness) {}, http.StatusNotFound},
+		"instance is leaving": {"/order/1", func(h *harness) { h.gateway.RefuseNewRequests() }, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			c.prepare(h)
+			conn, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: r-1\r\nDeadline-Ms: 500\r\nContent-Length: 4\r\n\r\nab", c.path)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, c.status)
+			assert.Assert(t, response.Close)
+		})
+	}
+}
