A refusal does not wait without a limit for a body that is not read

Callers without a route, of an instance that leaves or of one without a configuration got no response until their body was whole, and a caller that never sent the rest held its connection for ever. net/http reads the rest of a body before the response and before it closes the connection, without a limit of its own.

Such a body gets the caller's deadline, 5 s at most. After it net/http responds and closes the connection, as after any body that is not whole.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -129,6 +129,19 @@
 	return body, controller.SetReadDeadline(time.Time{})
 }
 
+// limitUnreadBody limits how long net/http waits for a body that the gateway does not read, which
+// it does before the response and before it closes the connection.
+func (c *call) limitUnreadBody() {
+	if c.request.ContentLength == 0 {
+		return
+	}
+	limit := maxUnreadBodyTime
+	if c.params.Deadline > 0 {
+		limit = min(limit, c.params.Deadline)
+	}
+	_ = http.NewResponseController(c.writer).SetReadDeadline(c.arrivedAt.Add(limit))
+}
+
 // modelClass returns the class of the request's model. Its weights have size zero if
 // the service has no engines or does not offer the model.
 func (c *call) modelClass() dispatch.ModelClass {
@@ -296,6 +309,8 @@
 	// lateWriteTime is how long after the deadline the last bytes that the upstream sent before
 	// it may be written.
 	lateWriteTime = 250 * time.Millisecond
+	// maxUnreadBodyTime is the longest wait for the rest of a body that is not read.
+	maxUnreadBodyTime = 5 * time.Second
 	// maxFailedDials bounds the failed connection attempts for one request.
 	maxFailedDials = 8
 )
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -147,10 +147,12 @@
 	defer c.finish()
 	active := g.active.Load()
 	if active == nil {
+		c.limitUnreadBody()
 		c.refuse(http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration yet")
 		return
 	}
 	if g.refusesNew.Load() {
+		c.limitUnreadBody()
 		c.refuse(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
 		return
 	}
@@ -158,6 +160,7 @@
 	path, _, _ := strings.Cut(c.requestURI, "?")
 	if c.route = active.Table.Match(r.Host, path); c.route == nil {
 		c.configVersion = active.Config.Version
+		c.limitUnreadBody()
 		c.respond(http.StatusNotFound, "no route")
 		return
 	}
