An upstream that takes a request over is watched before it responds

Callers of safe routes got 504 at their deadline if the upstream to which their request was handed over was silent as well, although an attempt was left and a third upstream was sound. The hedge waited for the result of the other attempt before that one got a hedge of its own.

Evidence: go test -run TestSafeRequestLeavesSecondSilentUpstreamToo ./internal/node/gateway failed (504 after 3 s) and passes now, three times of three; the tests of the package pass with the race detector.

When the present attempt has been given up, the attempt in flight is returned at once and becomes the present one, with a hedge of its own; its result is awaited there. It counts as one of the route's attempts, and its retry as used, while its result is not known.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -223,6 +223,18 @@
 	return c.attempts
 }
 
+// attemptsLeftBeside returns how often the route still allows the request to be sent beside an
+// attempt whose result may not be known yet.
+func (c *call) attemptsLeftBeside(a *attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := c.route.MaxAttempts - c.attempts
+	if !a.isCounted {
+		left--
+	}
+	return left
+}
+
 // attemptsLeft returns how often the route still allows the request to be sent.
 func (c *call) attemptsLeft() int {
 	return c.route.MaxAttempts - c.sendCount()
@@ -232,6 +244,7 @@
 func (c *call) countAttempt(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	a.isCounted = true
 	c.unreachable[a.tracked.upstream.ID] = a.failure == failureConnect
 	switch a.failure {
 	case failureConnect:
--- a/internal/node/gateway/hedge.go
+++ b/internal/node/gateway/hedge.go
@@ -58,10 +58,7 @@
 // startHedge watches an attempt. The caller has to call end after the attempt. Requests that
 // can't be repeated, or have no attempt left, are not hedged.
 func (c *call) startHedge(ctx context.Context, present *attempt, rules hedgeRules) *hedge {
-	h := &hedge{call: c, ctx: ctx, present: present, rules: rules, left: c.attemptsLeft()}
-	if !present.isSent {
-		h.left--
-	}
+	h := &hedge{call: c, ctx: ctx, present: present, rules: rules, left: c.attemptsLeftBeside(present)}
 	if !c.route.IsRepeatable() || h.left <= 0 || rules.first <= 0 {
 		return h
 	}
@@ -124,6 +121,7 @@
 		return
 	}
 	h.next, h.settled = h.call.newAttempt(h.ctx, tracked), make(chan struct{})
+	h.next.settled = h.settled
 	go h.send(h.next, silence, resumeAfter)
 }
 
@@ -185,7 +183,8 @@
 }
 
 // end ends the hedge after the present attempt. Unless that was served, end returns the
-// attempt at the other upstream, nil if there is none. Only the first call has an effect.
+// attempt at the other upstream, nil if there is none. If the present attempt was given up, the
+// result of the other one may not be known yet. Only the first call has an effect.
 func (h *hedge) end(isServed bool) *attempt {
 	settled := h.stop(isServed)
 	if settled != nil {
@@ -205,7 +204,7 @@
 }
 
 // stop keeps the hedge from sending the request again, and returns a channel that is closed
-// when the result of the last send is known, nil if there was none.
+// when the result of the last send is known, nil if there was none or nothing has to wait for it.
 func (h *hedge) stop(isServed bool) <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -213,7 +212,10 @@
 	if h.timer != nil {
 		h.timer.Stop()
 	}
-	if h.next != nil && isServed && !h.hasEnded {
+	if h.hasEnded || h.present.isGivenUp && !isServed {
+		return nil
+	}
+	if h.next != nil && isServed {
 		h.next.cancel(errResponded)
 	}
 	return h.settled
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -17,8 +17,9 @@
 	ctx       context.Context
 	cancel    context.CancelCauseFunc // ends the attempt
 	tracked   *trackedRequest
-	isRetry   bool // the attempt uses the retry that the request was granted; guarded by the mutex of the call
-	isSent    bool // the fields below hold the result
+	isRetry   bool            // the attempt uses the retry that the request was granted; guarded by the mutex of the call
+	isCounted bool            // its result was counted; guarded by the mutex of the call
+	settled   <-chan struct{} // closed when the fields below hold the result; nil if the attempt is not sent by a hedge
 	exchange  *upstreamconn.Exchange
 	response  platform.Response
 	failure   failureKind
@@ -61,6 +62,15 @@
 	return [...]string{"answered", "no connection", "not run", "lost", "ended"}[k]
 }
 
+// sendOrAwait sends the request to an upstream, or waits for the result if a hedge does so.
+func (c *call) sendOrAwait(a *attempt, resumeAfter string) {
+	if a.settled != nil {
+		<-a.settled
+		return
+	}
+	c.send(a, resumeAfter)
+}
+
 // send sends the request to an upstream and reads the status and headers of the response.
 // A stream is resumed after the event resumeAfter unless that is empty. On failure, the
 // exchange is closed and the tracked request finished.
@@ -90,7 +100,6 @@
 		a.response = platform.DecodeResponse(a.exchange.Response.StatusCode, a.exchange.Response.Header)
 		a.failure = c.checkResponse(a)
 	}
-	a.isSent = true
 	c.recordAttempt(a)
 }
 
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -157,9 +157,7 @@
 		accepts: func(next *attempt) bool { return next.exchange.Response.StatusCode == http.StatusOK },
 	})
 	defer h.end(true)
-	if !a.isSent {
-		c.send(a, c.lastEventID)
-	}
+	c.sendOrAwait(a, c.lastEventID)
 	if a.failure != failureNone {
 		return attemptResult{reason: a.failure.String(), next: h.end(false)}
 	}
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -77,9 +77,7 @@
 		accepts: func(next *attempt) bool { return !c.isRetryableResponse(next) },
 	})
 	defer h.end(true)
-	if !a.isSent {
-		c.send(a, "")
-	}
+	c.sendOrAwait(a, "")
 	if a.failure != failureNone {
 		return attemptResult{reason: a.failure.String(), next: h.end(false)}
 	}
