The header limit in force applies to open connections

What callers saw: 431 for heads that the configuration in force allows, on each connection that was opened under a smaller limit, and on new ones for heads sent just before the limit was lowered. Cause: http.Server takes MaxHeaderBytes once, and a change of the limit only replaced the server for new connections. Ruled out: a check in the handler (the head is in memory by then), closing connections at a change (cuts requests on their way), and a limit kept by each connection from its opening (refuses new connections whose head was on its way). Change: the servers no longer limit heads. callerConn counts the bytes that http.Server reads between the end of a request and the end of the next head (ConnState tells both), and ends the head with the same 431, close and linger once the limit in force and 4,096 bytes are used up. No read goes beyond that, so that no more of an endless head is kept. Why it works: http.Server reads on only while the head is incomplete, so that all bytes counted are the head's; pipelined bytes that came before only make the count smaller. Bodies don't count. Left: header timeouts of open connections still are those of their opening.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,10 +16,10 @@
 	"savoryweir/internal/state/fleet"
 )
 
-// callerServers serves the connections of callers. The limits of the configuration that is in
-// force when a connection opens apply to it. Since http.Server does not allow its limits to
-// change, a change of the limits replaces the server; earlier servers keep their connections.
-// Only a longer idle timeout applies to these as well, see callerConn.
+// callerServers serves the connections of callers. The timeouts of the configuration that is in
+// force when a connection opens apply to it. Since http.Server does not allow its timeouts to
+// change, a change of these replaces the server; earlier servers keep their connections. The
+// header limit and a longer idle timeout apply to these as well, see callerConn.
 type callerServers struct {
 	gateway  *gateway.Gateway
 	listener net.Listener
@@ -26,7 +28,8 @@
 	acceptedOnce sync.Once
 
 	mu             sync.Mutex // guards the fields below
-	limits         fleet.Limits
+	headerTimeout  time.Duration
+	idleTimeout    time.Duration
 	server         *http.Server
 	serverListener *queueListener
 	retired        []*http.Server
@@ -42,6 +45,9 @@
 	initialIdleTimeout    = 30 * time.Second
 	initialMaxHeaderBytes = 16 << 10
 
+	// maxHeaderLimit is the largest header limit that can be enforced, in bytes.
+	maxHeaderLimit = 1 << 30
+
 	// acceptBacklogTime is how long an instance that stops goes on accepting the connections
 	// that wait for it.
 	acceptBacklogTime = 20 * time.Millisecond
@@ -49,8 +55,8 @@
 	acceptRetryDelay = 10 * time.Millisecond
 )
 
-// acceptConnections accepts connections and hands each to the server with the limits in
-// force. After the listener is closed or its deadline has passed, it waits for the end of ctx.
+// acceptConnections accepts connections and hands each to the server with the timeouts
+// in force. After the listener is closed or its deadline has passed, it waits for the end of ctx.
 func (c *callerServers) acceptConnections(ctx context.Context) {
 	for {
 		conn, err := c.listener.Accept()
@@ -64,28 +70,30 @@
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = &callerConn{TCPConn: tcp, idleTimeout: c.idleTimeout}
+			conn = &callerConn{TCPConn: tcp, idleTimeout: c.idleTimeoutInForce, headerLimit: c.headerLimitInForce, readsHead: true}
 		}
 		c.currentListener().deliver(conn)
 	}
 }
 
-// currentListener returns the listener of the server with the limits in force, and starts a
-// new server if the limits have changed.
+// currentListener returns the listener of the server with the timeouts in force, and starts a
+// new server if the timeouts have changed.
 func (c *callerServers) currentListener() *queueListener {
 	limits := c.limitsInForce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.server != nil && c.limits == limits {
+	if c.server != nil && c.headerTimeout == limits.HeaderTimeout && c.idleTimeout == limits.IdleTimeout {
 		return c.serverListener
 	}
 	if c.server != nil {
 		c.retired = append(c.retired, c.server)
 	}
-	c.limits, c.serverListener = limits, newQueueListener(c.listener.Addr())
+	c.headerTimeout, c.idleTimeout = limits.HeaderTimeout, limits.IdleTimeout
+	c.serverListener = newQueueListener(c.listener.Addr())
 	c.server = &http.Server{
 		Handler: c.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: recordIdle,
+		MaxHeaderBytes: maxHeaderLimit, // callerConn enforces the limit in force
+		ConnState:      recordConnState,
 	}
 	server, listener := c.server, c.serverListener
 	go func() { _ = server.Serve(listener) }() // returns when the listener or the server is closed, as the process stops
@@ -96,10 +104,14 @@
 	if config := c.gateway.Config(); config != nil {
 		return config.Limits
 	}
-	return fleet.Limits{MaxHeaderBytes: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
+	return fleet.Limits{HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
 }
 
-func (c *callerServers) idleTimeout() time.Duration { return c.limitsInForce().IdleTimeout }
+func (c *callerServers) idleTimeoutInForce() time.Duration { return c.limitsInForce().IdleTimeout }
+
+func (c *callerServers) headerLimitInForce() int {
+	return min(cmp.Or(c.gateway.HeaderLimit(), initialMaxHeaderBytes), maxHeaderLimit)
+}
 
 // refuseNewRequests makes the gateway refuse new requests on connections that are still open,
 // and closes the port after the connections that wait to be accepted have been accepted. The
@@ -133,25 +145,63 @@
 	return err
 }
 
-// callerConn is a connection of a caller. Callers reuse it by the idle timeout in force, so that
-// it stays open if that is longer than the timeout of its server.
+// callerConn is a connection of a caller. It enforces the header limit in force, which may
+// change while http.Server serves the connection. Callers reuse it by the idle timeout in force,
+// so that it stays open if that is longer than the timeout of its server.
 type callerConn struct {
 	*net.TCPConn
-	idleTimeout func() time.Duration // in force
-	idleSince   time.Time            // zero unless the connection waits for the next request
-	idleLimit   time.Duration        // idle timeout in force at idleSince
+	headerLimit func() int // in force, in bytes
+	idleTimeout func() time.Duration
+
+	readsHead bool          // the server waits for a head or reads one
+	headBytes int           // read since readsHead was set
+	idleSince time.Time     // zero unless the connection waits for the next request
+	idleLimit time.Duration // idle timeout in force at idleSince
 }
 
-// recordIdle is the ConnState hook of the servers. http.Server calls it before it sets the
-// deadline of an idle connection, in the goroutine that reads from the connection next.
-func recordIdle(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+const (
+	// headerSlop is how far above the limit a head may be, in bytes. It is that of http.Server.
+	headerSlop = 4096
+	// refusalLinger is how long a connection stays open after a refused head. If it closed at
+	// once, the kernel would reset it, and the caller might not read the response.
+	refusalLinger = 500 * time.Millisecond
+	// headerRefusal is the response of http.Server to a head that is too large.
+	headerRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" +
+		"431 Request Header Fields Too Large"
+)
+
+// errHeadTooLarge ends a connection without a further response, because http.Server responds to
+// no read error of the network.
+var errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("head of the request exceeds the limit")}
+
+// recordConnState is the ConnState hook of the servers. http.Server calls it in the goroutine
+// that reads from the connection next: with StateActive when a head has been read, and with
+// StateIdle when the whole request has been read and answered, before it sets the idle deadline.
+func recordConnState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.readsHead = false
+	case http.StateIdle:
+		c.readsHead, c.headBytes = true, 0
 		c.idleSince, c.idleLimit = time.Now(), c.idleTimeout()
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It refuses a head that goes on beyond the header limit. The server
+// reads only what it needs: if it reads again, all bytes so far belong to the head. Bytes of the
+// head that were read with the request before don't count.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.readsHead {
+		allowed := c.headerLimit() + headerSlop - c.headBytes
+		if allowed <= 0 {
+			return 0, c.refuseHead()
+		}
+		p = p[:min(len(p), allowed)]
+	}
 	n, err := c.TCPConn.Read(p)
 	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
 		n, err = c.TCPConn.Read(p)
@@ -159,9 +209,23 @@
 	if n > 0 {
 		c.idleSince = time.Time{}
 	}
+	if c.readsHead {
+		c.headBytes += n
+	}
 	return n, err
 }
 
+// refuseHead responds to a head that is too large and returns the error that ends the connection.
+func (c *callerConn) refuseHead() error {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalLinger))
+	if _, err := io.WriteString(c.TCPConn, headerRefusal); err != nil {
+		return errHeadTooLarge
+	}
+	_ = c.CloseWrite()
+	time.Sleep(refusalLinger)
+	return errHeadTooLarge
+}
+
 // extendIdle moves the read deadline of an idle connection to the end of the idle timeout that
 // its caller may count on: the one in force or the one when it became idle. It returns false if
 // the connection is not idle or that time has passed.
--- a/internal/node/callers_headers_test.go
+++ b/internal/node/callers_headers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,8 +14,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// headerSlop is how far above the limit the head of a request may be before it must be refused.
-const headerSlop = 8 << 10
+// maxExcess is how far above the limit the head of a request may be before it must be refused.
+const maxExcess = 8 << 10
 
 // headOfSize returns a request whose head has the given size in bytes.
 func headOfSize(size int) string {
@@ -93,7 +94,7 @@
 		if kept {
 			conn.mustServe(t)
 		}
-		conn.mustWrite(t, headOfSize(limits.headerBytes+headerSlop+1))
+		conn.mustWrite(t, headOfSize(limits.headerBytes+maxExcess+1))
 		conn.mustBeRefused(t)
 	}
 }
@@ -110,7 +111,7 @@
 				conn.mustServe(t)
 			}
 			conn.mustWrite(t, "POST /a/1 HTTP/1.1\r\nHost: h\r\n")
-			for sent := 0; sent <= limits.headerBytes+headerSlop; sent += piece {
+			for sent := 0; sent <= limits.headerBytes+maxExcess; sent += piece {
 				conn.mustWrite(t, "Padding: "+strings.Repeat("x", piece)+"\r\n")
 				time.Sleep(time.Millisecond)
 			}
@@ -126,7 +127,7 @@
 	_, i := startInstanceWithLimits(t, limits)
 	whole, small := headOfSize(limits.headerBytes), headOfSize(200)
 	conn := i.mustDial(t)
-	conn.mustWrite(t, strings.Repeat(whole, 8)+strings.Repeat(small+whole, 4)+small+headOfSize(limits.headerBytes+2*headerSlop))
+	conn.mustWrite(t, strings.Repeat(whole, 8)+strings.Repeat(small+whole, 4)+small+headOfSize(limits.headerBytes+2*maxExcess))
 	for range 17 {
 		conn.mustRead(t, http.StatusOK)
 	}
@@ -260,3 +261,35 @@
 	assert.Equal(t, refused.Load(), int64(0))
 	assert.Assert(t, served.Load() > 100, "%d requests are too few to show anything", served.Load())
 }
+
+// An endless head must not take more memory than the limit in force, also when that is lowered.
+func TestEndlessHeadIsReadUpToHeaderLimitInForceOnly(t *testing.T) {
+	for name, test := range map[string]struct{ begin, end, want int }{
+		"unchanged":                  {20000, 20000, 20000 + headerSlop},
+		"raised":                     {4096, 20000, 20000 + headerSlop},
+		"lowered":                    {20000, 12000, 12000 + headerSlop},
+		"lowered below what is read": {20000, 2000, 10000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = l.Close() }()
+			caller, err := net.Dial("tcp4", l.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = caller.Close() }()
+			accepted, err := l.Accept()
+			assert.NilError(t, err)
+			limit := test.begin
+			conn := &callerConn{TCPConn: accepted.(*net.TCPConn), headerLimit: func() int { return limit }, idleTimeout: func() time.Duration { return time.Minute }, readsHead: true}
+			defer func() { _ = conn.Close() }()
+			_, err = caller.Write(make([]byte, 64<<10))
+			assert.NilError(t, err)
+			read, err := io.ReadFull(conn, make([]byte, min(10000, test.begin)))
+			assert.NilError(t, err)
+			limit = test.end
+			rest, err := io.ReadAll(conn)
+			assert.ErrorIs(t, err, errHeadTooLarge)
+			assert.Equal(t, read+len(rest), test.want)
+		})
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -26,8 +26,9 @@
 
 // activeConfig is the configuration in force together with the route table built from it.
 type activeConfig struct {
-	Config *fleet.Config
-	Table  *routetable.Table
+	Config      *fleet.Config
+	Table       *routetable.Table
+	headerLimit headerLimit
 }
 
 // Options holds the settings and dependencies of a Gateway.
@@ -90,7 +91,11 @@
 // ApplyConfig puts a configuration in force for the requests that arrive after the call.
 // Requests in flight keep the configuration that they began with.
 func (g *Gateway) ApplyConfig(c *fleet.Config) {
-	g.active.Store(&activeConfig{Config: c, Table: routetable.New(c.Routes)})
+	var before headerLimit
+	if active := g.active.Load(); active != nil {
+		before = active.headerLimit
+	}
+	g.active.Store(&activeConfig{Config: c, Table: routetable.New(c.Routes), headerLimit: before.changeTo(c.Limits, time.Now())})
 	g.Metrics.ConfigVersion.Set(float64(c.Version))
 }
 
@@ -102,6 +107,15 @@
 	return nil
 }
 
+// HeaderLimit returns the size in bytes up to which the heads of requests must be accepted now,
+// or 0 if no configuration has been applied.
+func (g *Gateway) HeaderLimit() int {
+	if active := g.active.Load(); active != nil {
+		return active.headerLimit.at(time.Now())
+	}
+	return 0
+}
+
 // RefuseNewRequests makes the gateway refuse all requests that arrive after the call.
 // Requests in flight are not affected.
 func (g *Gateway) RefuseNewRequests() { g.refusesNew.Store(true) }
