Tests of header timeouts on open connections, one known red

What callers see: a connection opened under a shorter header timeout is cut within a head that takes as long as the one in force allows. Cause: as with the header limit, http.Server takes ReadHeaderTimeout once.

--- a/internal/node/callers_headers_test.go
+++ b/internal/node/callers_headers_test.go
@@ -293,3 +293,37 @@
 		})
 	}
 }
+
+// A caller that takes as long for a head as the header timeout in force allows must not be cut
+// by a shorter one of an earlier configuration.
+func TestRaisedHeaderTimeoutAppliesToOpenConnections(t *testing.T) {
+	const short = 300 * time.Millisecond
+	limits := usualLimits
+	limits.headerTimeout = short
+	c, i := startInstanceWithLimits(t, limits)
+	conn := i.mustDial(t)
+	conn.mustServe(t)
+	c.applyLimits(t, i, 2, usualLimits)
+	head := headOfSize(500)
+	conn.mustWrite(t, head[:200])
+	time.Sleep(2 * short)
+	conn.mustWrite(t, head[200:])
+	conn.mustRead(t, http.StatusOK)
+}
+
+// A head that stops coming must still be cut at the header timeout.
+func TestConnectionOfUnfinishedHeadEndsAtHeaderTimeout(t *testing.T) {
+	limits := usualLimits
+	limits.headerTimeout = 300 * time.Millisecond
+	_, i := startInstanceWithLimits(t, limits)
+	fresh, silent, kept := i.mustDial(t), i.mustDial(t), i.mustDial(t)
+	kept.mustServe(t)
+	fresh.mustWrite(t, headOfSize(500)[:200])
+	kept.mustWrite(t, headOfSize(500)[:200])
+	for _, conn := range []*keptConn{fresh, silent, kept} {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		n, err := io.Copy(io.Discard, conn.reader)
+		assert.NilError(t, err)
+		assert.Equal(t, n, int64(0))
+	}
+}
