A raised header timeout applies to open connections

What callers saw: a connection that was opened under a shorter header timeout was cut within a head for which the one in force leaves time. Cause: http.Server takes ReadHeaderTimeout once, as it did with the header limit. Ruled out: one server without timeouts, whose connections set all deadlines; a larger change than this fault needs. Change: callerConn moves the read deadline within a head to the end of the header timeout in force, as it does for idle connections. A lowered timeout still applies to new connections only. Why it works: the deadline is moved only while a head is awaited or read, so that deadlines of bodies and those by which http.Server ends its own reads stay. TestConnectionOfUnfinishedHeadEndsAtHeaderTimeout passes before and after.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -19,7 +19,7 @@
 // callerServers serves the connections of callers. The timeouts of the configuration that is in
 // force when a connection opens apply to it. Since http.Server does not allow its timeouts to
 // change, a change of these replaces the server; earlier servers keep their connections. The
-// header limit and a longer idle timeout apply to these as well, see callerConn.
+// header limit and longer timeouts apply to these as well, see callerConn.
 type callerServers struct {
 	gateway  *gateway.Gateway
 	listener net.Listener
@@ -70,7 +70,10 @@
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = &callerConn{TCPConn: tcp, idleTimeout: c.idleTimeoutInForce, headerLimit: c.headerLimitInForce, readsHead: true}
+			conn = &callerConn{
+				TCPConn: tcp, headerLimit: c.headerLimitInForce, headerTimeout: c.headerTimeoutInForce, idleTimeout: c.idleTimeoutInForce,
+				readsHead: true, headSince: time.Now(),
+			}
 		}
 		c.currentListener().deliver(conn)
 	}
@@ -107,6 +110,8 @@
 	return fleet.Limits{HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
 }
 
+func (c *callerServers) headerTimeoutInForce() time.Duration { return c.limitsInForce().HeaderTimeout }
+
 func (c *callerServers) idleTimeoutInForce() time.Duration { return c.limitsInForce().IdleTimeout }
 
 func (c *callerServers) headerLimitInForce() int {
@@ -146,15 +151,17 @@
 }
 
 // callerConn is a connection of a caller. It enforces the header limit in force, which may
-// change while http.Server serves the connection. Callers reuse it by the idle timeout in force,
-// so that it stays open if that is longer than the timeout of its server.
+// change while http.Server serves the connection. Callers reuse it and send heads by the timeouts
+// in force, so that it stays open if these are longer than the timeouts of its server.
 type callerConn struct {
 	*net.TCPConn
-	headerLimit func() int // in force, in bytes
-	idleTimeout func() time.Duration
+	headerLimit   func() int // in force, in bytes
+	headerTimeout func() time.Duration
+	idleTimeout   func() time.Duration
 
 	readsHead bool          // the server waits for a head or reads one
 	headBytes int           // read since readsHead was set
+	headSince time.Time     // when the connection was accepted or the first byte after idleSince was read
 	idleSince time.Time     // zero unless the connection waits for the next request
 	idleLimit time.Duration // idle timeout in force at idleSince
 }
@@ -203,11 +210,11 @@
 		p = p[:min(len(p), allowed)]
 	}
 	n, err := c.TCPConn.Read(p)
-	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendIdle() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
 		n, err = c.TCPConn.Read(p)
 	}
-	if n > 0 {
-		c.idleSince = time.Time{}
+	if n > 0 && !c.idleSince.IsZero() {
+		c.idleSince, c.headSince = time.Time{}, time.Now()
 	}
 	if c.readsHead {
 		c.headBytes += n
@@ -226,14 +233,17 @@
 	return errHeadTooLarge
 }
 
-// extendIdle moves the read deadline of an idle connection to the end of the idle timeout that
-// its caller may count on: the one in force or the one when it became idle. It returns false if
-// the connection is not idle or that time has passed.
-func (c *callerConn) extendIdle() bool {
-	if c.idleSince.IsZero() {
+// extendDeadline moves the read deadline of a connection that is idle or reads a head to the end
+// of the timeout that its caller may count on: the header timeout in force, or of the idle timeouts
+// in force and at idleSince the longer one. It returns false if that time has passed.
+func (c *callerConn) extendDeadline() bool {
+	if !c.readsHead {
 		return false
 	}
-	deadline := c.idleSince.Add(max(c.idleLimit, c.idleTimeout()))
+	deadline := c.headSince.Add(c.headerTimeout())
+	if !c.idleSince.IsZero() {
+		deadline = c.idleSince.Add(max(c.idleLimit, c.idleTimeout()))
+	}
 	return time.Now().Before(deadline) && c.SetReadDeadline(deadline) == nil
 }
 
