--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,10 +16,10 @@
 	"savoryweir/internal/state/fleet"
 )
 
-// callerServers serves the connections of callers. The limits of the configuration that is in
-// force when a connection opens apply to it. Since http.Server does not allow its limits to
-// change, a change of the limits replaces the server; earlier servers keep their connections.
-// Only longer timeouts apply to these as well, see callerConn.
+// callerServers serves the connections of callers. The timeouts of the configuration that is in
+// force when a connection opens apply to it. Since http.Server does not allow its timeouts to
+// change, a change of these replaces the server; earlier servers keep their connections. The
+// header limit and longer timeouts apply to these as well, see callerConn.
 type callerServers struct {
 	gateway  *gateway.Gateway
 	listener net.Listener
@@ -26,7 +28,8 @@
 	acceptedOnce sync.Once
 
 	mu             sync.Mutex // guards the fields below
-	limits         fleet.Limits
+	headerTimeout  time.Duration
+	idleTimeout    time.Duration
 	server         *http.Server
 	serverListener *queueListener
 	retired        []*http.Server
@@ -42,6 +45,9 @@
 	initialIdleTimeout    = 30 * time.Second
 	initialMaxHeaderBytes = 16 << 10
 
+	// maxHeaderLimit is the largest header limit that can be enforced, in bytes.
+	maxHeaderLimit = 1 << 30
+
 	// acceptBacklogTime is how long an instance that stops goes on accepting the connections
 	// that wait for it.
 	acceptBacklogTime = 20 * time.Millisecond
@@ -49,8 +55,8 @@
 	acceptRetryDelay = 10 * time.Millisecond
 )
 
-// acceptConnections accepts connections and hands each to the server with the limits in
-// force. After the listener is closed or its deadline has passed, it waits for the end of ctx.
+// acceptConnections accepts connections and hands each to the server with the timeouts
+// in force. After the listener is closed or its deadline has passed, it waits for the end of ctx.
 func (c *callerServers) acceptConnections(ctx context.Context) {
 	for {
 		conn, err := c.listener.Accept()
@@ -64,28 +70,33 @@
 			continue
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
-			conn = newCallerConn(tcp, c.limitsInForce)
+			conn = &callerConn{
+				TCPConn: tcp, headerLimit: c.headerLimitInForce, headerTimeout: c.headerTimeoutInForce, idleTimeout: c.idleTimeoutInForce,
+				readsHead: true, headSince: time.Now(),
+			}
 		}
 		c.currentListener().deliver(conn)
 	}
 }
 
-// currentListener returns the listener of the server with the limits in force, and starts a
-// new server if the limits have changed.
+// currentListener returns the listener of the server with the timeouts in force, and starts a
+// new server if the timeouts have changed.
 func (c *callerServers) currentListener() *queueListener {
 	limits := c.limitsInForce()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.server != nil && c.limits == limits {
+	if c.server != nil && c.headerTimeout == limits.HeaderTimeout && c.idleTimeout == limits.IdleTimeout {
 		return c.serverListener
 	}
 	if c.server != nil {
 		c.retired = append(c.retired, c.server)
 	}
-	c.limits, c.serverListener = limits, newQueueListener(c.listener.Addr())
+	c.headerTimeout, c.idleTimeout = limits.HeaderTimeout, limits.IdleTimeout
+	c.serverListener = newQueueListener(c.listener.Addr())
 	c.server = &http.Server{
 		Handler: c.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.MaxHeaderBytes, ConnState: recordState,
+		MaxHeaderBytes: maxHeaderLimit, // callerConn enforces the limit in force
+		ConnState:      recordConnState,
 	}
 	server, listener := c.server, c.serverListener
 	go func() { _ = server.Serve(listener) }() // returns when the listener or the server is closed, as the process stops
@@ -96,7 +107,15 @@
 	if config := c.gateway.Config(); config != nil {
 		return config.Limits
 	}
-	return fleet.Limits{MaxHeaderBytes: initialMaxHeaderBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
+	return fleet.Limits{HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
+}
+
+func (c *callerServers) headerTimeoutInForce() time.Duration { return c.limitsInForce().HeaderTimeout }
+
+func (c *callerServers) idleTimeoutInForce() time.Duration { return c.limitsInForce().IdleTimeout }
+
+func (c *callerServers) headerLimitInForce() int {
+	return min(cmp.Or(c.gateway.HeaderLimit(), initialMaxHeaderBytes), maxHeaderLimit)
 }
 
 // refuseNewRequests makes the gateway refuse new requests on connections that are still open,
@@ -131,82 +150,100 @@
 	return err
 }
 
-// callerConn is a connection of a caller. Callers use it by the limits in force, so that it stays
-// open if these allow more time than the limits of its server.
+// callerConn is a connection of a caller. It enforces the header limit in force, which may
+// change while http.Server serves the connection. Callers reuse it and send heads by the timeouts
+// in force, so that it stays open if these are longer than the timeouts of its server.
 type callerConn struct {
 	*net.TCPConn
-	limits  func() fleet.Limits // in force
-	timeout connTimeout
-	since   time.Time     // when the timeout began
-	atLeast time.Duration // length of the timeout in force at that time
-}
+	headerLimit   func() int // in force, in bytes
+	headerTimeout func() time.Duration
+	idleTimeout   func() time.Duration
 
-// connTimeout is the timeout that bounds reading from a connection of a caller.
-type connTimeout uint8
+	readsHead bool          // the server waits for a head or reads one
+	headBytes int           // read since readsHead was set
+	headSince time.Time     // when the connection was accepted or the first byte after idleSince was read
+	idleSince time.Time     // zero unless the connection waits for the next request
+	idleLimit time.Duration // idle timeout in force at idleSince
+}
 
 const (
-	noTimeout     connTimeout = iota // of the connection; the request has its own
-	headerTimeout                    // reading the head of a request
-	idleTimeout                      // waiting for the next request
+	// headerSlop is how far above the limit a head may be, in bytes. It is that of http.Server.
+	headerSlop = 4096
+	// refusalLinger is how long a connection stays open after a refused head. If it closed at
+	// once, the kernel would reset it, and the caller might not read the response.
+	refusalLinger = 500 * time.Millisecond
+	// headerRefusal is the response of http.Server to a head that is too large.
+	headerRefusal = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n" +
+		"431 Request Header Fields Too Large"
 )
 
-func newCallerConn(tcp *net.TCPConn, limits func() fleet.Limits) *callerConn {
-	c := &callerConn{TCPConn: tcp, limits: limits}
-	c.begin(headerTimeout)
-	return c
-}
+// errHeadTooLarge ends a connection without a further response, because http.Server responds to
+// no read error of the network.
+var errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("head of the request exceeds the limit")}
 
-// begin records that a timeout begins.
-func (c *callerConn) begin(t connTimeout) {
-	c.timeout, c.since = t, time.Now()
-	c.atLeast = c.inForce()
-}
-
-// inForce returns the length of the present timeout by the limits in force.
-func (c *callerConn) inForce() time.Duration {
-	switch c.timeout {
-	case headerTimeout:
-		return c.limits().HeaderTimeout
-	case idleTimeout:
-		return c.limits().IdleTimeout
-	default:
-		return 0
-	}
-}
-
-// recordState is the ConnState hook of the servers. http.Server calls it in the goroutine that
-// reads from the connection next: as idle before it sets the deadline, as active after the head
-// of a request.
-func recordState(conn net.Conn, state http.ConnState) {
+// recordConnState is the ConnState hook of the servers. http.Server calls it in the goroutine
+// that reads from the connection next: with StateActive when a head has been read, and with
+// StateIdle when the whole request has been read and answered, before it sets the idle deadline.
+func recordConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
-	switch {
-	case ok && state == http.StateIdle:
-		c.begin(idleTimeout)
-	case ok && state == http.StateActive:
-		c.begin(noTimeout)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.readsHead = false
+	case http.StateIdle:
+		c.readsHead, c.headBytes = true, 0
+		c.idleSince, c.idleLimit = time.Now(), c.idleTimeout()
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It refuses a head that goes on beyond the header limit. The server
+// reads only what it needs: if it reads again, all bytes so far belong to the head. Bytes of the
+// head that were read with the request before don't count.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.readsHead {
+		allowed := c.headerLimit() + headerSlop - c.headBytes
+		if allowed <= 0 {
+			return 0, c.refuseHead()
+		}
+		p = p[:min(len(p), allowed)]
+	}
 	n, err := c.TCPConn.Read(p)
-	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendTimeout() {
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
 		n, err = c.TCPConn.Read(p)
 	}
-	if n > 0 && c.timeout == idleTimeout {
-		c.begin(headerTimeout)
+	if n > 0 && !c.idleSince.IsZero() {
+		c.idleSince, c.headSince = time.Time{}, time.Now()
+	}
+	if c.readsHead {
+		c.headBytes += n
 	}
 	return n, err
 }
 
-// extendTimeout moves the read deadline to the end of the timeout that the caller may count on: by
-// the limits in force or by those when it began. It returns false if there is no timeout or that
-// time has passed.
-func (c *callerConn) extendTimeout() bool {
-	if c.timeout == noTimeout {
+// refuseHead responds to a head that is too large and returns the error that ends the connection.
+func (c *callerConn) refuseHead() error {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalLinger))
+	if _, err := io.WriteString(c.TCPConn, headerRefusal); err != nil {
+		return errHeadTooLarge
+	}
+	_ = c.CloseWrite()
+	time.Sleep(refusalLinger)
+	return errHeadTooLarge
+}
+
+// extendDeadline moves the read deadline of a connection that is idle or reads a head to the end
+// of the timeout that its caller may count on: the header timeout in force, or of the idle timeouts
+// in force and at idleSince the longer one. It returns false if that time has passed.
+func (c *callerConn) extendDeadline() bool {
+	if !c.readsHead {
 		return false
 	}
-	deadline := c.since.Add(max(c.atLeast, c.inForce()))
+	deadline := c.headSince.Add(c.headerTimeout())
+	if !c.idleSince.IsZero() {
+		deadline = c.idleSince.Add(max(c.idleLimit, c.idleTimeout()))
+	}
 	return time.Now().Before(deadline) && c.SetReadDeadline(deadline) == nil
 }
 
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -132,6 +132,19 @@
 	return body, controller.SetReadDeadline(time.Time{})
 }
 
+// limitUnreadBody limits how long net/http waits for a body that the gateway does not read, which
+// it does before the response and before it closes the connection.
+func (c *call) limitUnreadBody() {
+	if c.request.ContentLength == 0 {
+		return
+	}
+	limit := maxUnreadBodyTime
+	if c.params.Deadline > 0 {
+		limit = min(limit, c.params.Deadline)
+	}
+	_ = http.NewResponseController(c.writer).SetReadDeadline(c.arrivedAt.Add(limit))
+}
+
 // modelClass returns the class of the request's model. Its weights have size zero if
 // the service has no engines or does not offer the model.
 func (c *call) modelClass() dispatch.ModelClass {
@@ -187,14 +200,15 @@
 	c.givenUp = id
 }
 
-// acquireHedgeRetry reports whether the request may be sent to another upstream while the
-// present one is silent.
-func (c *call) acquireHedgeRetry() bool {
+// acquireHedgeRetry reports whether the request may be sent to another upstream while that of
+// the present attempt is silent. The present attempt keeps the retry that it uses.
+func (c *call) acquireHedgeRetry(present *attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Until(c.deadline) < minAttemptTime || c.isBlocked() {
 		return false
 	}
+	c.consumeRetry(present)
 	c.retryGranted = c.retryGranted || c.gateway.spendHedgeRetry(c.service)
 	return c.retryGranted
 }
@@ -212,6 +226,18 @@
 	return c.attempts
 }
 
+// attemptsLeftBeside returns how often the route still allows the request to be sent beside an
+// attempt whose result may not be known yet.
+func (c *call) attemptsLeftBeside(a *attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := c.route.MaxAttempts - c.attempts
+	if !a.isCounted {
+		left--
+	}
+	return left
+}
+
 // attemptsLeft returns how often the route still allows the request to be sent.
 func (c *call) attemptsLeft() int {
 	return c.route.MaxAttempts - c.sendCount()
@@ -221,6 +247,7 @@
 func (c *call) countAttempt(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	a.isCounted = true
 	c.unreachable[a.tracked.upstream.ID] = a.failure == failureConnect
 	switch a.failure {
 	case failureConnect:
@@ -233,7 +260,14 @@
 	case failureNotExecuted:
 	}
 	c.attempts++
+	c.consumeRetry(a)
+}
+
+// consumeRetry records that the retry which an attempt uses, if any, is not available to others.
+// The caller holds c.mu.
+func (c *call) consumeRetry(a *attempt) {
 	c.retryGranted = c.retryGranted && !a.isRetry
+	a.isRetry = false
 }
 
 // possiblyExecuted reports whether the request may have been executed, or may be later.
@@ -291,6 +325,8 @@
 	// lateWriteTime is how long after the deadline the last bytes that the upstream sent before
 	// it may be written.
 	lateWriteTime = 250 * time.Millisecond
+	// maxUnreadBodyTime is the longest wait for the rest of a body that is not read.
+	maxUnreadBodyTime = 5 * time.Second
 	// maxFailedDials bounds the failed connection attempts for one request.
 	maxFailedDials = 8
 )
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -27,8 +27,9 @@
 
 // activeConfig is the configuration in force together with the route table built from it.
 type activeConfig struct {
-	Config *fleet.Config
-	Table  *routetable.Table
+	Config      *fleet.Config
+	Table       *routetable.Table
+	headerLimit headerLimit
 }
 
 // Options holds the settings and dependencies of a Gateway.
@@ -70,11 +71,12 @@
 // Gateway is the HTTP handler that serves callers. It is safe for concurrent use.
 type Gateway struct {
 	Options
-	active     atomic.Pointer[activeConfig]
-	inFlight   atomic.Int64
-	crashGuard *crashGuard
-	pauses     *pauses
-	refusesNew atomic.Bool
+	active      atomic.Pointer[activeConfig]
+	inFlight    atomic.Int64
+	crashGuard  *crashGuard
+	crashProbes *crashProbes
+	pauses      *pauses
+	refusesNew  atomic.Bool
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
 	inFlightContext   context.Context // canceled by CancelInFlight
@@ -88,13 +90,19 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	g.crashProbes = newCrashProbes(g.isGone)
+	return g
 }
 
 // ApplyConfig puts a configuration in force for the requests that arrive after the call.
 // Requests in flight keep the configuration that they began with.
 func (g *Gateway) ApplyConfig(c *fleet.Config) {
-	g.active.Store(&activeConfig{Config: c, Table: routetable.New(c.Routes)})
+	var before headerLimit
+	if active := g.active.Load(); active != nil {
+		before = active.headerLimit
+	}
+	g.active.Store(&activeConfig{Config: c, Table: routetable.New(c.Routes), headerLimit: before.changeTo(c.Limits, time.Now())})
 	g.Metrics.ConfigVersion.Set(float64(c.Version))
 }
 
@@ -106,6 +114,15 @@
 	return nil
 }
 
+// HeaderLimit returns the size in bytes up to which the heads of requests must be accepted now,
+// or 0 if no configuration has been applied.
+func (g *Gateway) HeaderLimit() int {
+	if active := g.active.Load(); active != nil {
+		return active.headerLimit.at(time.Now())
+	}
+	return 0
+}
+
 // RefuseNewRequests makes the gateway refuse all requests that arrive after the call.
 // Requests in flight are not affected.
 func (g *Gateway) RefuseNewRequests() { g.refusesNew.Store(true) }
@@ -151,10 +168,12 @@
 	defer c.finish()
 	active := g.active.Load()
 	if active == nil {
+		c.limitUnreadBody()
 		c.refuse(http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration yet")
 		return
 	}
 	if g.refusesNew.Load() {
+		c.limitUnreadBody()
 		c.refuse(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
 		return
 	}
@@ -162,6 +181,7 @@
 	path, _, _ := strings.Cut(c.requestURI, "?")
 	if c.route = active.Table.Match(r.Host, path); c.route == nil {
 		c.configVersion = active.Config.Version
+		c.limitUnreadBody()
 		c.respond(http.StatusNotFound, "no route")
 		return
 	}
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -59,18 +59,31 @@
 	}
 	u.journal.Ran(run)
 	if strings.Contains(r.URL.Path, PoisonPath) {
-		go u.restart()
+		if u.Crash() {
+			go u.restart(crashedFor)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	fails, loses := u.fate()
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	w.Header().Set("Response-Seal", seal(request))
+	if u.drawUnframed() {
+		answer, err := hijack(w, cancel)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer answer.end()
+		w = answer
+	}
 	if u.config.Places > 0 {
 		u.stream(ctx, w, r, run, loses)
 		return
 	}
 	if !pause.For(ctx, u.config.Work) || loses {
+		if answer, ok := w.(*unframed); ok {
+			answer.reset(Answer(request, run.Fingerprint))
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if fails {
@@ -119,13 +132,16 @@
 	return u.random.Float64() < u.faults.FailShare, u.random.Float64() < u.faults.LoseShare
 }
 
-// restart is what a request does that crashes its upstream.
-func (u *Upstream) restart() {
-	if !u.Crash() {
-		return // it is down already
-	}
+func (u *Upstream) drawUnframed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.framing.Float64() < u.config.UnframedShare
+}
+
+// restart starts a crashed upstream again after a time.
+func (u *Upstream) restart(after time.Duration) {
 	u.Lapse()
-	time.Sleep(crashedFor)
+	time.Sleep(after)
 	_ = u.Start() // the port is chosen anew; without one the upstream stays away
 }
 
@@ -136,8 +152,8 @@
 	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", number, request, number)
 }
 
-// stream answers by as many events as the request has output tokens. One that loses
-// its answer breaks off within an event.
+// stream answers by as many events as the request has output tokens. One that loses its
+// answer, or has no frames and ends early, breaks off within an event.
 func (u *Upstream) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, run Run, loses bool) {
 	_, most, _ := strings.Cut(r.Header.Get("Token-Count"), ",")
 	last, err := strconv.Atoi(most)
@@ -149,13 +165,18 @@
 		next = after + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	crashes := u.config.CrashingPart != "" && slices.Contains(sharedParts(r.Header), u.config.CrashingPart)
 	control := http.NewResponseController(w)
 	for ; next <= last; next++ {
-		if !pause.For(ctx, u.config.Work) {
+		event := Event(run.Request, next)
+		worked := pause.For(ctx, u.config.Work)
+		if _, isUnframed := w.(*unframed); !worked && !isUnframed {
 			panic(http.ErrAbortHandler)
 		}
-		event := Event(run.Request, next)
-		if loses && next >= last/2 {
+		if crashes && worked {
+			u.crashBy(w, run, event)
+		}
+		if !worked || loses && next >= last/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
@@ -166,6 +187,26 @@
 	}
 }
 
+// crashBy crashes the upstream as it begins to write an answer: after the head, or in the
+// middle of the event. All other answers of the upstream end too.
+func (u *Upstream) crashBy(w http.ResponseWriter, run Run, event string) {
+	w.WriteHeader(http.StatusOK)
+	if _, isUnframed := w.(*unframed); isUnframed || u.drawHalfEvent() {
+		_, _ = io.WriteString(w, event[:len(event)/2])
+	}
+	_ = http.NewResponseController(w).Flush()
+	if u.crash(func() { u.journal.Crashed(run) }) {
+		go u.restart(u.config.RestartTime)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (u *Upstream) drawHalfEvent() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.framing.IntN(2) == 0
+}
+
 func deadline(r *http.Request) time.Duration {
 	ms, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
 	if err != nil {
