Wait 100 ms for the reports on a crash, as the probe delays them by 20 ms and more

Parts are reported after the probe of their upstream. 50 ms left little time to an instance that is short of processor time; a sound part might then be judged before the report of the crashing one arrives. Only where another part may turn out likelier is there a wait at all. The tests of quarantine, gateway, node and the soak's crashing part pass as before.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -66,7 +66,7 @@
 	mergeWindow = 500 * time.Millisecond
 	// settleTime is how long after a crash its traits are incomplete, because other instances
 	// report the requests that they had in flight.
-	settleTime = 50 * time.Millisecond
+	settleTime = 100 * time.Millisecond
 	// firstTerm and maxTerm are the shortest and the longest term of a quarantine. A term is
 	// lengthened by up to its own length at random, so that instances end theirs one by one.
 	firstTerm, maxTerm = time.Minute, 16 * time.Minute
--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -43,10 +43,9 @@
 	}
 }
 
-// reportCrash records an error of an upstream that may have been executing the request.
-// Only a closed connection counts as a crash of the request's; other errors are ignored. If the
-// upstream is gone, the parts of the prompt may be the cause as well. Both are
-// recorded here and broadcast to the other instances.
+// reportCrash records an error of an upstream that may have been executing the request, here and
+// at the other instances. Only a closed connection counts. The content of the request is reported
+// at once, the parts of its prompt if the upstream turns out to be gone.
 func (c *call) reportCrash(tracked *trackedRequest, err error) {
 	connectionClosed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	if !connectionClosed {
