--- a/internal/node/gateway/crash_series_test.go
+++ b/internal/node/gateway/crash_series_test.go
@@ -54,7 +54,8 @@
 	results := make(map[string][]result)
 	var mu sync.Mutex
 	var callers sync.WaitGroup
-	for n := range 40 {
+	const requests = 40
+	for n := range requests {
 		route := []string{"order", "read", "stream", "batch"}[n%4]
 		callers.Go(func() {
 			headers := []string{"Request-Id", fmt.Sprintf("r-%d", n), "Deadline-Ms", "3000"}
@@ -67,6 +68,13 @@
 			results[route] = append(results[route], got)
 		})
 	}
+	eventually(t, "all requests at engines", func() bool {
+		count := 0
+		for _, u := range upstreams {
+			count += u.requestCount()
+		}
+		return count >= requests
+	})
 	for step := range 4 {
 		time.Sleep(50 * time.Millisecond)
 		if step%2 == 0 {
