--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -76,6 +76,7 @@
 	crashGuard  *crashGuard
 	crashProbes *crashProbes
 	pauses      *pauses
+	limits      *upstreamLimits
 	refusesNew  atomic.Bool
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
@@ -90,7 +91,7 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), limits: newUpstreamLimits(), inFlightContext: ctx, cancelInFlight: cancel}
 	g.crashProbes = newCrashProbes(g.isGone)
 	return g
 }
