Limits that upstreams name are kept over all instances by permits

Cause: nobody read Server-Limit. The class of fault: what an upstream says about itself was turned into a hint or a pause of one instance, and nothing bounded the sum over the fleet. Seven instances sent to one upstream within 0.6 s, each near the limit by itself, so that reading it without sharing it would not do. Ruled out: hedges and retries (each send had another request ID); a configuration (versions 8 and 10 came 1 s before and 4 s after).

Change: one instance of each upstream, the first by hash, grants a permit for each request to it (coordination/permits). Permits follow the demand; a denial tells the time of the next permit, so that another upstream is chosen at once, and only the last one is waited for, within the target. The owner grants three quarters of the limit, those that stand in for it the rest, halved from rank to rank, so that the sum holds whoever can't reach whom. A limit ends by a signed response without it to a request sent after it was last named.

--- a/internal/coordination/dispatch/admission.go
+++ b/internal/coordination/dispatch/admission.go
@@ -37,7 +37,13 @@
 
 // refusal returns the decision not to admit a request.
 func refusal(expected time.Duration, limits LatencyLimits) AdmissionDecision {
-	return AdmissionDecision{RetryAfter: max(expected-limits.Target, time.Duration(retryAfterShare*float64(limits.Deadline)), minRetryAfter)}
+	return AdmissionDecision{RetryAfter: max(expected-limits.Target, RetryDelay(limits.Deadline))}
+}
+
+// RetryDelay returns the time after which a refused caller may retry, given the time until its
+// deadline.
+func RetryDelay(untilDeadline time.Duration) time.Duration {
+	return max(time.Duration(retryAfterShare*float64(untilDeadline)), minRetryAfter)
 }
 
 // Admit decides whether a request is sent, given the expected time to the first byte. It
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -59,6 +59,8 @@
 	// BroadcastPause tells the other instances that an upstream refused a request and
 	// asked this instance for a pause.
 	BroadcastPause func(u *fleet.Upstream, d time.Duration)
+	// Permits keeps the limits of upstreams, together with the other instances.
+	Permits Permits
 	// Streams knows at which software version streams began.
 	Streams StreamOrigins
 	// BootTime returns the time of a clock that includes suspended time.
@@ -76,7 +78,6 @@
 	crashGuard  *crashGuard
 	crashProbes *crashProbes
 	pauses      *pauses
-	limits      *upstreamLimits
 	refusesNew  atomic.Bool
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
@@ -91,7 +92,7 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), limits: newUpstreamLimits(), inFlightContext: ctx, cancelInFlight: cancel}
+	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
 	g.crashProbes = newCrashProbes(g.isGone)
 	return g
 }
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -18,8 +18,10 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/coordination/quarantine"
 	"savoryweir/internal/coordination/retry"
+	"savoryweir/internal/node/permits"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/node/telemetry"
 	"savoryweir/internal/state/fleet"
@@ -204,6 +206,7 @@
 		RecordDemand:     func(string, string, string, int) {},
 		BroadcastBroken:  func(quarantine.BrokenRequest) {},
 		BroadcastRelease: func(quarantine.Trait) {},
+		Permits:          permits.New(permits.Options{Instance: "i1", Log: zerolog.Nop(), Others: func() []string { return nil }, Broadcast: func(*pb.FleetMessage) {}}),
 		Streams:          newKnownStreams(h.registry),
 		BootTime:         func() time.Duration { return time.Duration(h.bootTime.Load()) },
 		BroadcastLeaving: func(u *fleet.Upstream) {
--- a/internal/node/gateway/limits.go
+++ b/internal/node/gateway/limits.go
@@ -1,40 +1,88 @@
 package gateway
 
 import (
-	"sync"
+	"context"
+	"net/http"
 	"time"
 
+	"savoryweir/internal/coordination/dispatch"
 	"savoryweir/internal/state/fleet"
 )
 
-// upstreamLimits holds the limits that upstreams name in their responses. It is safe for
-// concurrent use.
-type upstreamLimits struct {
-	mu     sync.Mutex // guards limits
-	limits map[fleet.UpstreamID]namedLimit
+// Permits keeps the limits that upstreams name for the requests of all instances together.
+type Permits interface {
+	// Impose records the limit that an upstream names, in requests per second.
+	Impose(u *fleet.Upstream, perSecond float64)
+	// Lift records that an upstream named no limit in its response to a request that was sent at
+	// a time.
+	Lift(u *fleet.Upstream, sentAt time.Time)
+	// IsLimited reports whether an upstream has named a limit.
+	IsLimited(u *fleet.Upstream) bool
+	// Acquire obtains a permit to send one request, and waits until it is due, for maxWait at
+	// most. If it returns false, wait is the time after which there may be one.
+	Acquire(ctx context.Context, u *fleet.Upstream, maxWait time.Duration) (granted bool, wait time.Duration)
 }
 
-// namedLimit is the limit of one upstream incarnation.
-type namedLimit struct {
-	startedAt time.Time // start of the incarnation
-	perSecond float64
+// maxPermitWait is the longest wait for a permit.
+const maxPermitWait = time.Second
+
+// choosePermitted chooses one of the candidates and obtains a permit for it if it has named a limit. A
+// request that admits does not admit is returned without a permit; nil admits all. Without an upstream
+// it returns nil; isDenied then means that all had no permit left, and wait is the time until one may have.
+func (c *call) choosePermitted(ctx context.Context, candidates []*fleet.Upstream, admits func(*trackedRequest) bool) (tracked *trackedRequest, wait time.Duration, isDenied bool) {
+	for {
+		tracked, ok := c.gateway.Tracker.choose(c, candidates, c.gateway.Zone)
+		if !ok {
+			return nil, wait, isDenied
+		}
+		if admits != nil && !admits(tracked) {
+			return tracked, 0, false
+		}
+		granted, left := c.acquirePermit(ctx, tracked, len(candidates) == 1)
+		if granted {
+			return tracked, 0, false
+		}
+		if !isDenied || left < wait {
+			wait, isDenied = left, true
+		}
+		candidates = without(candidates, map[fleet.UpstreamID]bool{tracked.upstream.ID: true})
+	}
 }
 
-func newUpstreamLimits() *upstreamLimits {
-	return &upstreamLimits{limits: make(map[fleet.UpstreamID]namedLimit)}
+// acquirePermit obtains a permit for a request to the upstream that was chosen for it. Only where
+// isLast says that no other upstream is left, it waits for one as long as the response can still be
+// in time.
+func (c *call) acquirePermit(ctx context.Context, tracked *trackedRequest, isLast bool) (granted bool, wait time.Duration) {
+	g, u := c.gateway, tracked.upstream
+	var maxWait time.Duration
+	if isLast {
+		maxWait = min(time.Until(c.arrivedAt.Add(c.route.TargetLatency))-tracked.expectedTTFB, maxPermitWait)
+	}
+	if granted, wait = g.Permits.Acquire(ctx, u, max(maxWait, 0)); !granted {
+		return false, wait
+	}
+	listed := g.Registry.View().Get(u.ID) // the upstream may have left while the request waited
+	return listed != nil && listed.StartedAt.Equal(u.StartedAt) && !listed.Draining && !g.IsPaused(u), 0
 }
 
-// record records the limit in a response, zero if it names none, and returns the one before.
-func (l *upstreamLimits) record(u *fleet.Upstream, perSecond float64) (before float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if known := l.limits[u.ID]; known.startedAt.Equal(u.StartedAt) {
-		before = known.perSecond
+// withoutLimited returns the upstreams that have not named a limit. Permits are left to requests that
+// no other upstream has.
+func (g *Gateway) withoutLimited(upstreams []*fleet.Upstream) []*fleet.Upstream {
+	var rest []*fleet.Upstream
+	for _, u := range upstreams {
+		if !g.Permits.IsLimited(u) {
+			rest = append(rest, u)
+		}
 	}
-	if perSecond > 0 {
-		l.limits[u.ID] = namedLimit{startedAt: u.StartedAt, perSecond: perSecond}
-	} else {
-		delete(l.limits, u.ID)
+	return rest
+}
+
+const reasonLimited = "upstreams limit their requests"
+
+// refuseLimited ends a request for which no upstream has a permit within the given time.
+func (c *call) refuseLimited(wait time.Duration) {
+	if !c.firstByteAt.IsZero() {
+		c.abortStream(reasonLimited)
 	}
-	return before
+	c.refuse(http.StatusServiceUnavailable, max(wait, dispatch.RetryDelay(time.Until(c.deadline))), reasonLimited)
 }
--- a/internal/node/gateway/notices.go
+++ b/internal/node/gateway/notices.go
@@ -46,12 +46,12 @@
 }
 
 // ObserveResponse records what the head of a response says about its upstream: that it is
-// leaving, or that it wants no requests for a time. The other instances are informed.
+// leaving, that it wants no requests for a time, or only so many per second. The other instances
+// are informed.
 func (g *Gateway) ObserveResponse(u *fleet.Upstream, status int, h http.Header) {
 	notice := platform.DecodeUpstreamNotice(status, h)
-	if before := g.limits.record(u, notice.Limit); before != notice.Limit {
-		g.Log.Info().Str("event", "upstream.limit").Str("upstream", string(u.ID)).Str("address", u.Address).Float64("limit", notice.Limit).Float64("before", before).
-			Msg("upstream names another limit of requests per second, or none if it is zero")
+	if notice.Limit > 0 {
+		g.Permits.Impose(u, notice.Limit)
 	}
 	if notice.Leaving && g.Registry.MarkLeaving(u.ID, u.StartedAt) {
 		g.Log.Info().Str("event", "upstream.leaving").Str("upstream", string(u.ID)).Str("address", u.Address).Int("status", status).
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -99,6 +99,9 @@
 		g.ObserveResponse(upstream, a.exchange.Response.StatusCode, a.exchange.Response.Header)
 		a.response = platform.DecodeResponse(a.exchange.Response.StatusCode, a.exchange.Response.Header)
 		a.failure = c.checkResponse(a)
+		if a.failure == failureNone && a.response.Signed && a.response.Limit == 0 {
+			g.Permits.Lift(upstream, a.tracked.startedAt)
+		}
 	}
 	c.recordAttempt(a)
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -123,22 +123,33 @@
 		c.refusePaused(wait)
 		return nil, false
 	}
-	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
-	if !ok {
-		c.failStream(ctx, "no engine")
-		return nil, false
-	}
-	if c.firstByteAt.IsZero() {
-		p := c.patience()
-		if verdict := dispatch.Admit(tracked.expectedTTFB, p); !verdict.Admitted {
-			g.Log.Info().Str("event", "request.shed").Str("request", c.params.ID).Str("route", c.route.Name).
-				Str("upstream", string(tracked.upstream.ID)).Str("model", c.params.Model).Dur("expected", tracked.expectedTTFB).Dur("unread", tracked.pendingPrefillAhead).Int("running", tracked.runningAtStart).
-				Dur("target", p.Target).Dur("left", p.Remaining).Dur("retry_after", verdict.RetryAfter).Msg("request refused; expected time to the first byte exceeds the limit")
-			c.refuse(http.StatusServiceUnavailable, verdict.RetryAfter, "overloaded")
-			return nil, false
+	verdict := dispatch.AdmissionDecision{Admitted: true}
+	tracked, wait, isDenied := c.choosePermitted(ctx, c.retryCandidates(available), func(t *trackedRequest) bool {
+		if c.firstByteAt.IsZero() {
+			verdict = dispatch.Admit(t.expectedTTFB, c.patience())
 		}
+		return verdict.Admitted
+	})
+	switch {
+	case isDenied:
+		c.refuseLimited(wait)
+	case tracked == nil:
+		c.failStream(ctx, "no engine")
+	case !verdict.Admitted:
+		c.refuseOverloaded(tracked, verdict)
+	default:
+		return tracked, true
 	}
-	return tracked, true
+	return nil, false
+}
+
+// refuseOverloaded ends a request whose first byte would come too late.
+func (c *call) refuseOverloaded(tracked *trackedRequest, verdict dispatch.AdmissionDecision) {
+	p := c.patience()
+	c.gateway.Log.Info().Str("event", "request.shed").Str("request", c.params.ID).Str("route", c.route.Name).
+		Str("upstream", string(tracked.upstream.ID)).Str("model", c.params.Model).Dur("expected", tracked.expectedTTFB).Dur("unread", tracked.pendingPrefillAhead).Int("running", tracked.runningAtStart).
+		Dur("target", p.Target).Dur("left", p.Remaining).Dur("retry_after", verdict.RetryAfter).Msg("request refused; expected time to the first byte exceeds the limit")
+	c.refuse(http.StatusServiceUnavailable, verdict.RetryAfter, "overloaded")
 }
 
 // failStream ends a stream that no engine continues. If the response has begun, it closes
@@ -191,7 +202,7 @@
 // not been sent to, if there is one, from which the rest of the stream is expected in time.
 func (c *call) chooseNextEngine(hasBegun bool) *trackedRequest {
 	g := c.gateway
-	available, _ := g.pauses.available(c.usableEngines(c.params.Model, c.params.Adapter))
+	available, _ := g.pauses.available(g.withoutLimited(c.usableEngines(c.params.Model, c.params.Adapter)))
 	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
 	switch {
 	case !ok || tracked.expectedTTFB > time.Until(c.deadline):
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -28,10 +28,10 @@
 func (c *call) serveUnary(ctx context.Context) {
 	for a := (*attempt)(nil); ; {
 		if a == nil {
-			tracked, wait := c.chooseUnaryUpstream()
+			tracked, refuse := c.chooseUnaryUpstream(ctx)
 			switch {
-			case wait > 0:
-				c.refusePaused(wait)
+			case refuse != nil:
+				refuse()
 				return
 			case tracked == nil:
 				c.respondUnserved(ctx, "no upstream")
@@ -52,19 +52,22 @@
 
 // chooseUnaryUpstream chooses an upstream that the request has not been sent to. If there
 // is none, a repeatable request may go to the same upstream again. It returns nil if no
-// upstream is known, and the time until one is available if all have asked for a pause.
-func (c *call) chooseUnaryUpstream() (*trackedRequest, time.Duration) {
+// upstream is known, and what refuses the request if all have asked for a pause or have no permit left.
+func (c *call) chooseUnaryUpstream(ctx context.Context) (tracked *trackedRequest, refuse func()) {
 	g := c.gateway
 	usable, wait := g.pauses.available(g.Registry.View().Usable(c.service, "", ""))
 	if wait > 0 {
-		return nil, wait
+		return nil, func() { c.refusePaused(wait) }
 	}
 	candidates := c.untried(usable)
 	if c.route.IsRepeatable() {
 		candidates = c.retryCandidates(usable)
 	}
-	tracked, _ := g.Tracker.choose(c, candidates, g.Zone)
-	return tracked, 0
+	tracked, wait, isDenied := c.choosePermitted(ctx, candidates, nil)
+	if isDenied {
+		return nil, func() { c.refuseLimited(wait) }
+	}
+	return tracked, nil
 }
 
 // attemptUnary sends the request once, unless it has been sent already, and forwards the
@@ -115,7 +118,9 @@
 // chooseNextUpstream chooses the upstream to which a safe request is sent as well, nil if there is
 // none.
 func (c *call) chooseNextUpstream(bool) *trackedRequest {
-	tracked, _ := c.chooseUnaryUpstream()
+	g := c.gateway
+	usable, _ := g.pauses.available(g.withoutLimited(g.Registry.View().Usable(c.service, "", "")))
+	tracked, _ := g.Tracker.choose(c, c.retryCandidates(usable), g.Zone)
 	return tracked
 }
 
@@ -152,7 +157,7 @@
 // canRetryFailedResponse reports whether an attempt and an untried upstream are left. If
 // not, the failed response is forwarded to the caller.
 func (c *call) canRetryFailedResponse() bool {
-	available, _ := c.gateway.pauses.available(c.gateway.Registry.View().Usable(c.service, "", ""))
+	available, _ := c.gateway.pauses.available(c.gateway.withoutLimited(c.gateway.Registry.View().Usable(c.service, "", "")))
 	return c.attemptsLeft() > 0 && len(c.untried(available)) > 0
 }
 
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -11,11 +11,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/coordination/permits"
 	"savoryweir/platform"
 )
 
@@ -124,7 +126,10 @@
 	}
 	t.Cleanup(func() {
 		for _, i := range all {
-			i.terminate(t)
+			i.signals <- syscall.SIGTERM
+		}
+		for _, i := range all {
+			assert.Check(t, <-i.runErr)
 		}
 	})
 	for _, i := range all {
@@ -223,3 +228,42 @@
 	assert.Check(t, o.longestRefusal < time.Second, "refused after %v", o.longestRefusal)
 	assert.Check(t, o.longestRetry < 2*time.Second, "told to return after %v", o.longestRetry)
 }
+
+// One that names no limit any more is used like the others again, at all instances.
+func TestUpstreamIsUsedFullyAfterItsLimitEnds(t *testing.T) {
+	limited := newLimitedUpstream(1)
+	all := startLimitsFleet(t, 5, limited.serve, respondSealed)
+	ctx, cancel := context.WithTimeout(t.Context(), 9*time.Second)
+	defer cancel()
+	time.AfterFunc(4*time.Second, func() { limited.perSecond.Store(0.0) })
+	var lifted time.Time
+	time.AfterFunc(7*time.Second, func() { lifted = time.Now() })
+	var o outcomes
+	o.load(ctx, all, []float64{20, 20, 10, 10, 10})
+	n := limited.since(lifted)
+	assert.Check(t, n >= 35, "%d of 140 requests reached it in 2 s, 3 s after its limit had ended", n)
+	assert.Check(t, o.failed == 0 && o.refused == 0, "%d served, %d refused, %d failed", o.served, o.refused, o.failed)
+}
+
+// The instance that grants the permits leaves; the others must neither stop nor exceed the limit.
+func TestPermitsGoOnAfterOwnerLeaves(t *testing.T) {
+	const perSecond = 4
+	limited := newLimitedUpstream(perSecond)
+	all := startLimitsFleet(t, 5, limited.serve, nil)
+	var names []string
+	for _, i := range all {
+		names = append(names, i.node.settings.Instance.ID)
+	}
+	owner := slices.Index(names, permits.NewOwners(names[0]).Choose(time.Now(), "u1", names[1:]))
+	perInstance := []float64{5, 5, 5, 5, 5}
+	perInstance[owner] = 0
+	ctx, cancel := context.WithTimeout(t.Context(), 12*time.Second)
+	defer cancel()
+	var stopped time.Time
+	time.AfterFunc(4*time.Second, func() { stopped = time.Now(); all[owner].signals <- syscall.SIGTERM })
+	var o outcomes
+	o.load(ctx, all, perInstance)
+	limited.checkLimit(t, perSecond)
+	assert.Check(t, limited.since(stopped.Add(3*time.Second)) >= 2, "no permits after the owner has left")
+	assert.Check(t, o.failed == 0, "%d served, %d refused, %d failed", o.served, o.refused, o.failed)
+}
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -9,8 +9,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -105,6 +107,13 @@
 	return list
 }
 
+// PeerIDs returns the IDs of the other instances known.
+func (m *Mesh) PeerIDs() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.peers))
+}
+
 // RemoveSilentPeers removes the instances that are not listed and from which no datagram
 // was received since the given time.
 func (m *Mesh) RemoveSilentPeers(since time.Time, listed map[string]Listed) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"savoryweir/internal/logging"
 	"savoryweir/internal/node/gateway"
 	"savoryweir/internal/node/mesh"
+	"savoryweir/internal/node/permits"
 	"savoryweir/internal/node/reconciler"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/node/storewatch"
@@ -53,6 +54,7 @@
 	leaseManager *reconciler.LeaseManager
 	reporter     *reporter
 	streams      *streamOrigins
+	permits      *permits.Permits
 
 	configInformer, upstreamInformer *storewatch.Informer
 
@@ -85,6 +87,9 @@
 	if n.mesh, err = mesh.Listen(logging.WithComponent(n.log, "mesh"), port, s.Instance.ID, s.Instance.Zone, n.reporter); err != nil {
 		return nil, err
 	}
+	n.permits = permits.New(permits.Options{
+		Instance: s.Instance.ID, Log: logging.WithComponent(n.log, "permits"), Others: n.mesh.PeerIDs, Send: n.mesh.Send, Broadcast: n.mesh.Broadcast,
+	})
 	n.buildComponents()
 	return n, nil
 }
@@ -97,7 +102,7 @@
 		Zone: n.settings.Instance.Zone, Log: logging.WithComponent(n.log, "gateway"), Metrics: n.metrics,
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, RetrySettings: n.retrySettings, InstanceCount: n.instanceCount,
 		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastBroken: n.reporter.broadcastBroken, BroadcastRelease: n.reporter.broadcastRelease,
-		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Streams: n.streams, BootTime: n.bootTime,
+		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Permits: n.permits, Streams: n.streams, BootTime: n.bootTime,
 	})
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
@@ -291,6 +296,7 @@
 			}
 			return time.Time{}, false
 		})
+		n.permits.Retain(view.Get)
 		n.metrics.Upstreams.Set(float64(view.Count()))
 		n.metrics.Peers.Set(float64(n.mesh.AlivePeerCount(time.Now(), n.reporter.peerTimeout())))
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -315,6 +315,7 @@
 	for _, c := range m.PackedRelays {
 		r.receivePacked(c)
 	}
+	r.node.permits.Receive(m)
 	r.receiveCrashes(m)
 	r.tellQuarantines(m)
 	for _, notice := range m.Notices {
