Soak: engines name limits of requests per second

The check sums arrivals over the instances in touch that had passed on an answer with a limit for half a second, as the platform does; TestChecksFindBrokenPromises breaks it, TestChecksAcceptWhatPromisesAllow meets its bound.

--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -61,7 +61,9 @@
 	// Unframed is the share of upstreams' answers that have neither a length nor chunks.
 	Unframed float64
 	// Parts has callers share parts of prompts, and requests with one of them crash engines.
-	Parts    bool
+	Parts bool
+	// Limits has engines name limits of requests per second.
+	Limits   bool
 	Progress func(format string, arguments ...any)
 }
 
@@ -172,6 +174,9 @@
 	if o.Parts {
 		plan = AddCrashingPart(plan, o.Seed, o.Faulted)
 	}
+	if o.Limits {
+		plan = AddNamedLimits(plan, o.Seed, o.Faulted)
+	}
 	c.play(plan, stop)
 	lifted := time.Now()
 	pauses := NewPauses(o.Seed)
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -28,6 +28,7 @@
 	Versions  bool          `help:"Has engines replaced by ones of other versions; needs 6 engines or so."`
 	Unframed  float64       `help:"Share of upstreams' answers that have neither a length nor chunks and end with their connection." default:"0"`
 	Parts     bool          `help:"Has callers share parts of prompts, one of which crashes engines."`
+	Limits    bool          `help:"Has engines name limits of requests per second."`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
@@ -90,7 +91,7 @@
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
-	o.Versions, o.Unframed, o.Parts = f.Versions, f.Unframed, f.Parts
+	o.Versions, o.Unframed, o.Parts, o.Limits = f.Versions, f.Unframed, f.Parts, f.Limits
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -34,6 +34,8 @@
 	PromiseOneVersion Promise = "engines of one version write all events of a stream"
 	PromiseTakenUp    Promise = "streams that are taken up again go on"
 
+	PromiseLimit Promise = "an upstream gets no more requests than the limit that it names"
+
 	PromisePartContained Promise = "requests with a part of a prompt that crashes engines are contained"
 	PromiseSoundBegin    Promise = "sound requests that share other parts with crashing ones begin"
 )
@@ -81,6 +83,7 @@
 	written    map[string][]written // by request
 	services   map[string]*service  // by incarnation
 	orders     []upstream.Order
+	limited    map[string][]limitedArrival
 	crashes    []time.Time // by the crashing part
 	violations []Violation
 }
@@ -88,7 +91,7 @@
 func newLedger(d *disturbances) *ledger {
 	return &ledger{
 		began: time.Now(), disturbances: d, sent: make(map[string]*sent), runs: make(map[string][]upstream.Run),
-		written: make(map[string][]written), services: make(map[string]*service),
+		written: make(map[string][]written), services: make(map[string]*service), limited: make(map[string][]limitedArrival),
 	}
 }
 
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -85,6 +85,14 @@
 	play(t, o, build(t))
 }
 
+// Each instance keeping a limit alone would let their sum exceed it.
+func TestNamedLimitsAreKeptOverAllInstances(t *testing.T) {
+	t.Parallel()
+	o := DefaultOptions(fresh)
+	o.Limits, o.Faults = true, 4
+	play(t, o, build(t))
+}
+
 // Seeds keep their other faults, so that regressions stay what they were.
 func TestCrashingPartIsAddedToThePlanOfASeed(t *testing.T) {
 	const length = 10 * time.Second
@@ -317,6 +325,7 @@
 			c.wrote("c", "v2", 5, 6)
 		}},
 		{PromiseTakenUp, func(c *cluster) { c.takeUp(at, takenUpLeast/2-1, takenUpLeast) }},
+		{PromiseLimit, func(c *cluster) { c.arriveLimited(at, 2, 2*limitFactor*4+limitSlack+1) }},
 		{PromisePartContained, func(c *cluster) { c.crashByPart(at, partCrashes, containedArrivals+1, stable+time.Second) }},
 		{PromiseSoundBegin, func(c *cluster) {
 			c.crashByPart(at, partCrashes, 1, time.Minute)
@@ -343,6 +352,20 @@
 	}
 }
 
+// arriveLimited records requests of two instances at an upstream with a limit, which both passed on
+// before.
+func (c *cluster) arriveLimited(at time.Time, limit float64, count int) {
+	for n := range count + 2 {
+		id := fmt.Sprint("limited", n)
+		c.ledger.Sent(&sent{id: id, path: "/tag/", at: at, ended: at, instance: n % 2})
+		arrived := at
+		if n > 1 {
+			arrived = at.Add(passedOnFor + time.Duration(n)*10*time.Millisecond)
+		}
+		c.ledger.limited["e1-1"] = append(c.ledger.limited["e1-1"], limitedArrival{id, arrived, limit})
+	}
+}
+
 // stream records a request for a stream, of which the caller held events up to after before and
 // up to held in the end.
 func (c *cluster) stream(id, resumes string, after, held int, at time.Time) {
@@ -411,6 +434,7 @@
 		name string
 		see  func(*cluster)
 	}{
+		{"an upstream gets as much as its limit allows", func(c *cluster) { c.arriveLimited(at, 2, 2*limitFactor*4+limitSlack) }},
 		{"a run of another version wrote only events that the caller has from the first", func(c *cluster) {
 			c.stream("a", "", 0, 4, at)
 			c.wrote("a", "v2", 1, 1)
--- a/internal/bench/soak/verdict.go
+++ b/internal/bench/soak/verdict.go
@@ -43,6 +43,7 @@
 	c.judgeVersions(requests)
 	c.judgeTakenUp(requests)
 	c.judgeParts(requests, runs)
+	c.judgeLimits(requests)
 }
 
 func (c *cluster) judgeRefusals(requests []*sent, runs map[string][]upstream.Run) {
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -49,6 +49,11 @@
 	if u.isDraining() {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	limit := u.namedLimit()
+	u.journal.Arrived(request, id, limit)
+	if limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	if refused := u.admit(w, r, id); refused {
 		return
 	}
@@ -120,6 +125,12 @@
 	return u.draining
 }
 
+func (u *Upstream) namedLimit() float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.limit
+}
+
 func (u *Upstream) leave() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -47,6 +47,9 @@
 	// Crashed tells that a run is about to crash its upstream by a part of its prompt.
 	Crashed(Run)
 	Ordered(Order)
+	// Arrived tells that a request reached an upstream, with the limit that its answer names; zero if
+	// it names none.
+	Arrived(request, upstream string, limit float64)
 	// Overloaded tells that an engine was ordered to hold more than fits.
 	Overloaded(upstream string)
 }
@@ -109,6 +112,7 @@
 	born     time.Time
 	draining bool
 	faults   Faults
+	limit    float64 // requests per second that it takes from all callers; zero for any
 	running  int
 	orders   uint64
 	busy     bool
@@ -233,6 +237,14 @@
 	u.faults = f
 }
 
+// SetLimit sets the requests per second that the upstream names in its answers as the most that it
+// takes. Zero ends the limit.
+func (u *Upstream) SetLimit(perSecond float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limit = perSecond
+}
+
 // ID returns the identifier of the present incarnation.
 func (u *Upstream) ID() string {
 	u.mu.Lock()
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -53,7 +53,8 @@
 
 func (n *notes) Ordered(Order) {}
 
-func (n *notes) Overloaded(string) {}
+func (n *notes) Overloaded(string)              {}
+func (n *notes) Arrived(_, _ string, _ float64) {}
 
 func (n *notes) crashes() []string {
 	n.mu.Lock()
