Models of engines that limit their requests are loaded elsewhere if requests wait

Cause: placement counted an engine with a limit as a full replica. Now a request that is refused for want of a permit asks for a load, and while requests wait, a model or adapter on a limited engine does not count as held; limited engines get no further models. The test of the plan failed before: no action.

--- a/internal/coordination/rebalance/adapters.go
+++ b/internal/coordination/rebalance/adapters.go
@@ -11,7 +11,9 @@
 	replicas := make(map[AdapterKey]int)
 	for i := range p.engines {
 		for _, key := range p.engines[i].adapters() {
-			replicas[key]++
+			if p.countsAsReplica(i, key) {
+				replicas[key]++
+			}
 		}
 	}
 	byDemand := p.adaptersByDemand()
--- a/internal/coordination/rebalance/models.go
+++ b/internal/coordination/rebalance/models.go
@@ -194,7 +194,7 @@
 func (p *planner) loadOptions(i int, m *fleet.Model) iter.Seq[loadOption] {
 	return func(yield func(loadOption) bool) {
 		st := &p.engines[i]
-		if st.ordersBlocked || st.modelOrdersBlocked || st.LoadingModel != "" || st.models[m.Name] || st.Upstream.Holds(m.Name, "") {
+		if st.IsLimited || st.ordersBlocked || st.modelOrdersBlocked || st.LoadingModel != "" || st.models[m.Name] || st.Upstream.Holds(m.Name, "") {
 			return
 		}
 		fromDisk := st.Upstream.HasLocalCopy(m.Name)
--- a/internal/coordination/rebalance/rebalance.go
+++ b/internal/coordination/rebalance/rebalance.go
@@ -17,6 +17,7 @@
 type Engine struct {
 	Upstream      *fleet.Upstream
 	AcceptsOrders bool   // the engine is not draining and none of our orders to it is in flight
+	IsLimited     bool   // the engine limits its requests, so that it serves a part of the demand only
 	HasModelOrder bool   // an order for a model is in progress; adapter orders are still possible
 	LoadingModel  string // model that is being loaded or that memory is being freed for; empty for none
 	// Draining holds the models that are about to be unloaded. Instances no longer
@@ -106,6 +107,9 @@
 	}
 	for i := range p.engines {
 		for m := range p.engines[i].models {
+			if !p.countsAsReplica(i, AdapterKey{Model: m}) {
+				continue
+			}
 			p.replicaCount[m]++
 			if p.engines[i].Upstream.Holds(m, "") {
 				p.residentCount[m]++
@@ -116,6 +120,12 @@
 	return p
 }
 
+// countsAsReplica reports whether engine i serves the requests for what it holds. One that limits its
+// requests does not while requests wait.
+func (p *planner) countsAsReplica(i int, key AdapterKey) bool {
+	return !p.engines[i].IsLimited || !p.HasWaitingRequests[key]
+}
+
 // newEngineState computes the free memory and the models of an engine. A draining model
 // still takes memory but does not count as a replica.
 func (p *planner) newEngineState(e Engine) engineState {
--- a/internal/coordination/rebalance/rebalance_test.go
+++ b/internal/coordination/rebalance/rebalance_test.go
@@ -47,6 +47,22 @@
 	return Engine{Upstream: u, AcceptsOrders: true, Draining: map[string]bool{}, RecentlyLoaded: map[string]bool{}}
 }
 
+// The only engine with a model limits its requests, so that most of them were refused while others had room.
+func TestModelOfLimitedEngineIsLoadedElsewhereIfRequestsWait(t *testing.T) {
+	limited := engine("e1", "m0", "m1")
+	limited.IsLimited = true
+	limited.Upstream.Models[0].Adapters = []string{"a1"}
+	snapshot := Snapshot{
+		Class: testClass(3), PrefillRates: testPrefillRates(3), StoreLoadBudget: 5,
+		Engines: []Engine{limited, engine("e2", "m1", "m2")}, TokenRates: map[string]float64{"m0": 100, "m1": 100},
+	}
+	assert.Equal(t, len(Plan(snapshot)), 0)
+	snapshot.HasWaitingRequests = map[AdapterKey]bool{{Model: "m0"}: true, {Model: "m0", Adapter: "a1"}: true}
+	assert.DeepEqual(t, Plan(snapshot), []Action{{Upstream: "e2", Load: true, Model: "m0", Reason: ReasonRequestsWaiting}})
+	snapshot.Engines[1] = engine("e2", "m0", "m1", "m2")
+	assert.DeepEqual(t, Plan(snapshot), []Action{{Upstream: "e2", Load: true, Model: "m0", Adapter: "a1", Reason: ReasonRequestsWaiting}})
+}
+
 func TestPlanReplacesSpareReplicaWithReplicaOfBusyModel(t *testing.T) {
 	actions := Plan(Snapshot{
 		Class: testClass(4), PrefillRates: testPrefillRates(4), StoreLoadBudget: 5,
--- a/internal/node/gateway/limits.go
+++ b/internal/node/gateway/limits.go
@@ -79,8 +79,12 @@
 
 const reasonLimited = "upstreams limit their requests"
 
-// refuseLimited ends a request for which no upstream has a permit within the given time.
+// refuseLimited ends a request for which no upstream has a permit within the given time. A load of its
+// model on another engine may serve the next ones.
 func (c *call) refuseLimited(wait time.Duration) {
+	if c.engineClass != nil && c.params.Model != "" {
+		c.gateway.RequestLoad(c.service, c.params.Model, c.params.Adapter)
+	}
 	if !c.firstByteAt.IsZero() {
 		c.abortStream(reasonLimited)
 	}
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -58,6 +58,8 @@
 	FailureRatio func(fleet.UpstreamID) float64
 	// IsPaused reports whether an upstream has asked this instance to send nothing now.
 	IsPaused func(*fleet.Upstream) bool
+	// IsLimited reports whether an upstream limits its requests.
+	IsLimited func(*fleet.Upstream) bool
 	// ObserveResponse records what the head of an engine's response says about the
 	// engine itself.
 	ObserveResponse func(u *fleet.Upstream, status int, h http.Header)
@@ -80,6 +82,7 @@
 	prefillTokensPerSecond func(service string, weightsMB float64) float64
 	failureRatio           func(fleet.UpstreamID) float64
 	isPaused               func(*fleet.Upstream) bool
+	isLimited              func(*fleet.Upstream) bool
 	observeResponse        func(u *fleet.Upstream, status int, h http.Header)
 	announceToPeers        func(key registry.ResidentKey, present bool, waiting []string)
 	wakeups                chan struct{}
@@ -98,7 +101,7 @@
 func New(o Options) *Reconciler {
 	return &Reconciler{
 		instance: o.Instance, log: o.Log, metrics: o.Metrics, registry: o.Registry, pool: o.Pool, leases: o.Leases,
-		config: o.Config, loadWindow: o.LoadWindow, prefillTokensPerSecond: o.PrefillTokensPerSecond, failureRatio: o.FailureRatio, isPaused: o.IsPaused, observeResponse: o.ObserveResponse, announceToPeers: o.Announce, wakeups: make(chan struct{}, 1),
+		config: o.Config, loadWindow: o.LoadWindow, prefillTokensPerSecond: o.PrefillTokensPerSecond, failureRatio: o.FailureRatio, isPaused: o.IsPaused, isLimited: o.IsLimited, observeResponse: o.ObserveResponse, announceToPeers: o.Announce, wakeups: make(chan struct{}, 1),
 		demand: rebalance.NewDemandTracker(), wants: make(map[rebalance.DemandKey]want),
 		engines: make(map[fleet.UpstreamID]*engineState), loadStarts: make(map[string][]time.Time),
 		lastLoggedAt: make(map[string]time.Time),
@@ -238,7 +241,7 @@
 	for _, u := range r.registry.View().ByService(service) {
 		if e := r.engines[u.ID]; e != nil && !u.Draining && !e.upstream.Draining && !e.isUnreachable(now) {
 			engine := e.snapshot(now)
-			engine.AcceptsOrders = engine.AcceptsOrders && !r.isPaused(u)
+			engine.AcceptsOrders, engine.IsLimited = engine.AcceptsOrders && !r.isPaused(u), r.isLimited(u)
 			snapshot.Engines = append(snapshot.Engines, engine)
 		}
 	}
