--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -124,14 +124,7 @@
 	for n := range count {
 		all = append(all, c.startInstance(t, fmt.Sprintf("i%d", n)))
 	}
-	t.Cleanup(func() {
-		for _, i := range all {
-			i.signals <- syscall.SIGTERM
-		}
-		for _, i := range all {
-			assert.Check(t, <-i.runErr)
-		}
-	})
+	t.Cleanup(func() { stopInstances(t, all) })
 	for _, i := range all {
 		eventually(t, "all instances and upstreams known", func() bool {
 			return i.node.mesh.PeerCount() == count-1 && i.node.readinessError() == nil && len(i.node.registry.View().ByService("s")) > 0
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -188,20 +188,24 @@
 		id := fmt.Sprintf("i%d@%s", n, []string{"y", "z"}[n%2])
 		all = append(all, c.startInstanceWith(t, id, func(n *Node) { n.reporter.aggregator.minPeers = 4 }))
 	}
-	t.Cleanup(func() {
-		for _, i := range all {
-			i.signals <- syscall.SIGTERM
-		}
-		for _, i := range all {
-			assert.Check(t, <-i.runErr)
-		}
-	})
+	t.Cleanup(func() { stopInstances(t, all) })
 	for _, i := range all {
 		eventually(t, "all instances known", func() bool { return i.node.mesh.PeerCount() == len(all)-1 })
 	}
 	return all
 }
 
+// stopInstances stops instances at the same time.
+func stopInstances(t *testing.T, all []*instance) {
+	t.Helper()
+	for _, i := range all {
+		i.signals <- syscall.SIGTERM
+	}
+	for _, i := range all {
+		assert.Check(t, <-i.runErr)
+	}
+}
+
 func (i *instance) terminate(t *testing.T) {
 	t.Helper()
 	i.signals <- syscall.SIGTERM
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -37,7 +37,9 @@
 
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
+	// Dial opens a connection to an address. It may be replaced before the first use.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	now    func() time.Time
 	onOpen func() // called for each new connection
 
@@ -47,7 +49,13 @@
 
 // NewPool returns an empty pool. It calls onOpen for each connection that it opens.
 func NewPool(onOpen func()) *Pool {
-	return &Pool{dialer: keepalive.Dialer(DialTimeout), now: time.Now, onOpen: onOpen, idle: make(map[string][]*conn)}
+	dialer := keepalive.Dialer(DialTimeout)
+	return &Pool{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", address)
+		},
+		now: time.Now, onOpen: onOpen, idle: make(map[string][]*conn),
+	}
 }
 
 // get returns an idle connection that may carry the request, or opens one.
@@ -63,7 +71,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp4", address)
+	raw, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
