Instances that reach no upstream forward requests to others

Cause: reachability was taken for a property of the upstream; an instance that had lost its own path had nowhere to send a request. The class of fault: a failure of one's own path is blamed on the other end. Ruled out: a failing readiness check (callers still come, a whole zone may be cut off); dead upstreams (the other instances were served by them at the same moments).

A request without an upstream in reach is forwarded whole to another instance that is: one hop, with the time left, the sends so far and the caller's leaving, counted once, 'not run' only if neither has sent it. Reports say who is cut off; failures of such instances are not reported.

--- a/internal/node/aggregation.go
+++ b/internal/node/aggregation.go
@@ -255,12 +255,12 @@
 }
 
 // isDue reports whether a beacon must be sent now, and records it as sent if so. An instance
-// that watches the store or holds the lease is relevant to all others; once it no longer is,
+// that watches the store, holds the lease or is cut off from its upstreams is relevant to all others; once it no longer is,
 // it says so in one more beacon.
 func (p *beaconPacer) isDue(now time.Time, r report) bool {
-	isRelevant := r.healthyWatcher || r.holdsLease
+	isRelevant := r.healthyWatcher || r.holdsLease || r.isCutOff
 	elapsed := now.Sub(p.lastSentAt)
-	hasNews := r.newestVersions != p.last.newestVersions || r.healthyWatcher != p.last.healthyWatcher || r.holdsLease != p.last.holdsLease
+	hasNews := r.newestVersions != p.last.newestVersions || r.healthyWatcher != p.last.healthyWatcher || r.holdsLease != p.last.holdsLease || r.isCutOff != p.last.isCutOff
 	due := elapsed >= helloInterval
 	if isRelevant || p.wasRelevant {
 		due = due || hasNews || elapsed >= beaconInterval
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -13,6 +13,7 @@
 
 	"savoryweir/internal/coordination/dispatch"
 	"savoryweir/internal/coordination/quarantine"
+	"savoryweir/internal/protocol/forwardhttp"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/streams"
 	"savoryweir/platform"
@@ -41,6 +42,9 @@
 	// a stream that the caller has not taken up from an earlier request.
 	origin atomic.Pointer[streams.Origin]
 
+	forwarded *forwardhttp.Request // what another instance tells of a request that it has forwarded; nil for a caller's own
+	tryOther  bool                 // of the forwarded request: another instance may serve it
+
 	outcome     string
 	status      int
 	firstByteAt time.Time
@@ -60,11 +64,16 @@
 // response is due after the route's timeout or the caller's deadline, whichever is
 // shorter.
 func (c *call) serve(limits fleet.Limits) {
-	limit := c.route.Timeout
+	c.deadline = c.arrivedAt.Add(c.route.Timeout)
 	if c.params.Deadline > 0 {
-		limit = min(limit, c.params.Deadline)
+		elapsed := time.Duration(0) // before the deadline that the request carries began
+		if c.forwarded != nil {
+			elapsed = c.forwarded.Elapsed
+		}
+		if end := c.arrivedAt.Add(elapsed + c.params.Deadline); end.Before(c.deadline) {
+			c.deadline = end
+		}
 	}
-	c.deadline = c.arrivedAt.Add(limit)
 	body, err := c.readBody(limits.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -80,7 +89,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.body = body
-	c.gateway.countRequest(c.service)
+	if c.forwarded == nil {
+		c.gateway.countRequest(c.service) // else the other instance has counted it
+	}
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
 	c.unreachable = make(map[fleet.UpstreamID]bool)
 	c.findTraits()
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"savoryweir/internal/coordination/routetable"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/node/telemetry"
+	"savoryweir/internal/protocol/forwardhttp"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
 	"savoryweir/platform"
@@ -59,6 +60,12 @@
 	// BroadcastPause tells the other instances that an upstream refused a request and
 	// asked this instance for a pause.
 	BroadcastPause func(u *fleet.Upstream, d time.Duration)
+	// PeerPool holds the connections to other instances for forwarded requests.
+	PeerPool *upstreamconn.Pool
+	// Peers returns the instances that requests can be forwarded to, the best ones first.
+	Peers func() []Peer
+	// ReportSilentPeer records that a request could not be sent to an instance.
+	ReportSilentPeer func(instance string)
 	// Permits keeps the limits of upstreams, together with the other instances.
 	Permits Permits
 	// Streams knows at which software version streams began.
@@ -78,6 +85,7 @@
 	crashGuard  *crashGuard
 	crashProbes *crashProbes
 	pauses      *pauses
+	reach       *upstreamReach
 	refusesNew  atomic.Bool
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
@@ -94,6 +102,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
 	g.crashProbes = newCrashProbes(g.isGone)
+	g.reach = newUpstreamReach(o.Pool, g.upstreamAddresses, g.logReach)
+	o.Pool.Observe = g.reach.observe
 	return g
 }
 
@@ -164,19 +174,28 @@
 // ServeHTTP implements http.Handler. It answers 503 before a configuration is known or
 // after RefuseNewRequests, and 404 if no route matches.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	forwardhttp.Remove(r.Header)
+	g.serveHTTP(w, r, nil)
+}
+
+// serveHTTP serves a request of a caller, or one that another instance has forwarded.
+func (g *Gateway) serveHTTP(w http.ResponseWriter, r *http.Request, forwarded *forwardhttp.Request) {
 	g.Metrics.RequestsInFlight.Set(float64(g.inFlight.Add(1)))
 	defer func() { g.Metrics.RequestsInFlight.Set(float64(g.inFlight.Add(-1))) }()
-	c := &call{gateway: g, writer: &closingWriter{ResponseWriter: w, gateway: g}, request: r, arrivedAt: time.Now(), params: platform.DecodeRequest(r.Header)}
+	c := &call{gateway: g, writer: &closingWriter{ResponseWriter: w, gateway: g}, request: r, arrivedAt: time.Now(), params: platform.DecodeRequest(r.Header), forwarded: forwarded}
+	if forwarded != nil {
+		c.arrivedAt, c.attempts = c.arrivedAt.Add(-forwarded.Elapsed), forwarded.Sends
+	}
 	defer c.finish()
 	active := g.active.Load()
 	if active == nil {
 		c.limitUnreadBody()
-		c.refuse(http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration yet")
+		c.refuseForwarded(http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration yet")
 		return
 	}
 	if g.refusesNew.Load() {
 		c.limitUnreadBody()
-		c.refuse(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
+		c.refuseForwarded(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
 		return
 	}
 	c.requestURI = requestURI(r)
@@ -184,6 +203,7 @@
 	if c.route = active.Table.Match(r.Host, path); c.route == nil {
 		c.configVersion = active.Config.Version
 		c.limitUnreadBody()
+		c.tryOther = true // another instance may know another configuration
 		c.respond(http.StatusNotFound, "no route")
 		return
 	}
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -207,6 +207,9 @@
 		BroadcastBroken:  func(quarantine.BrokenRequest) {},
 		BroadcastRelease: func(quarantine.Trait) {},
 		Permits:          permits.New(permits.Options{Instance: "i1", Log: zerolog.Nop(), Others: func() []string { return nil }, Broadcast: func(*pb.FleetMessage) {}}),
+		PeerPool:         upstreamconn.NewPool(func() {}),
+		Peers:            func() []Peer { return nil },
+		ReportSilentPeer: func(string) {},
 		Streams:          newKnownStreams(h.registry),
 		BootTime:         func() time.Duration { return time.Duration(h.bootTime.Load()) },
 		BroadcastLeaving: func(u *fleet.Upstream) {
--- a/internal/node/gateway/refuse.go
+++ b/internal/node/gateway/refuse.go
@@ -35,6 +35,7 @@
 // body.
 func (c *call) respond(status int, reason string) {
 	c.outcome, c.status = reason, status
+	c.encodeForwardedResponse(true, c.tryOther)
 	if c.params.ID != "" {
 		platform.SetRequestID(c.writer.Header(), c.params.ID)
 	}
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -187,7 +187,9 @@
 	switch a.failure {
 	case failureConnect:
 		a.tracked.recordUnserved()
-		a.tracked.recordFault()
+		if !g.IsCutOff() { // else the path of this instance has failed rather than the upstream
+			a.tracked.recordFault()
+		}
 		g.Pool.CloseIdle(a.tracked.upstream.Address)
 	case failureNotExecuted:
 		c.recordRefusal(a)
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -50,7 +50,7 @@
 	if c.isResumption() && !c.bindToOrigin(ctx) {
 		return
 	}
-	if c.engineClass != nil && c.params.Model != "" {
+	if c.engineClass != nil && c.params.Model != "" && c.forwarded == nil {
 		c.gateway.RecordDemand(c.service, c.params.Model, c.params.Adapter, c.unsharedPromptTokens()+c.expectedOutputTokens())
 	}
 	for a := (*attempt)(nil); ; {
@@ -123,6 +123,10 @@
 		c.refusePaused(wait)
 		return nil, false
 	}
+	if available = g.reach.reachable(available); len(available) == 0 && len(usable) > 0 {
+		c.serveThroughPeers(ctx, reasonUnreachable)
+		return nil, false
+	}
 	verdict := dispatch.AdmissionDecision{Admitted: true}
 	tracked, wait, isDenied := c.choosePermitted(ctx, c.retryCandidates(available), func(t *trackedRequest) bool {
 		if c.firstByteAt.IsZero() {
@@ -202,7 +206,7 @@
 // not been sent to, if there is one, from which the rest of the stream is expected in time.
 func (c *call) chooseNextEngine(hasBegun bool) *trackedRequest {
 	g := c.gateway
-	available, _ := g.pauses.available(g.withoutLimited(c.usableEngines(c.params.Model, c.params.Adapter)))
+	available, _ := g.pauses.available(g.withoutLimited(g.reach.reachable(c.usableEngines(c.params.Model, c.params.Adapter))))
 	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
 	switch {
 	case !ok || tracked.expectedTTFB > time.Until(c.deadline):
@@ -293,7 +297,9 @@
 // one. It returns false if the caller has disconnected.
 func (c *call) forwardEvent(a *attempt, event sseframe.Event, lastEventAt time.Time) bool {
 	if c.firstByteAt.IsZero() {
-		c.recordOrigin(a.tracked.upstream)
+		if a.tracked.tracker != nil { // else the other instance records it
+			c.recordOrigin(a.tracked.upstream)
+		}
 		c.startResponse(a)
 	} else {
 		c.gateway.Metrics.ObserveEventGap(time.Since(lastEventAt))
@@ -306,6 +312,7 @@
 	c.firstByteAt, c.status = time.Now(), a.exchange.Response.StatusCode
 	c.gateway.Metrics.ObserveFirstByte(routeKindLabel(c.route), c.firstByteAt.Sub(c.arrivedAt))
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
+	c.encodeForwardedResponse(false, false)
 	c.writer.Header().Del("Content-Length") // a resumed stream may differ in length
 	c.limitWrites()
 	c.writer.WriteHeader(c.status)
--- a/internal/node/gateway/tracker.go
+++ b/internal/node/gateway/tracker.go
@@ -177,7 +177,7 @@
 
 // trackedRequest is one attempt of a request at one upstream, as the tracker counts it.
 type trackedRequest struct {
-	tracker             *UpstreamTracker
+	tracker             *UpstreamTracker // nil for a request that is forwarded to another instance, which counts it
 	upstream            *fleet.Upstream
 	modelClass          dispatch.ModelClass
 	priorityRank        int
@@ -198,6 +198,9 @@
 // as running.
 func (r *trackedRequest) start() {
 	t := r.tracker
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.startedAt, r.isInFlight = t.now(), true
@@ -214,6 +217,9 @@
 // an effect.
 func (r *trackedRequest) recordFirstByte() {
 	t := r.tracker
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.firstByteSeen {
@@ -247,6 +253,9 @@
 // for a time.
 func (r *trackedRequest) recordUnserved() {
 	t := r.tracker
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.responsiveness.RecordFailure(t.now(), r.upstream.ID)
@@ -258,6 +267,9 @@
 // would then spread from one upstream to the next.
 func (r *trackedRequest) recordFault() {
 	t := r.tracker
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failures.Record(t.now(), r.upstream.ID, false)
@@ -267,6 +279,9 @@
 // has an effect.
 func (r *trackedRequest) finish() {
 	t := r.tracker
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !r.isInFlight {
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -28,10 +28,10 @@
 func (c *call) serveUnary(ctx context.Context) {
 	for a := (*attempt)(nil); ; {
 		if a == nil {
-			tracked, refuse := c.chooseUnaryUpstream(ctx)
+			tracked, end := c.chooseUnaryUpstream(ctx)
 			switch {
-			case refuse != nil:
-				refuse()
+			case end != nil:
+				end()
 				return
 			case tracked == nil:
 				c.respondUnserved(ctx, "no upstream")
@@ -52,13 +52,18 @@
 
 // chooseUnaryUpstream chooses an upstream that the request has not been sent to. If there
 // is none, a repeatable request may go to the same upstream again. It returns nil if no
-// upstream is known, and what refuses the request if all have asked for a pause or have no permit left.
-func (c *call) chooseUnaryUpstream(ctx context.Context) (tracked *trackedRequest, refuse func()) {
+// upstream is known, and what ends the request if all have asked for a pause, have no permit left or
+// are out of reach.
+func (c *call) chooseUnaryUpstream(ctx context.Context) (tracked *trackedRequest, end func()) {
 	g := c.gateway
-	usable, wait := g.pauses.available(g.Registry.View().Usable(c.service, "", ""))
+	listed := g.Registry.View().Usable(c.service, "", "")
+	usable, wait := g.pauses.available(listed)
 	if wait > 0 {
 		return nil, func() { c.refusePaused(wait) }
 	}
+	if usable = g.reach.reachable(usable); len(usable) == 0 && len(listed) > 0 {
+		return nil, func() { c.serveThroughPeers(ctx, reasonUnreachable) }
+	}
 	candidates := c.untried(usable)
 	if c.route.IsRepeatable() {
 		candidates = c.retryCandidates(usable)
@@ -119,7 +124,7 @@
 // none.
 func (c *call) chooseNextUpstream(bool) *trackedRequest {
 	g := c.gateway
-	usable, _ := g.pauses.available(g.withoutLimited(g.Registry.View().Usable(c.service, "", "")))
+	usable, _ := g.pauses.available(g.withoutLimited(g.reach.reachable(g.Registry.View().Usable(c.service, "", ""))))
 	tracked, _ := g.Tracker.choose(c, c.retryCandidates(usable), g.Zone)
 	return tracked
 }
@@ -157,7 +162,7 @@
 // canRetryFailedResponse reports whether an attempt and an untried upstream are left. If
 // not, the failed response is forwarded to the caller.
 func (c *call) canRetryFailedResponse() bool {
-	available, _ := c.gateway.pauses.available(c.gateway.withoutLimited(c.gateway.Registry.View().Usable(c.service, "", "")))
+	available, _ := c.gateway.pauses.available(c.gateway.withoutLimited(c.gateway.reach.reachable(c.gateway.Registry.View().Usable(c.service, "", ""))))
 	return c.attemptsLeft() > 0 && len(c.untried(available)) > 0
 }
 
@@ -173,6 +178,7 @@
 	c.outcome, c.status = "answered", a.exchange.Response.StatusCode
 	c.firstByteAt = time.Now()
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
+	c.encodeForwardedResponse(false, false)
 	c.writer.Header().Del("Content-Length")
 	if a.exchange.Response.ContentLength >= 0 && c.request.Method == http.MethodHead {
 		c.writer.Header()["Content-Length"] = a.exchange.Response.Header["Content-Length"]
@@ -190,6 +196,7 @@
 	c.outcome, c.status = "answered", a.exchange.Response.StatusCode
 	c.firstByteAt = time.Now()
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
+	c.encodeForwardedResponse(false, false)
 	c.limitWrites()
 	c.writer.WriteHeader(a.exchange.Response.StatusCode)
 	if _, err := io.Copy(c.writer, body); err != nil {
--- a/internal/node/mesh/mesh.go
+++ b/internal/node/mesh/mesh.go
@@ -92,7 +92,8 @@
 // Peer describes another instance.
 type Peer struct {
 	Instance string
-	Zone     string    // empty if not known
+	Zone     string // empty if not known
+	Address  netip.AddrPort
 	HeardAt  time.Time // time of its latest datagram; zero if none was received
 }
 
@@ -102,7 +103,7 @@
 	defer m.mu.Unlock()
 	list := make([]Peer, 0, len(m.peers))
 	for instance, p := range m.peers {
-		list = append(list, Peer{Instance: instance, Zone: p.zone, HeardAt: m.received[instance].at})
+		list = append(list, Peer{Instance: instance, Zone: p.zone, Address: p.address, HeardAt: m.received[instance].at})
 	}
 	return list
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 		Zone: n.settings.Instance.Zone, Log: logging.WithComponent(n.log, "gateway"), Metrics: n.metrics,
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, RetrySettings: n.retrySettings, InstanceCount: n.instanceCount,
 		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastBroken: n.reporter.broadcastBroken, BroadcastRelease: n.reporter.broadcastRelease,
-		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Permits: n.permits, Streams: n.streams, BootTime: n.bootTime,
+		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Permits: n.permits, PeerPool: upstreamconn.NewPool(func() {}), Peers: n.reporter.forwardTargets, ReportSilentPeer: n.reporter.recordSilentPeer, Streams: n.streams, BootTime: n.bootTime,
 	})
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
@@ -244,6 +244,7 @@
 		"versions":  n.keepVersionRecord,
 		"mesh":      n.mesh.Run,
 		"reports":   n.reporter.run,
+		"reach":     n.gateway.ProbeUpstreams,
 		"lease":     n.leaseManager.Run,
 		"steward":   n.reconciler.Run,
 		"tidy":      n.removeStaleState,
--- a/internal/node/registry/registry.go
+++ b/internal/node/registry/registry.go
@@ -337,6 +337,17 @@
 // Get returns an upstream, or nil if it is not known.
 func (v *View) Get(id fleet.UpstreamID) *fleet.Upstream { return v.byID[id] }
 
+// Addresses returns the addresses of the upstreams that are not draining.
+func (v *View) Addresses() []string {
+	addresses := make([]string, 0, len(v.byID))
+	for _, u := range v.byID {
+		if !u.Draining {
+			addresses = append(addresses, u.Address)
+		}
+	}
+	return addresses
+}
+
 // Count returns the number of known upstreams.
 func (v *View) Count() int { return len(v.byID) }
 
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -51,6 +51,8 @@
 	wantSentAt        map[rebalance.DemandKey]time.Time
 	pendingChanges    []*pb.ResidencyChange // announced with the next tick of the report loop
 	startedPeers      startedPeers
+	cutOffPeers       map[string]bool      // instances that have reported that they reach no upstreams
+	silentPeers       map[string]time.Time // until when no requests are forwarded to an instance
 
 	aggregator *aggregator
 }
@@ -59,7 +61,7 @@
 	return &reporter{
 		node: n, incarnation: time.Now().UnixMilli(),
 		demand: make(map[rebalance.DemandKey]rebalance.Counts), unreportedDemand: make(map[rebalance.DemandKey]bool),
-		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n), startedPeers: make(startedPeers),
+		watchersSeenAt: make(map[string]time.Time), wantSentAt: make(map[rebalance.DemandKey]time.Time), aggregator: newAggregator(n), startedPeers: make(startedPeers), cutOffPeers: make(map[string]bool), silentPeers: make(map[string]time.Time),
 	}
 }
 
@@ -202,13 +204,18 @@
 	fencingToken   uint64 // zero if the instance may not send orders now
 	holdsLease     bool
 	healthyWatcher bool
+	isCutOff       bool // from all upstreams
 }
 
 // currentReport returns the current state of this instance.
 func (r *reporter) currentReport() report {
 	fencingToken, _ := r.node.leaseManager.FencingToken()
 	inFlight, outcomes := r.node.tracker.LocalStats()
-	return report{loads: inFlight, outcomes: outcomes, newestVersions: r.newestVersions(), fencingToken: uint64(fencingToken), holdsLease: r.node.leaseManager.HoldsLease(), healthyWatcher: r.isHealthyWatcher(time.Now())}
+	isCutOff := r.node.gateway.IsCutOff()
+	if isCutOff {
+		outcomes = nil // its failures say nothing of the upstreams
+	}
+	return report{isCutOff: isCutOff, loads: inFlight, outcomes: outcomes, newestVersions: r.newestVersions(), fencingToken: uint64(fencingToken), holdsLease: r.node.leaseManager.HoldsLease(), healthyWatcher: r.isHealthyWatcher(time.Now())}
 }
 
 // message encodes the report.
@@ -221,7 +228,7 @@
 // beacon encodes the report without the loads.
 func (r report) beacon() *pb.FleetMessage {
 	m := &pb.FleetMessage{
-		Beacon: true, NewestConfig: uint64(r.newestVersions.config), NewestUpstream: uint64(r.newestVersions.upstream), Relaying: r.healthyWatcher,
+		Beacon: true, NewestConfig: uint64(r.newestVersions.config), NewestUpstream: uint64(r.newestVersions.upstream), Relaying: r.healthyWatcher, CutOff: r.isCutOff,
 	}
 	if r.holdsLease {
 		m.Holding = &pb.Holding{Fence: r.fencingToken}
@@ -240,7 +247,7 @@
 // changes is due when, in addition, half of idleReportInterval has passed.
 func (p *reportPacer) isDue(now time.Time, r report, interval time.Duration) bool {
 	elapsed := now.Sub(p.lastSentAt)
-	hasChanges := !maps.Equal(r.loads, p.lastReport.loads) || r.newestVersions != p.lastReport.newestVersions || r.healthyWatcher != p.lastReport.healthyWatcher || r.holdsLease != p.lastReport.holdsLease
+	hasChanges := !maps.Equal(r.loads, p.lastReport.loads) || r.newestVersions != p.lastReport.newestVersions || r.healthyWatcher != p.lastReport.healthyWatcher || r.holdsLease != p.lastReport.holdsLease || r.isCutOff != p.lastReport.isCutOff
 	if elapsed < min(interval, maxReportInterval) || !hasChanges && elapsed < idleReportInterval/2 {
 		return false
 	}
@@ -296,6 +303,7 @@
 		r.node.reconciler.RecordDemand(m.Instance, m.Incarnation, decodeDemands(m.Demands))
 	}
 	r.recordWatcher(m)
+	r.recordCutOff(m)
 	r.node.store.ObserveEra(max(object.Version(m.NewestConfig), object.Version(m.NewestUpstream)).Era())
 	if m.NewestConfig > 0 {
 		r.node.configInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestConfig))
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -52,6 +52,10 @@
 	if err != nil {
 		return errs.Wrap(err, "listen for metrics", errs.Self)
 	}
+	forwardListener, err := n.listenForForwards()
+	if err != nil {
+		return err
+	}
 	n.log.Info().Str("event", "start").Str("callers", n.settings.Callers.Address).Str("zone", n.settings.Instance.Zone).
 		Str("store", n.settings.Store.URL).Interface("bounds", n.settings.Bounds).Msg("instance is starting")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -62,6 +66,8 @@
 	group.Go(func() { n.serveOperations(ctx, metricsListener) })
 	readyServer := &http.Server{Handler: http.HandlerFunc(n.serveReady), IdleTimeout: readyIdleTimeout}
 	go n.serve("ready", readyServer, readyListener)
+	forwardServer := n.forwardServer()
+	go n.serve("forwards", forwardServer, forwardListener)
 	callers := newCallerServers(n.gateway, callerListener)
 	group.Go(func() { n.supervise(ctx, "callers", callers.acceptConnections) })
 	n.awaitTermination(signals)
@@ -72,7 +78,7 @@
 	defer cancelClose()
 	closeErr := callers.shutdown(closeCtx)
 	n.log.Info().Str("event", "stop").Int64("in_flight", n.gateway.InFlight()).Bool("duties_ended", stopped).Msg("instance drained; exiting")
-	return errors.Join(readyServer.Close(), closeErr)
+	return errors.Join(readyServer.Close(), forwardServer.Close(), closeErr)
 }
 
 // readyIdleTimeout is the idle timeout of connections to the readiness port.
--- a/internal/node/telemetry/telemetry.go
+++ b/internal/node/telemetry/telemetry.go
@@ -15,6 +15,7 @@
 	requests       *prometheus.CounterVec
 	refusals       *prometheus.CounterVec
 	sends          *prometheus.CounterVec
+	forwards       *prometheus.CounterVec
 	breaks         *prometheus.CounterVec
 	firstByteTimes *prometheus.HistogramVec
 	eventGaps      prometheus.Histogram
@@ -45,6 +46,7 @@
 		requests:            newCounterVec("requests_total", "Requests of callers that have ended, by route kind and outcome.", "kind", "outcome"),
 		refusals:            newCounterVec("refusals_total", "Requests of callers that were refused, by reason.", "reason"),
 		sends:               newCounterVec("sends_total", "Requests sent to upstreams, by result.", "result"),
+		forwards:            newCounterVec("forwards_total", "Requests forwarded to other instances because no upstream was within reach, by result.", "result"),
 		breaks:              newCounterVec("broken_exchanges_total", "Exchanges with upstreams that ended without a complete response, by cause.", "cause"),
 		firstByteTimes:      newHistogramVec("first_byte_seconds", "Time from the arrival of a request to the first byte of its response, by route kind.", "kind"),
 		eventGaps:           prometheus.NewHistogram(histogramOpts("event_gap_seconds", "Time between two events of a response stream.")),
@@ -62,7 +64,7 @@
 	droppedLines := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped to bound the volume of the log.",
 	}, func() float64 { return float64(droppedLogLines()) })
-	m.Registry.MustRegister(m.requests, m.refusals, m.sends, m.breaks, m.firstByteTimes, m.eventGaps, m.residencyWaits, m.storeCalls, m.orders, m.UpstreamConnections,
+	m.Registry.MustRegister(m.requests, m.refusals, m.sends, m.forwards, m.breaks, m.firstByteTimes, m.eventGaps, m.residencyWaits, m.storeCalls, m.orders, m.UpstreamConnections,
 		m.ConfigVersion, m.Upstreams, m.Peers, m.RetriesLeft, m.RequestsInFlight, m.HoldsOrders, droppedLines,
 		collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics()))
 	return m
@@ -93,6 +95,9 @@
 // CountSend counts a request that was sent to an upstream.
 func (m *Metrics) CountSend(result string) { m.sends.WithLabelValues(result).Inc() }
 
+// CountForward counts a request that was forwarded to another instance.
+func (m *Metrics) CountForward(result string) { m.forwards.WithLabelValues(result).Inc() }
+
 // CountBreak counts an exchange with an upstream that ended without a complete response.
 func (m *Metrics) CountBreak(cause string) { m.breaks.WithLabelValues(cause).Inc() }
 
--- /dev/null
+++ b/internal/protocol/forwardhttp/forwardhttp.go
@@ -0,0 +1,72 @@
+// Package forwardhttp encodes what instances tell each other in the headers of requests that one of
+// them forwards to another, because it can't reach upstreams itself.
+package forwardhttp
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	headerForwarded = "Savoryweir-Forwarded"
+	headerOwn       = "Savoryweir-Own-Response"
+	headerSends     = "Savoryweir-Sends"
+)
+
+// Request is what the sender of a forwarded request tells of it.
+type Request struct {
+	Elapsed time.Duration // time since the caller's request arrived at the sender
+	Sends   int           // sends to upstreams that count against the route's limit
+}
+
+// Encode sets the header of a forwarded request.
+func (r Request) Encode(h http.Header) {
+	h.Set(headerForwarded, fmt.Sprintf("%d,%d", r.Elapsed.Microseconds(), r.Sends))
+}
+
+// Decode returns what the header of a forwarded request tells. Values that are not valid count as zero.
+func Decode(h http.Header) Request {
+	elapsed, sends, _ := strings.Cut(h.Get(headerForwarded), ",")
+	micros, _ := strconv.ParseInt(elapsed, 10, 64)
+	count, _ := strconv.Atoi(sends)
+	return Request{Elapsed: time.Duration(max(micros, 0)) * time.Microsecond, Sends: max(count, 0)}
+}
+
+// Response is what the receiver of a forwarded request tells in the response.
+type Response struct {
+	IsOwn bool // the receiver responds itself; no upstream does
+	// TryOther means that another instance may serve the request; the receiver has not sent it to
+	// an upstream.
+	TryOther bool
+	Sends    int // sends to upstreams before the response, as far as known
+}
+
+const ownResponse, ownTryOther = "1", "try-other"
+
+// Encode sets the headers of a response.
+func (r Response) Encode(h http.Header) {
+	switch {
+	case r.IsOwn && r.TryOther:
+		h.Set(headerOwn, ownTryOther)
+	case r.IsOwn:
+		h.Set(headerOwn, ownResponse)
+	}
+	h.Set(headerSends, strconv.Itoa(r.Sends))
+}
+
+// DecodeResponse returns what the headers of a response tell.
+func DecodeResponse(h http.Header) Response {
+	sends, _ := strconv.Atoi(h.Get(headerSends))
+	own := h.Get(headerOwn)
+	return Response{IsOwn: own != "", TryOther: own == ownTryOther, Sends: max(sends, 0)}
+}
+
+// Remove removes the headers of this package, which no caller and no upstream may set.
+func Remove(h http.Header) {
+	h.Del(headerForwarded)
+	h.Del(headerOwn)
+	h.Del(headerSends)
+}
--- a/internal/reference/advice.go
+++ b/internal/reference/advice.go
@@ -13,6 +13,7 @@
 		{"savoryweir_node_refusals_total", "`overloaded`: more work than the engines read; `no engine holds the model`: look at `orders_total` and `holds_orders`; `no upstream`: look at `upstreams`; `software version of the stream is not known`: all instances that knew were lost, or datagrams do not arrive."},
 		{"savoryweir_node_sends_total", "`lost`: upstreams break off, look at the events `request.send_failed` by upstream; `not run`: full upstreams or models that have just moved."},
 		{"savoryweir_node_broken_exchanges_total", "`upstream`: upstreams close connections; `silence`: they send nothing for longer than the route's targets allow, and the request goes on elsewhere; compare with `requests_total` of outcome `aborted`."},
+		{"savoryweir_node_forwards_total", "Rises at one instance: its path to the upstreams has failed; at all: upstreams are gone that the store still lists."},
 		{"savoryweir_node_first_byte_seconds", "Rises before refusals do: look at the work of each model in the event `placement.state`."},
 		{"savoryweir_node_event_gap_seconds", "Long gaps: engines with too many prompts to read, or a link that loses packets."},
 		{"savoryweir_node_residency_wait_seconds", "Above 0.1 for adapters: more adapters are in use than the engines have slots for."},
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -63,20 +63,32 @@
 	if err != nil {
 		return nil, &Failure{Err: errs.Wrap(err, stepConnect, errs.Peer(r.Address))}
 	}
+	isNew := c.idleSince.IsZero()
 	x := &Exchange{pool: p, address: r.Address, conn: c, written: make(chan error, 1)}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	maybeSent, err := x.send(r)
 	if err != nil {
+		p.observeBroken(ctx, r.Address, isNew)
 		x.Close()
 		return nil, &Failure{MaybeSent: maybeSent, Err: errs.Wrap(cause(ctx, err), stepSend, errs.Peer(r.Address))}
 	}
 	if err := x.readHead(r.Method); err != nil {
+		p.observeBroken(ctx, r.Address, isNew)
 		x.Close()
 		return nil, &Failure{MaybeSent: true, Err: errs.Wrap(cause(ctx, err), stepHead, errs.Peer(r.Address))}
 	}
+	p.observe(r.Address, Reached)
 	return x, nil
 }
 
+// observeBroken reports that a connection ended before a response, unless ctx ended it. One that was
+// idle before may end for other reasons than the path.
+func (p *Pool) observeBroken(ctx context.Context, address string, isNew bool) {
+	if isNew && ctx.Err() == nil {
+		p.observe(address, BrokenEarly)
+	}
+}
+
 // cause adds the reason why ctx ended, if it has ended, to the error that this led to.
 func cause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -35,10 +35,24 @@
 	atMostOnceIdleTimeout = 250 * time.Millisecond
 )
 
+// Reach is what an exchange shows about the path to an address.
+type Reach uint8
+
+const (
+	// Reached means that a response has arrived.
+	Reached Reach = iota
+	// NotConnected means that no connection could be opened.
+	NotConnected
+	// BrokenEarly means that a new connection ended before a response.
+	BrokenEarly
+)
+
 // Pool holds idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	// Dial opens a connection to an address. It may be replaced before the first use.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Observe is called with the result of each attempt to reach an address, unless it is nil.
+	Observe func(address string, result Reach)
 
 	now    func() time.Time
 	onOpen func() // called for each new connection
@@ -73,12 +87,28 @@
 	}
 	raw, err := p.Dial(ctx, address)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.observe(address, NotConnected)
+		}
 		return nil, err
 	}
 	p.onOpen()
 	return newConn(raw), nil
 }
 
+func (p *Pool) observe(address string, result Reach) {
+	if p.Observe != nil {
+		p.Observe(address, result)
+	}
+}
+
+// HasIdle reports whether there is an idle connection to an address.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // takeIdle removes and returns the most recently used idle connection to address, or
 // nil if there is none.
 func (p *Pool) takeIdle(address string) *conn {
