--- a/internal/node/gateway/crashguard.go
+++ b/internal/node/gateway/crashguard.go
@@ -48,8 +48,8 @@
 // at once, the parts of its prompt if the upstream turns out to be gone.
 func (c *call) reportCrash(tracked *trackedRequest, err error) {
 	connectionClosed := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if !connectionClosed || tracked.tracker == nil {
-		return // a forwarded request is judged by the other instance
+	if !connectionClosed || tracked.tracker == nil || c.gateway.IsCutOff() {
+		return // a forwarded request is judged by the other instance; a lost path breaks connections, too
 	}
 	tracked.recordFault()
 	g, u, traits := c.gateway, tracked.upstream, c.traits
--- a/internal/node/gateway/forward_test.go
+++ b/internal/node/gateway/forward_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -184,3 +185,40 @@
 	}
 	assert.Assert(t, dials.Load() <= 2, "%d dials", dials.Load())
 }
+
+// The path of this instance is lost while it serves prompts with a part that all share. That is no crash by the part.
+func TestLostPathIsNotBlamedOnPartOfPrompt(t *testing.T) {
+	var isCut atomic.Bool
+	conns := make(chan net.Conn, 64)
+	var engines []*testUpstream
+	for i := range 6 {
+		engines = append(engines, startUpstream(t, fmt.Sprint("u", i), func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+			writeResponseHead(conn, r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+			conns <- conn
+			_, _ = io.Copy(io.Discard, conn)
+			return false
+		}))
+	}
+	h := newCrashHarness(t, engines...)
+	dial := h.gateway.Pool.Dial
+	h.gateway.Pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if isCut.Load() {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
+		return dial(ctx, address)
+	}
+	for i := range engines {
+		go doPrompt(h, t, i, "a1", "b1")
+	}
+	var broken []net.Conn
+	for range engines {
+		broken = append(broken, <-conns)
+	}
+	isCut.Store(true)
+	for _, conn := range broken {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	time.Sleep(time.Second)
+	assert.Equal(t, len(h.gateway.Quarantined()), 0, "%v", h.gateway.Quarantined())
+}
--- a/internal/node/gateway/reach.go
+++ b/internal/node/gateway/reach.go
@@ -22,6 +22,8 @@
 	probesPerCheck = 4
 	// probeResetTime is how long a probe waits for a reset, by which a path may refuse a connection after it has opened.
 	probeResetTime = 50 * time.Millisecond
+	// confirmations is the number of other upstreams asked whether this instance reaches any.
+	confirmations = 4
 )
 
 // upstreamReach tracks which upstreams this instance can connect to. It is safe for concurrent use.
@@ -145,6 +147,29 @@
 	return err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
+// reachesAnyBut reports whether a connection to some upstream other than the one at an address opens,
+// or none is known. Otherwise the failure of that one may be a failure of this instance's own path.
+func (r *upstreamReach) reachesAnyBut(ctx context.Context, address string) bool {
+	if _, isCut := r.cutFor(); isCut {
+		return false
+	}
+	known := r.known()
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	asked := 0
+	for _, other := range known {
+		if other == address {
+			continue
+		}
+		if r.opens(ctx, other, 0) {
+			return true
+		}
+		if asked++; asked == confirmations {
+			break
+		}
+	}
+	return asked == 0
+}
+
 // IsCutOff reports whether this instance can't open connections to its upstreams.
 func (g *Gateway) IsCutOff() bool {
 	_, isCut := g.reach.cutFor()
