--- a/internal/node/forwards.go
+++ b/internal/node/forwards.go
@@ -20,6 +20,9 @@
 	maxForwardSilence = 3 * idleReportInterval / 2
 	// forwardIdleTimeout is the idle timeout of connections for forwarded requests. Senders close them sooner.
 	forwardIdleTimeout = 30 * time.Second
+	// maxCutOffToOrder is how long an instance may be cut off from its upstreams before it releases
+	// the lease, since it can't give orders.
+	maxCutOffToOrder = time.Second
 )
 
 // recordCutOff records whether the sender of a report reaches upstreams.
@@ -79,3 +82,6 @@
 func (n *Node) forwardServer() *http.Server {
 	return &http.Server{Handler: n.gateway.ForwardedHandler(), IdleTimeout: forwardIdleTimeout, MaxHeaderBytes: maxHeaderLimit}
 }
+
+// mayHoldLease reports whether this instance can give orders to engines.
+func (n *Node) mayHoldLease() bool { return n.gateway.CutOffFor() < maxCutOffToOrder }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,7 @@
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
 	n.upstreamInformer = n.newInformer(platform.KindUpstreams, upstreamWatchPause, upstreamSink{n}, upstreamRelistGap, n.reporter.relayChanges)
 	n.leaseManager = reconciler.NewLeaseManager(n.store, logging.WithComponent(n.log, "lease"), boottime.Now, n.storeRetryDelay, n.leaseContentionDelay, rand.N[time.Duration], leases, n.settings.Instance.ID, uuid.NewString())
+	n.leaseManager.MayHold = n.mayHoldLease
 	n.reconciler = reconciler.New(reconciler.Options{
 		Instance: n.settings.Instance.ID, Log: logging.WithComponent(n.log, "steward"), Metrics: n.metrics, Registry: n.registry,
 		Pool: n.pool, Leases: n.leaseManager, Config: n.gateway.Config, Announce: n.reporter.announceResidency, PrefillTokensPerSecond: n.tracker.PrefillTokensPerSecond, FailureRatio: n.tracker.FailureRate,
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -256,3 +256,30 @@
 
 // stableTime is the time after which the platform expects callers to be served in spite of a cut.
 const stableTime = 3 * time.Second
+
+// A holder that reaches no engine can give no orders, so that models were not loaded while it was cut off.
+func TestInstanceThatIsCutOffReleasesLease(t *testing.T) {
+	f := startPartitionFleet(t, 3)
+	holder := -1
+	eventually(t, "an instance that holds the lease", func() bool {
+		holder = slices.IndexFunc(f.instances, func(i *instance) bool { return i.node.leaseManager.HoldsLease() })
+		return holder >= 0
+	})
+	cuts["connections are reset"](f.links[holder])
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+				f.send(holder, "safe", fmt.Sprintf("i%d/lease/%d", holder, n))
+			}
+		}
+	}()
+	eventually(t, "another instance that holds the lease", func() bool {
+		return slices.ContainsFunc(f.instances, func(i *instance) bool { return i != f.instances[holder] && i.node.leaseManager.HoldsLease() })
+	})
+	assert.Check(t, !f.instances[holder].node.leaseManager.HoldsLease())
+}
--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -59,6 +59,10 @@
 	// jitter returns a random duration that is not negative and less than limit.
 	jitter func(limit time.Duration) time.Duration
 
+	// MayHold reports whether this instance can give orders. If not, it releases the lease and does
+	// not acquire it. It may be nil, and is set before Run.
+	MayHold func() bool
+
 	lease     *lease.Lease
 	leaseLock chan struct{} // serves as a mutex for lease; Run holds it only briefly
 }
@@ -131,6 +135,11 @@
 			pause.For(ctx, renewRetryDelay)
 			continue
 		}
+		if m.MayHold != nil && !m.MayHold() {
+			m.release()
+			pause.For(ctx, mayHoldInterval)
+			continue
+		}
 		var step lease.Step
 		var until time.Duration
 		m.withLease(func(l *lease.Lease) { step, until = l.Next(now) })
@@ -252,6 +261,10 @@
 	}
 }
 
+// mayHoldInterval is the interval at which an instance that can't give orders checks whether it can
+// again.
+const mayHoldInterval = 200 * time.Millisecond
+
 // releaseTimeout bounds the write that releases the lease while the process stops.
 const releaseTimeout = 500 * time.Millisecond
 
