Soak: instances lose their path to all upstreams

Instances that are cut off stay in touch for all promises, and their callers must be served nearly as often as those of the others.

--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -63,7 +63,9 @@
 	// Parts has callers share parts of prompts, and requests with one of them crash engines.
 	Parts bool
 	// Limits has engines name limits of requests per second.
-	Limits   bool
+	Limits bool
+	// Cuts has instances cut off from all upstreams.
+	Cuts     bool
 	Progress func(format string, arguments ...any)
 }
 
@@ -109,6 +111,7 @@
 	store        *objectapi.Memory
 	server       *httptest.Server
 	instances    []*instance
+	cuts         *instanceCuts
 
 	mu             sync.Mutex // guards all below
 	upstreams      []*station // those that have replaced others stand in their places
@@ -124,13 +127,14 @@
 // station is an upstream with its proxy, the address of which changes with each start.
 type station struct {
 	*upstream.Upstream
+	cuts    *instanceCuts
 	retired atomic.Bool // does not come back once it has left
 	mu      sync.Mutex
 	link    *Proxy
 }
 
 func (s *station) via(address string) (string, error) {
-	p, err := NewProxy("127.0.0.1:0", address)
+	p, err := newProxy("127.0.0.1:0", address, s.cuts)
 	if err != nil {
 		return "", err
 	}
@@ -152,7 +156,7 @@
 // Run plays one seed.
 func Run(o Options) (Report, error) {
 	d := &disturbances{}
-	c := &cluster{options: o, ledger: newLedger(d), disturbances: d, store: objectapi.New(time.Now, objectapi.Limits{}), left: make(map[string]time.Time), idleTimeout: usualIdle, routeTimeout: callerDeadline}
+	c := &cluster{options: o, ledger: newLedger(d), disturbances: d, store: objectapi.New(time.Now, objectapi.Limits{}), cuts: newInstanceCuts(), left: make(map[string]time.Time), idleTimeout: usualIdle, routeTimeout: callerDeadline}
 	c.server = httptest.NewServer(objectapi.Handler(c.store))
 	defer c.server.Close()
 	stop := make(chan struct{})
@@ -177,6 +181,9 @@
 	if o.Limits {
 		plan = AddNamedLimits(plan, o.Seed, o.Faulted)
 	}
+	if o.Cuts {
+		plan = AddInstanceCuts(plan, o.Seed, o.Faulted)
+	}
 	c.play(plan, stop)
 	lifted := time.Now()
 	pauses := NewPauses(o.Seed)
@@ -232,7 +239,7 @@
 }
 
 func (c *cluster) startUpstream(config upstream.Config, number int, stop <-chan struct{}) (*station, error) {
-	s := &station{}
+	s := &station{cuts: c.cuts}
 	config.Zone, config.UnframedShare = fmt.Sprintf("z%d", number%zones), c.options.Unframed
 	s.Upstream = upstream.New(config, c.store, c.ledger, c.options.Seed+uint64(number), s.via)
 	if err := s.Start(); err != nil {
@@ -277,6 +284,7 @@
 			return err
 		}
 		c.instances = append(c.instances, i)
+		c.cuts.processes[n] = i.pid
 		if err := i.start(); err != nil {
 			return err
 		}
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	Unframed  float64       `help:"Share of upstreams' answers that have neither a length nor chunks and end with their connection." default:"0"`
 	Parts     bool          `help:"Has callers share parts of prompts, one of which crashes engines."`
 	Limits    bool          `help:"Has engines name limits of requests per second."`
+	Cuts      bool          `help:"Has instances cut off from all upstreams."`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
@@ -91,7 +92,7 @@
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
-	o.Versions, o.Unframed, o.Parts, o.Limits = f.Versions, f.Unframed, f.Parts, f.Limits
+	o.Versions, o.Unframed, o.Parts, o.Limits, o.Cuts = f.Versions, f.Unframed, f.Parts, f.Limits, f.Cuts
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -81,6 +81,8 @@
 		c.restoreStore(f.Lasts)
 	case KindVersionRelease:
 		c.release(f, stop)
+	case KindInstanceCut:
+		c.cutOff(i, f)
 	case KindNamedLimit:
 		c.nameLimit(f)
 	default:
--- a/internal/bench/soak/instance.go
+++ b/internal/bench/soak/instance.go
@@ -289,5 +289,15 @@
 	return i.inTurn
 }
 
+// pid returns the ID of the running process, or 0 if there is none.
+func (i *instance) pid() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.process == nil {
+		return 0
+	}
+	return i.process.PID()
+}
+
 // name is the instance's identifier.
 func (i *instance) name() string { return fmt.Sprintf("i%d", i.number) }
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -34,6 +34,7 @@
 	PromiseOneVersion Promise = "engines of one version write all events of a stream"
 	PromiseTakenUp    Promise = "streams that are taken up again go on"
 
+	PromiseCut   Promise = "instances that reach no upstream serve callers nearly as often as the others"
 	PromiseLimit Promise = "an upstream gets no more requests than the limit that it names"
 
 	PromisePartContained Promise = "requests with a part of a prompt that crashes engines are contained"
