Brittle upstreams get no more requests than they can reject without falling over

Each instance learned of a full upstream by its own rejections, and nobody bounded their sum.

Change: permits, as for limits. The owner grants a permit only while the rejections of the last 1.2 s and the permits of the last 0.1 s, of which it is not known yet whether they are rejected, are fewer than three quarters of N; instances report rejections to it at once. Hedges need a permit too. A term ends as a limit does.

--- a/internal/coordination/permits/permits.go
+++ b/internal/coordination/permits/permits.go
@@ -1,5 +1,5 @@
-// Package permits divides the requests per second that an upstream takes from all instances
-// together. One instance, the owner, grants a permit for each request. Permits follow the demand, so
+// Package permits divides what an upstream in need takes from all instances together: the requests per second, and
+// those that a brittle upstream can reject. One instance, the owner, grants a permit for each request. Permits follow the demand, so
 // that an instance that gets most of the callers can use most of the limit; fixed parts for each
 // instance would leave the rest unused.
 package permits
@@ -35,63 +35,106 @@
 	return Incarnation{Upstream: u.ID, StartedAt: u.StartedAt.UnixMilli()}
 }
 
-// budget is the limit of an upstream and the permits that were granted of it.
+// Term is what an upstream in need names in its responses.
+type Term uint8
+
+const (
+	// TermRate is the requests per second that the upstream takes from all instances together.
+	TermRate Term = iota
+	// TermRejections is the requests per second that a brittle upstream can reject for want of
+	// room; it falls over if it has to reject more.
+	TermRejections
+	termCount
+)
+
+// term is the value of a term, as known at a time.
+type term struct {
+	value     float64   // zero after the term has ended
+	changedAt time.Time // latest time at which it was known to be in force, or to have ended
+}
+
+// budget is what an upstream has named, and what was granted of it.
 type budget struct {
-	perSecond float64   // zero after the limit has ended
-	changedAt time.Time // latest time at which the limit was known to be in force, or to have ended
-	next      time.Time // time of the next permit
+	terms [termCount]term
+	next  time.Time // time of the next permit within the rate
+	// recent holds the permits of which it is not known yet whether the upstream rejects the request,
+	// rejected the requests that it rejected within rejectionWindow; both ascending.
+	recent, rejected []time.Time
 }
 
-// Budgets holds the limits that upstreams have named, and the permits that this instance has granted
+const (
+	// rejectionWindow is the time for which a rejection counts: a second, and the delay of reports.
+	rejectionWindow = 1200 * time.Millisecond
+	// rejectionDelay is the time within which a rejection is known to the owner. An upstream rejects at
+	// once, and another instance reports it.
+	rejectionDelay = 100 * time.Millisecond
+)
+
+// Budgets holds the terms that upstreams have named, and the permits that this instance has granted
 // as their owner. It is not safe for concurrent use.
 type Budgets struct {
 	budgets map[Incarnation]*budget
 }
 
-// NewBudgets returns budgets without limits.
+// NewBudgets returns budgets without terms.
 func NewBudgets() *Budgets { return &Budgets{budgets: make(map[Incarnation]*budget)} }
 
-// Limit returns the limit that an upstream has named in requests per second, zero if there is none,
-// and the time at which it was last known to be in force.
-func (b *Budgets) Limit(of Incarnation) (perSecond float64, namedAt time.Time) {
+// Value returns the value of a term that an upstream has named, zero if there is none, and the time at
+// which it was last known to be in force.
+func (b *Budgets) Value(of Incarnation, t Term) (value float64, namedAt time.Time) {
 	if known := b.budgets[of]; known != nil {
-		return known.perSecond, known.changedAt
+		return known.terms[t].value, known.terms[t].changedAt
 	}
 	return 0, time.Time{}
 }
 
-// Impose records that an upstream has named a limit, and returns the one before, zero if there was
-// none, and whether the limit has changed. It has no effect if the limit is known to have ended after
+// NeedsPermit reports whether requests to an upstream need a permit.
+func (b *Budgets) NeedsPermit(of Incarnation) bool {
+	known := b.budgets[of]
+	return known != nil && (known.terms[TermRate].value > 0 || known.terms[TermRejections].value > 0)
+}
+
+// Impose records that an upstream has named a term, and returns the value before, zero if there was
+// none, and whether it has changed. It has no effect if the term is known to have ended after
 // namedAt.
-func (b *Budgets) Impose(namedAt time.Time, of Incarnation, perSecond float64) (before float64, changed bool) {
+func (b *Budgets) Impose(namedAt time.Time, of Incarnation, t Term, value float64) (before float64, changed bool) {
 	known := b.budgets[of]
 	if known == nil {
 		known = &budget{}
 		b.budgets[of] = known
 	}
-	if known.perSecond == 0 && !namedAt.After(known.changedAt) {
+	current := &known.terms[t]
+	if current.value == 0 && !namedAt.After(current.changedAt) {
 		return 0, false
 	}
-	before, known.perSecond, known.changedAt = known.perSecond, perSecond, namedAt
-	if perSecond > before && before > 0 {
-		left := float64(known.next.Sub(namedAt)) * before / perSecond // as the new rate would have it
+	before, current.value, current.changedAt = current.value, value, namedAt
+	if t == TermRate && value > before && before > 0 {
+		left := float64(known.next.Sub(namedAt)) * before / value // as the new rate would have it
 		known.next = namedAt.Add(time.Duration(left))
 	}
-	return before, perSecond != before
+	return before, value != before
 }
 
-// Lift records at a time that an upstream named no limit in its response to a request that was sent
-// at sentAt, and returns the limit that ends thereby. It has no effect and returns zero if a limit
+// Lift records at a time that an upstream did not name a term in its response to a request that was sent
+// at sentAt, and returns the value that ends thereby. It has no effect and returns zero if the term
 // was named after sentAt, since responses may overtake each other.
-func (b *Budgets) Lift(now time.Time, of Incarnation, sentAt time.Time) (before float64) {
+func (b *Budgets) Lift(now time.Time, of Incarnation, t Term, sentAt time.Time) (before float64) {
 	known := b.budgets[of]
-	if known == nil || !sentAt.After(known.changedAt) {
+	if known == nil || !sentAt.After(known.terms[t].changedAt) {
 		return 0
 	}
-	before, known.perSecond, known.changedAt = known.perSecond, 0, now
+	before = known.terms[t].value
+	known.terms[t] = term{changedAt: now}
 	return before
 }
 
+// RecordRejected records that an upstream has rejected a request for want of room.
+func (b *Budgets) RecordRejected(now time.Time, of Incarnation) {
+	if known := b.budgets[of]; known != nil && known.terms[TermRejections].value > 0 {
+		known.rejected = append(known.rejected, now)
+	}
+}
+
 // Retain forgets the upstreams that are not listed.
 func (b *Budgets) Retain(isListed func(Incarnation) bool) {
 	for of := range b.budgets {
@@ -110,31 +153,81 @@
 }
 
 // Reserve grants a permit that is due within maxWait, if there is one. rank is that of this instance
-// for the upstream, zero for the owner. Upstreams without a limit need no permit.
+// for the upstream, zero for the owner. Upstreams without a term need no permit.
 func (b *Budgets) Reserve(now time.Time, of Incarnation, rank int, maxWait time.Duration) Decision {
 	known := b.budgets[of]
-	if known == nil || known.perSecond == 0 {
+	if known == nil {
 		return Decision{Granted: true}
 	}
-	between := interval(share(rank) * known.perSecond)
+	if endured := known.terms[TermRejections].value; endured > 0 {
+		if wait := known.waitForRoom(now, risk(endured, rank)); wait > 0 {
+			return Decision{Wait: wait}
+		}
+	}
+	d := Decision{Granted: true}
+	if perSecond := known.terms[TermRate].value; perSecond > 0 {
+		d = known.reserveRate(now, perSecond, rank, maxWait)
+	}
+	if d.Granted && known.terms[TermRejections].value > 0 {
+		known.recent = append(known.recent, now.Add(d.Wait))
+	}
+	return d
+}
+
+// reserveRate grants a permit within the rate of an upstream.
+func (b *budget) reserveRate(now time.Time, perSecond float64, rank int, maxWait time.Duration) Decision {
+	between := interval(share(rank) * perSecond)
 	earliest := now.Add(-burstTime)
 	if rank > 0 {
 		earliest = now
-		if known.next.IsZero() {
-			known.next = now.Add(between) // the owner may have granted a permit just now
+		if b.next.IsZero() {
+			b.next = now.Add(between) // the owner may have granted a permit just now
 		}
 	}
-	if known.next.Before(earliest) {
-		known.next = earliest
+	if b.next.Before(earliest) {
+		b.next = earliest
 	}
-	wait := max(known.next.Sub(now), 0)
+	wait := max(b.next.Sub(now), 0)
 	if wait > maxWait {
 		return Decision{Wait: wait}
 	}
-	known.next = known.next.Add(between)
+	b.next = b.next.Add(between)
 	return Decision{Granted: true, Wait: wait}
 }
 
+// waitForRoom returns the time until a brittle upstream may get a further request, of which at most
+// most may be rejected in a second. All requests of which it is not known yet count as rejected.
+func (b *budget) waitForRoom(now time.Time, most int) time.Duration {
+	b.rejected, b.recent = after(b.rejected, now.Add(-rejectionWindow)), after(b.recent, now.Add(-rejectionDelay))
+	switch {
+	case len(b.rejected)+len(b.recent) < most:
+		return 0
+	case most == 0:
+		return rejectionWindow
+	case len(b.rejected) >= most:
+		return b.rejected[len(b.rejected)-most].Add(rejectionWindow).Sub(now)
+	default:
+		return max(b.recent[0].Add(rejectionDelay).Sub(now), time.Millisecond)
+	}
+}
+
+// after returns the ascending times that are after a time.
+func after(times []time.Time, from time.Time) []time.Time {
+	for len(times) > 0 && !times[0].After(from) {
+		times = times[1:]
+	}
+	return times
+}
+
+// risk returns how many rejections per second the instance of a rank may risk. The first substitute may
+// risk one, so that a brittle upstream is not lost with its owner.
+func risk(endured float64, rank int) int {
+	if rank <= 1 {
+		return max(int(share(rank)*endured), 1)
+	}
+	return int(share(rank) * endured)
+}
+
 // share returns the share of a limit that the instance of a rank grants.
 func share(rank int) float64 {
 	if rank == 0 {
--- a/internal/coordination/permits/permits_test.go
+++ b/internal/coordination/permits/permits_test.go
@@ -21,7 +21,7 @@
 		name := fmt.Sprintf("i%d", n)
 		names = append(names, name)
 		budgets[name], owners[name] = NewBudgets(), NewOwners(name)
-		budgets[name].Impose(start, of, perSecond)
+		budgets[name].Impose(start, of, TermRate, perSecond)
 	}
 	return names, budgets, owners
 }
@@ -89,10 +89,10 @@
 func TestLimitEndsOnlyByResponseToLaterRequest(t *testing.T) {
 	of := Incarnation{Upstream: "u1"}
 	b := NewBudgets()
-	b.Impose(start, of, 2)
-	assert.Equal(t, b.Lift(start.Add(time.Second), of, start.Add(-time.Millisecond)), 0.0)
-	assert.Equal(t, b.Lift(start.Add(time.Second), of, start.Add(time.Millisecond)), 2.0)
-	_, changed := b.Impose(start.Add(500*time.Millisecond), of, 2) // what another instance knew before
+	b.Impose(start, of, TermRate, 2)
+	assert.Equal(t, b.Lift(start.Add(time.Second), of, TermRate, start.Add(-time.Millisecond)), 0.0)
+	assert.Equal(t, b.Lift(start.Add(time.Second), of, TermRate, start.Add(time.Millisecond)), 2.0)
+	_, changed := b.Impose(start.Add(500*time.Millisecond), of, TermRate, 2) // what another instance knew before
 	assert.Assert(t, !changed)
 	assert.Assert(t, b.Reserve(start.Add(time.Second), of, 0, 0).Granted)
 }
@@ -101,10 +101,56 @@
 func TestHigherLimitShortensWait(t *testing.T) {
 	of := Incarnation{Upstream: "u1"}
 	b := NewBudgets()
-	b.Impose(start, of, 0.1)
+	b.Impose(start, of, TermRate, 0.1)
 	for b.Reserve(start, of, 0, 0).Granted {
 	}
-	b.Impose(start, of, 10)
+	b.Impose(start, of, TermRate, 10)
 	d := b.Reserve(start, of, 0, 0)
 	assert.Assert(t, !d.Granted && d.Wait <= 200*time.Millisecond, "%+v", d)
 }
+
+// A brittle upstream falls over if it has to reject more than it names, whichever instances send.
+func TestBrittleUpstreamRejectsNoMoreThanItEndures(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		of := Incarnation{Upstream: "u1"}
+		endured := rapid.IntRange(1, 20).Draw(t, "endured")
+		b := NewBudgets()
+		b.Impose(start, of, TermRejections, float64(endured))
+		var rejected []time.Duration
+		type report struct{ at time.Duration }
+		var reports []report
+		isFull := false
+		now := time.Duration(0)
+		for range 2000 {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "gap")) * time.Millisecond
+			for len(reports) > 0 && reports[0].at <= now {
+				b.RecordRejected(start.Add(reports[0].at), of)
+				reports = reports[1:]
+			}
+			if rapid.IntRange(0, 60).Draw(t, "change") == 0 {
+				isFull = !isFull
+			}
+			if b.Reserve(start.Add(now), of, 0, 0).Granted && isFull {
+				rejected = append(rejected, now)
+				reports = append(reports, report{now + 30*time.Millisecond})
+			}
+		}
+		if most := mostWithin(rejected, time.Second); most > endured {
+			t.Fatalf("%d requests were rejected in a second, %d endured", most, endured)
+		}
+	})
+}
+
+// An upstream with room gets what it can take, although it is brittle.
+func TestBrittleUpstreamWithRoomIsUsed(t *testing.T) {
+	of := Incarnation{Upstream: "u1"}
+	b := NewBudgets()
+	b.Impose(start, of, TermRejections, 4)
+	granted := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 20 * time.Millisecond {
+		if b.Reserve(start.Add(at), of, 0, 0).Granted {
+			granted++
+		}
+	}
+	assert.Assert(t, granted >= 200, "%d of 500 requests in 10 s", granted)
+}
--- a/internal/node/gateway/limits.go
+++ b/internal/node/gateway/limits.go
@@ -6,30 +6,44 @@
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
+	"savoryweir/internal/coordination/permits"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/platform"
 )
 
-// Permits keeps the limits that upstreams name for the requests of all instances together.
+// Permits keeps what upstreams in need name, for the requests of all instances together.
 type Permits interface {
-	// Impose records the limit that an upstream names, in requests per second.
-	Impose(u *fleet.Upstream, perSecond float64)
-	// Lift records that an upstream named no limit in its response to a request that was sent at
-	// a time.
-	Lift(u *fleet.Upstream, sentAt time.Time)
-	// IsLimited reports whether an upstream has named a limit.
+	// Impose records the value of a term that an upstream names.
+	Impose(u *fleet.Upstream, t permits.Term, value float64)
+	// Lift records that an upstream did not name a term in its response to a request that was sent
+	// at a time.
+	Lift(u *fleet.Upstream, t permits.Term, sentAt time.Time)
+	// RecordRejected records that an upstream has rejected a request for want of room.
+	RecordRejected(u *fleet.Upstream)
+	// IsLimited reports whether an upstream has named a limit of requests.
 	IsLimited(u *fleet.Upstream) bool
 	// Acquire obtains a permit to send one request, and waits until it is due, for maxWait at
 	// most. If it returns false, wait is the time after which there may be one.
 	Acquire(ctx context.Context, u *fleet.Upstream, maxWait time.Duration) (granted bool, wait time.Duration)
 }
 
+// liftTerms ends what an upstream no longer names in its response to a request that was sent at a time.
+func (g *Gateway) liftTerms(u *fleet.Upstream, r platform.Response, sentAt time.Time) {
+	if r.Limit == 0 {
+		g.Permits.Lift(u, permits.TermRate, sentAt)
+	}
+	if r.Rejections == 0 {
+		g.Permits.Lift(u, permits.TermRejections, sentAt)
+	}
+}
+
 // maxPermitWait is the longest wait for a permit.
 const maxPermitWait = time.Second
 
-// choosePermitted chooses one of the candidates and obtains a permit for it if it has named a limit. A
+// choosePermitted chooses one of the candidates and obtains a permit for it if it is in need. A
 // request that admits does not admit is returned without a permit; nil admits all. Without an upstream
 // it returns nil; isDenied then means that all had no permit left, and wait is the time until one may have.
-func (c *call) choosePermitted(ctx context.Context, candidates []*fleet.Upstream, admits func(*trackedRequest) bool) (tracked *trackedRequest, wait time.Duration, isDenied bool) {
+func (c *call) choosePermitted(ctx context.Context, candidates []*fleet.Upstream, mayWait bool, admits func(*trackedRequest) bool) (tracked *trackedRequest, wait time.Duration, isDenied bool) {
 	for {
 		tracked, ok := c.gateway.Tracker.choose(c, candidates, c.gateway.Zone)
 		if !ok {
@@ -38,7 +52,7 @@
 		if admits != nil && !admits(tracked) {
 			return tracked, 0, false
 		}
-		granted, left := c.acquirePermit(ctx, tracked, len(candidates) == 1)
+		granted, left := c.acquirePermit(ctx, tracked, mayWait && len(candidates) == 1)
 		if granted {
 			return tracked, 0, false
 		}
@@ -77,7 +91,7 @@
 	return rest
 }
 
-const reasonLimited = "upstreams limit their requests"
+const reasonLimited = "upstreams take no more requests now"
 
 // refuseLimited ends a request for which no upstream has a permit within the given time. A load of its
 // model on another engine may serve the next ones.
--- a/internal/node/gateway/notices.go
+++ b/internal/node/gateway/notices.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savoryweir/internal/coordination/dispatch"
+	"savoryweir/internal/coordination/permits"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/platform"
 )
@@ -46,12 +47,15 @@
 }
 
 // ObserveResponse records what the head of a response says about its upstream: that it is
-// leaving, that it wants no requests for a time, or only so many per second. The other instances
-// are informed.
+// leaving, that it wants no requests for a time, only so many per second, or can reject only so
+// many. The other instances are informed.
 func (g *Gateway) ObserveResponse(u *fleet.Upstream, status int, h http.Header) {
 	notice := platform.DecodeUpstreamNotice(status, h)
 	if notice.Limit > 0 {
-		g.Permits.Impose(u, notice.Limit)
+		g.Permits.Impose(u, permits.TermRate, notice.Limit)
+	}
+	if notice.Rejections > 0 {
+		g.Permits.Impose(u, permits.TermRejections, notice.Rejections)
 	}
 	if notice.Leaving && g.Registry.MarkLeaving(u.ID, u.StartedAt) {
 		g.Log.Info().Str("event", "upstream.leaving").Str("upstream", string(u.ID)).Str("address", u.Address).Int("status", status).
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -99,8 +99,8 @@
 		g.ObserveResponse(upstream, a.exchange.Response.StatusCode, a.exchange.Response.Header)
 		a.response = platform.DecodeResponse(a.exchange.Response.StatusCode, a.exchange.Response.Header)
 		a.failure = c.checkResponse(a)
-		if a.failure == failureNone && a.response.Signed && a.response.Limit == 0 {
-			g.Permits.Lift(upstream, a.tracked.startedAt)
+		if a.failure == failureNone && a.response.Signed {
+			g.liftTerms(upstream, a.response, a.tracked.startedAt)
 		}
 	}
 	c.recordAttempt(a)
@@ -229,4 +229,5 @@
 		return
 	}
 	a.tracked.recordUnserved()
+	c.gateway.Permits.RecordRejected(u)
 }
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -128,7 +128,7 @@
 		return nil, false
 	}
 	verdict := dispatch.AdmissionDecision{Admitted: true}
-	tracked, wait, isDenied := c.choosePermitted(ctx, c.retryCandidates(available), func(t *trackedRequest) bool {
+	tracked, wait, isDenied := c.choosePermitted(ctx, c.retryCandidates(available), true, func(t *trackedRequest) bool {
 		if c.firstByteAt.IsZero() {
 			verdict = dispatch.Admit(t.expectedTTFB, c.patience())
 		}
@@ -207,11 +207,12 @@
 func (c *call) chooseNextEngine(hasBegun bool) *trackedRequest {
 	g := c.gateway
 	available, _ := g.pauses.available(g.withoutLimited(g.reach.reachable(c.usableEngines(c.params.Model, c.params.Adapter))))
-	tracked, ok := g.Tracker.choose(c, c.retryCandidates(available), g.Zone)
-	switch {
-	case !ok || tracked.expectedTTFB > time.Until(c.deadline):
-		return nil
-	case !hasBegun && !dispatch.Admit(tracked.expectedTTFB, c.patience()).Admitted:
+	isInTime := true
+	tracked, _, _ := c.choosePermitted(c.request.Context(), c.retryCandidates(available), false, func(t *trackedRequest) bool {
+		isInTime = t.expectedTTFB <= time.Until(c.deadline) && (hasBegun || dispatch.Admit(t.expectedTTFB, c.patience()).Admitted)
+		return isInTime
+	})
+	if !isInTime {
 		return nil
 	}
 	return tracked
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -68,7 +68,7 @@
 	if c.route.IsRepeatable() {
 		candidates = c.retryCandidates(usable)
 	}
-	tracked, wait, isDenied := c.choosePermitted(ctx, candidates, nil)
+	tracked, wait, isDenied := c.choosePermitted(ctx, candidates, true, nil)
 	if isDenied {
 		return nil, func() { c.refuseLimited(wait) }
 	}
@@ -125,7 +125,7 @@
 func (c *call) chooseNextUpstream(bool) *trackedRequest {
 	g := c.gateway
 	usable, _ := g.pauses.available(g.withoutLimited(g.reach.reachable(g.Registry.View().Usable(c.service, "", ""))))
-	tracked, _ := g.Tracker.choose(c, c.retryCandidates(usable), g.Zone)
+	tracked, _, _ := c.choosePermitted(c.request.Context(), c.retryCandidates(usable), false, nil)
 	return tracked
 }
 
--- a/internal/node/permits/permits.go
+++ b/internal/node/permits/permits.go
@@ -1,4 +1,4 @@
-// Package permits keeps the limits that upstreams name, together with the other instances: it asks
+// Package permits keeps the limits that upstreams in need name, together with the other instances: it asks
 // the owner of an upstream for permits, and grants those of the upstreams that this instance owns.
 package permits
 
@@ -55,18 +55,18 @@
 	}
 }
 
-// Impose records the limit that an upstream names in a response. The first limit is told to all other
+// Impose records what an upstream names in a response. The first value of a term is told to all other
 // instances, later ones to the owner.
-func (p *Permits) Impose(u *fleet.Upstream, perSecond float64) {
+func (p *Permits) Impose(u *fleet.Upstream, t permits.Term, value float64) {
 	of, now := permits.IncarnationOf(u), time.Now()
 	p.mu.Lock()
-	before, changed := p.budgets.Impose(now, of, perSecond)
+	before, changed := p.budgets.Impose(now, of, t, value)
 	p.mu.Unlock()
 	if !changed {
 		return
 	}
-	p.logChange(of.Upstream, before, perSecond, "")
-	notice := &pb.UpstreamNotice{Limit: perSecond}
+	p.logChange(of.Upstream, t, before, value, "")
+	notice := encodeTerm(t, value)
 	if before == 0 {
 		p.Broadcast(message(of, notice))
 		return
@@ -74,26 +74,53 @@
 	p.tellOwner(now, of, notice)
 }
 
-// Lift records that an upstream named no limit in its response to a request that was sent at a time.
-// The end of a limit is told to the owner, from which the other instances hear it when they ask.
-func (p *Permits) Lift(u *fleet.Upstream, sentAt time.Time) {
+// Lift records that an upstream did not name a term in its response to a request that was sent at a
+// time. That is told to the owner, from which the other instances hear it when they ask.
+func (p *Permits) Lift(u *fleet.Upstream, t permits.Term, sentAt time.Time) {
 	of, now := permits.IncarnationOf(u), time.Now()
-	p.mu.Lock()
-	before := p.lift(now, of, sentAt)
-	p.mu.Unlock()
-	if before == 0 {
+	if !p.lift(now, of, t, sentAt, "") {
 		return
 	}
-	p.logChange(of.Upstream, before, 0, "")
-	p.tellOwner(now, of, &pb.UpstreamNotice{Unlimited: true, SentAgoMicros: uint64(max(now.Sub(sentAt), 0).Microseconds())})
+	notice := encodeEnd(t)
+	notice.SentAgoMicros = uint64(max(now.Sub(sentAt), 0).Microseconds())
+	p.tellOwner(now, of, notice)
 }
 
-// lift ends a limit and returns it, zero if there was none. The caller holds p.mu.
-func (p *Permits) lift(now time.Time, of permits.Incarnation, sentAt time.Time) (before float64) {
-	if before = p.budgets.Lift(now, of, sentAt); before > 0 {
+// lift ends a term and reports whether it was in force.
+func (p *Permits) lift(now time.Time, of permits.Incarnation, t permits.Term, sentAt time.Time, from string) bool {
+	p.mu.Lock()
+	before := p.budgets.Lift(now, of, t, sentAt)
+	if before > 0 {
 		delete(p.denied, of)
 	}
-	return before
+	p.mu.Unlock()
+	if before > 0 {
+		p.logChange(of.Upstream, t, before, 0, from)
+	}
+	return before > 0
+}
+
+// RecordRejected records that an upstream has rejected a request for want of room, and tells the owner.
+func (p *Permits) RecordRejected(u *fleet.Upstream) {
+	of, now := permits.IncarnationOf(u), time.Now()
+	p.mu.Lock()
+	endured, _ := p.budgets.Value(of, permits.TermRejections)
+	p.budgets.RecordRejected(now, of)
+	p.mu.Unlock()
+	if endured > 0 {
+		p.tellOwner(now, of, &pb.UpstreamNotice{Rejected: true})
+	}
+}
+
+func encodeTerm(t permits.Term, value float64) *pb.UpstreamNotice {
+	if t == permits.TermRate {
+		return &pb.UpstreamNotice{Limit: value}
+	}
+	return &pb.UpstreamNotice{Rejections: value}
+}
+
+func encodeEnd(t permits.Term) *pb.UpstreamNotice {
+	return &pb.UpstreamNotice{Unlimited: t == permits.TermRate, Robust: t == permits.TermRejections}
 }
 
 func message(of permits.Incarnation, notice *pb.UpstreamNotice) *pb.FleetMessage {
@@ -107,44 +134,65 @@
 	}
 }
 
-func (p *Permits) logChange(upstream fleet.UpstreamID, before, limit float64, from string) {
-	p.Log.Info().Str("event", "upstream.limit").Str("upstream", string(upstream)).Float64("limit", limit).Float64("before", before).Str("from", from).
-		Msg("upstream names another limit of requests per second, or none if it is zero")
+func (p *Permits) logChange(upstream fleet.UpstreamID, t permits.Term, before, value float64, from string) {
+	entry := p.Log.Info().Str("upstream", string(upstream)).Float64("limit", value).Float64("before", before).Str("from", from)
+	if t == permits.TermRejections {
+		entry.Str("event", "upstream.brittle").Msg("upstream names another number of rejections per second that it endures, or none if it is zero")
+		return
+	}
+	entry.Str("event", "upstream.limit").Msg("upstream names another limit of requests per second, or none if it is zero")
 }
 
-// IsLimited reports whether an upstream has named a limit.
+// IsLimited reports whether an upstream has named a limit of requests.
 func (p *Permits) IsLimited(u *fleet.Upstream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	perSecond, _ := p.budgets.Limit(permits.IncarnationOf(u))
+	perSecond, _ := p.budgets.Value(permits.IncarnationOf(u), permits.TermRate)
 	return perSecond > 0
 }
 
 // Acquire obtains a permit to send one request to an upstream, and waits until it is due, for maxWait
 // at most. If it returns false, no permit was granted, or ctx has ended; wait is the time after which
-// there may be one. Upstreams without a limit need no permit.
+// there may be one. Upstreams that have named nothing need no permit.
 func (p *Permits) Acquire(ctx context.Context, u *fleet.Upstream, maxWait time.Duration) (granted bool, wait time.Duration) {
-	of := permits.IncarnationOf(u)
-	p.mu.Lock()
-	limit, namedAt := p.budgets.Limit(of)
-	next := p.denied[of]
-	p.mu.Unlock()
-	if limit == 0 {
-		return true, 0
-	}
-	if left := time.Until(next); left > maxWait {
-		return false, left
+	of, end := permits.IncarnationOf(u), time.Now().Add(maxWait)
+	for {
+		left := max(time.Until(end), 0)
+		request, next := p.newRequest(of, left)
+		if request == nil {
+			return true, 0
+		}
+		if wait = time.Until(next); wait <= left {
+			decision := p.ask(ctx, of, request)
+			if decision.Granted {
+				return decision.Wait == 0 || pause.For(ctx, decision.Wait), 0
+			}
+			wait = decision.Wait
+			p.mu.Lock()
+			p.denied[of] = time.Now().Add(wait)
+			p.mu.Unlock()
+		}
+		if wait <= 0 || wait > left || !pause.For(ctx, wait) {
+			return false, wait
+		}
 	}
-	decision := p.ask(ctx, of, &pb.PermitRequest{
-		Upstream: string(of.Upstream), StartedAt: of.StartedAt, Limit: limit, NamedAgoMicros: uint64(time.Since(namedAt).Microseconds()), MaxWaitMicros: uint64(max(maxWait, 0).Microseconds()),
-	})
-	if !decision.Granted {
-		p.mu.Lock()
-		p.denied[of] = time.Now().Add(decision.Wait)
-		p.mu.Unlock()
-		return false, decision.Wait
+}
+
+// newRequest returns a request for a permit, nil if the upstream needs none, and the time before which
+// there is none.
+func (p *Permits) newRequest(of permits.Incarnation, maxWait time.Duration) (request *pb.PermitRequest, next time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.budgets.NeedsPermit(of) {
+		return nil, time.Time{}
 	}
-	return decision.Wait == 0 || pause.For(ctx, decision.Wait), 0
+	request = &pb.PermitRequest{Upstream: string(of.Upstream), StartedAt: of.StartedAt, MaxWaitMicros: uint64(max(maxWait, 0).Microseconds())}
+	var namedAt time.Time
+	request.Limit, namedAt = p.budgets.Value(of, permits.TermRate)
+	request.NamedAgoMicros = uint64(time.Since(namedAt).Microseconds())
+	request.Rejections, namedAt = p.budgets.Value(of, permits.TermRejections)
+	request.RejectionsNamedAgoMicros = uint64(time.Since(namedAt).Microseconds())
+	return request, p.denied[of]
 }
 
 // ask asks the owner for a permit. One that doesn't reply counts as having none.
@@ -184,12 +232,13 @@
 // recordReply records the reply of an owner to a request for a permit that was sent at a time.
 func (p *Permits) recordReply(owner string, of permits.Incarnation, askedAt time.Time, reply *pb.PermitReply) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	delete(p.missed, owner)
+	p.mu.Unlock()
 	if reply.Unlimited {
-		if before := p.lift(time.Now(), of, askedAt); before > 0 {
-			p.logChange(of.Upstream, before, 0, owner)
-		}
+		p.lift(time.Now(), of, permits.TermRate, askedAt, owner)
+	}
+	if reply.Robust {
+		p.lift(time.Now(), of, permits.TermRejections, askedAt, owner)
 	}
 }
 
@@ -243,44 +292,63 @@
 
 func (p *Permits) receiveNotice(from string, notice *pb.UpstreamNotice) {
 	of, now := permits.Incarnation{Upstream: fleet.UpstreamID(notice.Upstream), StartedAt: notice.StartedAt}, time.Now()
-	switch {
-	case notice.Limit > 0:
-		p.impose(from, now, of, notice.Limit)
-	case notice.Unlimited:
+	sentAt := now.Add(-time.Duration(notice.SentAgoMicros) * time.Microsecond)
+	if notice.Limit > 0 {
+		p.impose(from, now, of, permits.TermRate, notice.Limit)
+	}
+	if notice.Rejections > 0 {
+		p.impose(from, now, of, permits.TermRejections, notice.Rejections)
+	}
+	if notice.Unlimited {
+		p.lift(now, of, permits.TermRate, sentAt, from)
+	}
+	if notice.Robust {
+		p.lift(now, of, permits.TermRejections, sentAt, from)
+	}
+	if notice.Rejected {
 		p.mu.Lock()
-		before := p.lift(now, of, now.Add(-time.Duration(notice.SentAgoMicros)*time.Microsecond))
+		p.budgets.RecordRejected(now, of)
 		p.mu.Unlock()
-		if before > 0 {
-			p.logChange(of.Upstream, before, 0, from)
-		}
 	}
 }
 
-// impose records a limit that another instance knows.
-func (p *Permits) impose(from string, namedAt time.Time, of permits.Incarnation, perSecond float64) {
+// impose records a term that another instance knows.
+func (p *Permits) impose(from string, namedAt time.Time, of permits.Incarnation, t permits.Term, value float64) {
 	p.mu.Lock()
-	before, changed := p.budgets.Impose(namedAt, of, perSecond)
+	before, changed := p.budgets.Impose(namedAt, of, t, value)
 	p.mu.Unlock()
 	if changed {
-		p.logChange(of.Upstream, before, perSecond, from)
+		p.logChange(of.Upstream, t, before, value, from)
+	}
+}
+
+// adopt records a term that the sender of a request for a permit knows, unless this instance knows its value, and
+// reports whether the term has ended.
+func (p *Permits) adopt(from string, of permits.Incarnation, t permits.Term, value float64, namedAt time.Time) (hasEnded bool) {
+	known := p.value(of, t)
+	if known == 0 && value > 0 {
+		p.impose(from, namedAt, of, t, value)
+		known = p.value(of, t)
 	}
+	return known == 0
 }
 
-// reply returns the reply to another instance's request for a permit. The sender may know a limit
-// that this instance has not heard of, or not that it has ended.
+func (p *Permits) value(of permits.Incarnation, t permits.Term) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	value, _ := p.budgets.Value(of, t)
+	return value
+}
+
+// reply returns the reply to another instance's request for a permit. The sender may know a term that
+// this instance has not heard of, or not that it has ended.
 func (p *Permits) reply(from string, request *pb.PermitRequest) *pb.PermitReply {
 	of, now := permits.Incarnation{Upstream: fleet.UpstreamID(request.Upstream), StartedAt: request.StartedAt}, time.Now()
-	p.mu.Lock()
-	known, _ := p.budgets.Limit(of)
-	p.mu.Unlock()
-	if known == 0 && request.Limit > 0 {
-		p.impose(from, now.Add(-time.Duration(request.NamedAgoMicros)*time.Microsecond), of, request.Limit)
-	}
+	ago := func(micros uint64) time.Time { return now.Add(-time.Duration(micros) * time.Microsecond) }
+	isUnlimited := p.adopt(from, of, permits.TermRate, request.Limit, ago(request.NamedAgoMicros))
+	isRobust := p.adopt(from, of, permits.TermRejections, request.Rejections, ago(request.RejectionsNamedAgoMicros))
 	decision := p.reserve(now, of, time.Duration(request.MaxWaitMicros)*time.Microsecond)
-	p.mu.Lock()
-	known, _ = p.budgets.Limit(of)
-	p.mu.Unlock()
-	return &pb.PermitReply{Id: request.Id, Granted: decision.Granted, WaitMicros: uint64(decision.Wait.Microseconds()), Unlimited: known == 0}
+	return &pb.PermitReply{Id: request.Id, Granted: decision.Granted, WaitMicros: uint64(decision.Wait.Microseconds()), Unlimited: isUnlimited, Robust: isRobust}
 }
 
 // Retain forgets the upstreams that are not listed.
