--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -64,6 +64,8 @@
 	Parts bool
 	// Limits has engines name limits of requests per second.
 	Limits bool
+	// Brittle has all engines be brittle.
+	Brittle bool
 	// Cuts has instances cut off from all upstreams.
 	Cuts     bool
 	Progress func(format string, arguments ...any)
@@ -181,6 +183,9 @@
 	if o.Limits {
 		plan = AddNamedLimits(plan, o.Seed, o.Faulted)
 	}
+	if o.Brittle {
+		plan = AddBrittleness(plan, o.Seed, o.Faulted)
+	}
 	if o.Cuts {
 		plan = AddInstanceCuts(plan, o.Seed, o.Faulted)
 	}
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	Parts     bool          `help:"Has callers share parts of prompts, one of which crashes engines."`
 	Limits    bool          `help:"Has engines name limits of requests per second."`
 	Cuts      bool          `help:"Has instances cut off from all upstreams."`
+	Brittle   bool          `help:"Has all engines be brittle: they fall over if they must reject more than they say."`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
 	Verbose   bool          `help:"Prints each fault."`
@@ -92,7 +93,7 @@
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
-	o.Versions, o.Unframed, o.Parts, o.Limits, o.Cuts = f.Versions, f.Unframed, f.Parts, f.Limits, f.Cuts
+	o.Versions, o.Unframed, o.Parts, o.Limits, o.Cuts, o.Brittle = f.Versions, f.Unframed, f.Parts, f.Limits, f.Cuts, f.Brittle
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -83,6 +83,8 @@
 		c.release(f, stop)
 	case KindInstanceCut:
 		c.cutOff(i, f)
+	case KindBrittle:
+		c.makeBrittle(f)
 	case KindNamedLimit:
 		c.nameLimit(f)
 	default:
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -35,6 +35,7 @@
 	PromiseTakenUp    Promise = "streams that are taken up again go on"
 
 	PromiseCut   Promise = "instances that reach no upstream serve callers nearly as often as the others"
+	PromiseFalls Promise = "brittle engines are not brought down by requests that they must reject"
 	PromiseLimit Promise = "an upstream gets no more requests than the limit that it names"
 
 	PromisePartContained Promise = "requests with a part of a prompt that crashes engines are contained"
@@ -85,6 +86,7 @@
 	services   map[string]*service  // by incarnation
 	orders     []upstream.Order
 	limited    map[string][]limitedArrival
+	falls      []fall
 	crashes    []time.Time // by the crashing part
 	violations []Violation
 }
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -56,6 +56,7 @@
 	KindVersionRelease Kind = "version-release" // a share of the engines is replaced by another version
 	KindLimits         Kind = "limits"          // a configuration changes the idle timeout and the timeouts of routes
 	KindNoRetries      Kind = "no-retries"      // the settings of all instances allow no retries from now on
+	KindBrittle        Kind = "brittle"         // all engines have little room and fall over if they must reject more than they say
 	KindInstanceCut    Kind = "instance-cut"    // an instance loses its path to all upstreams
 	KindNamedLimit     Kind = "named-limit"     // an engine names a limit of requests per second
 	KindEnginePause    Kind = "engine-pause"    // a sound engine sends and reads nothing for a while and goes on
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -93,6 +93,14 @@
 	play(t, o, build(t))
 }
 
+// Each instance learned of a full engine by its own rejections, the sum of which brought it down.
+func TestBrittleEnginesStayUp(t *testing.T) {
+	t.Parallel()
+	o := DefaultOptions(fresh)
+	o.Brittle, o.Faults = true, 0
+	play(t, o, build(t))
+}
+
 // Instances that lose their own path to all upstreams used to refuse their callers.
 func TestCallersOfInstancesThatAreCutOffAreServed(t *testing.T) {
 	t.Parallel()
@@ -333,6 +341,7 @@
 			c.wrote("c", "v2", 5, 6)
 		}},
 		{PromiseTakenUp, func(c *cluster) { c.takeUp(at, takenUpLeast/2-1, takenUpLeast) }},
+		{PromiseFalls, func(c *cluster) { c.fall(at, fallsAllowed+1) }},
 		{PromiseCut, func(c *cluster) { c.sendAtCut(at, 5, 30) }},
 		{PromiseLimit, func(c *cluster) { c.arriveLimited(at, 2, 2*limitFactor*4+limitSlack+1) }},
 		{PromisePartContained, func(c *cluster) { c.crashByPart(at, partCrashes, containedArrivals+1, stable+time.Second) }},
@@ -361,6 +370,14 @@
 	}
 }
 
+// fall records brittle engines that fell over by requests of an instance in touch.
+func (c *cluster) fall(at time.Time, count int) {
+	c.ledger.Sent(&sent{id: "rejected", path: "/tag/", at: at, ended: at})
+	for range count {
+		c.ledger.falls = append(c.ledger.falls, fall{"e1-1", at, []string{"rejected"}})
+	}
+}
+
 // sendAtCut records requests at an instance that is cut off, some of which were served, and as many at
 // another one that were all served.
 func (c *cluster) sendAtCut(at time.Time, served, count int) {
@@ -454,6 +471,7 @@
 		name string
 		see  func(*cluster)
 	}{
+		{"two brittle engines fall over", func(c *cluster) { c.fall(at, fallsAllowed) }},
 		{"instances that are cut off serve two thirds as often", func(c *cluster) { c.sendAtCut(at, 20, 30) }},
 		{"an upstream gets as much as its limit allows", func(c *cluster) { c.arriveLimited(at, 2, 2*limitFactor*4+limitSlack) }},
 		{"a run of another version wrote only events that the caller has from the first", func(c *cluster) {
--- a/internal/bench/soak/verdict.go
+++ b/internal/bench/soak/verdict.go
@@ -45,6 +45,7 @@
 	c.judgeParts(requests, runs)
 	c.judgeLimits(requests)
 	c.judgeCuts(requests)
+	c.judgeFalls(requests)
 }
 
 func (c *cluster) judgeRefusals(requests []*sent, runs map[string][]upstream.Run) {
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -49,7 +49,10 @@
 	if u.isDraining() {
 		w.Header().Set("Server-Leaving", "1")
 	}
-	limit := u.namedLimit()
+	limit, endures := u.namedLimits()
+	if endures > 0 {
+		w.Header().Set("Server-Brittle", strconv.Itoa(endures))
+	}
 	u.journal.Arrived(request, id, limit)
 	if limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
@@ -109,7 +112,8 @@
 	case r.Header.Get("Request-Id") == "":
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusBadRequest)
-	case u.running >= u.config.Slots:
+	case u.running >= u.room():
+		u.recordRejected(r.Header.Get("Request-Id"))
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
@@ -125,10 +129,42 @@
 	return u.draining
 }
 
-func (u *Upstream) namedLimit() float64 {
+func (u *Upstream) namedLimits() (perSecond float64, endures int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.limit
+	return u.limit, u.brittle.endures
+}
+
+// room returns how many requests run at a time. The caller holds u.mu.
+func (u *Upstream) room() int {
+	if u.brittle.slots > 0 {
+		return u.brittle.slots
+	}
+	return u.config.Slots
+}
+
+// recordRejected records a rejection for want of room. If a brittle upstream has to reject more than it
+// endures, it crashes. The caller holds u.mu.
+func (u *Upstream) recordRejected(request string) {
+	if u.brittle.slots == 0 {
+		return
+	}
+	now := time.Now()
+	u.rejected = append(u.rejected, rejection{request, now})
+	u.rejected = slices.DeleteFunc(u.rejected, func(r rejection) bool { return now.Sub(r.at) > time.Second })
+	if len(u.rejected) <= u.brittle.endures {
+		return
+	}
+	var requests []string
+	for _, r := range u.rejected {
+		requests = append(requests, r.request)
+	}
+	u.rejected = nil
+	go func(id string) {
+		if u.crash(func() { u.journal.Fell(id, requests) }) {
+			u.restart(u.config.RestartTime)
+		}
+	}(u.id)
 }
 
 func (u *Upstream) leave() {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -50,6 +50,9 @@
 	// Arrived tells that a request reached an upstream, with the limit that its answer names; zero if
 	// it names none.
 	Arrived(request, upstream string, limit float64)
+	// Fell tells that a brittle upstream has fallen over, as it had to reject these requests within a
+	// second.
+	Fell(upstream string, rejected []string)
 	// Overloaded tells that an engine was ordered to hold more than fits.
 	Overloaded(upstream string)
 }
@@ -112,7 +115,9 @@
 	born     time.Time
 	draining bool
 	faults   Faults
-	limit    float64 // requests per second that it takes from all callers; zero for any
+	brittle  brittleness
+	rejected []rejection // for want of room, while it is brittle
+	limit    float64     // requests per second that it takes from all callers; zero for any
 	running  int
 	orders   uint64
 	busy     bool
@@ -237,6 +242,39 @@
 	u.faults = f
 }
 
+// brittleness is how much a brittle upstream takes.
+type brittleness struct {
+	endures int // rejections in a second for want of room; zero if it is not brittle
+	slots   int
+}
+
+type rejection struct {
+	request string
+	at      time.Time
+}
+
+// brittleLead is how long an upstream has said that it is brittle before it has less room and may fall over.
+const brittleLead = 3 * time.Second
+
+// SetBrittle has the upstream say that it endures so many rejections in a second, and later run fewer
+// requests at a time. It then falls over when it has to reject more. Zero ends that.
+func (u *Upstream) SetBrittle(endures, slots int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.brittle, u.rejected = brittleness{endures: endures}, nil
+	if endures > 0 {
+		time.AfterFunc(brittleLead, func() { u.loseRoom(endures, slots) })
+	}
+}
+
+func (u *Upstream) loseRoom(endures, slots int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.brittle.endures == endures {
+		u.brittle.slots = slots
+	}
+}
+
 // SetLimit sets the requests per second that the upstream names in its answers as the most that it
 // takes. Zero ends the limit.
 func (u *Upstream) SetLimit(perSecond float64) {
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -53,7 +53,9 @@
 
 func (n *notes) Ordered(Order) {}
 
-func (n *notes) Overloaded(string)              {}
+func (n *notes) Overloaded(string)     {}
+func (n *notes) Fell(string, []string) {}
+
 func (n *notes) Arrived(_, _ string, _ float64) {}
 
 func (n *notes) crashes() []string {
