--- a/internal/coordination/permits/permits.go
+++ b/internal/coordination/permits/permits.go
@@ -1,7 +1,7 @@
-// Package permits divides what an upstream in need takes from all instances together: the requests per second, and
-// those that a brittle upstream can reject. One instance, the owner, grants a permit for each request. Permits follow the demand, so
-// that an instance that gets most of the callers can use most of the limit; fixed parts for each
-// instance would leave the rest unused.
+// Package permits divides what an upstream in need takes from all instances together: the requests
+// per second, and those that a brittle upstream can reject. One instance, the owner, grants a permit
+// for each request. Permits follow the demand, so that an instance that gets most of the callers can
+// use most of the limit; fixed parts for each instance would leave the rest unused.
 package permits
 
 import (
@@ -131,7 +131,7 @@
 // RecordRejected records that an upstream has rejected a request for want of room.
 func (b *Budgets) RecordRejected(now time.Time, of Incarnation) {
 	if known := b.budgets[of]; known != nil && known.terms[TermRejections].value > 0 {
-		known.rejected = append(known.rejected, now)
+		known.rejected = append(after(known.rejected, now.Add(-rejectionWindow)), now)
 	}
 }
 
