--- a/internal/coordination/reachability/reachability.go
+++ b/internal/coordination/reachability/reachability.go
@@ -48,22 +48,9 @@
 	t.cutSince = time.Time{}
 }
 
-// RecordFailed records that a connection could not be opened, or not be kept open. known is the number of
-// upstreams.
+// RecordFailed records that a connection could not be opened. known is the number of upstreams.
 func (t *Tracker) RecordFailed(now time.Time, address string, known int) {
 	t.failedAt[address], t.streak[address] = now, true
-	t.detectCut(now, known)
-}
-
-// RecordBroken records that a new connection ended before a response. The upstream itself may have
-// ended it, so that it counts only together with others. known is the number of upstreams.
-func (t *Tracker) RecordBroken(now time.Time, address string, known int) {
-	t.streak[address] = true
-	t.detectCut(now, known)
-}
-
-// detectCut records the begin of a cut if enough upstreams have failed.
-func (t *Tracker) detectCut(now time.Time, known int) {
 	if t.cutSince.IsZero() && len(t.streak) >= min(cutFailures, max(known, minCutFailures)) {
 		t.cutSince = now
 	}
@@ -73,7 +60,7 @@
 func (t *Tracker) CutSince() (time.Time, bool) { return t.cutSince, !t.cutSince.IsZero() }
 
 // HasFailures reports whether any address is out of reach.
-func (t *Tracker) HasFailures() bool { return len(t.failedAt) > 0 || !t.cutSince.IsZero() }
+func (t *Tracker) HasFailures() bool { return len(t.failedAt) > 0 }
 
 // IsReachable reports whether a connection to an address is expected to open.
 func (t *Tracker) IsReachable(address string) bool {
@@ -90,20 +77,16 @@
 		switch {
 		case now.Sub(at) > maxAge || !slices.Contains(known, address):
 			delete(t.failedAt, address)
+			delete(t.streak, address)
 		case now.Sub(at) >= probeInterval:
 			due = append(due, address)
 		}
 	}
-	for address := range t.streak {
-		if !slices.Contains(known, address) {
-			delete(t.streak, address)
-		}
-	}
 	if len(t.streak) == 0 {
 		t.cutSince = time.Time{}
 	}
 	slices.SortFunc(due, func(a, b string) int { return cmp.Or(t.failedAt[a].Compare(t.failedAt[b]), cmp.Compare(a, b)) })
-	if _, isCut := t.CutSince(); isCut || len(t.streak) > 0 && now.Sub(t.reachedAt) >= quietTime {
+	if len(t.streak) > 0 && now.Sub(t.reachedAt) >= quietTime {
 		for _, address := range known {
 			if _, failed := t.failedAt[address]; !failed {
 				due = slices.Insert(due, 0, address)
--- a/internal/node/gateway/reach.go
+++ b/internal/node/gateway/reach.go
@@ -20,10 +20,8 @@
 	reachCheckInterval = 100 * time.Millisecond
 	// probesPerCheck bounds the probes that start at a time.
 	probesPerCheck = 4
-	// probeResetTime is how long a probe waits for a reset, by which a path may refuse a connection after it
-	// has opened; brokenResetTime where new connections have broken lately, since resets may come late there.
-	probeResetTime  = 50 * time.Millisecond
-	brokenResetTime = upstreamconn.DialTimeout
+	// probeResetTime is how long a probe waits for a reset, by which a path may refuse a connection after it has opened.
+	probeResetTime = 50 * time.Millisecond
 	// confirmations is the number of other upstreams asked whether this instance reaches any.
 	confirmations = 4
 )
@@ -39,11 +37,10 @@
 	mu       sync.Mutex // guards the fields below
 	tracker  *reachability.Tracker
 	suspects map[string]bool // addresses to probe soon
-	broken   map[string]bool // addresses whose latest new connection ended before a response
 }
 
 func newUpstreamReach(pool *upstreamconn.Pool, known func() []string, onChange func(isCut bool)) *upstreamReach {
-	return &upstreamReach{pool: pool, known: known, onChange: onChange, tracker: reachability.NewTracker(), suspects: make(map[string]bool), broken: make(map[string]bool)}
+	return &upstreamReach{pool: pool, known: known, onChange: onChange, tracker: reachability.NewTracker(), suspects: make(map[string]bool)}
 }
 
 // observe records the result of an exchange with an upstream.
@@ -51,21 +48,13 @@
 	switch result {
 	case upstreamconn.BrokenEarly: // the upstream itself may have closed the connection
 		r.mu.Lock()
-		r.suspects[address], r.broken[address] = true, true
-		r.mu.Unlock()
-		known := len(r.known())
-		r.update(func(t *reachability.Tracker) { t.RecordBroken(time.Now(), address, known) })
+		defer r.mu.Unlock()
+		r.suspects[address] = true
 	case upstreamconn.NotConnected:
 		known := len(r.known())
-		r.update(func(t *reachability.Tracker) {
-			delete(r.broken, address)
-			t.RecordFailed(time.Now(), address, known)
-		})
+		r.update(func(t *reachability.Tracker) { t.RecordFailed(time.Now(), address, known) })
 	default:
-		r.update(func(t *reachability.Tracker) {
-			clear(r.broken)
-			t.RecordReached(time.Now(), address)
-		})
+		r.update(func(t *reachability.Tracker) { t.RecordReached(time.Now(), address) })
 	}
 }
 
@@ -133,13 +122,8 @@
 
 // probe records whether a connection to an address opens and is not reset at once.
 func (r *upstreamReach) probe(ctx context.Context, address string) {
-	result, stays := upstreamconn.Reached, probeResetTime
-	r.mu.Lock()
-	if len(r.broken) > 0 {
-		stays = brokenResetTime
-	}
-	r.mu.Unlock()
-	if !r.opens(ctx, address, stays) {
+	result := upstreamconn.Reached
+	if !r.opens(ctx, address, probeResetTime) {
 		result = upstreamconn.NotConnected
 	}
 	if ctx.Err() == nil {
