Forwards without a response count as attempts and as retries

Cause: the sends were taken from the head of the response alone, which is missing then. Now such a forward counts as one send. Both tests failed before (200 from the third instance, and from the second without any retry allowed); the tests of forwarding pass. How often an instance sends a stream again after its head is still not known to the sender.

--- a/internal/node/gateway/forward.go
+++ b/internal/node/gateway/forward.go
@@ -168,7 +168,11 @@
 	default:
 		c.mayHaveExecuted = true
 	}
-	c.attempts += max(own.Sends-c.attempts, 0)
+	if a.exchange == nil {
+		c.attempts++ // the other instance may have sent it before it was lost
+	} else {
+		c.attempts = max(c.attempts, own.Sends)
+	}
 	c.consumeRetry(a)
 	if a.failure != failureNone && a.exchange != nil {
 		a.exchange.Close()
--- a/internal/node/gateway/forward_test.go
+++ b/internal/node/gateway/forward_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/coordination/retry"
 )
 
 // closedUpstream returns an upstream that refuses connections.
@@ -115,6 +117,44 @@
 	assert.Equal(t, sound.requestCount(), 0)
 }
 
+// startLostPeer starts an instance that reads each forwarded request and closes its connection.
+func startLostPeer(t *testing.T, received *atomic.Int64) Peer {
+	t.Helper()
+	lost := startUpstream(t, "lost", func(*testUpstream, *http.Request, []byte, net.Conn) bool {
+		received.Add(1)
+		return false
+	})
+	return Peer{Instance: "lost", Address: lost.listener.Addr().String()}
+}
+
+// Each instance that is lost may have sent the request to an upstream, so that the route's limit of attempts counts it.
+func TestForwardsWithoutResponseCountAsAttempts(t *testing.T) {
+	var received atomic.Int64
+	sound := startUpstream(t, "sound", respondWith(http.StatusOK, "answer"))
+	peer, h := newHarness(t, sound), newHarness(t, closedUpstream(t, "gone"))
+	connectPeers(t, h, peer)
+	peers := append([]Peer{startLostPeer(t, &received), startLostPeer(t, &received)}, h.gateway.Peers()...)
+	h.gateway.Peers = func() []Peer { return peers }
+	got := h.do(t, http.MethodGet, "/read/1", "")
+	assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+	assert.Equal(t, received.Load(), int64(2), "the route allows two attempts")
+	assert.Equal(t, sound.requestCount(), 0)
+}
+
+// A request that is forwarded again after its instance was lost is a retry.
+func TestForwardAfterLostPeerIsTakenFromRetryBudget(t *testing.T) {
+	var received atomic.Int64
+	sound := startUpstream(t, "sound", respondWith(http.StatusOK, "answer"))
+	peer, h := newHarness(t, sound), newHarness(t, closedUpstream(t, "gone"))
+	h.retryLimits.Store(&retry.WindowSettings{Window: 10 * time.Second})
+	connectPeers(t, h, peer)
+	peers := append([]Peer{startLostPeer(t, &received)}, h.gateway.Peers()...)
+	h.gateway.Peers = func() []Peer { return peers }
+	got := h.do(t, http.MethodGet, "/read/1", "")
+	assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+	assert.Equal(t, sound.requestCount(), 0)
+}
+
 // The other instance is lost in the middle of a stream.
 func TestStreamGoesOnAtNextPeerAfterLastEvent(t *testing.T) {
 	var lostServer *httptest.Server
