Names, comments and a shared count of windows after reading the change

Nothing behaves differently. refuseForwarded served callers' own requests too and is refuseAtThisInstance now; comments that had to be read twice or ran over the line are reworded; the two tests of limits in node share one count of sliding windows, with their bounds as they were.

The tests of gateway, coordination and limits pass.

--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -101,8 +101,7 @@
 	play(t, o, build(t))
 }
 
-// Instances that lose their own path to all upstreams used to refuse their callers. It runs before the other soaks: where the
-// machine is busy, the proxies reset connections so late that these look open.
+// Instances that lose their own path to all upstreams refused their callers. Not parallel: late resets look like open paths.
 func TestCallersOfInstancesThatAreCutOffAreServed(t *testing.T) {
 	o := DefaultOptions(fresh)
 	o.Cuts, o.Faults = true, 2
--- a/internal/coordination/reachability/reachability.go
+++ b/internal/coordination/reachability/reachability.go
@@ -70,7 +70,7 @@
 
 // DueProbes returns up to limit addresses whose reachability has to be checked: those out of reach,
 // the longest unchecked first, after others of the known ones if none has been reached for a while.
-// It counts them as checked.
+// It counts those out of reach as checked.
 func (t *Tracker) DueProbes(now time.Time, known []string, limit int) []string {
 	var due []string
 	for address, at := range t.failedAt {
--- a/internal/node/aggregation.go
+++ b/internal/node/aggregation.go
@@ -255,8 +255,8 @@
 }
 
 // isDue reports whether a beacon must be sent now, and records it as sent if so. An instance
-// that watches the store, holds the lease or is cut off from its upstreams is relevant to all others; once it no longer is,
-// it says so in one more beacon.
+// that watches the store, holds the lease or is cut off from its upstreams is relevant to all
+// others; once it no longer is, it says so in one more beacon.
 func (p *beaconPacer) isDue(now time.Time, r report) bool {
 	isRelevant := r.healthyWatcher || r.holdsLease || r.isCutOff
 	elapsed := now.Sub(p.lastSentAt)
--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -49,16 +49,7 @@
 func (u *brittleUpstream) mostRejected(since time.Time) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	times := slices.DeleteFunc(slices.Clone(u.rejected), func(t time.Time) bool { return t.Before(since) })
-	most := 0
-	for n, from := range times {
-		last := n
-		for last < len(times) && times[last].Sub(from) < time.Second {
-			last++
-		}
-		most = max(most, last-n)
-	}
-	return most
+	return mostWithin(slices.DeleteFunc(slices.Clone(u.rejected), func(t time.Time) bool { return t.Before(since) }), time.Second)
 }
 
 // Each instance learned of a full upstream by its own rejections, the sum of which brought it down.
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -43,7 +43,7 @@
 	origin atomic.Pointer[streams.Origin]
 
 	forwarded *forwardhttp.Request // what another instance tells of a request that it has forwarded; nil for a caller's own
-	tryOther  bool                 // of the forwarded request: another instance may serve it
+	tryOther  bool                 // another instance may serve the request if this one refuses it
 
 	outcome     string
 	status      int
--- a/internal/node/gateway/forward.go
+++ b/internal/node/gateway/forward.go
@@ -66,14 +66,15 @@
 		c.abortStream(reason)
 	}
 	if c.forwarded != nil && !c.possiblyExecuted() {
-		c.refuseForwarded(http.StatusServiceUnavailable, unservedRetryAfter, reason)
+		c.refuseAtThisInstance(http.StatusServiceUnavailable, unservedRetryAfter, reason)
 		return
 	}
 	c.respondUnserved(ctx, reason)
 }
 
-// refuseForwarded refuses a forwarded request that another instance may serve.
-func (c *call) refuseForwarded(status int, retryAfter time.Duration, reason string) {
+// refuseAtThisInstance refuses a request for a reason that concerns this instance alone. If another
+// instance has forwarded the request, it may try a further one.
+func (c *call) refuseAtThisInstance(status int, retryAfter time.Duration, reason string) {
 	c.tryOther = true
 	c.refuse(status, retryAfter, reason)
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -190,12 +190,12 @@
 	active := g.active.Load()
 	if active == nil {
 		c.limitUnreadBody()
-		c.refuseForwarded(http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration yet")
+		c.refuseAtThisInstance(http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration yet")
 		return
 	}
 	if g.refusesNew.Load() {
 		c.limitUnreadBody()
-		c.refuseForwarded(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
+		c.refuseAtThisInstance(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
 		return
 	}
 	c.requestURI = requestURI(r)
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -90,19 +90,24 @@
 	return n
 }
 
-// checkLimit checks each window against one and a half times the limit and five requests.
-func (u *limitedUpstream) checkLimit(t *testing.T, perSecond float64) {
-	t.Helper()
-	times := u.counted()
+// mostWithin returns the largest number of times in a window of a length.
+func mostWithin(times []time.Time, window time.Duration) int {
 	slices.SortFunc(times, time.Time.Compare)
 	most := 0
 	for n, from := range times {
 		last := n
-		for last < len(times) && times[last].Sub(from) < limitWindow {
+		for last < len(times) && times[last].Sub(from) < window {
 			last++
 		}
 		most = max(most, last-n)
 	}
+	return most
+}
+
+// checkLimit checks each window against one and a half times the limit and five requests.
+func (u *limitedUpstream) checkLimit(t *testing.T, perSecond float64) {
+	t.Helper()
+	most := mostWithin(u.counted(), limitWindow)
 	assert.Check(t, float64(most) <= 1.5*perSecond*limitWindow.Seconds()+5, "an upstream with a limit of %g a second got %d requests in 4 s", perSecond, most)
 }
 
--- a/internal/node/permits/permits.go
+++ b/internal/node/permits/permits.go
@@ -1,5 +1,6 @@
-// Package permits keeps the limits that upstreams in need name, together with the other instances: it asks
-// the owner of an upstream for permits, and grants those of the upstreams that this instance owns.
+// Package permits keeps the limits that upstreams in need name, together with the other instances:
+// it asks the owner of an upstream for permits, and grants those of the upstreams that this instance
+// owns.
 package permits
 
 import (
@@ -34,7 +35,7 @@
 	Broadcast func(m *pb.FleetMessage)
 }
 
-// Permits is safe for concurrent use.
+// Permits obtains and grants permits for requests to upstreams in need. It is safe for concurrent use.
 type Permits struct {
 	Options
 
@@ -322,8 +323,8 @@
 	}
 }
 
-// adopt records a term that the sender of a request for a permit knows, unless this instance knows its value, and
-// reports whether the term has ended.
+// adopt records a term that the sender of a request for a permit knows, unless this instance knows its
+// value, and reports whether the term has ended.
 func (p *Permits) adopt(from string, of permits.Incarnation, t permits.Term, value float64, namedAt time.Time) (hasEnded bool) {
 	known := p.value(of, t)
 	if known == 0 && value > 0 {
