Requests of callers that left before they were read are not sent

Cause: the handler of a request trusts the request's context, which net/http ends in a goroutine of its own. Where an instance is behind, the request and the end of its connection wait together in the kernel's buffer; the handler then writes to a kept connection of an upstream without waiting for anything, so that the other goroutine runs second. The class of fault: a belief about a peer that is only as fresh as the scheduling of another goroutine.

Change: package hangup asks the kernel (poll for POLLRDHUP), which knows of the close whatever has been read. callerDisconnected asks it too, once the request is read and right before it is written to an upstream or to another instance (upstreamconn IsAbandoned). A connection that was taken for it goes back to the pool. The port for forwarded requests does the same. Pool.Do also sends nothing once the request's context has ended; AfterFunc closed such a connection only beside the write.

Not proved: that this was the GONE of the users.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -14,6 +14,7 @@
 
 	"savoryweir/internal/node/gateway"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/internal/transport/hangup"
 )
 
 // callerServers serves the connections of callers. The timeouts of the configuration that is in
@@ -97,6 +98,7 @@
 		Handler: c.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: maxHeaderLimit, // callerConn enforces the limit in force
 		ConnState:      recordConnState,
+		ConnContext:    hangup.NewContext,
 	}
 	server, listener := c.server, c.serverListener
 	go func() { _ = server.Serve(listener) }() // returns when the listener or the server is closed, as the process stops
--- a/internal/node/forwards.go
+++ b/internal/node/forwards.go
@@ -10,6 +10,7 @@
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/errs"
 	"savoryweir/internal/node/gateway"
+	"savoryweir/internal/transport/hangup"
 )
 
 const (
@@ -80,7 +81,7 @@
 }
 
 func (n *Node) forwardServer() *http.Server {
-	return &http.Server{Handler: n.gateway.ForwardedHandler(), IdleTimeout: forwardIdleTimeout, MaxHeaderBytes: maxHeaderLimit}
+	return &http.Server{Handler: n.gateway.ForwardedHandler(), IdleTimeout: forwardIdleTimeout, MaxHeaderBytes: maxHeaderLimit, ConnContext: hangup.NewContext}
 }
 
 // mayHoldLease reports whether this instance can give orders to engines.
--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -17,6 +17,7 @@
 	"savoryweir/internal/protocol/forwardhttp"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/streams"
+	"savoryweir/internal/transport/hangup"
 	"savoryweir/platform"
 )
 
@@ -87,8 +88,7 @@
 		c.refuse(http.StatusRequestTimeout, 0, "body not received in time")
 		return
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
-		c.outcome = outcomeCallerDisconnected
-		panic(http.ErrAbortHandler)
+		c.abandon()
 	case err != nil:
 		c.outcome = "body not read: " + err.Error()
 		panic(http.ErrAbortHandler)
@@ -97,6 +97,9 @@
 	if c.forwarded == nil {
 		c.gateway.countRequest(c.service) // else the other instance has counted it
 	}
+	if c.callerDisconnected() {
+		c.abandon()
+	}
 	c.triedUpstreams = make(map[fleet.UpstreamID]bool)
 	c.unreachable = make(map[fleet.UpstreamID]bool)
 	c.findTraits()
@@ -174,8 +177,19 @@
 	return class
 }
 
-// callerDisconnected reports whether the caller has closed its connection.
-func (c *call) callerDisconnected() bool { return c.request.Context().Err() != nil }
+// callerDisconnected reports whether the caller has closed its connection. It asks the kernel as well:
+// net/http cancels the context in a goroutine that may run later than the handler, and not at all while
+// bytes of a next request wait.
+func (c *call) callerDisconnected() bool {
+	ctx := c.request.Context()
+	return ctx.Err() != nil || hangup.IsSeen(ctx)
+}
+
+// abandon ends a request whose caller has disconnected. It does not return.
+func (c *call) abandon() {
+	c.outcome = outcomeCallerDisconnected
+	panic(http.ErrAbortHandler)
+}
 
 // limitWrites makes writes to the caller fail soon after the deadline. It is called where a
 // response is forwarded while it arrives: the upstream's part ends at the deadline, but a write
--- a/internal/node/gateway/forward.go
+++ b/internal/node/gateway/forward.go
@@ -140,7 +140,7 @@
 		Dur("left", left).Msg("no upstream within reach; request forwarded to another instance")
 	a.exchange, a.err = g.PeerPool.Do(a.ctx, upstreamconn.Request{
 		Address: a.tracked.upstream.Address, Method: c.request.Method, Target: c.requestURI, Host: c.request.Host,
-		Header: header, Body: c.body, AtMostOnce: !c.route.IsRepeatable(),
+		Header: header, Body: c.body, AtMostOnce: !c.route.IsRepeatable(), IsAbandoned: c.callerDisconnected,
 	})
 	if a.err != nil {
 		a.failure = classifyError(a.ctx, a.err)
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -27,6 +27,7 @@
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/loads"
 	"savoryweir/internal/state/streams"
+	"savoryweir/internal/transport/hangup"
 	"savoryweir/internal/transport/upstreamconn"
 	"savoryweir/platform"
 )
@@ -232,7 +233,9 @@
 		})
 	}
 	h.registry.Replace(list, time.Time{})
-	h.server = httptest.NewServer(h.gateway)
+	h.server = httptest.NewUnstartedServer(h.gateway)
+	h.server.Config.ConnContext = hangup.NewContext
+	h.server.Start()
 	t.Cleanup(h.server.Close)
 	return h
 }
--- a/internal/node/gateway/leaving_test.go
+++ b/internal/node/gateway/leaving_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/node/registry"
+	"savoryweir/internal/transport/hangup"
 )
 
 // lateListener is the port of an instance that is short of CPU time: while it is held, it accepts
@@ -69,6 +70,7 @@
 	server := httptest.NewUnstartedServer(h.gateway)
 	assert.NilError(t, server.Listener.Close())
 	server.Listener = late
+	server.Config.ConnContext = hangup.NewContext
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateClosed {
 			late.closed.Add(1)
--- a/internal/node/gateway/refuse.go
+++ b/internal/node/gateway/refuse.go
@@ -50,8 +50,7 @@
 func (c *call) respondUnserved(ctx context.Context, reason string) {
 	switch {
 	case c.callerDisconnected():
-		c.outcome = outcomeCallerDisconnected
-		panic(http.ErrAbortHandler)
+		c.abandon()
 	case !c.possiblyExecuted():
 		c.refuse(http.StatusServiceUnavailable, unservedRetryAfter, reason)
 	case ctx.Err() != nil:
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -54,7 +54,7 @@
 	failureConnect                   // no part of the request was sent
 	failureNotExecuted               // the upstream responded that it did not execute the request
 	failureIndeterminate             // the request may have been executed
-	failureCanceled                  // the context ended before the request was sent
+	failureCanceled                  // the context ended, or the caller disconnected, before the request was sent
 )
 
 // String returns the value used in metric labels and log fields.
@@ -88,7 +88,7 @@
 		Str("software", upstream.SoftwareVersion).Str("resumes", c.params.ResumedID).Str("resume_after", resumeAfter).Dur("left", left).Msg("sending request to upstream")
 	a.exchange, a.err = g.Pool.Do(a.ctx, upstreamconn.Request{
 		Address: upstream.Address, Method: c.request.Method, Target: c.requestURI, Host: c.request.Host,
-		Header: header, Body: c.body, AtMostOnce: !c.route.IsRepeatable(),
+		Header: header, Body: c.body, AtMostOnce: !c.route.IsRepeatable(), IsAbandoned: c.callerDisconnected,
 	})
 	if a.err != nil {
 		a.failure = classifyError(a.ctx, a.err)
@@ -127,7 +127,7 @@
 	var connFailure *upstreamconn.Failure
 	sent := !errors.As(err, &connFailure) || connFailure.MaybeSent
 	switch {
-	case !sent && ctx.Err() != nil:
+	case !sent && (ctx.Err() != nil || errors.Is(err, upstreamconn.ErrAbandoned)):
 		return failureCanceled
 	case !sent:
 		return failureConnect
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -344,8 +344,7 @@
 	c.gateway.Log.Info().Str("event", "stream.broke_off").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
 		Str("last_event", c.lastEventID).Strs("parts", c.sharedPartIDs()).AnErr("cause", cause).Err(err).Dur("took", time.Since(a.tracked.startedAt)).Msg("event stream of the engine ended early")
 	if c.callerDisconnected() {
-		c.outcome = outcomeCallerDisconnected
-		panic(http.ErrAbortHandler)
+		c.abandon()
 	}
 	a.tracked.recordUnserved()
 	if cause == nil {
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -28,6 +28,16 @@
 	Header     http.Header
 	Body       []byte
 	AtMostOnce bool // the request must not be sent again if its outcome is unknown
+	// IsAbandoned reports whether nobody waits for the response any more. It is asked right before
+	// the request is written, unless it is nil.
+	IsAbandoned func() bool
+}
+
+// ErrAbandoned is the cause of a Failure of a request that was not sent because it was abandoned.
+var ErrAbandoned = errors.New("request was abandoned before it was sent")
+
+func (r Request) isAbandoned(ctx context.Context) bool {
+	return ctx.Err() != nil || r.IsAbandoned != nil && r.IsAbandoned()
 }
 
 // Failure is the error of an exchange that failed before the head of a response arrived.
@@ -64,6 +74,10 @@
 		return nil, &Failure{Err: errs.Wrap(err, stepConnect, errs.Peer(r.Address))}
 	}
 	isNew := c.idleSince.IsZero()
+	if r.isAbandoned(ctx) {
+		p.putUnused(r.Address, c)
+		return nil, &Failure{Err: errs.Wrap(cause(ctx, ErrAbandoned), stepSend, errs.Peer(r.Address))}
+	}
 	x := &Exchange{pool: p, address: r.Address, conn: c, written: make(chan error, 1)}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	maybeSent, err := x.send(r)
@@ -195,7 +209,8 @@
 	}
 	isOpen := x.detachContext()
 	if isOpen && x.bodyComplete && !x.Response.Close && x.isSent() && x.conn.reader.Buffered() == 0 {
-		x.pool.put(x.address, x.conn, x.Response)
+		x.conn.idleSince, x.conn.idleTimeout = x.pool.now(), safeIdleTimeout(x.Response.Header)
+		x.pool.put(x.address, x.conn)
 		return
 	}
 	_ = x.conn.Close()
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -127,10 +127,17 @@
 	return c
 }
 
-// put returns a connection to the pool after a complete response. It closes the
-// connection if that can't be reused or the pool holds enough connections to address.
-func (p *Pool) put(address string, c *conn, response *http.Response) {
-	c.idleSince, c.idleTimeout = p.now(), safeIdleTimeout(response.Header)
+// putUnused returns a connection to the pool on which nothing was sent since get.
+func (p *Pool) putUnused(address string, c *conn) {
+	if c.idleSince.IsZero() {
+		c.idleSince, c.idleTimeout = p.now(), defaultIdleTimeout
+	}
+	p.put(address, c)
+}
+
+// put returns an idle connection to the pool. It closes the connection if that can't be reused or
+// the pool holds enough connections to address.
+func (p *Pool) put(address string, c *conn) {
 	p.mu.Lock()
 	list := p.idle[address]
 	if c.idleTimeout <= 0 || len(list) >= maxIdlePerUpstream {
--- a/internal/transport/upstreamconn/upstreamconn_test.go
+++ b/internal/transport/upstreamconn/upstreamconn_test.go
@@ -245,3 +245,25 @@
 	_, err := exchange(t, NewPool(func() {}), newRequest(address))
 	assert.ErrorIs(t, err, errHeadTooLarge)
 }
+
+// A burst of callers that leave must not cost the connections that are open to the upstream.
+func TestAbandonedRequestIsNotSentAndConnectionIsKept(t *testing.T) {
+	address, accepted := startServer(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	p := NewPool(func() {})
+	abandoned := newRequest(address)
+	abandoned.IsAbandoned = func() bool { return true }
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 2 {
+		_, err := exchange(t, p, abandoned) // on a new connection, then on the one that was opened for it
+		var failure *Failure
+		assert.Assert(t, errors.As(err, &failure) && !failure.MaybeSent)
+		assert.ErrorIs(t, err, ErrAbandoned)
+		body, err := exchange(t, p, newRequest(address))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+		_, err = p.Do(canceled, newRequest(address))
+		assert.Assert(t, errors.As(err, &failure) && !failure.MaybeSent)
+	}
+	assert.Equal(t, accepted.Load(), int32(1))
+}
