Callers that leave behind bytes of a next request are noticed

Cause: net/http's background read stops at the first byte that arrives while a request is served, and nothing reads on until the response has ended.

Change: while a request is served, its caller's connection is asked every 200 ms whether the peer has closed it; most requests end before the first check. That holds for forwarded requests too.

Evidence: TestCallerThatLeavesBehindBytesOfNextRequestIsNoticed failed before (the upstream worked for the 1 s that it waits) and passes; twice alone, all tests of callers that leave.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -110,6 +110,7 @@
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errDeadlineExceeded)
 	defer cancel()
 	defer context.AfterFunc(c.gateway.inFlightContext, cancel)()
+	defer watchCaller(c.request.Context(), cancel)()
 	if c.route.Kind == fleet.KindStream {
 		c.serveStream(ctx)
 		return
