One entry that can't be decoded costs that entry, not the list

What operators of similar systems saw: another writer left one odd entry among those of the engines, and whoever read the list ended or stopped following it. Here it stopped following: on DecodePage failed with "exceeded max depth" for one entry nested 12,000 deep beside a sound one, and for one whose name is a number; DecodeEvents in the same way, so that the watch was repeated from the same revision. No process ended: encoding/json bounds its depth.

Cause: a list or watch was decoded as one document, which ends with its worst entry. The class of fault: foreign bytes are trusted as far as the container goes.

Change: where a document can't be decoded as a whole, platform splits it by encoding/json's tokens, which know no limit of depth or size of numbers, and decodes each item by itself. Data stay as they are, so that the entry is reported by its name as one that describes no upstream (it names no engine any more); objects without readable metadata are left out, counted and logged (store.unread). Lists go on behind a page of such objects and don't repeat one.

Ruled out: engines' reports and messages between instances are decoded one by one; an unreadable lease record is another matter and is not changed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 export GOFLAGS = -buildvcs=false
 
-.PHONY: build generate fmt lint vet unit bounds known-red test bench capacity demo
+.PHONY: build generate fmt lint vet unit fuzz bounds known-red test bench capacity demo
 
 build:
 	$(GO) build -o bin/ ./cmd/... ./internal/standin/cmd/...
@@ -29,13 +29,16 @@
 unit:
 	scripts/unit.sh
 
+fuzz:
+	scripts/fuzz.sh
+
 bounds:
 	scripts/bounds.sh
 
 known-red:
 	scripts/known-red.sh
 
-test: fmt-check lint vet build unit bounds known-red
+test: fmt-check lint vet build unit fuzz bounds known-red
 
 bench:
 	scripts/bench.sh
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	}
 	n.store = store
 	n.store.Observe(n.recordStoreCall)
+	n.store.OnUnreadable(n.logUnreadable)
 	n.registry = registry.New(logging.WithComponent(n.log, "registry"), time.Now)
 	n.tracker = gateway.NewUpstreamTracker(time.Now, newRandom())
 	n.pool = upstreamconn.NewPool(n.metrics.UpstreamConnections.Inc)
@@ -137,6 +138,11 @@
 	n.metrics.ObserveStoreCall(string(step), result, duration)
 }
 
+// logUnreadable logs that the store returned objects that can't be decoded.
+func (n *Node) logUnreadable(kind object.Kind, count int) {
+	n.log.Warn().Str("event", "store.unread").Str("kind", string(kind)).Int("objects", count).Msg("store returned objects without readable metadata; they are not used")
+}
+
 func (n *Node) retrySettings() retry.WindowSettings {
 	b := n.bounds.Load()
 	return retry.WindowSettings{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
--- a/internal/protocol/forwardhttp/forwardhttp.go
+++ b/internal/protocol/forwardhttp/forwardhttp.go
@@ -16,6 +16,9 @@
 	headerSends     = "Savoryweir-Sends"
 )
 
+// maxElapsed limits the time for which a request can have been at its sender.
+const maxElapsed = 24 * time.Hour
+
 // Request is what the sender of a forwarded request tells of it.
 type Request struct {
 	Elapsed time.Duration // time since the caller's request arrived at the sender
@@ -32,7 +35,7 @@
 	elapsed, sends, _ := strings.Cut(h.Get(headerForwarded), ",")
 	micros, _ := strconv.ParseInt(elapsed, 10, 64)
 	count, _ := strconv.Atoi(sends)
-	return Request{Elapsed: time.Duration(max(micros, 0)) * time.Microsecond, Sends: max(count, 0)}
+	return Request{Elapsed: time.Duration(min(max(micros, 0), maxElapsed.Microseconds())) * time.Microsecond, Sends: max(count, 0)}
 }
 
 // Response is what the receiver of a forwarded request tells in the response.
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -48,7 +48,9 @@
 	timeout time.Duration
 	http    *http.Client
 	observe Observer
-	eras    *eraTracker
+	// onUnreadable is called with the number of objects of a kind in a response that can't be decoded.
+	onUnreadable func(kind object.Kind, count int)
+	eras         *eraTracker
 }
 
 // Observer is called after each call to the store with its step, duration and error.
@@ -57,6 +59,17 @@
 // Observe sets the observer. It must be called before the client is used.
 func (c *Client) Observe(o Observer) { c.observe = o }
 
+// OnUnreadable sets a function that is called with the number of objects of a kind in a response
+// that can't be decoded; the response's other objects count. It must be called before the client is
+// used.
+func (c *Client) OnUnreadable(f func(kind object.Kind, count int)) { c.onUnreadable = f }
+
+func (c *Client) reportUnreadable(kind object.Kind, count int) {
+	if count > 0 && c.onUnreadable != nil {
+		c.onUnreadable(kind, count)
+	}
+}
+
 const (
 	stepTLS   errs.Step = "read TLS files"
 	schemeTLS string    = "https://"
@@ -152,10 +165,15 @@
 			return nil, 0, errs.Wrap(errors.Join(object.ErrUnavailable, errEraChanged), step, peer)
 		}
 		all = append(all, page.Objects...)
-		if !page.More || len(page.Objects) == 0 {
+		c.reportUnreadable(kind, page.Unreadable)
+		last := after
+		if n := len(page.Objects); n > 0 {
+			last = page.Objects[n-1].Name
+		}
+		if !page.More || last <= after {
 			return all, version, nil
 		}
-		after = page.Objects[len(page.Objects)-1].Name
+		after = last
 	}
 }
 
@@ -189,11 +207,12 @@
 	if err != nil {
 		return nil, after, err
 	}
-	events, next, err := platform.DecodeEvents(kind, got.era, got.body)
+	changes, err := platform.DecodeEvents(kind, got.era, got.body)
 	if err != nil {
 		return nil, after, errs.Wrap(err, step, peer)
 	}
-	return events, max(next, after), nil
+	c.reportUnreadable(kind, changes.Unreadable)
+	return changes.Events, max(changes.Next, after), nil
 }
 
 // Instances implements object.Store.
--- a/internal/transport/storeclient/storeclient_test.go
+++ b/internal/transport/storeclient/storeclient_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"log"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,3 +157,34 @@
 	_, err := storeclient.New(storeclient.Settings{URL: "http://127.0.0.1:1", TLS: own})
 	assert.ErrorContains(t, err, "https://")
 }
+
+// Lists and watches that hold an entry which can't be decoded were asked for again and again.
+func TestUnreadableEntryEndsNoListAndNoWatch(t *testing.T) {
+	deep := strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
+	entry := func(meta string) string { return `{"metadata":` + meta + `,"spec":` + deep + `,"status":null}` }
+	pages := map[string]string{
+		"":  `{"items":[` + entry(`{"name":"a","revision":1}`) + `,` + entry(`{"revision":2}`) + `],"morePages":true,"storeRevision":7}`,
+		"a": `{"items":[` + entry(`{"name":"b","revision":3}`) + `],"morePages":true,"storeRevision":7}`,
+		"b": `{"items":[` + entry(`[]`) + `],"morePages":true,"storeRevision":7}`,
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("watch") {
+			_, _ = io.WriteString(w, `{"events":[{"deleted":true,"object":`+entry(`{"name":"a","revision":8}`)+`},{"object":7}],"storeRevision":9}`)
+			return
+		}
+		_, _ = io.WriteString(w, pages[r.URL.Query().Get("after")])
+	}))
+	t.Cleanup(server.Close)
+	client := newClient(t, storeclient.Settings{URL: server.URL, Timeout: 5 * time.Second})
+	unreadable := 0
+	client.OnUnreadable(func(_ object.Kind, count int) { unreadable += count })
+	objects, version, err := client.ListAt(t.Context(), kind)
+	assert.NilError(t, err)
+	assert.Equal(t, len(objects), 2)
+	assert.Equal(t, unreadable, 2)
+	events, next, err := client.WatchSince(t.Context(), kind, version, time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, len(events) == 1 && events[0].Deleted && events[0].Object.Name == "a")
+	assert.Equal(t, next.Revision().Number(), uint64(9))
+	assert.Equal(t, unreadable, 3)
+}
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Fuzzes each decoder of the platform's messages for some seconds, from the committed corpus.
+# A failing input is written below platform/testdata/fuzz and is to be committed with the fix.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds=${FUZZ_SECONDS:-4}
+for name in $(grep -ho 'func Fuzz[A-Za-z]*' platform/*_test.go | sed 's/func //'); do
+  go test -run '^$' -fuzz "^${name}\$" -fuzztime "${seconds}s" -parallel 2 ./platform
+done
