A refusal counts for a request only by its ID

What operators of similar systems saw: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for requests that it had run or was running (REFUSED), or these ran elsewhere too (TWICE).

Cause: checkResponse took a refusal without an ID for that of the present request. The class of fault: a response belongs to the request whose turn it is. With another ID it was rejected before.

Change: every response needs the request's ID. A refusal without it counts as a request that may have run, and its connection ends.

Tests: the test upstreams did not echo the ID in refusals, against the platform's contract, and do so now; what the tests check is the same. A request that may run once goes to the same upstream again only on another connection, since a refusal ends its connection (TestOnceOnlyRequestReturnsToUpstreamOnAnotherConnection, passed before). All gateway tests pass.

--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -31,6 +31,7 @@
 	if u.running >= u.slots {
 		u.rejected = append(u.rejected, time.Now())
 		u.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -134,12 +134,18 @@
 
 // respondNotExecuted returns a responder that states that the request was not executed.
 func respondNotExecuted(status int) responder {
-	return func(_ *testUpstream, _ *http.Request, _ []byte, conn net.Conn) bool {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status)
+	return func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		_, err := fmt.Fprint(conn, refusalText(status, r.Header.Get("Request-Id")))
 		return err == nil
 	}
 }
 
+// refusalText returns the response of an upstream that does not execute a request. Upstreams echo
+// the request's ID in all responses.
+func refusalText(status int, id string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+}
+
 // resetConnection makes the close of the connection send a TCP reset instead of a FIN.
 func resetConnection(_ *testUpstream, _ *http.Request, _ []byte, conn net.Conn) bool {
 	_ = conn.(*net.TCPConn).SetLinger(0)
--- a/internal/node/gateway/notices_test.go
+++ b/internal/node/gateway/notices_test.go
@@ -26,8 +26,8 @@
 
 // respondPause returns a responder that refuses the request and asks for a pause.
 func respondPause(seconds string) responder {
-	return func(_ *testUpstream, _ *http.Request, _ []byte, conn net.Conn) bool {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", seconds)
+	return func(_ *testUpstream, r *http.Request, _ []byte, conn net.Conn) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"), seconds)
 		return err == nil
 	}
 }
--- a/internal/node/gateway/send.go
+++ b/internal/node/gateway/send.go
@@ -153,11 +153,10 @@
 }
 
 // checkResponse reports by status and headers whether a response belongs to the request
-// and may be forwarded. A success must be signed and its body not be encoded on the way.
+// and may be forwarded. Only its ID ties it to the request, refusals too: an upstream may repeat an
+// earlier one. A success must be signed and its body not be encoded on the way.
 func (c *call) checkResponse(a *attempt) failureKind {
 	switch {
-	case a.response.RequestID == "" && a.response.NotExecuted:
-		return failureNotExecuted // refusals need not carry the request ID
 	case a.response.RequestID != c.params.ID:
 		a.err = errForeignResponse
 		return failureIndeterminate
--- a/internal/node/gateway/silence_test.go
+++ b/internal/node/gateway/silence_test.go
@@ -130,7 +130,7 @@
 				if r.Header.Get("Last-Event-Id") == "" {
 					return engine(u, r, body, conn)
 				}
-				_, err := fmt.Fprintf(conn, "HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status)
+				_, err := io.WriteString(conn, refusalText(status, r.Header.Get("Request-Id")))
 				return err == nil
 			}
 			one, two := startUpstream(t, "u1", engine), startUpstream(t, "u2", refuseResumed)
