Streams are not joined from two versions after the loss of all instances

It could happen here, in two ways that tests show: both got 200 from an engine of the other version.

Cause: the record of versions that served was read by a list that may be seconds old; it could lack a version that had come and gone since (TestStreamOfGoneVersionIsNotJoinedAfterStaleReadOfRecord). And an instance whose list of upstreams had failed took those that others relayed for all of them (TestStreamIsNotJoinedBeforeUpstreamsAreListed). The class of fault: absence is concluded from a view that is partial or old.

Change: the record is read by a list that is not stale, one call an instance and start. No version is taken for the only one before the upstreams have been listed once; the request is refused meanwhile, which is true.

Ruled out: a store that comes back from an older copy (the holder takes its lease anew and writes the record again; TestStreamOfGoneVersionIsNotJoinedAfterRestoreOfStore passed before).

What remains: a version whose engines come, begin a stream and are gone before the holder has written the record, or while no instance holds the lease, is not known after a loss of all instances.

--- a/internal/node/storewatch/progress.go
+++ b/internal/node/storewatch/progress.go
@@ -20,6 +20,7 @@
 	peerVersion object.Version          // version of the newest object that another instance has seen
 	behindSince time.Time               // time since which others are ahead, or of the last catch-up; zero if they are not
 	healthy     bool                    // the store answered the last call
+	hasListed   bool                    // all objects have been listed since the start
 	cancelWatch context.CancelCauseFunc // cancels the current watch; nil if there is none
 }
 
@@ -29,6 +30,18 @@
 	return p.newest
 }
 
+func (p *progress) setListed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hasListed = true
+}
+
+func (p *progress) isListed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hasListed
+}
+
 func (p *progress) isHealthy() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -135,6 +135,10 @@
 // Healthy reports whether the store responded to the last call.
 func (i *Informer) Healthy() bool { return i.progress.isHealthy() }
 
+// HasListed reports whether the sink has got all objects once. Before that it may have got some, from
+// other instances.
+func (i *Informer) HasListed() bool { return i.progress.isListed() }
+
 // Run lists, watches and applies relayed changes until ctx ends.
 func (i *Informer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -205,6 +209,7 @@
 	i.needsList = false
 	i.advance(version, objects...)
 	i.sink.Replace(objects, i.completeAt())
+	i.progress.setListed()
 	i.log.Debug().Str("event", "store.listed").Stringer("version", version).Int("objects", len(objects)).Msg("listed all objects")
 }
 
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -189,8 +189,11 @@
 }
 
 // knowsRecentChanges reports whether a version that has begun to serve would be known here: this
-// instance has just listed the upstreams, watches the store or hears others.
+// instance has listed the upstreams, and has done so just now, watches the store or hears others.
 func (r *reporter) knowsRecentChanges(now time.Time) bool {
+	if !r.node.upstreamInformer.HasListed() {
+		return false
+	}
 	return now.Sub(r.node.startedAt) < assumedWatcherPeriod || r.isHealthyWatcher(now) || r.node.mesh.AlivePeerCount(now, maxWatcherTimeout) > 0
 }
 
--- a/internal/node/versionrecord.go
+++ b/internal/node/versionrecord.go
@@ -76,10 +76,10 @@
 }
 
 // readVersionRecord reads the versions that served before this instance started. It repeats the
-// call until the store answers.
+// call until the store answers. A read that may be stale could lack a version that has gone since.
 func (n *Node) readVersionRecord(ctx context.Context) {
 	for ctx.Err() == nil {
-		objects, _, err := n.store.ListStaleAt(ctx, kindSoftwareVersions)
+		objects, _, err := n.store.ListAt(ctx, kindSoftwareVersions)
 		if err == nil {
 			n.learnVersionRecord(objects)
 			return
