--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -128,7 +128,10 @@
 
 // mostEvents bounds the events of resumable streams. Long ones more often meet kills.
 func (c *caller) mostEvents() int {
-	if c.cluster.options.Versions {
+	switch {
+	case c.cluster.options.Leavers:
+		return leaverEvents
+	case c.cluster.options.Versions:
 		return 60
 	}
 	return 12
@@ -165,7 +168,7 @@
 
 // isBroken reports whether a stream broke off between its first and its last event.
 func (s *sent) isBroken(q question) bool {
-	return q.resumable && s.err != nil && !errors.Is(s.err, errNotWhole) && s.held > 0 && s.held < q.events
+	return q.resumable && s.left.IsZero() && s.err != nil && !errors.Is(s.err, errNotWhole) && s.held > 0 && s.held < q.events
 }
 
 // attempt sends a request and judges the answer.
@@ -179,9 +182,14 @@
 	c.cluster.ledger.Sent(s)
 	ctx, cancel := context.WithTimeout(context.Background(), s.deadline+2*answerSlack)
 	defer cancel()
+	s.work = plainWork
+	if q.events > 0 {
+		s.work = time.Duration(q.events-s.after) * eventWork
+	}
+	c.leaveLater(s, cancel)
 	status, served, err := c.ask(ctx, q, s)
 	c.cluster.ledger.Ended(s, status, served, err)
-	if late := s.ended.Sub(s.at); late > s.deadline+answerSlack && c.cluster.disturbances.isCalm(s.instance, s.at, s.ended) {
+	if late := s.ended.Sub(s.at); late > s.deadline+answerSlack && s.left.IsZero() && c.cluster.disturbances.isCalm(s.instance, s.at, s.ended) {
 		c.cluster.ledger.violate(PromiseInTime, s.at, "request %s (%s) at i%d took %v: %v", s.id, q.path, s.instance, late, err)
 	}
 	if err != nil {
--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -48,6 +48,7 @@
 type Options struct {
 	Seed      uint64
 	Program   string        // savoryweir-node
+	Former    string        // an earlier build of it, beside which it serves; empty for none
 	Folder    string        // for settings and logs
 	Faulted   time.Duration // length of the part with faults
 	Faults    int
@@ -66,6 +67,8 @@
 	Limits bool
 	// Brittle has all engines be brittle.
 	Brittle bool
+	// Leavers has callers leave in bursts while instances are slow.
+	Leavers bool
 	// Cuts has instances cut off from all upstreams.
 	Cuts     bool
 	Progress func(format string, arguments ...any)
@@ -114,6 +117,7 @@
 	server       *httptest.Server
 	instances    []*instance
 	cuts         *instanceCuts
+	leaving      atomic.Bool // callers leave
 
 	mu             sync.Mutex // guards all below
 	upstreams      []*station // those that have replaced others stand in their places
@@ -186,6 +190,12 @@
 	if o.Brittle {
 		plan = AddBrittleness(plan, o.Seed, o.Faulted)
 	}
+	if o.Leavers {
+		plan = AddLeavers(plan, o.Seed, o.Faulted, o.Instances)
+	}
+	if o.Former != "" {
+		plan = AddReplacements(plan, o.Instances, o.Faulted)
+	}
 	if o.Cuts {
 		plan = AddInstanceCuts(plan, o.Seed, o.Faulted)
 	}
@@ -283,8 +293,9 @@
 }
 
 func (c *cluster) startInstances(stop <-chan struct{}) error {
+	first, _ := c.options.builds()
 	for n := range c.options.Instances {
-		i, err := newInstance(n, c.options.Program, c.options.Folder, c.server.Listener.Addr().String(), c.ledger, c.disturbances)
+		i, err := newInstance(n, first, c.options.Folder, c.server.Listener.Addr().String(), c.ledger, c.disturbances)
 		if err != nil {
 			return err
 		}
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -30,6 +30,9 @@
 	Parts     bool          `help:"Has callers share parts of prompts, one of which crashes engines."`
 	Limits    bool          `help:"Has engines name limits of requests per second."`
 	Cuts      bool          `help:"Has instances cut off from all upstreams."`
+	Former    string        `help:"Commit of an earlier build, beside which the present one serves: even seeds replace it, odd ones go back to it." default:""`
+	Program   string        `help:"Program to use instead of a build of the sources." default:""`
+	Leavers   bool          `help:"Has callers leave in bursts while instances are slow."`
 	Brittle   bool          `help:"Has all engines be brittle: they fall over if they must reject more than they say."`
 	Keep      string        `help:"Folder for the logs of runs that broke a promise." default:"out/soak"`
 	KeepAll   bool          `help:"Keeps the logs of runs that broke no promise, too."`
@@ -60,9 +63,20 @@
 	if err != nil {
 		return 0, err
 	}
-	if output, err := exec.Command("go", "build", "-o", program, "savoryweir/cmd/savoryweir-node").CombinedOutput(); err != nil {
+	if f.Program != "" {
+		program = f.Program
+	} else if output, err := exec.Command("go", "build", "-o", program, "savoryweir/cmd/savoryweir-node").CombinedOutput(); err != nil {
 		return 0, fmt.Errorf("build: %w: %s", err, output)
 	}
+	var former string
+	if f.Former != "" {
+		if former, err = filepath.Abs(filepath.Join(f.Keep, "savoryweir-node-"+f.Former)); err != nil {
+			return 0, err
+		}
+		if err := soak.BuildFormer(f.Former, former); err != nil {
+			return 0, err
+		}
+	}
 	var group sync.WaitGroup
 	var mu sync.Mutex // guards broken and the output
 	broken := 0
@@ -71,7 +85,7 @@
 		group.Go(func() {
 			places <- struct{}{}
 			defer func() { <-places }()
-			report, folder, err := play(f, program, f.From+uint64(n))
+			report, folder, err := play(f, program, former, f.From+uint64(n))
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || len(report.Violations) > 0 {
@@ -85,15 +99,16 @@
 	return broken, nil
 }
 
-func play(f flags, program string, seed uint64) (soak.Report, string, error) {
+func play(f flags, program, former string, seed uint64) (soak.Report, string, error) {
 	folder := filepath.Join(f.Keep, fmt.Sprint(seed))
 	if err := os.MkdirAll(folder, 0o750); err != nil {
 		return soak.Report{}, folder, err
 	}
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
+	o.Former = former
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
-	o.Versions, o.Unframed, o.Parts, o.Limits, o.Cuts, o.Brittle = f.Versions, f.Unframed, f.Parts, f.Limits, f.Cuts, f.Brittle
+	o.Versions, o.Unframed, o.Parts, o.Limits, o.Cuts, o.Brittle, o.Leavers = f.Versions, f.Unframed, f.Parts, f.Limits, f.Cuts, f.Brittle, f.Leavers
 	if f.Verbose {
 		o.Progress = func(format string, arguments ...any) { fmt.Printf(format+"\n", arguments...) }
 	}
--- a/internal/bench/soak/disturbances.go
+++ b/internal/bench/soak/disturbances.go
@@ -29,6 +29,7 @@
 	subject  int
 	kind     plannedness
 	from, to time.Time // to is zero while it lasts
+	isSlow   bool      // the instance is slow, so that it is in touch for callers that leave
 }
 
 // disturbances remembers when instances were disturbed. It is safe for concurrent use.
@@ -90,7 +91,7 @@
 	defer d.mu.Unlock()
 	for i := range d.spans {
 		s := &d.spans[i]
-		if s.subject == subject && s.kind == kind && s.to.IsZero() {
+		if s.subject == subject && s.kind == kind && s.to.IsZero() && !s.isSlow {
 			s.to = time.Now()
 			return
 		}
@@ -137,6 +138,15 @@
 	})
 }
 
+// isInTouchWithCallers is isInTouch for promises that hold for slow instances too.
+func (d *disturbances) isInTouchWithCallers(subject int, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !slices.ContainsFunc(d.spans, func(s span) bool {
+		return !s.isSlow && (s.subject == subject || s.subject == everywhere) && s.from.Before(to) && (s.to.IsZero() || s.to.After(from.Add(-stable)))
+	})
+}
+
 // isCalm reports whether neither faults nor planned work touched an instance in a
 // span of time nor in the stable time before it.
 func (d *disturbances) isCalm(subject int, from, to time.Time) bool {
--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -81,6 +81,15 @@
 		c.restoreStore(f.Lasts)
 	case KindVersionRelease:
 		c.release(f, stop)
+	case KindLeavers:
+		c.leaving.Store(true)
+		time.Sleep(f.Lasts)
+		c.leaving.Store(false)
+	case KindReplace:
+		_, second := c.options.builds()
+		i.replace(second)
+	case KindSlow:
+		i.slowDown(f)
 	case KindInstanceCut:
 		c.cutOff(i, f)
 	case KindBrittle:
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -36,6 +36,7 @@
 
 	PromiseCut   Promise = "instances that reach no upstream serve callers nearly as often as the others"
 	PromiseFalls Promise = "brittle engines are not brought down by requests that they must reject"
+	PromiseLeft  Promise = "upstreams do not work for callers that have left"
 	PromiseLimit Promise = "an upstream gets no more requests than the limit that it names"
 
 	PromisePartContained Promise = "requests with a part of a prompt that crashes engines are contained"
@@ -68,8 +69,10 @@
 	after     int    // last event that the caller held before
 	held      int    // last event that it holds now
 	ended     time.Time
-	status    int   // zero without an answer
-	err       error // of a request without a whole answer
+	left      time.Time     // when the caller left before the end of the response; zero if it did not
+	work      time.Duration // that an upstream needs for it
+	status    int           // zero without an answer
+	err       error         // of a request without a whole answer
 	served    bool
 }
 
@@ -86,6 +89,8 @@
 	services   map[string]*service  // by incarnation
 	orders     []upstream.Order
 	limited    map[string][]limitedArrival
+	arrived    map[string][]time.Time // at upstreams, by request
+	stopped    map[upstream.Run]time.Time
 	falls      []fall
 	crashes    []time.Time // by the crashing part
 	violations []Violation
@@ -95,6 +100,7 @@
 	return &ledger{
 		began: time.Now(), disturbances: d, sent: make(map[string]*sent), runs: make(map[string][]upstream.Run),
 		written: make(map[string][]written), services: make(map[string]*service), limited: make(map[string][]limitedArrival),
+		arrived: make(map[string][]time.Time), stopped: make(map[upstream.Run]time.Time),
 	}
 }
 
--- a/internal/bench/soak/limits.go
+++ b/internal/bench/soak/limits.go
@@ -51,11 +51,12 @@
 
 // Arrived implements upstream.Journal.
 func (l *ledger) Arrived(request, upstream string, limit float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrived[request] = append(l.arrived[request], time.Now())
 	if limit == 0 {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.limited[upstream] = append(l.limited[upstream], limitedArrival{request, time.Now(), limit})
 }
 
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -59,6 +59,9 @@
 	KindBrittle        Kind = "brittle"         // all engines have little room and fall over if they must reject more than they say
 	KindInstanceCut    Kind = "instance-cut"    // an instance loses its path to all upstreams
 	KindNamedLimit     Kind = "named-limit"     // an engine names a limit of requests per second
+	KindLeavers        Kind = "leavers"         // callers leave at any stage of their requests
+	KindReplace        Kind = "replace"         // an instance is replaced by one of the other build
+	KindSlow           Kind = "slow"            // an instance gets a tenth to a quarter of its time
 	KindEnginePause    Kind = "engine-pause"    // a sound engine sends and reads nothing for a while and goes on
 )
 
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -101,6 +101,35 @@
 	play(t, o, build(t))
 }
 
+// Requests of callers that had left before they were read reached upstreams.
+func TestUpstreamsDoNotWorkForCallersThatHaveLeft(t *testing.T) {
+	t.Parallel()
+	o := DefaultOptions(fresh)
+	o.Leavers, o.Faults, o.Callers = true, 0, 40
+	play(t, o, build(t))
+}
+
+// lastLanding is the build that instances run before they are replaced.
+const lastLanding = "543e6d9"
+
+// Old and new instances exchange messages, forward requests to each other and read each other's objects.
+func TestPromisesHoldWhileInstancesAreReplacedByAnotherBuild(t *testing.T) {
+	t.Parallel()
+	former := filepath.Join(t.TempDir(), "former")
+	if err := BuildFormer(lastLanding, former); err != nil {
+		t.Skipf("the history is not here: %v", err)
+	}
+	program := build(t)
+	for _, seed := range []uint64{fresh, fresh + 1} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			o := DefaultOptions(seed)
+			o.Former, o.Faulted, o.Faults = former, 16*time.Second, 4
+			play(t, o, program)
+		})
+	}
+}
+
 // Instances that lose their own path to all upstreams refused their callers. Not parallel: late resets look like open paths.
 func TestCallersOfInstancesThatAreCutOffAreServed(t *testing.T) {
 	o := DefaultOptions(fresh)
@@ -340,6 +369,8 @@
 			c.wrote("c", "v2", 5, 6)
 		}},
 		{PromiseTakenUp, func(c *cluster) { c.takeUp(at, takenUpLeast/2-1, takenUpLeast) }},
+		{PromiseLeft, func(c *cluster) { c.leaveLate(at, lateArrivals+1, 0) }},
+		{PromiseLeft, func(c *cluster) { c.leaveLate(at, 0, workingLeast) }},
 		{PromiseFalls, func(c *cluster) { c.fall(at, fallsAllowed+1) }},
 		{PromiseCut, func(c *cluster) { c.sendAtCut(at, 5, 30) }},
 		{PromiseLimit, func(c *cluster) { c.arriveLimited(at, 2, 2*limitFactor*4+limitSlack+1) }},
@@ -369,6 +400,20 @@
 	}
 }
 
+// leaveLate records callers that leave: the requests of some reach an upstream late, and upstreams work
+// on for others.
+func (c *cluster) leaveLate(at time.Time, late, working int) {
+	for n := range late + working {
+		id := fmt.Sprint("left", n)
+		c.ledger.Sent(&sent{id: id, path: "/tag/", at: at, left: at, ended: at, repeatable: true, fingerprint: "f", work: time.Minute})
+		if n < late {
+			c.ledger.arrived[id] = []time.Time{at.Add(2 * lateNotice)}
+			continue
+		}
+		c.ledger.Ran(upstream.Run{Request: id, Upstream: "e1-1", Fingerprint: "f", Began: at})
+	}
+}
+
 // fall records brittle engines that fell over by requests of an instance in touch.
 func (c *cluster) fall(at time.Time, count int) {
 	c.ledger.Sent(&sent{id: "rejected", path: "/tag/", at: at, ended: at})
--- a/internal/bench/soak/verdict.go
+++ b/internal/bench/soak/verdict.go
@@ -46,6 +46,7 @@
 	c.judgeLimits(requests)
 	c.judgeCuts(requests)
 	c.judgeFalls(requests)
+	c.judgeLeavers(requests, runs)
 }
 
 func (c *cluster) judgeRefusals(requests []*sent, runs map[string][]upstream.Run) {
@@ -59,7 +60,7 @@
 		}
 		from := s.at.Add(-stable)
 		took := s.ended.Sub(s.at)
-		isCut := s.err != nil && !errors.Is(s.err, errLinkLost) && (len(ran) > 0 || took > unreadBound) && took < s.deadline*7/10
+		isCut := s.err != nil && s.left.IsZero() && !errors.Is(s.err, errLinkLost) && (len(ran) > 0 || took > unreadBound) && took < s.deadline*7/10
 		if !isCut || c.cuts.beganDuring(s) || c.disturbances.between(s.instance, from, s.ended, unplanned) || c.disturbances.between(everywhere, from, s.ended, unplanned) {
 			continue
 		}
@@ -224,7 +225,7 @@
 	}
 	asked, served := 0, 0
 	for _, s := range requests {
-		if s.at.After(lifted.Add(recoveryBound)) && !s.crashing && !strings.HasPrefix(s.path, "/extra") && !s.ended.IsZero() && !errors.Is(s.err, errLinkLost) {
+		if s.at.After(lifted.Add(recoveryBound)) && !s.crashing && !strings.HasPrefix(s.path, "/extra") && !s.ended.IsZero() && s.left.IsZero() && !errors.Is(s.err, errLinkLost) {
 			asked++
 			if s.served {
 				served++
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -66,6 +66,7 @@
 		Fingerprint: Fingerprint(r.Method, r.URL.Path, body), Began: time.Now(),
 	}
 	u.journal.Ran(run)
+	defer u.journal.Stopped(run)
 	if strings.Contains(r.URL.Path, PoisonPath) {
 		if u.Crash() {
 			go u.restart(crashedFor)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -39,6 +39,8 @@
 // Journal takes what upstreams see. It is safe for concurrent use.
 type Journal interface {
 	Ran(Run)
+	// Stopped tells that an upstream has stopped working on a run.
+	Stopped(Run)
 	// Wrote tells that a run is about to write an event of its stream.
 	Wrote(r Run, event int)
 	// Serving tells that an incarnation begins to take requests, or no longer does because it
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -27,6 +27,8 @@
 	crashed []string         // requests that crashed their upstream
 }
 
+func (n *notes) Stopped(Run) {}
+
 func (n *notes) Ran(r Run) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
