Soak: connections of instances that are cut off are found by both of their ends

Cause, in the soak alone: the proxy looked for the instance behind a connection by its local port in /proc/net/tcp.

Change: the kernel is asked for the socket with both ends (sock_diag); the list, by both ends, is the way out where it refuses.

--- a/internal/bench/soak/cuts.go
+++ b/internal/bench/soak/cuts.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"bufio"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -85,14 +83,14 @@
 }
 
 // isCut reports whether the instance that opened a connection is cut off.
-func (c *instanceCuts) isCut(client net.Addr) bool {
+func (c *instanceCuts) isCut(client *net.TCPConn) bool {
 	c.mu.Lock()
 	isActive := len(c.active) > 0
 	c.mu.Unlock()
 	if !isActive {
 		return false
 	}
-	inode, ok := inodeOf(client.(*net.TCPAddr).Port)
+	inode, ok := inodeOfPeer(client)
 	return ok && slices.ContainsFunc(c.cutProcesses(), func(pid int) bool { return holds(pid, inode) })
 }
 
@@ -108,27 +106,11 @@
 }
 
 // opened reports whether an instance opened a connection.
-func (c *instanceCuts) opened(instance int, client net.Addr) bool {
-	inode, ok := inodeOf(client.(*net.TCPAddr).Port)
+func (c *instanceCuts) opened(instance int, client *net.TCPConn) bool {
+	inode, ok := inodeOfPeer(client)
 	return ok && holds(c.processes[instance](), inode)
 }
 
-// inodeOf returns the inode of the socket with a local TCP port on the loopback interface.
-func inodeOf(port int) (string, bool) {
-	file, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return "", false
-	}
-	defer func() { _ = file.Close() }()
-	local := fmt.Sprintf("0100007F:%04X", port)
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if fields := strings.Fields(lines.Text()); len(fields) > 9 && fields[1] == local {
-			return fields[9], true
-		}
-	}
-	return "", false
-}
-
 // holds reports whether a process has a socket open.
 func holds(pid int, inode string) bool {
 	files, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "fd", "*"))
@@ -150,7 +132,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range pairs {
-		if !p.cuts.opened(instance, c.client.RemoteAddr()) {
+		if !p.cuts.opened(instance, c.client) {
 			continue
 		}
 		if mode == cutReset {
--- a/internal/bench/soak/proxy.go
+++ b/internal/bench/soak/proxy.go
@@ -106,7 +106,7 @@
 	p.mu.Lock()
 	refuse := p.link.Refuse
 	p.mu.Unlock()
-	if refuse || p.cuts != nil && p.cuts.isCut(client.RemoteAddr()) {
+	if refuse || p.cuts != nil && p.cuts.isCut(client) {
 		reset(client)
 		return
 	}
