Soak: the check of callers that leave is strict for instances that aren't slow

Found when the change was read again. The check read what upstreams write down without the lock, while runs could still stop: a race that may end the soak. And the test beside another build was skipped for any failure to make that build, a compile error too; it is skipped only where the history does not hold the commit.

--- a/internal/bench/soak/builds.go
+++ b/internal/bench/soak/builds.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -10,11 +11,19 @@
 	"time"
 )
 
-// BuildFormer builds savoryweir-node of a commit of the repository's history as the given file.
+// ErrNoHistory means that the repository's history does not hold a commit.
+var ErrNoHistory = errors.New("history does not hold the commit")
+
+// BuildFormer builds savoryweir-node of a commit of the repository's history as the given file. It returns
+// ErrNoHistory if the history does not hold the commit.
 func BuildFormer(commit, program string) error {
 	top, err := exec.Command("git", "rev-parse", "--show-toplevel").Output()
 	if err != nil {
-		return fmt.Errorf("find the repository: %w", err)
+		return fmt.Errorf("%w %s: find the repository: %w", ErrNoHistory, commit, err)
+	}
+	repository := strings.TrimSpace(string(top))
+	if err := exec.Command("git", "-C", repository, "cat-file", "-e", commit+"^{commit}").Run(); err != nil {
+		return fmt.Errorf("%w %s: %w", ErrNoHistory, commit, err)
 	}
 	folder, err := os.MkdirTemp("", "soak-former")
 	if err != nil {
@@ -27,7 +36,7 @@
 		return err
 	}
 	for _, command := range []*exec.Cmd{
-		exec.Command("git", "-C", strings.TrimSpace(string(top)), "archive", "--output", archive, commit),
+		exec.Command("git", "-C", repository, "archive", "--output", archive, commit),
 		exec.Command("tar", "-x", "-f", archive, "-C", sources),
 		exec.Command("go", "build", "-buildvcs=false", "-o", program, "./cmd/savoryweir-node"),
 	} {
--- a/internal/bench/soak/disturbances.go
+++ b/internal/bench/soak/disturbances.go
@@ -147,6 +147,15 @@
 	})
 }
 
+// isSlow reports whether an instance was slow in a span of time.
+func (d *disturbances) isSlow(subject int, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.spans, func(s span) bool {
+		return s.isSlow && s.subject == subject && s.from.Before(to) && s.to.After(from)
+	})
+}
+
 // isCalm reports whether neither faults nor planned work touched an instance in a
 // span of time nor in the stable time before it.
 func (d *disturbances) isCalm(subject int, from, to time.Time) bool {
--- a/internal/bench/soak/leavers.go
+++ b/internal/bench/soak/leavers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"syscall"
@@ -91,9 +92,18 @@
 	l.stopped[r] = time.Now()
 }
 
+// atUpstreams returns when requests arrived at upstreams, and when runs stopped. Runs may still stop
+// while a run of the soak is judged.
+func (l *ledger) atUpstreams() (arrived map[string][]time.Time, stopped map[upstream.Run]time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.arrived), maps.Clone(l.stopped)
+}
+
 // judgeLeavers checks that upstreams neither get requests of callers that have left nor work on for them,
 // summed over the instances in touch.
 func (c *cluster) judgeLeavers(requests []*sent, runs map[string][]upstream.Run) {
+	arrived, stopped := c.ledger.atUpstreams()
 	late, outlasting, working := 0, 0, 0
 	var example *sent
 	for _, s := range requests {
@@ -101,18 +111,21 @@
 		if s.left.IsZero() || !c.disturbances.isInTouchWithCallers(s.instance, s.at, bound) {
 			continue
 		}
-		for _, at := range c.ledger.arrived[s.id] {
+		for _, at := range arrived[s.id] {
 			if at.After(bound) {
 				late++
 				example = s
 			}
 		}
+		if c.disturbances.isSlow(s.instance, s.left, bound) {
+			bound = bound.Add(longestStop) // it can't be told while it stands still
+		}
 		for _, r := range runs[s.id] {
-			if !s.repeatable && !s.isStream || r.Began.Add(s.work).Before(bound.Add(longestStop)) {
+			if !s.repeatable && !s.isStream || r.Began.Add(s.work).Before(bound) {
 				continue
 			}
 			outlasting++
-			if stopped, ok := c.ledger.stopped[r]; !ok || stopped.After(bound.Add(longestStop)) { // a slow instance stands still for so long
+			if at, ok := stopped[r]; !ok || at.After(bound) {
 				working++
 				example = s
 			}
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -116,9 +117,11 @@
 func TestPromisesHoldWhileInstancesAreReplacedByAnotherBuild(t *testing.T) {
 	t.Parallel()
 	former := filepath.Join(t.TempDir(), "former")
-	if err := BuildFormer(lastLanding, former); err != nil {
-		t.Skipf("the history is not here: %v", err)
+	err := BuildFormer(lastLanding, former)
+	if errors.Is(err, ErrNoHistory) {
+		t.Skip(err)
 	}
+	assert.NilError(t, err)
 	program := build(t)
 	for _, seed := range []uint64{fresh, fresh + 1} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -371,6 +374,12 @@
 		{PromiseTakenUp, func(c *cluster) { c.takeUp(at, takenUpLeast/2-1, takenUpLeast) }},
 		{PromiseLeft, func(c *cluster) { c.leaveLate(at, lateArrivals+1, 0) }},
 		{PromiseLeft, func(c *cluster) { c.leaveLate(at, 0, workingLeast) }},
+		{PromiseLeft, func(c *cluster) { // within the time that a slow instance has
+			c.leaveLate(at, 0, workingLeast)
+			for _, list := range c.ledger.runs {
+				c.ledger.stopped[list[0]] = at.Add(lateNotice + longestStop/2)
+			}
+		}},
 		{PromiseFalls, func(c *cluster) { c.fall(at, fallsAllowed+1) }},
 		{PromiseCut, func(c *cluster) { c.sendAtCut(at, 5, 30) }},
 		{PromiseLimit, func(c *cluster) { c.arriveLimited(at, 2, 2*limitFactor*4+limitSlack+1) }},
