--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Fuzzes each decoder of the platform's messages for some seconds, from the committed corpus.
-# A failing input is written below platform/testdata/fuzz and is to be committed with the fix.
+# Fuzzes each decoder of the platform's messages for some seconds, from the seeds in the tests and the
+# inputs below platform/testdata/fuzz.
+# A failing input is written there, to be committed with the fix.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds=${FUZZ_SECONDS:-4}
