--- a/internal/node/rejoin_test.go
+++ b/internal/node/rejoin_test.go
@@ -40,6 +40,18 @@
 	eventually(t, "the record of v2", func() bool { return strings.Contains(c.recordedVersions(t), "v2") })
 }
 
+// assertNotJoinedAfterLossOf replaces the only instance, which must then refuse to continue a stream of v2 at
+// v1, the only version that serves.
+func (c *streamCluster) assertNotJoinedAfterLossOf(t *testing.T, lost *instance, id string) {
+	t.Helper()
+	lost.terminate(t)
+	next := c.startInstance(t, "i1")
+	defer next.terminate(t)
+	c.awaitEngines(t, 1, next)
+	assert.Equal(t, next.resume(t, "r", id), http.StatusServiceUnavailable)
+	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0))
+}
+
 // All instances are lost after v2 has gone. The store's stale reads are from before it came.
 func TestStreamOfGoneVersionIsNotJoinedAfterStaleReadOfRecord(t *testing.T) {
 	c := startStreamCluster(t)
@@ -48,12 +60,7 @@
 	c.awaitEngines(t, 1, one)
 	c.beginAtNewVersion(t, one, "s", func() { c.store.SetStale(true) })
 	c.remove(t, "v2")
-	one.terminate(t)
-	two := c.startInstance(t, "i1")
-	defer two.terminate(t)
-	c.awaitEngines(t, 1, two)
-	assert.Equal(t, two.resume(t, "r", "s"), http.StatusServiceUnavailable)
-	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0))
+	c.assertNotJoinedAfterLossOf(t, one, "s")
 }
 
 // The store comes back from a copy in which the record lacks v2; the engine of v2 is gone too.
@@ -69,12 +76,7 @@
 	})
 	restore()
 	eventually(t, "the record of v2 in the restored store", func() bool { return strings.Contains(c.recordedVersions(t), "v2") })
-	one.terminate(t)
-	two := c.startInstance(t, "i1")
-	defer two.terminate(t)
-	c.awaitEngines(t, 1, two)
-	assert.Equal(t, two.resume(t, "r", "s"), http.StatusServiceUnavailable)
-	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0))
+	c.assertNotJoinedAfterLossOf(t, one, "s")
 }
 
 // An instance that has just started can't list the upstreams, and hears of one of them from others. The
