Review case 3: streams taken up after a kill of all instances are refused

While engines of two software versions serve, all instances are killed once. Clients take up 24 streams at instances in touch: all are refused with 503, though engines of their version serve; 24 new streams begin (LOST).

At fault: the version that began a stream is kept in the memory of the instances alone (internal/node/streams.go, internal/state/streams).

--- a/review/world/world.go
+++ b/review/world/world.go
@@ -89,6 +89,8 @@
 type Node struct {
 	Callers string // address for callers
 	ready   string
+	root    string
+	file    string // settings
 	command *exec.Cmd
 	log     *os.File
 }
@@ -147,6 +149,11 @@
 			return err
 		}
 	}
+	return w.AwaitReady()
+}
+
+// AwaitReady waits until all instances are ready.
+func (w *World) AwaitReady() error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		ready := 0
 		for _, n := range w.Nodes {
@@ -154,7 +161,7 @@
 				ready++
 			}
 		}
-		if ready == count {
+		if ready == len(w.Nodes) {
 			return nil
 		}
 	}
@@ -166,19 +173,16 @@
 	if err != nil {
 		return err
 	}
-	n := &Node{Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1])}
-	file := filepath.Join(w.folder, fmt.Sprintf("front-%d.ini", number))
+	n := &Node{Callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]), root: w.root}
+	n.file = filepath.Join(w.folder, fmt.Sprintf("front-%d.ini", number))
 	text := fmt.Sprintf(settings, number, number, n.Callers, n.ready, ports[2], ports[3], w.storeURL)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return err
 	}
 	if n.log, err = os.Create(filepath.Join(w.folder, fmt.Sprintf("front-%d.log", number))); err != nil {
 		return err
 	}
-	n.command = exec.Command("target/savoryweir-node", "--settings="+file)
-	n.command.Dir, n.command.Stdout, n.command.Stderr = w.root, n.log, n.log
-	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.command.Start(); err != nil {
+	if err := n.start(); err != nil {
 		return err
 	}
 	w.Nodes = append(w.Nodes, n)
@@ -186,6 +190,35 @@
 	return nil
 }
 
+func (n *Node) start() error {
+	n.command = exec.Command("target/savoryweir-node", "--settings="+n.file)
+	n.command.Dir, n.command.Stdout, n.command.Stderr = n.root, n.log, n.log
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return n.command.Start()
+}
+
+// restartDelay is the delay after which the platform starts an ended process again.
+const restartDelay = 300 * time.Millisecond
+
+// KillAll kills all instances at the same moment and starts them again, as the platform does.
+func (w *World) KillAll() error {
+	for _, n := range w.Nodes {
+		_ = n.command.Process.Kill()
+	}
+	w.Record.Write("all instances are killed")
+	for _, n := range w.Nodes {
+		_ = n.command.Wait() // reports the kill
+	}
+	time.Sleep(restartDelay)
+	for _, n := range w.Nodes {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	w.Record.Write("all instances are started again")
+	return nil
+}
+
 func (n *Node) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + n.ready + "/v1/ready")
@@ -196,9 +229,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Signal sends a signal to the instance.
-func (n *Node) Signal(s os.Signal) error { return n.command.Process.Signal(s) }
-
 // Close ends all processes and servers that the world started. The logs of the instances stay if keepLogs is set.
 func (w *World) Close(keepLogs bool) {
 	for _, n := range w.Nodes {
