Gateway: a stream that ends within an event has been broken off

Cause: sseframe took the end of a framed body for the end of the stream and returned the bytes after the last blank line as an event. Framing proves only that no bytes were lost on the way: an HTTP server closes the chunks of a handler that has stopped. Ruled out: the connection pool and forwards; both hand on what the engine sent. Change: the scanner doesn't know of framing any more; a body that ends within an event or a line is truncated, comments and blank lines after the last event are not. CR alone ends lines, too. A new stream without events is broken off whatever its framing.

--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -241,7 +241,7 @@
 
 // relayEvents forwards the events of a response as they arrive.
 func (c *call) relayEvents(a *attempt, h *hedge) attemptResult {
-	frames := sseframe.NewScanner(a.exchange, isFramed(a.exchange.Response))
+	frames := sseframe.NewScanner(a.exchange)
 	lastEventAt := time.Now()
 	idleBytes := 0 // since the last new event
 	hasEvents := false
@@ -361,11 +361,14 @@
 	return [...]string{"unsafe", "safe", "stream"}[r.Kind]
 }
 
-// isCutBeforeFirstEvent reports whether a response that has ended without events was broken off.
-// Only a stream that the caller itself takes up after its last event has none left.
+// isCutBeforeFirstEvent reports whether a response that has ended without events was broken off. A new
+// stream has events, whatever the framing of the body. The rest of a stream may have none: one that its
+// caller takes up after its last event, and one that the gateway resumes, if its body is framed.
 func (c *call) isCutBeforeFirstEvent(a *attempt) bool {
-	isTakenUp := c.firstByteAt.IsZero() && c.params.LastEventID != ""
-	return !isTakenUp && !isFramed(a.exchange.Response)
+	if c.firstByteAt.IsZero() {
+		return c.params.LastEventID == ""
+	}
+	return !isFramed(a.exchange.Response)
 }
 
 // isFramed reports whether the end of a response body is known from its length or its
--- a/internal/protocol/sseframe/endless_test.go
+++ b/internal/protocol/sseframe/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"slices"
@@ -34,7 +35,7 @@
 // of its size. One upstream could occupy a core for seconds.
 func TestEndlessEventInSmallPartsIsRejectedQuickly(t *testing.T) {
 	start := time.Now()
-	_, err := NewScanner(&endlessReader{part: "\r\ny", readBytes: 64}, true).Next()
+	_, err := NewScanner(&endlessReader{part: "\r\ny", readBytes: 64}).Next()
 	assert.ErrorIs(t, err, errEventTooLarge)
 	assert.Assert(t, time.Since(start) < time.Second)
 }
@@ -43,11 +44,11 @@
 func TestEventsAreTheSameHoweverTheyAreRead(t *testing.T) {
 	seed := uint64(time.Now().UnixNano())
 	random := rand.New(rand.NewPCG(seed, 0))
-	split := func(r io.Reader) (events []string) {
-		for s := NewScanner(r, true); ; {
+	split := func(r io.Reader) (events []string, end error) {
+		for s := NewScanner(r); ; {
 			event, err := s.Next()
 			if err != nil {
-				return events
+				return events, err
 			}
 			events = append(events, string(event.Raw))
 		}
@@ -57,14 +58,18 @@
 		for i := range text {
 			text[i] = "\r\n\n:x"[random.IntN(5)]
 		}
-		whole, parts := split(bytes.NewReader(text)), split(iotest.OneByteReader(bytes.NewReader(text)))
+		whole, end := split(bytes.NewReader(text))
+		parts, partsEnd := split(iotest.OneByteReader(bytes.NewReader(text)))
 		assert.Assert(t, slices.Equal(whole, parts), "%q, seed %d", text, seed)
-		assert.Equal(t, strings.Join(whole, ""), string(text), "seed %d", seed)
+		assert.Equal(t, end, partsEnd, "%q, seed %d", text, seed)
+		rest, isPrefix := strings.CutPrefix(string(text), strings.Join(whole, ""))
+		assert.Assert(t, isPrefix, "%q, seed %d", text, seed)
+		assert.Equal(t, errors.Is(end, io.EOF) && !errors.Is(end, io.ErrUnexpectedEOF), rest == "", "%q, seed %d", text, seed)
 	}
 }
 
 func TestBufferOfEndlessEventStaysNearEventLimit(t *testing.T) {
-	s := NewScanner(&endlessReader{part: "y", readBytes: 4096}, true)
+	s := NewScanner(&endlessReader{part: "y", readBytes: 4096})
 	_, err := s.Next()
 	assert.ErrorIs(t, err, errEventTooLarge)
 	assert.Assert(t, cap(s.buffer) <= maxEventBytes+64<<10, "%d bytes", cap(s.buffer))
--- a/internal/protocol/sseframe/sseframe.go
+++ b/internal/protocol/sseframe/sseframe.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"iter"
 )
 
 // Event is one event as it was sent, including the blank line that ends it.
@@ -25,23 +26,19 @@
 // Scanner splits a stream into events. It buffers the bytes read beyond the last
 // complete event.
 type Scanner struct {
-	reader      io.Reader
-	buffer      []byte
-	start       int   // index in buffer of the first byte that was not returned
-	searched    int   // number of bytes after start that contain no end of an event
-	err         error // error of the last read
-	hasKnownEnd bool
+	reader   io.Reader
+	buffer   []byte
+	start    int   // index in buffer of the first byte that was not returned
+	searched int   // number of bytes after start that contain no end of an event
+	err      error // error of the last read
 }
 
-// NewScanner returns a scanner that reads from reader. hasKnownEnd states that io.EOF
-// from reader proves the end of the stream, as with a framed HTTP body. Otherwise a
-// stream that ends within an event counts as truncated.
-func NewScanner(reader io.Reader, hasKnownEnd bool) *Scanner {
-	return &Scanner{reader: reader, hasKnownEnd: hasKnownEnd}
-}
+// NewScanner returns a scanner that reads from reader.
+func NewScanner(reader io.Reader) *Scanner { return &Scanner{reader: reader} }
 
 // Next returns the next event. It returns io.EOF at the end of a complete stream and
-// io.ErrUnexpectedEOF if the stream is truncated.
+// io.ErrUnexpectedEOF if the stream ends within an event. The framing of the body doesn't matter: an HTTP
+// server ends the chunks of a body in order also when its handler has stopped within an event.
 func (s *Scanner) Next() (Event, error) {
 	for {
 		if event, ok := s.take(); ok {
@@ -59,21 +56,15 @@
 
 var (
 	idField      = []byte("id:")
-	eventEndings = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-	lineBreak    = []byte("\n")
-	valuePadding = " \r"
+	valuePadding = " "
 )
 
+const lineBreaks = "\r\n"
+
 // take removes and returns the first complete event of the buffer.
 func (s *Scanner) take() (Event, bool) {
 	data := s.buffer[s.start:]
-	end := -1
-	for _, ending := range eventEndings {
-		from := max(s.searched-len(ending)+1, 0) // the last bytes searched may begin an ending
-		if i := bytes.Index(data[from:], ending); i >= 0 && (end < 0 || from+i+len(ending) < end) {
-			end = from + i + len(ending)
-		}
-	}
+	end := endOfEvent(data, max(s.searched-1, 0)) // the last byte may be half of a line break
 	if end < 0 {
 		s.searched = len(data)
 		return Event{}, false
@@ -82,10 +73,49 @@
 	return Event{ID: eventID(data[:end]), Raw: data[:end], IsComment: isComment(data[:end])}, true
 }
 
+// endOfEvent returns the index after the blank line that ends the first event of data, or -1. It begins to
+// look for the end of that line at index from. Lines end with CR LF, LF or CR.
+func endOfEvent(data []byte, from int) int {
+	for i := from; ; i++ {
+		next := bytes.IndexAny(data[i:], lineBreaks)
+		if next < 0 {
+			return -1
+		}
+		i += next
+		if i == 0 {
+			continue
+		}
+		switch previous := data[i-1]; {
+		case data[i] == previous: // LF LF or CR CR
+			return i + 1
+		case data[i] == '\n' && previous == '\r' && i > 1 && data[i-2] == '\n':
+			return i + 1
+		case data[i] == '\r' && previous == '\n' && i+1 < len(data) && data[i+1] != '\n':
+			return i + 1
+		}
+	}
+}
+
+// lines returns the lines of an event without their line breaks. CR LF gives an empty line more.
+func lines(event []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(event) > 0 {
+			end := bytes.IndexAny(event, lineBreaks)
+			if end < 0 {
+				end = len(event)
+			}
+			if !yield(event[:end]) {
+				return
+			}
+			event = event[min(end+1, len(event)):]
+		}
+	}
+}
+
 // isComment reports whether all lines of an event are comments or blank.
 func isComment(event []byte) bool {
-	for line := range bytes.Lines(event) {
-		if trimmed := bytes.TrimRight(line, "\r\n"); len(trimmed) > 0 && trimmed[0] != ':' {
+	for line := range lines(event) {
+		if len(line) > 0 && line[0] != ':' {
 			return false
 		}
 	}
@@ -93,8 +123,8 @@
 }
 
 // eventID returns the value of the first id field of an event, or an empty string.
-func eventID(raw []byte) string {
-	for line := range bytes.SplitSeq(raw, lineBreak) {
+func eventID(event []byte) string {
+	for line := range lines(event) {
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			return string(bytes.Trim(value, valuePadding))
 		}
@@ -102,22 +132,18 @@
 	return ""
 }
 
-// takeRest returns the bytes after the last complete event as an event if the stream
-// has ended completely. Otherwise, and when no bytes are left, it returns the error
-// that ended the stream.
+// takeRest returns the whole lines after the last event if they are blank or comments, so that no event
+// has begun in them. Otherwise, and when no bytes are left, it returns the error that ended the stream.
 func (s *Scanner) takeRest() (Event, error) {
 	rest := s.buffer[s.start:]
-	if len(rest) == 0 {
-		return Event{}, s.err
-	}
-	if !errors.Is(s.err, io.EOF) {
+	switch {
+	case len(rest) == 0 || !errors.Is(s.err, io.EOF):
 		return Event{}, s.err
-	}
-	if !s.hasKnownEnd {
+	case !isComment(rest) || !bytes.ContainsAny(rest[len(rest)-1:], lineBreaks):
 		return Event{}, io.ErrUnexpectedEOF
 	}
 	s.start, s.searched = len(s.buffer), 0
-	return Event{Raw: rest}, nil
+	return Event{Raw: rest, IsComment: true}, nil
 }
 
 // fill reads more bytes into the buffer. It moves the bytes that were not returned to
