Gateway: 503 of an upstream without Not-Executed is no promise

Cause: the gateway turned its own 503 into 502 where the request might have run, but passed each failed status of an upstream on. Ruled out: repeats by the gateway; it counts such a request as sent. Change: truthfulStatus decides the status of all responses, of upstreams and own; 408, 421, 429 and 503 become 502 without the upstream's signature unless the request has certainly not run. Kept for requests that may be repeated. An own refusal of an instance tells another one to try a further instance only if nothing may have run.

--- a/internal/node/gateway/refuse.go
+++ b/internal/node/gateway/refuse.go
@@ -31,11 +31,39 @@
 // callers that were refused together do not retry together.
 const retryAfterJitter = 0.25
 
+// truthfulStatus returns the status with which a response may be sent: 502 instead of one which promises that
+// the request was not executed, unless that is known. All responses, of upstreams and of the gateway itself, get
+// their status here. An upstream's refusal without Not-Executed proves nothing, as it may come after the
+// request was executed. It is forwarded where the request may be repeated.
+func (c *call) truthfulStatus(status int, isUpstreams bool) int {
+	if !platform.PromisesNotExecuted(status) || !c.possiblyExecuted() || isUpstreams && c.route.IsRepeatable() {
+		return status
+	}
+	return http.StatusBadGateway
+}
+
+// beginResponse prepares the status and headers of an upstream's response. If the status would make a
+// promise that may be false, it responds with 502 instead and returns false.
+func (c *call) beginResponse(a *attempt) bool {
+	status := a.exchange.Response.StatusCode
+	if c.truthfulStatus(status, true) != status {
+		c.gateway.Log.Info().Str("event", "request.refusal_unproven").Str("request", c.params.ID).Str("upstream", string(a.tracked.upstream.ID)).
+			Int("status", status).Msg("upstream refused the request without stating that it was not executed")
+		c.respond(status, "upstream refused the request, which may have been executed")
+		return false
+	}
+	c.status, c.firstByteAt = status, time.Now()
+	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
+	c.encodeForwardedResponse(false, false)
+	return true
+}
+
 // respond sends a response that the gateway generates itself, with the reason as its
 // body.
 func (c *call) respond(status int, reason string) {
+	status = c.truthfulStatus(status, false)
 	c.outcome, c.status = reason, status
-	c.encodeForwardedResponse(true, c.tryOther)
+	c.encodeForwardedResponse(true, c.tryOther && !c.possiblyExecuted())
 	if c.params.ID != "" {
 		platform.SetRequestID(c.writer.Header(), c.params.ID)
 	}
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -310,10 +310,8 @@
 
 // startResponse sends the status and headers of a stream to the caller.
 func (c *call) startResponse(a *attempt) {
-	c.firstByteAt, c.status = time.Now(), a.exchange.Response.StatusCode
+	c.beginResponse(a) // with status 200, which promises nothing
 	c.gateway.Metrics.ObserveFirstByte(routeKindLabel(c.route), c.firstByteAt.Sub(c.arrivedAt))
-	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
-	c.encodeForwardedResponse(false, false)
 	c.writer.Header().Del("Content-Length") // a resumed stream may differ in length
 	c.limitWrites()
 	c.writer.WriteHeader(c.status)
--- a/internal/node/gateway/unary.go
+++ b/internal/node/gateway/unary.go
@@ -9,7 +9,6 @@
 
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
-	"savoryweir/platform"
 )
 
 const (
@@ -175,15 +174,15 @@
 // writeResponse forwards a response with a buffered body to the caller. Content-Length is
 // kept for HEAD alone, where no body follows from which it could be set.
 func (c *call) writeResponse(a *attempt, body []byte) {
-	c.outcome, c.status = "answered", a.exchange.Response.StatusCode
-	c.firstByteAt = time.Now()
-	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
-	c.encodeForwardedResponse(false, false)
+	if !c.beginResponse(a) {
+		return
+	}
+	c.outcome = "answered"
 	c.writer.Header().Del("Content-Length")
 	if a.exchange.Response.ContentLength >= 0 && c.request.Method == http.MethodHead {
 		c.writer.Header()["Content-Length"] = a.exchange.Response.Header["Content-Length"]
 	}
-	c.writer.WriteHeader(a.exchange.Response.StatusCode)
+	c.writer.WriteHeader(c.status)
 	if _, err := c.writer.Write(body); err != nil {
 		c.outcome = outcomeCallerDisconnected
 	}
@@ -193,12 +192,12 @@
 // copyResponse forwards a response whose body is too long to be buffered. If the copy
 // fails, it closes the caller's connection, so that the response does not look complete.
 func (c *call) copyResponse(a *attempt, body io.Reader) {
-	c.outcome, c.status = "answered", a.exchange.Response.StatusCode
-	c.firstByteAt = time.Now()
-	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
-	c.encodeForwardedResponse(false, false)
+	if !c.beginResponse(a) {
+		return
+	}
+	c.outcome = "answered"
 	c.limitWrites()
-	c.writer.WriteHeader(a.exchange.Response.StatusCode)
+	c.writer.WriteHeader(c.status)
 	if _, err := io.Copy(c.writer, body); err != nil {
 		if !c.callerDisconnected() {
 			c.gateway.Metrics.CountBreak(breakCause(a.ctx))
