Streams: the store keeps where streams began while several versions serve

Cause: the origin of a stream was known in the memory of instances alone; the store had only the versions that had served. Facts only: what is not recorded is refused as before. Conclusion: fixed but for streams of about the last 0.4 s before the kill; the limits stand in the design.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,17 +44,18 @@
 	logWriter *logging.AsyncWriter
 	metrics   *telemetry.Metrics
 
-	store        *storeclient.Client
-	registry     *registry.Registry
-	tracker      *gateway.UpstreamTracker
-	pool         *upstreamconn.Pool
-	gateway      *gateway.Gateway
-	mesh         *mesh.Mesh
-	reconciler   *reconciler.Reconciler
-	leaseManager *reconciler.LeaseManager
-	reporter     *reporter
-	streams      *streamOrigins
-	permits      *permits.Permits
+	store          *storeclient.Client
+	registry       *registry.Registry
+	tracker        *gateway.UpstreamTracker
+	pool           *upstreamconn.Pool
+	gateway        *gateway.Gateway
+	mesh           *mesh.Mesh
+	reconciler     *reconciler.Reconciler
+	leaseManager   *reconciler.LeaseManager
+	reporter       *reporter
+	streams        *streamOrigins
+	streamRecorder *streamRecorder
+	permits        *permits.Permits
 
 	configInformer, upstreamInformer *storewatch.Informer
 
@@ -80,6 +81,7 @@
 	n.pool = upstreamconn.NewPool(n.metrics.UpstreamConnections.Inc)
 	n.reporter = newReporter(n)
 	n.streams = newStreamOrigins(n)
+	n.streamRecorder = newStreamRecorder(n)
 	address, err := netip.ParseAddr(s.Instance.Address)
 	if err != nil {
 		return nil, errs.Wrap(err, "read address", errs.Self)
@@ -249,6 +251,7 @@
 		"instances": n.listInstances,
 		"register":  n.registerInstance,
 		"versions":  n.keepVersionRecord,
+		"streams":   n.streamRecorder.run,
 		"mesh":      n.mesh.Run,
 		"reports":   n.reporter.run,
 		"reach":     n.gateway.ProbeUpstreams,
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -54,9 +54,19 @@
 	s.tracker.Begin(time.Now(), streams.IDOf(request), origin)
 }
 
-// Find implements gateway.StreamOrigins. It asks the other instances if this one does not know
-// the stream and several versions may have begun it.
+// Find implements gateway.StreamOrigins. If this instance does not know the stream and several versions may
+// have begun it, it asks the other instances and then reads the record in the store.
 func (s *streamOrigins) Find(ctx context.Context, request, service string) (streams.Origin, bool) {
+	origin, ok := s.findHere(ctx, request, service)
+	if ok || request == "" {
+		return origin, ok
+	}
+	s.node.streamRecorder.lookUp(ctx)
+	return s.find(streams.IDOf(request), service)
+}
+
+// findHere returns the origin of a stream that this instance or another one knows.
+func (s *streamOrigins) findHere(ctx context.Context, request, service string) (streams.Origin, bool) {
 	id := streams.IDOf(request)
 	origin, ok := s.find(id, service)
 	if ok || !s.mayLearn(request) {
@@ -182,6 +192,11 @@
 // learn records a stream and ends the wait for it. The caller holds s.mu.
 func (s *streamOrigins) learn(now time.Time, id streams.ID, origin streams.Origin) {
 	s.tracker.Learn(now, id, origin)
+	s.endAwait(id)
+}
+
+// endAwait ends the wait for a stream that has become known. The caller holds s.mu.
+func (s *streamOrigins) endAwait(id streams.ID) {
 	if answer := s.answers[id]; answer != nil {
 		close(answer)
 		delete(s.answers, id)
--- /dev/null
+++ b/internal/state/streams/ring.go
@@ -0,0 +1,79 @@
+package streams
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"savoryweir/internal/state/object"
+)
+
+const (
+	// RingSegments is the number of objects in which an instance records streams in the store.
+	RingSegments = 8
+	// segmentPeriod is the time after which a segment is followed by the next one. All but one segment together
+	// cover the time for which streams are kept.
+	segmentPeriod = 4500 * time.Millisecond
+	// MaxSegmentStreams limits a segment to about half of the size of an object.
+	MaxSegmentStreams = 40000
+	// nextSegmentStreams is the number of streams above which the next segment is begun before the period is over.
+	nextSegmentStreams = 10000
+)
+
+// Ring is the record of the streams that began lately, as one instance writes it: a ring of segments, each an
+// object of the store. The newest segment is written again as it grows. A ring is not safe for concurrent use.
+type Ring struct {
+	order    []int // segments in the order in which they are written, the present one first
+	versions [RingSegments]object.Version
+	streams  map[Origin][]ID // in the present segment
+	count    int
+	begunAt  time.Time
+	isDirty  bool
+}
+
+// NewRing returns a ring whose segments have the given versions in the store, zero for one that doesn't exist. The
+// newest segments may hold the streams of an earlier process, so the oldest one is written first.
+func NewRing(versions [RingSegments]object.Version) *Ring {
+	r := &Ring{versions: versions, streams: make(map[Origin][]ID)}
+	for segment := range RingSegments {
+		r.order = append(r.order, segment)
+	}
+	slices.SortStableFunc(r.order, func(a, b int) int { return cmp.Compare(versions[a], versions[b]) })
+	return r
+}
+
+// Add adds streams to the present segment.
+func (r *Ring) Add(now time.Time, begun map[Origin][]ID) {
+	for origin, ids := range begun {
+		if r.count == 0 {
+			r.begunAt = now
+		}
+		r.streams[origin] = append(r.streams[origin], ids...)
+		r.count += len(ids)
+		r.isDirty = true
+	}
+}
+
+// Room returns how many streams the present segment can still take.
+func (r *Ring) Room() int { return max(MaxSegmentStreams-r.count, 0) }
+
+// Due returns the segment that has to be written, its content and the version that it has in the store. It returns
+// false if the store has all streams.
+func (r *Ring) Due() (segment int, content map[Origin][]ID, version object.Version, ok bool) {
+	segment = r.order[0]
+	return segment, r.streams, r.versions[segment], r.isDirty
+}
+
+// Found records the version that the segment that is due has in the store, after a write with another one.
+func (r *Ring) Found(version object.Version) { r.versions[r.order[0]] = version }
+
+// Written records that the segment that was due has been written, and begins the next one if its time is over.
+func (r *Ring) Written(now time.Time, version object.Version) {
+	r.versions[r.order[0]] = version
+	r.isDirty = false
+	if now.Sub(r.begunAt) < segmentPeriod && r.count < nextSegmentStreams {
+		return
+	}
+	r.order = append(r.order[1:], r.order[0])
+	r.streams, r.count = make(map[Origin][]ID), 0
+}
--- a/internal/state/streams/streams.go
+++ b/internal/state/streams/streams.go
@@ -15,6 +15,9 @@
 	// Retention is how long streams and versions are remembered: longer than callers wait
 	// for a stream.
 	Retention = time.Minute
+	// StoredRetention is how long the store keeps a stream. It is shorter than Retention, because the record
+	// of all streams is read at once.
+	StoredRetention = 30 * time.Second
 	// announcements is how often each stream is announced, because datagrams may be lost.
 	announcements = 2
 )
@@ -36,6 +39,7 @@
 	origins   map[ID]Origin
 	expiry    []timedID              // all streams, oldest first
 	pending   map[string][]pendingID // streams not yet announced, by service, oldest first
+	unstored  []timedID              // streams not yet taken for the record in the store, oldest first
 	servedAt  map[Origin]time.Time   // when each version served last
 }
 
@@ -57,16 +61,62 @@
 // Begin records a stream that began at this instance.
 func (t *Tracker) Begin(now time.Time, id ID, origin Origin) {
 	if t.add(now, id, origin) {
+		t.unstored = append(t.unstored, timedID{id, now})
 		t.pending[origin.Service] = append(t.pending[origin.Service], pendingID{timedID{id, now}, announcements})
 	}
 }
 
 // Learn records a stream that began at another instance.
 func (t *Tracker) Learn(now time.Time, id ID, origin Origin) {
+	t.servedAt[origin] = now
+	if t.add(now, id, origin) {
+		t.unstored = append(t.unstored, timedID{id, now})
+	}
+}
+
+// LearnStored records a stream that is in the record in the store.
+func (t *Tracker) LearnStored(now time.Time, id ID, origin Origin) {
 	t.servedAt[origin] = now
 	t.add(now, id, origin)
 }
 
+// TakeUnstored returns up to limit streams that the record in the store lacks, by their origin, oldest first. Those of a
+// service of which only one version serves are kept until another does.
+func (t *Tracker) TakeUnstored(now time.Time, limit int) map[Origin][]ID {
+	taken := make(map[Origin][]ID)
+	several := t.servicesOfSeveralVersions(now)
+	t.unstored = slices.DeleteFunc(t.unstored, func(s timedID) bool {
+		origin := t.origins[s.id]
+		if limit == 0 || !several[origin.Service] || now.Sub(s.addedAt) >= StoredRetention {
+			return now.Sub(s.addedAt) >= StoredRetention
+		}
+		limit--
+		taken[origin] = append(taken[origin], s.id)
+		return true
+	})
+	return taken
+}
+
+// HasUnstored reports whether TakeUnstored would return streams.
+func (t *Tracker) HasUnstored(now time.Time) bool {
+	several := t.servicesOfSeveralVersions(now)
+	return slices.ContainsFunc(t.unstored, func(s timedID) bool {
+		return several[t.origins[s.id].Service] && now.Sub(s.addedAt) < StoredRetention
+	})
+}
+
+// servicesOfSeveralVersions returns the services of which more than one version has served within the retention.
+func (t *Tracker) servicesOfSeveralVersions(now time.Time) map[string]bool {
+	several := make(map[string]bool)
+	for o := range t.servedAt {
+		several[o.Service] = several[o.Service] || len(t.versions(now, o.Service)) > 1
+	}
+	return several
+}
+
+// ForgetStored lists all streams for the record again, since the store may have lost them.
+func (t *Tracker) ForgetStored() { t.unstored = slices.Clone(t.expiry) }
+
 // add records the origin of a stream and reports whether it was not known.
 func (t *Tracker) add(now time.Time, id ID, origin Origin) bool {
 	if _, known := t.origins[id]; known {
@@ -162,13 +212,14 @@
 
 // RemoveExpired removes the streams and versions whose retention is over.
 func (t *Tracker) RemoveExpired(now time.Time) {
-	expired := countExpired(now, t.expiry, func(s timedID) time.Time { return s.addedAt })
+	expired := countExpired(now, t.expiry, Retention, func(s timedID) time.Time { return s.addedAt })
 	for _, s := range t.expiry[:expired] {
 		delete(t.origins, s.id)
 	}
 	t.expiry = slices.Delete(t.expiry, 0, expired)
+	t.unstored = slices.Delete(t.unstored, 0, countExpired(now, t.unstored, StoredRetention, func(s timedID) time.Time { return s.addedAt }))
 	for service, list := range t.pending {
-		t.pending[service] = slices.Delete(list, 0, countExpired(now, list, func(p pendingID) time.Time { return p.addedAt }))
+		t.pending[service] = slices.Delete(list, 0, countExpired(now, list, Retention, func(p pendingID) time.Time { return p.addedAt }))
 	}
 	for o, at := range t.servedAt {
 		if now.Sub(at) >= Retention {
@@ -179,9 +230,9 @@
 
 // countExpired returns how many elements at the start of a list, oldest first, were added
 // longer ago than the retention.
-func countExpired[T any](now time.Time, list []T, addedAt func(T) time.Time) int {
+func countExpired[T any](now time.Time, list []T, retention time.Duration, addedAt func(T) time.Time) int {
 	n := 0
-	for n < len(list) && now.Sub(addedAt(list[n])) >= Retention {
+	for n < len(list) && now.Sub(addedAt(list[n])) >= retention {
 		n++
 	}
 	return n
