Orders: an order never expects more than the engine has counted

Cause: each 202, and each 200 to the unload of an adapter, was counted as one more accepted order. The unload of an adapter in use is accepted again without being counted, so a later order could expect a count that the engine had not reached; without a response it was carried out once others had been. Ruled out, in docs/design/platform.md: reserving room for each such order (a new holder knows none of them), a report after each order. Change: a response counts only where it is certain; else a report is read. Entries of the store no longer replace models or end an order in progress: they may be older than the count that orders rely on (found by the model test). An adapter that is being unloaded keeps its slot until a report lacks it. TestRepeatedUnloadOfAdapterIsNotCounted and others fail without the change. Conclusion: the cause that was shown is gone; orders of a former build's holder may still expect too much.

--- a/internal/coordination/rebalance/adapters.go
+++ b/internal/coordination/rebalance/adapters.go
@@ -29,17 +29,28 @@
 	}
 }
 
-// adapters returns the adapters that the engine holds or is loading.
+// adapters returns the adapters that the engine holds or is loading, without those that it is about to unload.
 func (st *engineState) adapters() []AdapterKey {
 	var keys []AdapterKey
 	for _, r := range st.Upstream.Models {
 		for _, a := range r.Adapters {
-			keys = append(keys, AdapterKey{Model: r.Model, Adapter: a})
+			if key := (AdapterKey{Model: r.Model, Adapter: a}); !st.DrainingAdapters[key] {
+				keys = append(keys, key)
+			}
 		}
 	}
 	return keys
 }
 
+// usedAdapterSlots returns the slots of adapters that the engine holds or is loading.
+func (st *engineState) usedAdapterSlots() int {
+	used := len(st.Upstream.LoadingAdapters)
+	for _, r := range st.Upstream.Models {
+		used += len(r.Adapters)
+	}
+	return used
+}
+
 // adaptersByDemand returns the adapters with demand: those with waiting requests first,
 // then by descending request rate.
 func (p *planner) adaptersByDemand() []AdapterKey {
@@ -113,12 +124,12 @@
 // freeAdapterSlots returns the adapter slots of engine i that are neither used nor
 // reserved by an adapter that is being loaded.
 func (p *planner) freeAdapterSlots(i int) int {
-	return p.Class.AdapterSlots - len(p.engines[i].adapters()) - len(p.engines[i].Upstream.LoadingAdapters)
+	return p.Class.AdapterSlots - p.engines[i].usedAdapterSlots()
 }
 
 // evictAdapter plans the unload of the adapter with the lowest eviction cost on an engine
 // that holds the model of key. It plans nothing if that cost exceeds the demand for key,
-// unless requests wait for key.
+// unless requests wait for key, or if a slot on such an engine is being freed.
 func (p *planner) evictAdapter(key AdapterKey, replicas map[AdapterKey]int) {
 	best, lowestCost := -1, 0.0
 	var victim AdapterKey
@@ -126,6 +137,9 @@
 		if !p.canLoadAdapter(i, key) {
 			continue
 		}
+		if p.engines[i].FreesAdapterSlot {
+			return
+		}
 		for _, held := range p.engines[i].adapters() {
 			evictionCost := p.AdapterRates[held] / float64(max(replicas[held], 1))
 			if replicas[held] < 2 {
--- a/internal/coordination/rebalance/rebalance.go
+++ b/internal/coordination/rebalance/rebalance.go
@@ -23,6 +23,10 @@
 	// Draining holds the models that are about to be unloaded. Instances no longer
 	// send requests for them to this engine.
 	Draining map[string]bool
+	// DrainingAdapters holds the adapters that the engine unloads as soon as no request uses them. They keep their
+	// slots until then.
+	DrainingAdapters map[AdapterKey]bool
+	FreesAdapterSlot bool // one of them is expected to be gone within moments
 	// RecentlyLoaded holds the models that were loaded a short time ago. They are not
 	// evicted, so that noise in the demand does not cause repeated loads and unloads.
 	RecentlyLoaded map[string]bool
@@ -50,6 +54,9 @@
 	Reason       Reason
 }
 
+// AdapterKey returns the key of the adapter that the action applies to.
+func (a Action) AdapterKey() AdapterKey { return AdapterKey{Model: a.Model, Adapter: a.Adapter} }
+
 // Reason explains why an action is taken.
 type Reason string
 
--- a/internal/node/reconciler/engine.go
+++ b/internal/node/reconciler/engine.go
@@ -7,6 +7,7 @@
 	"savoryweir/internal/coordination/rebalance"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/state/fleet"
+	"savoryweir/platform"
 )
 
 // engineState is what the reconciler knows about one incarnation of an engine. Orders
@@ -28,6 +29,11 @@
 	// unresolvedUnloads are unloads of which only a report can show whether the engine carries
 	// them out. Until then they stay announced.
 	unresolvedUnloads map[registry.ResidentKey]unresolvedUnload
+	// unloadingAdapters are adapters whose unload the engine has accepted and not completed: they keep their slots
+	// until no request uses them.
+	unloadingAdapters map[rebalance.AdapterKey]time.Time // time of the order
+	// unloadedBefore are adapters that an earlier order may be unloading, which reports do not show.
+	unloadedBefore map[rebalance.AdapterKey]bool
 }
 
 // unresolvedUnload is an unload that conflicted, or whose response was lost.
@@ -54,6 +60,14 @@
 // the duration of a load from the weight store.
 const minResidency = 8 * time.Second
 
+// adapterReleaseTime is how long an adapter that is being unloaded may be in use before another one is unloaded for
+// its slot: about the time until a report shows that it still is.
+const adapterReleaseTime = 500 * time.Millisecond
+
+// formerOrderPeriod is the time after the start of a term in which orders of an earlier holder may still be carried
+// out or be in progress: an order may be late by seconds, and an unload waits for the requests in progress.
+const formerOrderPeriod = 30 * time.Second
+
 const (
 	// unreachableGracePeriod is how long an engine that does not report is still included
 	// in plans: a crashed engine usually restarts within this time and loads its models
@@ -71,37 +85,35 @@
 	return !e.unreachableSince.IsZero() && now.Sub(e.unreachableSince) > unreachableGracePeriod
 }
 
-// mergeEntry applies a newer version of the engine's store entry. The order count and
-// the adapters known from reports and orders are kept, as the entry lags behind them.
+// mergeEntry applies a newer version of the engine's store entry. What reports and orders have shown is kept: an entry
+// may have been written before the orders that the engine has accepted, and room that it shows free may be taken. If
+// it lists other models, the engine has to report before its next order.
 func (e *engineState) mergeEntry(entry *fleet.Upstream) {
 	if entry.EntryVersion <= e.upstream.EntryVersion || e.inFlight {
 		return
 	}
-	if entry.EntryVersion.Era() != e.upstream.EntryVersion.Era() {
-		e.confirmed = false // the entry may be of an older copy of the store, so the engine is asked
+	known, isConfirmed := e.upstream, e.confirmed
+	if entry.EntryVersion.Era() != known.EntryVersion.Era() || !listSameModels(entry.Models, known.Models) {
+		e.confirmed = false
 	}
-	models := entry.Models
-	if e.confirmed {
-		models = mergeAdapters(entry.Models, e.upstream.Models)
-	}
-	orders, loadingAdapters := e.upstream.AcceptedOrders, e.upstream.LoadingAdapters
 	e.upstream = *entry
-	e.upstream.Models, e.upstream.AcceptedOrders, e.upstream.LoadingAdapters = models, orders, loadingAdapters
-	e.clearCompleted()
+	e.upstream.AcceptedOrders, e.upstream.LoadingAdapters, e.upstream.OrderInProgress = known.AcceptedOrders, known.LoadingAdapters, known.OrderInProgress
+	if isConfirmed {
+		e.upstream.Models = known.Models
+	}
 }
 
-// mergeAdapters returns the models with the known adapters of each, because entries
-// list a changed adapter only after the next heartbeat.
-func mergeAdapters(models, known []fleet.ResidentModel) []fleet.ResidentModel {
-	merged := slices.Clone(models)
-	for i := range merged {
-		for _, r := range known {
-			if r.Model == merged[i].Model {
-				merged[i].Adapters = r.Adapters
-			}
+// listSameModels reports whether two lists name the same models, with whatever adapters.
+func listSameModels(a, b []fleet.ResidentModel) bool {
+	names := func(models []fleet.ResidentModel) []string {
+		var list []string
+		for _, m := range models {
+			list = append(list, m.Model)
 		}
+		slices.Sort(list)
+		return list
 	}
-	return merged
+	return slices.Equal(names(a), names(b))
 }
 
 // clearCompleted removes the pending order, the load and the unloads that the engine's
@@ -131,6 +143,11 @@
 	for model := range e.drainingModels {
 		engine.Draining[model] = true
 	}
+	engine.DrainingAdapters = make(map[rebalance.AdapterKey]bool, len(e.unloadingAdapters))
+	for key, at := range e.unloadingAdapters {
+		engine.DrainingAdapters[key] = true
+		engine.FreesAdapterSlot = engine.FreesAdapterSlot || now.Sub(at) < adapterReleaseTime
+	}
 	engine.RecentlyLoaded = make(map[string]bool)
 	for model, at := range e.loadOrderedAt {
 		if now.Sub(at) < minResidency {
@@ -158,9 +175,39 @@
 	}
 }
 
+// isCounted reports whether an order that the engine has accepted has raised its order count for certain. An engine accepts
+// the unload of an adapter once more while it carries out an earlier one, of this holder or one before, without
+// counting it; all other orders in progress are in its reports.
+func (e *engineState) isCounted(a rebalance.Action, termAge time.Duration) bool {
+	isAdapterUnload := a.Adapter != "" && !a.Load
+	return !isAdapterUnload || !e.unloadedBefore[a.AdapterKey()] && termAge >= formerOrderPeriod
+}
+
+// recordAdapterUnload records the result of an order to unload an adapter.
+func (e *engineState) recordAdapterUnload(key rebalance.AdapterKey, result platform.OrderResult, now time.Time) {
+	if e.unloadedBefore == nil {
+		e.unloadedBefore, e.unloadingAdapters = make(map[rebalance.AdapterKey]bool), make(map[rebalance.AdapterKey]time.Time)
+	}
+	e.unloadedBefore[key] = true
+	switch result {
+	case platform.OrderAccepted:
+		e.unloadingAdapters[key] = now
+	case platform.OrderAlreadyApplied:
+		e.forgetUnload(key)
+		e.recordAdapterChange(key.Model, key.Adapter, false)
+	case platform.OrderUnknown, platform.OrderConflict, platform.OrderRejected:
+	}
+}
+
+// forgetUnload records that the engine no longer holds an adapter.
+func (e *engineState) forgetUnload(key rebalance.AdapterKey) {
+	delete(e.unloadingAdapters, key)
+	delete(e.unloadedBefore, key)
+}
+
 // addUnresolvedUnload records an unload without a known outcome. The model doesn't count as a
 // replica meanwhile.
-func (e *engineState) addUnresolvedUnload(key registry.ResidentKey, u unresolvedUnload) {
+func (e *engineState) addUnresolvedUnload(key registry.ResidentKey, u unresolvedUnload, now time.Time) {
 	if e.unresolvedUnloads == nil {
 		e.unresolvedUnloads = make(map[registry.ResidentKey]unresolvedUnload)
 	}
@@ -168,7 +215,7 @@
 	if key.Adapter == "" {
 		e.drainingModels[key.Model] = u.sentAt
 	}
-	e.backoffUntil = time.Now().Add(orderBackoff / 2)
+	e.backoffUntil = now.Add(orderBackoff / 2)
 }
 
 // resolveUnloads decides the unloads without a known outcome by a report that was applied, and
--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -61,12 +61,7 @@
 		return
 	}
 	e.inFlight = false
-	succeeded := r.recordResult(e, class, a, result)
-	mayBeAccepted := result == platform.OrderUnknown || attempts > 1
-	isUnresolved := !a.Load && !succeeded && (mayBeAccepted || result == platform.OrderConflict)
-	if isUnresolved {
-		e.addUnresolvedUnload(key, unresolvedUnload{mayBeAccepted: mayBeAccepted, expectedOrders: u.AcceptedOrders, sentAt: sentAt})
-	}
+	succeeded, isUnresolved := r.settle(e, class, a, orderOutcome{result: result, attempts: attempts, expectedOrders: u.AcceptedOrders, sentAt: sentAt}, time.Now())
 	r.mu.Unlock()
 	switch {
 	case succeeded && a.Load && a.Adapter != "":
@@ -77,30 +72,62 @@
 	r.wake()
 }
 
+// orderOutcome is what is known of an order after all attempts to send it.
+type orderOutcome struct {
+	result         platform.OrderResult // of the last attempt
+	attempts       int
+	expectedOrders uint64
+	sentAt         time.Time // time of the last attempt
+}
+
+// settle updates an engine's state with the outcome of an order. It reports whether the engine carries the order out, and
+// whether only a report can show that. The caller holds r.mu.
+func (r *Reconciler) settle(e *engineState, class *fleet.EngineClass, a rebalance.Action, o orderOutcome, now time.Time) (succeeded, isUnresolved bool) {
+	succeeded = r.recordResult(e, class, a, o.result, now)
+	mayBeAccepted := o.result == platform.OrderUnknown || o.attempts > 1
+	isUnresolved = !a.Load && !succeeded && (mayBeAccepted || o.result == platform.OrderConflict)
+	if isUnresolved {
+		key := registry.ResidentKey{Upstream: e.upstream.ID, Model: a.Model, Adapter: a.Adapter}
+		e.addUnresolvedUnload(key, unresolvedUnload{mayBeAccepted: mayBeAccepted, expectedOrders: o.expectedOrders, sentAt: o.sentAt}, now)
+	}
+	return succeeded, isUnresolved
+}
+
 // recordResult updates an engine's state with the result of an order and reports
-// whether the engine carries the order out. The caller holds r.mu.
-func (r *Reconciler) recordResult(e *engineState, class *fleet.EngineClass, a rebalance.Action, result platform.OrderResult) bool {
-	now := time.Now()
-	switch result {
-	case platform.OrderAccepted, platform.OrderAlreadyApplied:
-		if result == platform.OrderAccepted || a.Adapter != "" && !a.Load { // engines unload adapters immediately
-			e.upstream.AcceptedOrders++
-			e.lastOrderAt = now
-		}
-	case platform.OrderUnknown, platform.OrderConflict, platform.OrderRejected:
+// whether the engine carries the order out. The order count that the next order expects never exceeds the engine's:
+// an order without a response that expects more is carried out after a later one, beside which it may have no
+// room. An order that expects the engine's count at most is never carried out once another one has been. The
+// caller holds r.mu.
+func (r *Reconciler) recordResult(e *engineState, class *fleet.EngineClass, a rebalance.Action, result platform.OrderResult, now time.Time) bool {
+	isAdapterUnload := a.Adapter != "" && !a.Load
+	isAccepted := result == platform.OrderAccepted || result == platform.OrderAlreadyApplied
+	switch {
+	case !isAccepted:
 		e.confirmed = false // the engine's state must be read before the next order
 		e.backoffUntil = now.Add(orderBackoff)
+	case result == platform.OrderAlreadyApplied && !isAdapterUnload: // engines unload adapters immediately
+	case e.isCounted(a, now.Sub(r.termStart)):
+		e.upstream.AcceptedOrders++
+		e.lastOrderAt = now
+	default:
+		e.confirmed = false // only a report shows whether the order was counted
+		e.backoffUntil = now.Add(orderBackoff)
+	}
+	if isAdapterUnload {
+		e.recordAdapterUnload(a.AdapterKey(), result, now)
+	}
+	switch {
+	case !isAccepted:
 		if a.Load && a.Adapter == "" || a.MakesRoomFor != "" {
 			e.loading = ""
 		}
 		if !a.Load {
 			delete(e.drainingModels, a.Model)
 		}
-		return false
-	}
-	switch {
+	case isAdapterUnload:
 	case a.Adapter != "":
-		e.recordAdapterChange(a.Model, a.Adapter, a.Load)
+		e.forgetUnload(a.AdapterKey())
+		e.recordAdapterChange(a.Model, a.Adapter, true)
 	case a.Load:
 		e.loading, e.pending, e.pendingDeadline = a.Model, &a, now.Add(orderGracePeriod)
 		if m := class.Model(a.Model); m != nil {
@@ -109,7 +136,7 @@
 	default:
 		e.loading, e.pending, e.pendingDeadline = a.MakesRoomFor, &a, now.Add(orderGracePeriod)
 	}
-	return true
+	return isAccepted
 }
 
 // isLeaving reports whether an engine is known to be leaving by now.
@@ -245,6 +272,12 @@
 		return
 	}
 	e.upstream, e.confirmed = report, true
+	for key := range e.unloadedBefore {
+		if !report.Holds(key.Model, key.Adapter) {
+			e.forgetUnload(key)
+		}
+	}
+	hasMadeRoom := e.pending != nil && !e.pending.Load && !report.Holds(e.pending.Model, "")
 	e.clearCompleted()
 	if report.OrderInProgress {
 		e.backoffUntil = now.Add(orderBackoff)
@@ -252,7 +285,7 @@
 		return
 	}
 	e.pending = nil
-	if !e.isFreeingMemory() {
+	if !e.isFreeingMemory() && !hasMadeRoom { // else the load that the memory was freed for is next
 		e.loading = ""
 	}
 }
--- a/internal/node/reconciler/orders_test.go
+++ b/internal/node/reconciler/orders_test.go
@@ -222,31 +222,82 @@
 func TestRedundantAdapterLoadIsNotCountedAndUnloadIs(t *testing.T) {
 	r := &Reconciler{}
 	e := &engineState{upstream: fleet.Upstream{AcceptedOrders: 3, Models: []fleet.ResidentModel{{Model: "m0"}}}, drainingModels: map[string]time.Time{}, loadOrderedAt: map[string]time.Time{}}
-	r.recordResult(e, &fleet.EngineClass{}, rebalance.Action{Load: true, Model: "m0", Adapter: "a1"}, platform.OrderAlreadyApplied)
+	r.recordResult(e, &fleet.EngineClass{}, rebalance.Action{Load: true, Model: "m0", Adapter: "a1"}, platform.OrderAlreadyApplied, time.Now())
 	assert.Equal(t, e.upstream.AcceptedOrders, uint64(3))
-	r.recordResult(e, &fleet.EngineClass{}, rebalance.Action{Model: "m0", Adapter: "a1"}, platform.OrderAlreadyApplied)
+	r.recordResult(e, &fleet.EngineClass{}, rebalance.Action{Model: "m0", Adapter: "a1"}, platform.OrderAlreadyApplied, time.Now())
 	assert.Equal(t, e.upstream.AcceptedOrders, uint64(4), "engines unload adapters immediately, so the order counts as accepted")
 }
 
-// Store entries list adapters only after a heartbeat and carry no order count. Merging one
-// must not undo what accepted orders have changed.
-func TestMergedEntryKeepsAdaptersAndOrderCount(t *testing.T) {
+// An engine accepts the unload of an adapter in use once more while it waits for the requests in progress, and counts it
+// once. With a count above the engine's, an order without a response was carried out after a later one and crashed it.
+func TestRepeatedUnloadOfAdapterIsNotCounted(t *testing.T) {
+	now := time.Now()
+	unload := rebalance.Action{Model: "m0", Adapter: "a1"}
+	held := fleet.Upstream{AcceptedOrders: 8, Models: []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1"}}}}
+	for _, result := range []platform.OrderResult{platform.OrderAccepted, platform.OrderAlreadyApplied} {
+		r := &Reconciler{}
+		e := &engineState{upstream: held, confirmed: true, drainingModels: map[string]time.Time{}, loadOrderedAt: map[string]time.Time{}}
+		r.recordResult(e, &fleet.EngineClass{}, unload, platform.OrderAccepted, now)
+		assert.Equal(t, e.upstream.AcceptedOrders, uint64(9))
+		engine := e.snapshot(now)
+		assert.Assert(t, engine.Upstream.Holds("m0", "a1") && engine.DrainingAdapters[unload.AdapterKey()] && engine.FreesAdapterSlot, "the adapter keeps its slot until it is gone")
+		assert.Assert(t, !e.snapshot(now.Add(adapterReleaseTime)).FreesAdapterSlot)
+		held.AcceptedOrders = 9
+		r.applyReport(e, held, now.Add(maxReportAge))
+		r.recordResult(e, &fleet.EngineClass{}, unload, result, now.Add(maxReportAge))
+		assert.Equal(t, e.upstream.AcceptedOrders, uint64(9))
+		assert.Assert(t, !e.confirmed, "only a report shows whether it was counted")
+		r.applyReport(e, fleet.Upstream{AcceptedOrders: 9, Models: []fleet.ResidentModel{{Model: "m0"}}}, now.Add(2*maxReportAge))
+		r.recordResult(e, &fleet.EngineClass{}, rebalance.Action{Load: true, Model: "m0", Adapter: "a1"}, platform.OrderAccepted, now.Add(2*maxReportAge))
+		r.recordResult(e, &fleet.EngineClass{}, unload, platform.OrderAlreadyApplied, now.Add(2*maxReportAge))
+		assert.Equal(t, e.upstream.AcceptedOrders, uint64(11), "the unload of an adapter that was loaded anew is no repetition")
+		held.AcceptedOrders = 8
+	}
+}
+
+// An earlier holder may have begun to unload the adapter, which no report shows.
+func TestUnloadOfAdapterIsNotCountedAtStartOfTerm(t *testing.T) {
+	now := time.Now()
+	for age, want := range map[time.Duration]uint64{0: 8, formerOrderPeriod - 1: 8, formerOrderPeriod: 9} {
+		r := &Reconciler{termStart: now.Add(-age)}
+		e := &engineState{upstream: fleet.Upstream{AcceptedOrders: 8, Models: []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1"}}}}, drainingModels: map[string]time.Time{}, loadOrderedAt: map[string]time.Time{}}
+		r.recordResult(e, &fleet.EngineClass{}, rebalance.Action{Model: "m0", Adapter: "a1"}, platform.OrderAlreadyApplied, now)
+		assert.Equal(t, e.upstream.AcceptedOrders, want, "%v after the start of the term", age)
+	}
+}
+
+// Store entries may be older than the orders that the engine has accepted, and carry no order count. Merging one must
+// not undo what orders and reports have shown; where it lists other models, the engine is asked.
+func TestMergedEntryKeepsWhatOrdersAndReportsHaveShown(t *testing.T) {
 	e := &engineState{
-		upstream:  fleet.Upstream{EntryVersion: 5, AcceptedOrders: 3, Models: []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1"}}}},
+		upstream:  fleet.Upstream{EntryVersion: 5, AcceptedOrders: 3, OrderInProgress: true, Models: []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1"}}}},
 		confirmed: true, drainingModels: map[string]time.Time{}, loadOrderedAt: map[string]time.Time{},
 	}
 	e.recordAdapterChange("m0", "a2", true)
-	e.mergeEntry(&fleet.Upstream{EntryVersion: 6, Models: []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1"}}, {Model: "m1"}}})
-	assert.DeepEqual(t, e.upstream.Models, []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1", "a2"}}, {Model: "m1"}})
+	m0 := []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1", "a2"}}}
+	e.mergeEntry(&fleet.Upstream{EntryVersion: 6, Models: []fleet.ResidentModel{{Model: "m0", Adapters: []string{"a1"}}}})
+	assert.Assert(t, e.confirmed)
+	assert.DeepEqual(t, e.upstream.Models, m0)
 	assert.Equal(t, e.upstream.AcceptedOrders, uint64(3))
+	assert.Assert(t, e.upstream.OrderInProgress, "entries do not tell")
 	e.mergeEntry(&fleet.Upstream{EntryVersion: 4})
-	assert.Equal(t, len(e.upstream.Models), 2, "an older entry was applied")
+	assert.Assert(t, e.confirmed, "an older entry was applied")
 	e.recordAdapterChange("m0", "a1", false)
 	assert.DeepEqual(t, e.upstream.Models[0].Adapters, []string{"a2"})
+	for _, models := range [][]fleet.ResidentModel{nil, {{Model: "m0"}, {Model: "m1"}}, {{Model: "m1"}}} {
+		e.confirmed = true
+		before := e.upstream.Models
+		e.mergeEntry(&fleet.Upstream{EntryVersion: e.upstream.EntryVersion + 1, Models: models})
+		assert.Assert(t, !e.confirmed, "the engine has to report")
+		assert.DeepEqual(t, e.upstream.Models, before)
+	}
 }
 
-func TestModelOrderIsPendingUntilEntryShowsResult(t *testing.T) {
+// An entry with the result may be older than the order: of an engine that had the model before, it was unloaded and is being
+// loaded again.
+func TestModelOrderIsPendingUntilReportShowsResult(t *testing.T) {
 	now := time.Now()
+	r := &Reconciler{}
 	e := &engineState{
 		upstream: fleet.Upstream{EntryVersion: 1, Models: []fleet.ResidentModel{{Model: "m0"}}}, confirmed: true, loading: "m1",
 		pending: &rebalance.Action{Model: "m0", MakesRoomFor: "m1"}, drainingModels: map[string]time.Time{"m0": now}, loadOrderedAt: map[string]time.Time{},
@@ -255,9 +306,14 @@
 	assert.Assert(t, engine.AcceptsOrders && engine.HasModelOrder && engine.Draining["m0"] && engine.LoadingModel == "m1")
 	e.mergeEntry(&fleet.Upstream{EntryVersion: 2})
 	engine = e.snapshot(now)
+	assert.Assert(t, !engine.AcceptsOrders && engine.HasModelOrder && engine.Draining["m0"], "the entry may be older than the order")
+	r.applyReport(e, fleet.Upstream{}, now)
+	engine = e.snapshot(now)
 	assert.Assert(t, !engine.HasModelOrder && len(engine.Draining) == 0 && engine.LoadingModel == "m1", "the unload is complete and the load not yet ordered")
 	e.pending = &rebalance.Action{Load: true, Model: "m1"}
-	e.mergeEntry(&fleet.Upstream{EntryVersion: 3, Models: []fleet.ResidentModel{{Model: "m1"}}})
+	r.applyReport(e, fleet.Upstream{OrderInProgress: true}, now)
+	assert.Assert(t, e.snapshot(now).HasModelOrder)
+	r.applyReport(e, fleet.Upstream{Models: []fleet.ResidentModel{{Model: "m1"}}}, now)
 	engine = e.snapshot(now)
 	assert.Assert(t, !engine.HasModelOrder && engine.LoadingModel == "")
 }
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -347,8 +347,9 @@
 		}
 		e.mergeEntry(u)
 		isOverdue := (e.upstream.OrderInProgress || e.pending != nil) && now.After(e.pendingDeadline)
+		isUnloading := len(e.unloadingAdapters) > 0 && now.Sub(e.reportRequestedAt) > orderBackoff
 		isSuspect := now.Sub(e.reportRequestedAt) > suspectCheckInterval && r.failureRatio(u.ID) > suspectFailureRatio
-		if !e.inFlight && !u.Draining && !r.isPaused(u) && now.After(e.backoffUntil) && (!e.confirmed || isOverdue || isSuspect) {
+		if !e.inFlight && !u.Draining && !r.isPaused(u) && now.After(e.backoffUntil) && (!e.confirmed || isOverdue || isUnloading || isSuspect) {
 			e.inFlight, e.reportRequestedAt = true, now
 			go r.fetchReportAndWake(ctx, e.upstream)
 		}
--- a/internal/node/reconciler/unknownorder_test.go
+++ b/internal/node/reconciler/unknownorder_test.go
@@ -70,7 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			e := &engineState{upstream: fleet.Upstream{ID: "e1", Models: m0}, drainingModels: map[string]time.Time{}, loadOrderedAt: map[string]time.Time{}}
 			test.unload.sentAt = now
-			e.addUnresolvedUnload(test.key, test.unload)
+			e.addUnresolvedUnload(test.key, test.unload, now)
 			assert.Equal(t, e.snapshot(now).Draining["m0"], test.key.Adapter == "")
 			requestedAt := now.Add(test.age)
 			(&Reconciler{}).applyReport(e, test.report, requestedAt)
