Memory of request bodies, events and reports is bounded over all requests

What operators of similar systems saw: bytes without end made a process run out of memory, which ended the requests of all callers. Change: bodies above 16 KB count against a fifth of the memory limit as they arrive, else 503 at once; events and reports may have 64 KB; the kernel's receive buffers of callers' and upstreams' connections are limited. Ruled out: taking the announced length at once, as callers that send nothing would take the memory of others. Conclusion: bounded for the process; the kernel's buffers are bounded by the option, not measured.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -36,7 +36,8 @@
 	service       string
 	engineClass   *fleet.EngineClass // nil if the service has no engines
 	body          []byte
-	isRead        bool // the request has been read to its end
+	isRead        bool  // the request has been read to its end
+	bodyMemory    int64 // bytes reserved for the body
 	traits        quarantine.Traits
 	deadline      time.Time // time by which the final response must be sent
 
@@ -83,6 +84,11 @@
 	case errors.As(err, &tooLarge):
 		c.respond(http.StatusRequestEntityTooLarge, "body too large")
 		return
+	case errors.Is(err, errBodyMemory):
+		c.writer.Header().Set("Connection", "close")
+		c.limitUnreadBody()
+		c.refuse(http.StatusServiceUnavailable, bodyMemoryRetryAfter, "too many large bodies")
+		return
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.writer.Header().Set("Connection", "close")
 		c.refuse(http.StatusRequestTimeout, 0, "body not received in time")
@@ -121,7 +127,7 @@
 var errDeadlineExceeded = errors.New("request deadline exceeded")
 
 // readBody reads the request body, which must arrive before the request's deadline.
-// It returns an *http.MaxBytesError if the body is longer than limit bytes. After an error the
+// It returns an *http.MaxBytesError if the body is longer than limit bytes, and errBodyMemory if there is no memory for it. After an error the
 // read deadline stays, since net/http would else wait for the rest of the body.
 func (c *call) readBody(limit int64) ([]byte, error) {
 	if c.request.Body == nil || c.request.ContentLength == 0 {
@@ -132,20 +138,7 @@
 		return nil, err
 	}
 	reader := http.MaxBytesReader(c.writer, c.request.Body, limit)
-	var body []byte
-	var err error
-	if n := c.request.ContentLength; n > 0 && n <= limit {
-		body = make([]byte, n)
-		_, err = io.ReadFull(reader, body)
-		if err == nil {
-			_, err = reader.Read(make([]byte, 1)) // reads to EOF, because net/http detects that the caller disconnects only after that
-			if errors.Is(err, io.EOF) {
-				err = nil
-			}
-		}
-	} else {
-		body, err = io.ReadAll(reader)
-	}
+	body, err := c.bufferBody(reader, c.request.ContentLength)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/gateway/finish.go
+++ b/internal/node/gateway/finish.go
@@ -16,6 +16,7 @@
 		c.gateway.Log.Error().Str("event", "request.panic").Str("request", c.params.ID).Interface("panic", recovered).Msg("request handler panicked; connection to the caller is closed")
 		recovered = http.ErrAbortHandler
 	}
+	c.gateway.bodyMemory.release(c.bodyMemory)
 	c.recordCompletion(recovered != nil)
 	if recovered != nil {
 		panic(recovered)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -72,6 +72,8 @@
 	Streams StreamOrigins
 	// BootTime returns the time of a clock that includes suspended time.
 	BootTime func() time.Duration
+	// MaxBodyMemory returns how many bytes the request bodies of all callers may take up, 0 for no limit.
+	MaxBodyMemory func() int64
 	// RecordDemand records a request for a model or adapter with its expected work in
 	// tokens.
 	RecordDemand func(service, model, adapter string, tokens int)
@@ -86,6 +88,7 @@
 	crashProbes *crashProbes
 	pauses      *pauses
 	reach       *upstreamReach
+	bodyMemory  bodyMemory
 	refusesNew  atomic.Bool
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
@@ -100,7 +103,7 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), inFlightContext: ctx, cancelInFlight: cancel}
+	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), bodyMemory: bodyMemory{limit: o.MaxBodyMemory}, inFlightContext: ctx, cancelInFlight: cancel}
 	g.crashProbes = newCrashProbes(g.isGone)
 	g.reach = newUpstreamReach(o.Pool, g.upstreamAddresses, g.logReach)
 	o.Pool.Observe = g.reach.observe
--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -178,6 +178,7 @@
 	loadRequests chan string
 	notices      chan string  // what the gateway tells the other instances of upstreams
 	bootTime     atomic.Int64 // nanoseconds
+	bodyMemory   atomic.Int64 // bytes that bodies may take up; 0 for no limit
 	retryLimits  atomic.Pointer[retry.WindowSettings]
 }
 
@@ -214,6 +215,7 @@
 		BroadcastBroken:  func(quarantine.BrokenRequest) {},
 		BroadcastRelease: func(quarantine.Trait) {},
 		Permits:          permits.New(permits.Options{Instance: "i1", Log: zerolog.Nop(), Others: func() []string { return nil }, Broadcast: func(*pb.FleetMessage) {}}),
+		MaxBodyMemory:    func() int64 { return h.bodyMemory.Load() },
 		PeerPool:         upstreamconn.NewPool(func() {}),
 		Peers:            func() []Peer { return nil },
 		ReportSilentPeer: func(string) {},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,7 @@
 		Registry: n.registry, Tracker: n.tracker, Pool: n.pool, RetrySettings: n.retrySettings, InstanceCount: n.instanceCount,
 		RequestLoad: n.reporter.requestLoad, RecordDemand: n.reporter.recordDemand, BroadcastBroken: n.reporter.broadcastBroken, BroadcastRelease: n.reporter.broadcastRelease,
 		BroadcastLeaving: n.reporter.broadcastLeaving, BroadcastPause: n.reporter.broadcastPause, Permits: n.permits, PeerPool: upstreamconn.NewPool(func() {}), Peers: n.reporter.forwardTargets, ReportSilentPeer: n.reporter.recordSilentPeer, Streams: n.streams, BootTime: n.bootTime,
+		MaxBodyMemory: func() int64 { return int64(bodyMemoryRatio * float64(n.bounds.Load().MemoryMB) * (1 << 20)) },
 	})
 	leases := reconciler.LeaseSettings(n.settings.Bounds.TurnGap)
 	n.configInformer = n.newInformer(platform.KindConfig, configWatchPause, configSink{n}, configRelistGap, nil)
@@ -120,6 +121,10 @@
 	})
 }
 
+// bodyMemoryRatio is the fraction of the memory limit that the request bodies of all callers may take up. Garbage takes up as
+// much again, and as much is left for all else.
+const bodyMemoryRatio = 0.2
+
 // bootTime returns the time of a clock that includes suspended time. If the clock can't be
 // read, it returns the time since the process started.
 func (n *Node) bootTime() time.Duration {
--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -27,7 +27,7 @@
 	// adapterAnnounceDelay is the time between the order to load an adapter and its
 	// announcement to the other instances: twice its load time at full speed.
 	adapterAnnounceDelay = 20 * time.Millisecond
-	maxReportBytes       = 1 << 20
+	maxReportBytes       = 64 << 10 // of each of many engines at once
 	// maxReportAge bounds the age of a report, some hundred milliseconds according to
 	// the platform's documentation, plus the delivery of the order and of the report.
 	maxReportAge = time.Second
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -13,6 +13,7 @@
 
 	"savoryweir/internal/errs"
 	"savoryweir/internal/transport/operations"
+	"savoryweir/internal/transport/sockbuf"
 	"savoryweir/platform"
 )
 
@@ -40,7 +41,8 @@
 // opened or a server can't be closed.
 func (n *Node) Run(signals <-chan os.Signal) error {
 	n.configureGC()
-	callerListener, err := net.Listen("tcp4", n.settings.Callers.Address)
+	bounded := net.ListenConfig{Control: sockbuf.LimitReceive}
+	callerListener, err := bounded.Listen(context.Background(), "tcp4", n.settings.Callers.Address)
 	if err != nil {
 		return errs.Wrap(err, "listen for callers", errs.Self)
 	}
--- a/internal/protocol/sseframe/sseframe.go
+++ b/internal/protocol/sseframe/sseframe.go
@@ -18,7 +18,7 @@
 
 const (
 	readBufferBytes = 2 << 10
-	maxEventBytes   = 1 << 20
+	maxEventBytes   = 64 << 10 // of each of many streams at once
 )
 
 var errEventTooLarge = errors.New("server-sent event exceeds the size limit")
--- a/internal/transport/upstreamconn/pool.go
+++ b/internal/transport/upstreamconn/pool.go
@@ -5,14 +5,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"savoryweir/internal/transport/keepalive"
+	"savoryweir/internal/transport/sockbuf"
 )
 
 const (
@@ -64,6 +67,10 @@
 // NewPool returns an empty pool. It calls onOpen for each connection that it opens.
 func NewPool(onOpen func()) *Pool {
 	dialer := keepalive.Dialer(DialTimeout)
+	setOptions := dialer.Control
+	dialer.Control = func(network, address string, raw syscall.RawConn) error {
+		return errors.Join(sockbuf.LimitReceive(network, address, raw), setOptions(network, address, raw))
+	}
 	return &Pool{
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp4", address)
