Drain: each request in flight gets time for its response before the end of the grace period

What operators of similar systems saw: requests that may not be repeated were cut without an answer at the end of the grace. Here: late requests are refused, but all responses at the end had 0.4 s together. Change: requests without a response are ended 2.5 ms earlier for each in flight, up to a quarter of the grace; begun streams go on until 0.4 s before its end; connections are flushed until 50 ms before it. Ruled out: one earlier time for all, as it would cut streams that have begun. Conclusion: fixed for what a quarter of the grace carries.

--- a/internal/node/gateway/call.go
+++ b/internal/node/gateway/call.go
@@ -52,6 +52,7 @@
 	outcome     string
 	status      int
 	firstByteAt time.Time
+	hasBegun    atomic.Bool // firstByteAt is set
 
 	mu              sync.Mutex // guards the fields below, as two attempts may overlap
 	attempts        int        // sends that reached an upstream or may have reached one
@@ -116,6 +117,11 @@
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.deadline, errDeadlineExceeded)
 	defer cancel()
 	defer context.AfterFunc(c.gateway.inFlightContext, cancel)()
+	defer context.AfterFunc(c.gateway.unansweredContext, func() {
+		if !c.hasBegun.Load() {
+			cancel()
+		}
+	})()
 	defer watchCaller(c.request.Context(), cancel)()
 	if c.route.Kind == fleet.KindStream {
 		c.serveStream(ctx)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -94,6 +94,8 @@
 	closesConnections atomic.Bool
 	inFlightContext   context.Context // canceled by CancelInFlight
 	cancelInFlight    context.CancelFunc
+	unansweredContext context.Context // canceled by CancelUnanswered
+	cancelUnanswered  context.CancelFunc
 
 	mu           sync.Mutex // guards retryBudgets
 	retryBudgets map[string]*retry.WindowBudget
@@ -103,7 +105,8 @@
 // ApplyConfig is called.
 func New(o Options) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), bodyMemory: bodyMemory{limit: o.MaxBodyMemory}, inFlightContext: ctx, cancelInFlight: cancel}
+	unanswered, cancelUnanswered := context.WithCancel(ctx)
+	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), bodyMemory: bodyMemory{limit: o.MaxBodyMemory}, inFlightContext: ctx, cancelInFlight: cancel, unansweredContext: unanswered, cancelUnanswered: cancelUnanswered}
 	g.crashProbes = newCrashProbes(g.isGone)
 	g.reach = newUpstreamReach(o.Pool, g.upstreamAddresses, g.logReach)
 	o.Pool.Observe = g.reach.observe
@@ -171,6 +174,9 @@
 // response at once.
 func (g *Gateway) CancelInFlight() { g.cancelInFlight() }
 
+// CancelUnanswered cancels the work on all requests in flight whose response has not begun.
+func (g *Gateway) CancelUnanswered() { g.cancelUnanswered() }
+
 // InFlight returns the number of caller requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/node/gateway/refuse.go
+++ b/internal/node/gateway/refuse.go
@@ -53,6 +53,7 @@
 		return false
 	}
 	c.status, c.firstByteAt = status, time.Now()
+	c.hasBegun.Store(true)
 	platform.CopyResponseHeaders(c.writer.Header(), a.exchange.Response.Header)
 	c.encodeForwardedResponse(false, false)
 	return true
--- /dev/null
+++ b/internal/node/graceend_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/platform"
+)
+
+// An instance with a fifth of a core stops while hundreds of requests that run once wait for an upstream until after the end of
+// the grace period. They were cut without a response, since the time that was kept for their responses did not grow with
+// their number.
+func TestSlowInstanceAnswersAllRequestsBeforeEndOfGracePeriod(t *testing.T) {
+	const grace, count = 8 * time.Second, 900
+	const running, stopped = 20 * time.Millisecond, 80 * time.Millisecond
+	var held atomic.Int64
+	hold := make(chan struct{})
+	c := startCluster(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if strings.HasPrefix(r.URL.Path, "/a/hold") {
+			held.Add(1)
+			select {
+			case <-r.Context().Done():
+			case <-hold:
+			}
+			return
+		}
+		respondSealed(w, r)
+	})
+	t.Cleanup(func() { close(hold) })
+	c.put(t, platform.KindConfig, platform.NameConfig, `{"version":1,"routes":[{"name":"a","host":"h","pathPrefix":"/a/","kind":"unsafe","timeoutMs":30000,"targetLatencyMs":1000,"service":"s","maxAttempts":1}],`+
+		`"services":[{"name":"s","healthPath":"/h","maxConns":1000}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)
+	i, process := c.startProgram(t, grace.String())
+	eventually(t, "a served request", func() bool { status, _ := i.send("/a/1"); return status == http.StatusOK })
+	var group sync.WaitGroup
+	var answered, cut atomic.Int64
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := range count {
+		group.Go(func() {
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+i.callersAddress+"/a/hold", strings.NewReader("x"))
+			assert.Check(t, err)
+			r.Host = "h"
+			r.Header.Set("Request-Id", fmt.Sprint("hold-", n))
+			r.Header.Set("Deadline-Ms", "25000")
+			response, err := client.Do(r)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			if err != nil {
+				cut.Add(1)
+				return
+			}
+			answered.Add(1)
+		})
+	}
+	eventually(t, "the requests at the upstream", func() bool { return held.Load() == count })
+	assert.NilError(t, process.Signal(syscall.SIGTERM))
+	for end := time.Now().Add(grace); time.Now().Before(end); {
+		_ = process.Signal(syscall.SIGSTOP)
+		time.Sleep(stopped)
+		_ = process.Signal(syscall.SIGCONT)
+		time.Sleep(running)
+	}
+	_ = process.Kill()
+	group.Wait()
+	assert.Equal(t, cut.Load(), int64(0), "%d of %d requests got a response", answered.Load(), count)
+}
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -29,20 +29,21 @@
 )
 
 // startProgram builds the program and starts it as a process with the memory limit in its settings.
-func (c *cluster) startProgram(t *testing.T) (i *instance, process *os.Process) {
+func (c *cluster) startProgram(t *testing.T, grace string) (i *instance, process *os.Process) {
 	t.Helper()
 	folder := t.TempDir()
 	program := filepath.Join(folder, "savoryweir-node")
 	out, err := exec.Command("go", "build", "-o", program, "savoryweir/cmd/savoryweir-node").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	i = &instance{settingsFile: filepath.Join(folder, "node.ini"), callersAddress: fmt.Sprintf("127.0.0.1:%d", freePort(t))}
-	i.writeSettings(t, c, "i1", "8s")
+	i.writeSettings(t, c, "i1", grace)
 	data, err := os.ReadFile(i.settingsFile)
 	assert.NilError(t, err)
 	text := strings.Replace(string(data), "[bounds]\n", fmt.Sprintf("[bounds]\nmemory-mb = %d\n", processMemoryMB), 1)
 	assert.Assert(t, text != string(data))
 	assert.NilError(t, os.WriteFile(i.settingsFile, []byte(text), 0o600))
 	command := exec.Command(program, "--settings="+i.settingsFile)
+	command.Env = append(os.Environ(), "GOMAXPROCS=1") // instances have one core
 	assert.NilError(t, command.Start())
 	t.Cleanup(func() {
 		_ = command.Process.Kill()
@@ -133,7 +134,7 @@
 		`{"name":"a","host":"h","pathPrefix":"/stream/","kind":"stream","resumable":true,"timeoutMs":4000,"targetLatencyMs":1000,"gapAimMs":1000,"service":"streams","maxAttempts":2},`+
 		`{"name":"b","host":"h","pathPrefix":"/order/","kind":"unsafe","timeoutMs":4000,"targetLatencyMs":1000,"service":"s","maxAttempts":2}],`+
 		`"services":[{"name":"s","healthPath":"/h","maxConns":400},{"name":"streams","healthPath":"/h","maxConns":400}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)
-	i, process := c.startProgram(t)
+	i, process := c.startProgram(t, "8s")
 	eventually(t, "a served request", func() bool { return heavyRequest(t, i, "first", "/order/sound", nil, 0) == http.StatusOK })
 	paths := []string{"/stream/event", "/stream/comment", "/stream/error", "/stream/head", "/stream/junk", "/order/body", "/order/error", "/order/informational", "/order/sound"}
 	for _, path := range paths {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -25,6 +25,13 @@
 	deregistrationDelay = 2500 * time.Millisecond
 	// shutdownMargin is reserved between the last response and the platform's SIGKILL.
 	shutdownMargin = 400 * time.Millisecond
+	// responseTime is how much earlier the requests in flight are ended for each of them, since an instance with a
+	// fraction of a core needs some milliseconds for a response. maxMarginRatio bounds that as a fraction of the
+	// grace period.
+	responseTime   = 2500 * time.Microsecond
+	maxMarginRatio = 0.25
+	// exitMargin is reserved for the end of the process after the last connection.
+	exitMargin = 50 * time.Millisecond
 	// drainPollInterval is the interval at which a stopping instance checks whether all
 	// requests have ended.
 	drainPollInterval = 20 * time.Millisecond
@@ -73,10 +80,11 @@
 	callers := newCallerServers(n.gateway, callerListener)
 	group.Go(func() { n.supervise(ctx, "callers", callers.acceptConnections) })
 	n.awaitTermination(signals)
-	n.drain(callers)
+	killedAt := time.Now().Add(n.bounds.Load().Grace)
+	n.drain(callers, killedAt)
 	cancel()
 	stopped := waitWithTimeout(&group, shutdownMargin/4)
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), shutdownMargin/4)
+	closeCtx, cancelClose := context.WithDeadline(context.Background(), killedAt.Add(-exitMargin))
 	defer cancelClose()
 	closeErr := callers.shutdown(closeCtx)
 	n.log.Info().Str("event", "stop").Int64("in_flight", n.gateway.InFlight()).Bool("duties_ended", stopped).Msg("instance drained; exiting")
@@ -159,10 +167,9 @@
 
 // drain stops the instance gracefully: it fails the readiness checks so that callers move to
 // other instances, then refuses new requests, waits for the requests in flight, and cancels
-// those that have not ended shortly before the end of the grace period, so that their callers
-// get a final response.
-func (n *Node) drain(callers *callerServers) {
-	startedAt := time.Now()
+// those that have not ended before the end of the grace period, when the process is killed: first those without a response, so
+// that their callers get one, and last the streams that have begun.
+func (n *Node) drain(callers *callerServers, killedAt time.Time) {
 	n.stopping.Store(true)
 	n.gateway.CloseConnectionsAfterResponses()
 	grace := n.bounds.Load().Grace
@@ -170,14 +177,27 @@
 	if err := callers.refuseNewRequests(); err != nil {
 		n.log.Warn().Err(err).Str("event", "listener.failed").Msg("failed to close the callers' port")
 	}
-	n.awaitInFlightRequests(startedAt.Add(grace - shutdownMargin))
+	n.awaitInFlightRequests(func(inFlight int64) time.Time { return killedAt.Add(-drainMargin(grace, inFlight)) })
+	n.gateway.CancelUnanswered()
+	n.awaitInFlightRequests(func(int64) time.Time { return killedAt.Add(-shutdownMargin) })
 	n.gateway.CancelInFlight()
-	n.awaitInFlightRequests(startedAt.Add(grace - shutdownMargin/2))
+	n.awaitInFlightRequests(func(int64) time.Time { return killedAt.Add(-shutdownMargin / 4) })
 }
 
-// awaitInFlightRequests waits until no requests are in flight or the deadline has passed.
-func (n *Node) awaitInFlightRequests(deadline time.Time) {
-	for n.gateway.InFlight() > 0 && time.Now().Before(deadline) {
+// drainMargin returns how long before the end of the grace period requests without a response are ended, so that each of
+// them gets its final response.
+func drainMargin(grace time.Duration, inFlight int64) time.Duration {
+	margin := shutdownMargin + time.Duration(inFlight)*responseTime
+	return max(min(margin, time.Duration(maxMarginRatio*float64(grace))), shutdownMargin)
+}
+
+// awaitInFlightRequests waits until no requests are in flight or the time that deadline gives for their number has passed.
+func (n *Node) awaitInFlightRequests(deadline func(inFlight int64) time.Time) {
+	for {
+		inFlight := n.gateway.InFlight()
+		if inFlight == 0 || !time.Now().Before(deadline(inFlight)) {
+			return
+		}
 		time.Sleep(drainPollInterval)
 	}
 }
