Streams: that one version alone has served is asked of the store when it is concluded

Here: an instance trusted its list if its watch had not failed, for 5 s after its start, or if it had heard any other one within 2.5 s. Change: the store's list of upstreams and record of versions are read after the caller's request has arrived; callers at once share reads. While the store is away the instance must be alone or hear others, none of which is ahead. Ruled out: a peer that was heard (it may be behind), a watch that is healthy (it may hang), a list of the start.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	reporter       *reporter
 	streams        *streamOrigins
 	streamRecorder *streamRecorder
+	versionCheck   *versionCheck
 	permits        *permits.Permits
 
 	configInformer, upstreamInformer *storewatch.Informer
@@ -82,6 +83,7 @@
 	n.reporter = newReporter(n)
 	n.streams = newStreamOrigins(n)
 	n.streamRecorder = newStreamRecorder(n)
+	n.versionCheck = &versionCheck{node: n}
 	address, err := netip.ParseAddr(s.Instance.Address)
 	if err != nil {
 		return nil, errs.Wrap(err, "read address", errs.Self)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -42,17 +42,18 @@
 	node        *Node
 	incarnation int64 // identifies this process in the demand records of the reconciler
 
-	mu                sync.Mutex // guards the fields below
-	demand            map[rebalance.DemandKey]rebalance.Counts
-	unreportedDemand  map[rebalance.DemandKey]bool
-	leaseHolder       string // instance that last reported that it holds the lease
-	leaseHolderSeenAt time.Time
-	watchersSeenAt    map[string]time.Time // last report of each instance that watches the store and gets responses
-	wantSentAt        map[rebalance.DemandKey]time.Time
-	pendingChanges    []*pb.ResidencyChange // announced with the next tick of the report loop
-	startedPeers      startedPeers
-	cutOffPeers       map[string]bool      // instances that have reported that they reach no upstreams
-	silentPeers       map[string]time.Time // until when no requests are forwarded to an instance
+	mu                 sync.Mutex // guards the fields below
+	demand             map[rebalance.DemandKey]rebalance.Counts
+	unreportedDemand   map[rebalance.DemandKey]bool
+	leaseHolder        string // instance that last reported that it holds the lease
+	leaseHolderSeenAt  time.Time
+	watchersSeenAt     map[string]time.Time // last report of each instance that watches the store and gets responses
+	wantSentAt         map[rebalance.DemandKey]time.Time
+	pendingChanges     []*pb.ResidencyChange // announced with the next tick of the report loop
+	startedPeers       startedPeers
+	newestPeerUpstream object.Version       // newest version of an upstream's entry that another instance has seen
+	cutOffPeers        map[string]bool      // instances that have reported that they reach no upstreams
+	silentPeers        map[string]time.Time // until when no requests are forwarded to an instance
 
 	aggregator *aggregator
 }
@@ -309,6 +310,9 @@
 		r.node.configInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestConfig))
 	}
 	if m.NewestUpstream > 0 {
+		r.mu.Lock()
+		r.newestPeerUpstream = max(r.newestPeerUpstream, object.Version(m.NewestUpstream))
+		r.mu.Unlock()
 		r.node.upstreamInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestUpstream))
 	}
 	if known := r.node.streams.receive(m); len(known) > 0 {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,19 +58,8 @@
 // Find implements gateway.StreamOrigins. If this instance does not know the stream and several versions may
 // have begun it, it asks the other instances and then reads the record in the store.
 func (s *streamOrigins) Find(ctx context.Context, request, service string) (streams.Origin, bool) {
-	origin, ok := s.findHere(ctx, request, service)
-	if ok || request == "" {
-		return origin, ok
-	}
-	s.node.streamRecorder.lookUp(ctx)
-	return s.find(streams.IDOf(request), service)
-}
-
-// findHere returns the origin of a stream that this instance or another one knows.
-func (s *streamOrigins) findHere(ctx context.Context, request, service string) (streams.Origin, bool) {
 	id := streams.IDOf(request)
-	origin, ok := s.find(id, service)
-	if ok || !s.mayLearn(request) {
+	if origin, ok := s.findHere(ctx, id, service); ok || !s.mayLearn(request) {
 		return origin, ok
 	}
 	answer := s.awaitAnswer(id)
@@ -77,6 +67,18 @@
 	if request != "" {
 		s.node.reporter.queryStream(id)
 	}
+	s.awaitOrigin(ctx, answer, service)
+	origin, ok := s.findHere(ctx, id, service)
+	if ok || request == "" {
+		return origin, ok
+	}
+	s.node.streamRecorder.lookUp(ctx)
+	return s.lookup(id)
+}
+
+// awaitOrigin waits until another instance has answered, one version alone can have begun the stream, or originTimeout has
+// passed.
+func (s *streamOrigins) awaitOrigin(ctx context.Context, answer <-chan struct{}, service string) {
 	timeout := time.NewTimer(originTimeout)
 	defer timeout.Stop()
 	recheck := time.NewTicker(originRecheckInterval)
@@ -84,31 +86,65 @@
 	for {
 		select {
 		case <-recheck.C:
-			if origin, ok := s.find(id, service); ok {
-				return origin, true
+			if _, ok := s.onlyCandidate(service); ok {
+				return
 			}
 		case <-answer:
-			return s.find(id, service)
+			return
 		case <-timeout.C:
-			return s.find(id, service)
+			return
 		case <-ctx.Done():
-			return streams.Origin{}, false
+			return
 		}
 	}
 }
 
-// find returns the origin of a stream that is known here, or the only one possible.
-func (s *streamOrigins) find(id streams.ID, service string) (streams.Origin, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	s.observe(now)
-	if origin, ok := s.tracker.Lookup(id); ok {
+// findHere returns the origin of a stream that is known here, or the only one possible. That no other version has served is
+// concluded from absence, so what is known here must be complete at this moment.
+func (s *streamOrigins) findHere(ctx context.Context, id streams.ID, service string) (streams.Origin, bool) {
+	if origin, ok := s.lookup(id); ok {
 		return origin, true
 	}
-	if !s.node.reporter.knowsRecentChanges(now) {
+	candidate, ok := s.onlyCandidate(service)
+	if !ok || !s.isOnlyOrigin(ctx, candidate) {
 		return streams.Origin{}, false
 	}
+	return candidate, true
+}
+
+// isOnlyOrigin reports whether no other version of a service can have begun a stream: the store, asked now, lists none. If the
+// store doesn't answer, no entry of another version can have come since, and the other instances decide.
+func (s *streamOrigins) isOnlyOrigin(ctx context.Context, candidate streams.Origin) bool {
+	served, err := s.node.versionCheck.await(ctx)
+	if err != nil {
+		isKnown := s.node.reporter.knowsRecentChanges(time.Now())
+		s.node.log.Info().Err(err).Str("event", "versions.unconfirmed").Bool("trusts_others", isKnown).Msg("store did not list the software versions that serve")
+		return isKnown
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.ObserveServing(time.Now(), served.now)
+	for _, o := range slices.Concat(served.now, served.lately) {
+		if o.Service == candidate.Service && o != candidate {
+			return false
+		}
+	}
+	return true
+}
+
+// lookup returns the origin of a stream that is known here.
+func (s *streamOrigins) lookup(id streams.ID) (streams.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Lookup(id)
+}
+
+// onlyCandidate returns the only version of a service that has served lately, as far as is known here.
+func (s *streamOrigins) onlyCandidate(service string) (streams.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.observe(now)
 	return s.tracker.OnlyOrigin(now, service)
 }
 
@@ -119,7 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	return request != "" || !s.tracker.KnowsPast(now) || !s.node.reporter.knowsRecentChanges(now)
+	return request != "" || !s.tracker.KnowsPast(now) || !s.node.upstreamInformer.HasListed()
 }
 
 // awaitAnswer returns a channel that is closed when the origin of a stream becomes known.
@@ -203,13 +239,19 @@
 	}
 }
 
-// knowsRecentChanges reports whether a version that has begun to serve would be known here: this
-// instance has listed the upstreams, and has done so just now, watches the store or hears others.
+// knowsRecentChanges reports whether a version that began to serve before the store went away would be known here: this instance
+// has listed the upstreams, and is alone or hears others, none of which has seen newer entries.
 func (r *reporter) knowsRecentChanges(now time.Time) bool {
 	if !r.node.upstreamInformer.HasListed() {
 		return false
 	}
-	return now.Sub(r.node.startedAt) < assumedWatcherPeriod || r.isHealthyWatcher(now) || r.node.mesh.AlivePeerCount(now, maxWatcherTimeout) > 0
+	r.mu.Lock()
+	newest := r.newestPeerUpstream
+	r.mu.Unlock()
+	if newest > r.node.upstreamInformer.NewestVersion() {
+		return false
+	}
+	return r.node.mesh.PeerCount() == 0 || r.node.mesh.AlivePeerCount(now, maxWatcherTimeout) > 0
 }
 
 // announceStreams sends the streams that began here to the other instances of a small fleet.
