Orders: unloads of a first holder, and of adapters that the holder has loaded, are counted at once

Change: nobody's orders precede those of the first holder of the lease, nor unload an adapter that this holder has loaded. A model that is being loaded is there once an entry lists it after one that did not.

--- a/internal/node/reconciler/engine.go
+++ b/internal/node/reconciler/engine.go
@@ -35,6 +35,9 @@
 	unloadingAdapters map[rebalance.AdapterKey]time.Time // time of the order
 	// unloadedBefore are adapters that an earlier order may be unloading, which reports do not show.
 	unloadedBefore map[rebalance.AdapterKey]bool
+	loadedInTerm   map[rebalance.AdapterKey]bool // adapters loaded by orders of this term, so that no earlier one unloads them
+	entryModels    []fleet.ResidentModel         // in the last entry that was merged
+	changedAt      time.Time                     // when an entry last listed other models than known
 }
 
 // unresolvedUnload is an unload that conflicted, or whose response was lost.
@@ -87,21 +90,33 @@
 }
 
 // mergeEntry applies a newer version of the engine's store entry. What reports and orders have shown is kept: an entry
-// may have been written before the orders that the engine has accepted, and room that it shows free may be taken. If
-// it lists other models, the engine has to report before its next order.
-func (e *engineState) mergeEntry(entry *fleet.Upstream) {
+// may have been written before the orders that the engine has accepted, and room that it shows free may be taken. A
+// model that is being loaded is there once an entry lists it after one that did not. If other models differ, the engine
+// has to report before its next order.
+func (e *engineState) mergeEntry(entry *fleet.Upstream, now time.Time) {
 	if entry.EntryVersion <= e.upstream.EntryVersion || e.inFlight {
 		return
 	}
-	known, isConfirmed := e.upstream, e.confirmed
-	if entry.EntryVersion.Era() != known.EntryVersion.Era() || !listSameModels(entry.Models, known.Models) {
-		e.confirmed = false
-	}
-	e.upstream = *entry
+	known, isConfirmed, listedBefore := e.upstream, e.confirmed, e.entryModels
+	isSameEra := entry.EntryVersion.Era() == known.EntryVersion.Era()
+	e.upstream, e.entryModels = *entry, entry.Models
 	e.upstream.AcceptedOrders, e.upstream.LoadingAdapters, e.upstream.OrderInProgress = known.AcceptedOrders, known.LoadingAdapters, known.OrderInProgress
 	if isConfirmed {
 		e.upstream.Models = known.Models
 	}
+	if isConfirmed && isSameEra && e.pending != nil && e.pending.Load && !lists(listedBefore, e.pending.Model) && lists(entry.Models, e.pending.Model) {
+		e.upstream.Models = append(slices.Clone(known.Models), fleet.ResidentModel{Model: e.pending.Model})
+		e.upstream.OrderInProgress = false
+		e.clearCompleted()
+	}
+	if !isSameEra || !listSameModels(entry.Models, e.upstream.Models) {
+		e.confirmed, e.changedAt = false, now
+	}
+}
+
+// lists reports whether a list has a model.
+func lists(models []fleet.ResidentModel, name string) bool {
+	return slices.ContainsFunc(models, func(m fleet.ResidentModel) bool { return m.Model == name })
 }
 
 // listSameModels reports whether two lists name the same models, with whatever adapters.
@@ -177,11 +192,12 @@
 }
 
 // isCounted reports whether an order that the engine has accepted has raised its order count for certain. An engine accepts
-// the unload of an adapter once more while it carries out an earlier one, of this holder or one before, without
-// counting it; all other orders in progress are in its reports.
-func (e *engineState) isCounted(a rebalance.Action, termAge time.Duration) bool {
+// the unload of an adapter once more while it carries out an earlier one, of this holder or a former one, without
+// counting it; all other orders in progress are in its reports. Nobody unloads an adapter that this holder has loaded.
+func (e *engineState) isCounted(a rebalance.Action, mayHaveFormerOrders bool) bool {
 	isAdapterUnload := a.Adapter != "" && !a.Load
-	return !isAdapterUnload || !e.unloadedBefore[a.AdapterKey()] && termAge >= formerOrderPeriod
+	key := a.AdapterKey()
+	return !isAdapterUnload || !e.unloadedBefore[key] && (!mayHaveFormerOrders || e.loadedInTerm[key])
 }
 
 // recordAdapterUnload records the result of an order to unload an adapter.
@@ -200,10 +216,19 @@
 	}
 }
 
+// recordLoadInTerm records that an order of this term has loaded an adapter.
+func (e *engineState) recordLoadInTerm(key rebalance.AdapterKey) {
+	if e.loadedInTerm == nil {
+		e.loadedInTerm = make(map[rebalance.AdapterKey]bool)
+	}
+	e.loadedInTerm[key] = true
+}
+
 // forgetUnload records that the engine no longer holds an adapter.
 func (e *engineState) forgetUnload(key rebalance.AdapterKey) {
 	delete(e.unloadingAdapters, key)
 	delete(e.unloadedBefore, key)
+	delete(e.loadedInTerm, key)
 }
 
 // addUnresolvedUnload records an unload without a known outcome. The model doesn't count as a
--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -63,6 +64,8 @@
 	// not acquire it. It may be nil, and is set before Run.
 	MayHold func() bool
 
+	hadHolder atomic.Bool // the lease was held before this instance acquired it
+
 	lease     *lease.Lease
 	leaseLock chan struct{} // serves as a mutex for lease; Run holds it only briefly
 }
@@ -120,6 +123,10 @@
 	return ok
 }
 
+// HadHolder reports whether the lease was held before this instance acquired it, by another one or by itself. The
+// orders of that holder may still be under way.
+func (m *LeaseManager) HadHolder() bool { return m.hadHolder.Load() }
+
 // ObserveHolder records that another instance has just shown that it holds the lease.
 func (m *LeaseManager) ObserveHolder() {
 	if now, ok := m.now(); ok {
@@ -205,6 +212,7 @@
 	case err == nil:
 		m.recordWrite(sentAt, record, version)
 		if step == lease.StepAcquire {
+			m.hadHolder.Store(expected != 0)
 			m.log.Info().Str("event", "lease.taken").Stringer("fence", version).Stringer("former", expected).Msg("lease acquired")
 		}
 	case errors.Is(err, object.ErrConflict) || errors.Is(err, object.ErrNotFound):
--- a/internal/node/reconciler/orders.go
+++ b/internal/node/reconciler/orders.go
@@ -106,7 +106,7 @@
 		e.confirmed = false // the engine's state must be read before the next order
 		e.backoffUntil = now.Add(orderBackoff)
 	case result == platform.OrderAlreadyApplied && !isAdapterUnload: // nothing was accepted; unused adapters are unloaded at once
-	case e.isCounted(a, now.Sub(r.termStart)):
+	case e.isCounted(a, r.mayHaveFormerOrders(now)):
 		e.upstream.AcceptedOrders++
 		e.lastOrderAt = now
 	default:
@@ -128,6 +128,9 @@
 	case isAdapterUnload:
 	case a.Adapter != "":
 		e.forgetUnload(a.AdapterKey())
+		if result == platform.OrderAccepted {
+			e.recordLoadInTerm(a.AdapterKey())
+		}
 		e.recordAdapterChange(a.Model, a.Adapter, true)
 	case a.Load:
 		e.loading, e.pending, e.pendingDeadline = a.Model, &a, now.Add(orderGracePeriod)
@@ -140,6 +143,11 @@
 	return isAccepted
 }
 
+// mayHaveFormerOrders reports whether orders of an earlier holder may still be carried out or be in progress.
+func (r *Reconciler) mayHaveFormerOrders(now time.Time) bool {
+	return r.hadHolder && now.Sub(r.termStart) < formerOrderPeriod
+}
+
 // isLeaving reports whether an engine is known to be leaving by now.
 func (r *Reconciler) isLeaving(u fleet.Upstream) bool {
 	current := r.registry.View().Get(u.ID)
@@ -282,6 +290,9 @@
 	e.clearCompleted()
 	if report.OrderInProgress {
 		e.backoffUntil = now.Add(orderBackoff)
+		if now.Sub(e.changedAt) < maxReportAge { // the order may be done, and the report older
+			e.backoffUntil = now.Add(orderBackoff / 4)
+		}
 		e.pendingDeadline = e.backoffUntil
 		return
 	}
--- a/internal/node/reconciler/reconciler.go
+++ b/internal/node/reconciler/reconciler.go
@@ -95,6 +95,7 @@
 	lastLoggedAt  map[string]time.Time   // time of the last log line about the placement, by service
 	maySendOrders bool
 	termStart     time.Time // time at which this instance last acquired or lost the lease
+	hadHolder     bool      // the lease was held before this term
 }
 
 // New returns a Reconciler; Run starts it.
@@ -220,9 +221,10 @@
 func (r *Reconciler) startTerm(maySendOrders bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.maySendOrders, r.termStart = maySendOrders, time.Now()
+	r.maySendOrders, r.termStart, r.hadHolder = maySendOrders, time.Now(), r.leases.HadHolder()
 	for _, e := range r.engines {
 		e.confirmed, e.loading, e.pending, e.drainingModels = false, "", nil, make(map[string]time.Time)
+		e.loadedInTerm = nil
 	}
 	value := 0.0
 	if maySendOrders {
@@ -342,10 +344,10 @@
 	for _, u := range view.ByService(service) {
 		e := r.engines[u.ID]
 		if e == nil {
-			e = &engineState{upstream: *u, drainingModels: make(map[string]time.Time), loadOrderedAt: make(map[string]time.Time)}
+			e = &engineState{upstream: *u, entryModels: u.Models, drainingModels: make(map[string]time.Time), loadOrderedAt: make(map[string]time.Time)}
 			r.engines[u.ID] = e
 		}
-		e.mergeEntry(u)
+		e.mergeEntry(u, now)
 		isOverdue := (e.upstream.OrderInProgress || e.pending != nil) && now.After(e.pendingDeadline)
 		isUnloading := len(e.unloadingAdapters) > 0 && now.Sub(e.reportRequestedAt) > orderBackoff
 		isSuspect := now.Sub(e.reportRequestedAt) > suspectCheckInterval && r.failureRatio(u.ID) > suspectFailureRatio
