--- a/internal/node/gateway/refuse.go
+++ b/internal/node/gateway/refuse.go
@@ -35,8 +35,8 @@
 // the request was not executed, unless that is known. All responses, of upstreams and of the gateway itself, get
 // their status here. An upstream's refusal without Not-Executed proves nothing, as it may come after the
 // request was executed. It is forwarded where the request may be repeated.
-func (c *call) truthfulStatus(status int, isUpstreams bool) int {
-	if !platform.PromisesNotExecuted(status) || !c.possiblyExecuted() || isUpstreams && c.route.IsRepeatable() {
+func (c *call) truthfulStatus(status int, fromUpstream bool) int {
+	if !platform.PromisesNotExecuted(status) || !c.possiblyExecuted() || fromUpstream && c.route.IsRepeatable() {
 		return status
 	}
 	return http.StatusBadGateway
