--- a/internal/node/streamrecord.go
+++ b/internal/node/streamrecord.go
@@ -106,11 +106,11 @@
 			return nil
 		}
 		era := r.node.store.Era()
-		versions, err := r.read(ctx)
+		stored, err := r.read(ctx)
 		if err != nil {
 			return err
 		}
-		r.ring, r.era = streams.NewRing(versions), era
+		r.ring, r.era = streams.NewRing(stored), era
 	}
 	r.ring.Add(time.Now(), r.node.streams.takeUnstored(r.ring.Room()))
 	segment, begun, version, ok := r.ring.Due()
@@ -157,11 +157,11 @@
 	return object.Name(fmt.Sprintf("%s.%d", r.node.settings.Instance.ID, segment))
 }
 
-// read learns the streams of all segments, and returns the versions of those of this instance.
-func (r *streamRecorder) read(ctx context.Context) (versions [streams.RingSegments]object.Version, err error) {
+// read learns the streams of all segments, and returns those of this instance.
+func (r *streamRecorder) read(ctx context.Context) (own [streams.RingSegments]streams.StoredSegment, err error) {
 	objects, _, err := r.node.store.ListAt(ctx, kindStreamRecord)
 	if err != nil {
-		return versions, err
+		return own, err
 	}
 	count := 0
 	for _, o := range objects {
@@ -171,15 +171,15 @@
 		}
 		count += r.node.streams.learnStored(begun)
 		if instance, number, ok := strings.Cut(string(o.Name), "."); ok && instance == r.node.settings.Instance.ID {
-			for segment := range versions {
+			for segment := range own {
 				if number == fmt.Sprint(segment) {
-					versions[segment] = o.Version
+					own[segment] = streams.StoredSegment{Version: o.Version, Streams: begun}
 				}
 			}
 		}
 	}
 	r.node.log.Info().Str("event", "streams.read").Int("segments", len(objects)).Int("streams", count).Msg("record of streams read")
-	return versions, nil
+	return own, nil
 }
 
 // lookUp reads the record for a stream that nobody knows, unless that has just been done.
--- a/internal/state/streams/ring.go
+++ b/internal/state/streams/ring.go
@@ -25,27 +25,49 @@
 type Ring struct {
 	order    []int // segments in the order in which they are written, the present one first
 	versions [RingSegments]object.Version
-	streams  map[Origin][]ID // in the present segment
+	former   [RingSegments]map[Origin][]ID // content from before this ring, until the segment is written
+	streams  map[Origin][]ID               // in the present segment
 	count    int
-	begunAt  time.Time
+	begunAt  time.Time // when this ring first added to the present segment
 	isDirty  bool
 }
 
-// NewRing returns a ring whose segments have the given versions in the store, zero for one that doesn't exist. The
-// newest segments may hold the streams of an earlier process, so the oldest one is written first.
-func NewRing(versions [RingSegments]object.Version) *Ring {
-	r := &Ring{versions: versions, streams: make(map[Origin][]ID)}
+// StoredSegment is a segment as it is in the store.
+type StoredSegment struct {
+	Version object.Version // zero if it doesn't exist
+	Streams map[Origin][]ID
+}
+
+// NewRing returns a ring that goes on with the segments in the store. They may hold streams that an earlier process has just
+// recorded, so the oldest one is written first, and what a segment holds stays in it when it is first written.
+func NewRing(stored [RingSegments]StoredSegment) *Ring {
+	r := &Ring{}
+	for segment, s := range stored {
+		r.versions[segment], r.former[segment] = s.Version, s.Streams
+	}
 	for segment := range RingSegments {
 		r.order = append(r.order, segment)
 	}
-	slices.SortStableFunc(r.order, func(a, b int) int { return cmp.Compare(versions[a], versions[b]) })
+	slices.SortStableFunc(r.order, func(a, b int) int { return cmp.Compare(r.versions[a], r.versions[b]) })
+	r.begin()
 	return r
 }
 
+// begin begins the present segment with what it holds from before this ring.
+func (r *Ring) begin() {
+	segment := r.order[0]
+	r.streams, r.count, r.begunAt = make(map[Origin][]ID), 0, time.Time{}
+	for origin, ids := range r.former[segment] {
+		r.streams[origin] = slices.Clone(ids)
+		r.count += len(ids)
+	}
+	r.former[segment] = nil
+}
+
 // Add adds streams to the present segment.
 func (r *Ring) Add(now time.Time, begun map[Origin][]ID) {
 	for origin, ids := range begun {
-		if r.count == 0 {
+		if r.begunAt.IsZero() {
 			r.begunAt = now
 		}
 		r.streams[origin] = append(r.streams[origin], ids...)
@@ -75,5 +97,5 @@
 		return
 	}
 	r.order = append(r.order[1:], r.order[0])
-	r.streams, r.count = make(map[Origin][]ID), 0
+	r.begin()
 }
