Review, case 7: streams of two software versions are joined after the store's return from a copy

Cause: an instance that has just started takes the only version that the store lists for the one that began a stream; after the store's return from an older copy, the engines of the newer version are not listed yet.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -30,6 +30,7 @@
 // cases are the cases by their names.
 var cases = map[string]func(options) error{
 	"forwarded-by-older-config": forwardedByOlderConfig,
+	"joined-after-drill":        joinedAfterDrill,
 }
 
 func main() { os.Exit(play()) }
