--- a/review/stage/link.go
+++ b/review/stage/link.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,7 +22,7 @@
 
 	mu    sync.Mutex // guards the fields below
 	cut   []int      // process IDs
-	conns map[*net.TCPConn]int
+	conns map[*net.TCPConn]bool
 }
 
 func newLink(target string) (*link, error) {
@@ -29,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{target: target, listener: l, conns: make(map[*net.TCPConn]int)}
+	k := &link{target: target, listener: l, conns: make(map[*net.TCPConn]bool)}
 	go k.accept()
 	return k, nil
 }
@@ -42,28 +43,22 @@
 	defer l.mu.Unlock()
 	l.cut = pids
 	for c := range l.conns {
-		if owner, ok := l.ownerAmong(c); ok {
-			_ = owner
+		if l.isCut(c) {
 			reset(c)
 		}
 	}
 }
 
-// ownerAmong returns which of the processes that are cut off has the other end of a connection. The caller holds l.mu.
-func (l *link) ownerAmong(c *net.TCPConn) (int, bool) {
+// isCut reports whether one of the processes that are cut off has the other end of a connection. The caller holds l.mu.
+func (l *link) isCut(c *net.TCPConn) bool {
 	if len(l.cut) == 0 {
-		return 0, false
+		return false
 	}
 	inode, ok := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
 	if !ok {
-		return 0, false
-	}
-	for _, pid := range l.cut {
-		if holds(pid, inode) {
-			return pid, true
-		}
+		return false
 	}
-	return 0, false
+	return slices.ContainsFunc(l.cut, func(pid int) bool { return holds(pid, inode) })
 }
 
 func reset(c *net.TCPConn) {
@@ -83,9 +78,9 @@
 
 func (l *link) serve(c *net.TCPConn) {
 	l.mu.Lock()
-	_, isCut := l.ownerAmong(c)
+	isCut := l.isCut(c)
 	if !isCut {
-		l.conns[c] = 0
+		l.conns[c] = true
 	}
 	l.mu.Unlock()
 	if isCut {
--- a/review/stage/node.go
+++ b/review/stage/node.go
@@ -6,13 +6,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
-
-	"os/exec"
 )
 
 // node is one savoryweir-node.
@@ -116,13 +114,6 @@
 	return n.command.Process.Pid
 }
 
-// signal sends a signal to the process.
-func (n *node) signal(s syscall.Signal) error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.command.Process.Signal(s)
-}
-
 // kill ends the process and waits for its end.
 func (n *node) kill() {
 	n.mu.Lock()
--- a/review/stage/service.go
+++ b/review/stage/service.go
@@ -17,8 +17,8 @@
 
 // run is one request that a server began to work on.
 type run struct {
-	request, server, service, config string
-	at                               time.Time
+	request, server, service string
+	at                       time.Time
 }
 
 // runs are the runs of all servers.
