--- a/review/stage/forwarded.go
+++ b/review/stage/forwarded.go
@@ -12,8 +12,10 @@
 const (
 	rollbackSlack = 250 * time.Millisecond // of the deployment kalyvas-weir
 	orderTime     = time.Second            // deadline and route timeout of an order
-	moves         = 10                     // changes of the configuration
-	movePause     = 2500 * time.Millisecond
+	moves         = 3                      // changes of the configuration
+	movePause     = 1300 * time.Millisecond
+	cutTime       = 5500 * time.Millisecond // for_s of node_cut on the site's list of troubles
+	noticeTime    = 1200 * time.Millisecond // from the cut to the first change
 )
 
 // forwardedByOlderConfig partitions the machines of a zone from all engines, while the operator moves one route
@@ -70,13 +72,14 @@
 		}
 	}
 	time.Sleep(2 * time.Second)
+	cutAt := time.Now()
 	if o.trouble {
 		o.record.note("front-c-1 and front-c-2 are partitioned from all engines")
 		for _, s := range servers {
 			s.link.cutOff(nodes[6].pid(), nodes[7].pid())
 		}
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(noticeTime)
 	for range moves {
 		busy.Store(int64(moved))
 		time.Sleep(movePause / 2)
@@ -88,6 +91,14 @@
 		o.record.note("the operator moves /book%d/ from desk to counter; acknowledged at %.3f", moved-1, o.record.since(at))
 		time.Sleep(movePause / 2)
 	}
+	time.Sleep(time.Until(cutAt.Add(cutTime)))
+	if o.trouble {
+		for _, s := range servers {
+			s.link.cutOff()
+		}
+		o.record.note("all machines reach all engines again, %.1f s after the cut", time.Since(cutAt).Seconds())
+	}
+	time.Sleep(2 * time.Second)
 	close(stop)
 	traffic.Wait()
 	for _, n := range nodes {
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -33,7 +35,16 @@
 	"joined-after-drill":        joinedAfterDrill,
 }
 
-func main() { os.Exit(play()) }
+func main() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		started.end()
+		os.Exit(exitNotRun)
+	}()
+	os.Exit(play())
+}
 
 func play() int {
 	name := flag.String("case", "", "name of the case")
--- a/review/stage/node.go
+++ b/review/stage/node.go
@@ -81,6 +81,35 @@
 	return nil, errors.New("too few ports are free")
 }
 
+// errEnding reports that no process is started any more.
+var errEnding = errors.New("the case is ending")
+
+// startedNodes are the instances that were started, so that all can be ended when the case is stopped.
+type startedNodes struct {
+	mu      sync.Mutex // guards the fields below
+	list    []*node
+	isEnded bool
+}
+
+var started startedNodes
+
+// add reports whether an instance may be started.
+func (s *startedNodes) add(n *node) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, n)
+	return !s.isEnded
+}
+
+// end kills all instances, and keeps others from being started.
+func (s *startedNodes) end() {
+	s.mu.Lock()
+	s.isEnded = true
+	list := s.list
+	s.mu.Unlock()
+	killNodes(list)
+}
+
 // start starts the process.
 func (n *node) start() error {
 	f, err := os.OpenFile(n.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -90,6 +119,9 @@
 	defer func() { _ = f.Close() }()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !started.add(n) {
+		return errEnding
+	}
 	c := exec.Command(n.program, "--settings="+n.settings)
 	c.Stdout, c.Stderr = f, f
 	if err := c.Start(); err != nil {
