--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,6 +6,6 @@
 [ -x target/review-2/stage ] && [ -x target/savoryweir-node ] || { echo "not built"; exit 2; }
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 target/review-2/stage --case forwarded-by-older-config --node target/savoryweir-node --folder "$folder" --record "$here/record.txt"
+timeout -k 5 110 target/review-2/stage --case joined-after-drill --node target/savoryweir-node --folder "$folder" --record "$here/record.txt"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
