Review, case 8: a key that was taken away works again after a drill of the store

Cause: an instance that starts just after the store has come back from a copy takes the store's answer as the proof that its configuration is the newest. The copy may lack the configuration that took a key away, although that was acknowledged; the instances that ran before know it, and are not asked. The key is accepted until the operator has written again, later than revokeMs after the acknowledgement.

Nothing is fixed.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(options) error{
 	"forwarded-by-older-config": forwardedByOlderConfig,
 	"joined-after-drill":        joinedAfterDrill,
+	"revoked-after-drill":       revokedAfterDrill,
 }
 
 func main() {
