--- a/review/stage/revoked.go
+++ b/review/stage/revoked.go
@@ -22,10 +22,10 @@
 	revokeBounds = "revoke = 5000ms\n"
 	lookupPath   = "/lookup/pitch"
 	lookupPace   = 100 * time.Millisecond
-	copyLead     = 200 * time.Millisecond  // time by which the copy of the store is older than the removal of the key
-	awayAfter    = 3500 * time.Millisecond // time from the removal of the key until the store goes away
+	copyLead     = 200 * time.Millisecond // time by which the copy of the store is older than the removal of the key
+	awayAfter    = 4 * time.Second        // time from the removal of the key until the store goes away
 	awayTime     = 500 * time.Millisecond
-	rewriteDelay = 1500 * time.Millisecond // time from the store's return until the operator has written again
+	rewriteDelay = time.Second // time from the store's return until the operator has written again
 )
 
 // keyTransport sends requests with an API key.
