Upstreams: a response whose status HTTP doesn't know is a failure

What callers saw: the response of an upstream in trouble with status 600 or 999 reached them as a response. One with status 000, 099 or +20 was skipped as if it were informational: callers got what came next on the connection as the response, or nothing before their deadline (504), and a request that may be repeated was not sent elsewhere. 101 was skipped too, though nobody had asked for another protocol.

Cause: http.ReadResponse takes any number of three characters as a status, and Exchange.readHead took all below 200 for informational ones. Requests of callers, forwarded requests, orders to engines, their reports and the probes after crashes are all read there.

Change: responsehead.Checker checks the bytes of a connection up to the end of the head of a final response. The exchange fails if it finds a fault, and the connection is closed. A status must be from 100 to 599 and not 101. The request may have run, so that callers get 502, and requests that may be repeated go to another upstream.

Ruled out: http.Response alone shows most of it, but not the lines as they came, which the next faults need.

--- a/internal/transport/upstreamconn/conn.go
+++ b/internal/transport/upstreamconn/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"savoryweir/internal/protocol/responsehead"
 )
 
 const (
@@ -22,33 +24,44 @@
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
-	head        headLimiter
+	head        headReader
 	idleSince   time.Time
 	idleTimeout time.Duration // idle time within which the connection may be reused
 }
 
-// headLimiter bounds the number of bytes that are read up to the end of a response's
-// head.
-type headLimiter struct {
+// headReader bounds the number of bytes that are read up to the end of a response's
+// head, and checks them.
+type headReader struct {
 	source    io.Reader
 	remaining int // bytes; negative for no limit
+	checker   responsehead.Checker
+}
+
+// begin states that the next bytes are those of a response.
+func (r *headReader) begin() {
+	r.remaining = maxHeadBytes
+	r.checker.Expect()
 }
 
+// end states that the head of the final response has been read.
+func (r *headReader) end() { r.remaining = -1 }
+
 // Read implements io.Reader. It returns errHeadTooLarge once the limit is reached.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.remaining < 0 {
-		return l.source.Read(p)
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.remaining < 0 {
+		return r.source.Read(p)
 	}
-	if l.remaining == 0 {
+	if r.remaining == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.source.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	n, err := r.source.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	r.checker.Observe(p[:n])
 	return n, err
 }
 
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw, head: headLimiter{source: raw}}
+	c := &conn{Conn: raw, head: headReader{source: raw}}
 	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
 	return c
 }
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -151,18 +152,19 @@
 
 // readHead reads the head of the final response and skips informational responses.
 func (x *Exchange) readHead(method string) error {
-	x.conn.head.remaining = maxHeadBytes
+	head := &x.conn.head
+	head.begin()
 	for {
 		if err := x.awaitStatusLine(); err != nil {
 			return err
 		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
-		if err != nil {
+		if err := cmp.Or(head.checker.Err(), err); err != nil {
 			return err
 		}
 		if response.StatusCode >= http.StatusOK {
 			x.Response = response
-			x.conn.head.remaining = -1
+			head.end()
 			return nil
 		}
 	}
