Upstreams: a response with an invalid name of a field is a failure

What callers saw: a sealed 200 with a body that was not the upstream's. "Content-Length : 18" gave them all bytes up to the end of the connection, "Transfer-Encoding : chunked" the sizes of the chunks as part of the body. The same came of a line that begins with a blank: its field was lost, or became part of the value of the one before, the seal's for example, and reached the caller there.

Cause: net/http accepts names of fields that hold blanks, knows none of them as a length or an encoding, and takes a line that begins with a blank for the rest of the one before, in final and informational heads. Names with control bytes it rejects; that was handled.

Change: responsehead.Checker rejects lines whose name is not a token of HTTP, which leaves no lines that continue the one before either. HTTP forbids servers to send these, and a gateway may answer 502 to them (RFC 9112, 5.1 and 5.2).

--- a/internal/node/gateway/broken_head_test.go
+++ b/internal/node/gateway/broken_head_test.go
@@ -147,6 +147,12 @@
 	assertBrokenResponsesAreNotPassedOn(t, true, rawhttp.Response.InvalidStatuses)
 }
 
+// net/http takes names with blanks, and a line that begins with a blank for the rest of the one before. It sees no
+// length and no encoding in such a line, so that callers got a body that was not the upstream's.
+func TestResponseWithInvalidFieldNameIsNotPassedOn(t *testing.T) {
+	assertBrokenResponsesAreNotPassedOn(t, false, rawhttp.Response.InvalidFields)
+}
+
 // What HTTP allows still passes, unusual as it may be.
 func TestUnusualSoundResponseIsPassedOn(t *testing.T) {
 	const (
--- a/internal/protocol/responsehead/responsehead.go
+++ b/internal/protocol/responsehead/responsehead.go
@@ -1,5 +1,6 @@
 // Package responsehead checks the heads of HTTP/1 responses. net/http accepts heads that violate HTTP, such as those
-// of upstreams in trouble: any status of three characters that is a number.
+// of upstreams in trouble: any status of three characters that is a number, names of fields that hold blanks, and lines
+// that continue the one before. A body that is framed by such a head may hold other bytes than were meant.
 package responsehead
 
 import (
@@ -9,6 +10,9 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is the cause of all errors of this package.
@@ -66,6 +70,7 @@
 		c.part = partFields
 		return c.checkStatusLine(line)
 	case line != "":
+		return checkField(line)
 	case c.isInformational:
 		c.part = partStatus
 	default:
@@ -90,6 +95,15 @@
 	return CheckStatus(status)
 }
 
+// checkField checks a line of a field. A line that continues the one before begins with a blank.
+func checkField(line string) error {
+	name, _, hasColon := strings.Cut(line, ":")
+	if !hasColon || !httpguts.ValidHeaderFieldName(name) {
+		return fmt.Errorf("%w: field %.40q has no valid name", ErrMalformed, line)
+	}
+	return nil
+}
+
 // CheckStatus returns an error for a status that no response to this system may have. It asks no upstream to switch
 // to another protocol.
 func CheckStatus(status int) error {
--- a/internal/transport/upstreamconn/malformed_test.go
+++ b/internal/transport/upstreamconn/malformed_test.go
@@ -39,3 +39,9 @@
 func TestResponseWithInvalidStatusFailsAsMalformed(t *testing.T) {
 	assertMalformedResponsesFail(t, rawhttp.Response{Body: "evil"}.InvalidStatuses())
 }
+
+func TestResponseWithInvalidFieldNameFailsAsMalformed(t *testing.T) {
+	responses := rawhttp.Response{Body: "evil"}.InvalidFields()
+	delete(responses, "control byte within value") // net/http finds it
+	assertMalformedResponsesFail(t, responses)
+}
