Upstreams: chunks in a response of HTTP/1.0 are a failure

What callers saw: a sealed 200 whose body held the sizes of the upstream's chunks.

Cause: net/http removes the transfer encoding from a response of HTTP/1.0 without using it, and reads the body up to the end of the connection.

Change: responsehead.Checker finds the field in the lines as they came. HTTP tells recipients to take the framing of such a response as faulty (RFC 9112, 6.1). Responses of HTTP/1.0 with a length or without one still pass (TestUnusualSoundResponseIsPassedOn).

--- a/internal/node/gateway/broken_head_test.go
+++ b/internal/node/gateway/broken_head_test.go
@@ -153,6 +153,13 @@
 	assertBrokenResponsesAreNotPassedOn(t, false, rawhttp.Response.InvalidFields)
 }
 
+// net/http ignores the encoding of an HTTP/1.0 response, so that callers got the sizes of its chunks as part of the body.
+func TestChunkedResponseInHTTP10IsNotPassedOn(t *testing.T) {
+	assertBrokenResponseIsNotPassedOn(t, respondRaw(false, func(requestID string) string {
+		return brokenResponse(requestID).ChunkedInHTTP10()
+	}))
+}
+
 // What HTTP allows still passes, unusual as it may be.
 func TestUnusualSoundResponseIsPassedOn(t *testing.T) {
 	const (
--- a/internal/protocol/responsehead/responsehead.go
+++ b/internal/protocol/responsehead/responsehead.go
@@ -1,6 +1,7 @@
-// Package responsehead checks the heads of HTTP/1 responses. net/http accepts heads that violate HTTP, such as those
-// of upstreams in trouble: any status of three characters that is a number, names of fields that hold blanks, and lines
-// that continue the one before. A body that is framed by such a head may hold other bytes than were meant.
+// Package responsehead checks the heads of HTTP/1 responses. net/http accepts heads that violate HTTP: any status of
+// three characters that is a number, names of fields that hold blanks, lines that continue the one before, and a
+// transfer encoding in HTTP/1.0, which it ignores. Such heads come from upstreams in trouble, and a body that is
+// framed by one may hold other bytes than were meant.
 package responsehead
 
 import (
@@ -26,6 +27,7 @@
 type Checker struct {
 	part            part
 	isInformational bool   // the present head is that of an informational response
+	isHTTP10        bool   // the present head is that of an HTTP/1.0 response
 	line            []byte // beginning of a line that is not complete yet
 	err             error
 }
@@ -70,7 +72,7 @@
 		c.part = partFields
 		return c.checkStatusLine(line)
 	case line != "":
-		return checkField(line)
+		return c.checkField(line)
 	case c.isInformational:
 		c.part = partStatus
 	default:
@@ -79,29 +81,33 @@
 	return nil
 }
 
-// statusLine matches a status line. Its group is the status.
-var statusLine = regexp.MustCompile(`^HTTP/1\.[0-9] ([0-9]{3})(?: |$)`)
+// statusLine matches a status line. Its groups are the minor version and the status.
+var statusLine = regexp.MustCompile(`^HTTP/1\.([0-9]) ([0-9]{3})(?: |$)`)
 
 func (c *Checker) checkStatusLine(line string) error {
 	match := statusLine.FindStringSubmatch(line)
 	if match == nil {
 		return fmt.Errorf("%w: status line %.40q", ErrMalformed, line)
 	}
-	status, err := strconv.Atoi(match[1])
+	status, err := strconv.Atoi(match[2])
 	if err != nil {
 		return err
 	}
-	c.isInformational = status < http.StatusOK
+	c.isHTTP10, c.isInformational = match[1] == "0", status < http.StatusOK
 	return CheckStatus(status)
 }
 
-// checkField checks a line of a field. A line that continues the one before begins with a blank.
-func checkField(line string) error {
+// checkField checks a line of a field, and finds lines that continue the one before by the blank they begin with.
+func (c *Checker) checkField(line string) error {
 	name, _, hasColon := strings.Cut(line, ":")
-	if !hasColon || !httpguts.ValidHeaderFieldName(name) {
+	switch {
+	case !hasColon || !httpguts.ValidHeaderFieldName(name):
 		return fmt.Errorf("%w: field %.40q has no valid name", ErrMalformed, line)
+	case c.isHTTP10 && strings.EqualFold(name, "Transfer-Encoding"):
+		return fmt.Errorf("%w: transfer encoding in HTTP/1.0", ErrMalformed)
+	default:
+		return nil
 	}
-	return nil
 }
 
 // CheckStatus returns an error for a status that no response to this system may have. It asks no upstream to switch
--- a/internal/protocol/responsehead/responsehead_test.go
+++ b/internal/protocol/responsehead/responsehead_test.go
@@ -60,6 +60,7 @@
 		"HTTP/1.1 200 OK\r\nA\r\n":                                   false,
 		"HTTP/1.1 200 OK\r\nA\rB: c\r\n":                             false,
 		"HTTP/1.1 103 E\r\nA b: c\r\n":                               false,
+		"HTTP/1.0 200 OK\r\nTRANSFER-encoding: chunked\r\n":          false,
 		"HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", maxLineBytes): false,
 	} {
 		for _, partBytes := range []int{1, 2, 7, len(text)} {
--- a/internal/transport/upstreamconn/malformed_test.go
+++ b/internal/transport/upstreamconn/malformed_test.go
@@ -45,3 +45,7 @@
 	delete(responses, "control byte within value") // net/http finds it
 	assertMalformedResponsesFail(t, responses)
 }
+
+func TestChunkedResponseInHTTP10FailsAsMalformed(t *testing.T) {
+	assertMalformedResponsesFail(t, map[string]string{"chunked": rawhttp.Response{Body: "evil"}.ChunkedInHTTP10()})
+}
