Upstreams: a response with an invalid name in its trailer is a failure

What callers saw: a response in chunks whose trailer held a name with a blank passed as complete, and a stream ended as complete. With a control byte in the same place it was broken off, as it should be.

Cause: net/http reads trailers like heads, and accepts names that hold blanks.

Change: Exchange.Read returns io.EOF only after the names of the trailer were checked; without it no reader takes a body for complete, and the connection is not used again.

--- a/internal/node/gateway/broken_head_test.go
+++ b/internal/node/gateway/broken_head_test.go
@@ -160,6 +160,32 @@
 	}))
 }
 
+// assertBrokenEndsAreNotPassedOn asserts that a body in chunks with an end that can't be read is no response, and that
+// a stream with such an end does not look complete.
+func assertBrokenEndsAreNotPassedOn(t *testing.T, list func(rawhttp.Response) map[string]string) {
+	for name := range list(brokenResponse("")) {
+		t.Run(name, func(t *testing.T) {
+			newBroken := func() *harness {
+				return newHarness(t, startUpstream(t, "u1", respondBroken(false, list, name)))
+			}
+			for _, path := range []string{"/read/1", "/order/1"} {
+				assertNotPassedOn(t, doStream(newBroken(), t, path))
+			}
+			forwarding := newHarness(t, closedUpstream(t, "gone"))
+			connectPeers(t, forwarding, newBroken())
+			for _, h := range []*harness{newBroken(), forwarding} {
+				got := doStream(h, t, "/batch/1")
+				assert.Assert(t, got.err != nil, "%.80q looks complete", got.body)
+			}
+		})
+	}
+}
+
+// net/http takes names with blanks in trailers as well.
+func TestResponseWithInvalidTrailerIsNotPassedOn(t *testing.T) {
+	assertBrokenEndsAreNotPassedOn(t, rawhttp.Response.InvalidTrailers)
+}
+
 // What HTTP allows still passes, unusual as it may be.
 func TestUnusualSoundResponseIsPassedOn(t *testing.T) {
 	const (
--- a/internal/protocol/responsehead/responsehead.go
+++ b/internal/protocol/responsehead/responsehead.go
@@ -121,3 +121,13 @@
 
 // maxStatus is the highest status that HTTP defines a class for.
 const maxStatus = 599
+
+// CheckTrailer returns an error if the name of a field in the trailer of a response is not valid.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field %.40q of the trailer has no valid name", ErrMalformed, name)
+		}
+	}
+	return nil
+}
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 
 	"savoryweir/internal/errs"
+	"savoryweir/internal/protocol/responsehead"
 )
 
 const (
@@ -194,6 +195,9 @@
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.Response.Body.Read(p)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if err := responsehead.CheckTrailer(x.Response.Trailer); err != nil {
+			return n, err
+		}
 		x.bodyComplete = true
 		return n, io.EOF
 	}
--- a/internal/transport/upstreamconn/malformed_test.go
+++ b/internal/transport/upstreamconn/malformed_test.go
@@ -49,3 +49,8 @@
 func TestChunkedResponseInHTTP10FailsAsMalformed(t *testing.T) {
 	assertMalformedResponsesFail(t, map[string]string{"chunked": rawhttp.Response{Body: "evil"}.ChunkedInHTTP10()})
 }
+
+func TestResponseWithBlankInTrailerFailsAsMalformed(t *testing.T) {
+	trailers := rawhttp.Response{Body: "evil"}.InvalidTrailers()
+	assertMalformedResponsesFail(t, map[string]string{"within": trailers["blank within name"], "after": trailers["blank after name"]})
+}
