Gateway: an engine's error from another instance doesn't get into a stream

What callers saw: a stream had begun and broke off, and the instance reached no engine any more, so that it asked another instance to go on with it. A 204 ended it as complete without a text.

Cause: forwardTo relayed each response other than 200 as a final one, without a look at whether the response to the caller had begun. Where the instance reaches the engine itself, handleErrorResponse does look; that was handled, and TestErrorOfNextEngineDoesNotReachStream keeps it so, directly and behind another instance.

Change: after the first event, only the events of a 200 follow. Another response counts as a failure of that engine: the stream goes on at the next instance, if the route and the retry budget allow that, or ends as broken off.

--- a/internal/node/gateway/forward.go
+++ b/internal/node/gateway/forward.go
@@ -106,19 +106,26 @@
 	if own.IsOwn {
 		return c.respondAsPeer(a, own)
 	}
-	h := &hedge{call: c, ctx: ctx, present: a}
-	var result attemptResult
-	if c.route.Kind == fleet.KindStream && a.exchange.Response.StatusCode == http.StatusOK {
-		result = c.relayEvents(a, h)
-	} else {
-		result = c.relayPeerResponse(a, h)
-	}
+	result := c.relayForwarded(ctx, a)
 	if result.isFinal {
 		return forwardDone
 	}
 	return c.retryForward(ctx, result.reason)
 }
 
+// relayForwarded forwards the response of an upstream to the caller. Once a stream has begun, only events may follow.
+func (c *call) relayForwarded(ctx context.Context, a *attempt) attemptResult {
+	h := &hedge{call: c, ctx: ctx, present: a}
+	switch {
+	case c.route.Kind == fleet.KindStream && a.exchange.Response.StatusCode == http.StatusOK:
+		return c.relayEvents(a, h)
+	case !c.firstByteAt.IsZero():
+		return attemptResult{reason: reasonEngineFailed}
+	default:
+		return c.relayPeerResponse(a, h)
+	}
+}
+
 // retryForward returns whether a forwarded request whose response did not arrive is forwarded again.
 func (c *call) retryForward(ctx context.Context, reason string) forwardOutcome {
 	if !c.route.IsRepeatable() || ctx.Err() != nil || !c.acquireRetry(reason) {
--- a/internal/node/gateway/stream.go
+++ b/internal/node/gateway/stream.go
@@ -225,14 +225,15 @@
 	return tracked
 }
 
+const reasonEngineFailed = "engine failed"
+
 // handleErrorResponse handles a response whose status is not 200. It forwards the response
 // unless the stream has begun or the request may be sent again.
 func (c *call) handleErrorResponse(a *attempt, h *hedge) attemptResult {
-	const reason = "engine failed"
 	a.tracked.recordFault()
-	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.acquireRetry(reason) {
+	if !c.firstByteAt.IsZero() || c.isRetryableResponse(a) && c.acquireRetry(reasonEngineFailed) {
 		a.tracked.recordUnserved()
-		return attemptResult{reason: reason, next: h.end(false)} // the body is not read, because it may have no end
+		return attemptResult{reason: reasonEngineFailed, next: h.end(false)} // the body is not read, because it may have no end
 	}
 	body, isWhole, err := c.bufferResponse(a)
 	switch {
