Tests: heads that are cut off and chunk lines that can't be read

An upstream that stops within the head of its response and closes the connection, and chunk lines with blanks, control bytes, signs or prefixes. Both were handled: callers get 502 or the response of another upstream, and a stream doesn't look complete.

--- a/internal/node/gateway/broken_head_test.go
+++ b/internal/node/gateway/broken_head_test.go
@@ -160,6 +160,19 @@
 	}))
 }
 
+// An upstream that stops within the head and closes the connection has sent no response.
+func TestResponseCutWithinHeadIsNotPassedOn(t *testing.T) {
+	assertBrokenResponsesAreNotPassedOn(t, false, rawhttp.Response.CutHeads)
+	whole := brokenResponse("r-1").Sound()
+	head, _, _ := strings.Cut(whole, "id: 2")
+	for _, text := range []string{head, "HTTP/1.1 103 X\r\nLink: a\r\n\r\n" + head, strings.ReplaceAll(head, "\r\n", "\n")} {
+		for cut := range text {
+			h := newHarness(t, startUpstream(t, "u1", respondRaw(false, func(string) string { return text[:cut] })))
+			assertNotPassedOn(t, h.do(t, http.MethodPost, "/order/1", "x"))
+		}
+	}
+}
+
 // assertBrokenEndsAreNotPassedOn asserts that a body in chunks with an end that can't be read is no response, and that
 // a stream with such an end does not look complete.
 func assertBrokenEndsAreNotPassedOn(t *testing.T, list func(rawhttp.Response) map[string]string) {
@@ -186,6 +199,10 @@
 	assertBrokenEndsAreNotPassedOn(t, rawhttp.Response.InvalidTrailers)
 }
 
+func TestResponseWithInvalidChunkLineIsNotPassedOn(t *testing.T) {
+	assertBrokenEndsAreNotPassedOn(t, rawhttp.Response.InvalidChunkLines)
+}
+
 // What HTTP allows still passes, unusual as it may be.
 func TestUnusualSoundResponseIsPassedOn(t *testing.T) {
 	const (
