--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -112,7 +113,7 @@
 		"blank after name":         "0\r\nX-Note : a\r\n\r\n",
 		"control byte within name": "0\r\nX\x01Note: a\r\n\r\n",
 		"no name":                  "0\r\n: a\r\n\r\n",
-		"cut":                      "0\r\nX-Note: a\r\n",
+		"cut within trailer":       "0\r\nX-Note: a\r\n",
 	})
 }
 
@@ -156,3 +157,11 @@
 		"after informational head":  "HTTP/1.1 103 X\r\nLink: a\r\n\r\n",
 	}
 }
+
+// MalformedHeads returns all responses whose head violates HTTP, by the fault.
+func (r Response) MalformedHeads() map[string]string {
+	responses := r.InvalidStatuses()
+	maps.Copy(responses, r.InvalidFields())
+	responses["chunked in HTTP/1.0"] = r.ChunkedInHTTP10()
+	return responses
+}
