Entry, store, orders, operators: malformed responses fail there, too

What callers saw: savoryweir-entry passed on the response of a plain service with status 600 or 999, answered 101 itself, or panicked on statuses below 100, which closed the caller's connection; the result of such an order was recorded for its resends. Heads with blanks in names passed like sound ones, and a stream of an engine with such a head too. Probes and sentinels took any of them for a sign of health. A list of the store with such a head was used, a 503 to a write was taken for the statement that nothing was done, and the era in such a head made all later responses look old.

Cause: the same as of the faults in upstreamconn; net/http's transport reads responses by the same parser.

Change: package checkedhttp lets responsehead.Checker see what a connection of net/http brings, from the moment at which a request gets the connection to the end of the head. The request fails if it finds a fault, or if the trailer has an invalid name, and nothing more is sent on the connection: net/http may have taken it back by then. It is used by upstreamhttp (requests, probes, sentinels), storeclient, engineclient and savoryweirctl. Of HTTP/2, which checks names itself, the status is checked.

Ruled out: to let Read fail. net/http sends a request again by itself if no byte of the response can be read, past the retry budget. A check of http.Response alone misses lines that continue the one before, and chunks in HTTP/1.0.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -20,6 +20,7 @@
 	"savoryweir/internal/settings"
 	"savoryweir/internal/state/approval"
 	"savoryweir/internal/transport/bundlestore"
+	"savoryweir/internal/transport/checkedhttp"
 	"savoryweir/internal/transport/storeclient"
 	"savoryweir/internal/transport/tlsconf"
 )
@@ -80,7 +81,7 @@
 func NewEnvironment(ctx context.Context) *Environment {
 	return &Environment{
 		Context: ctx, Stdout: os.Stdout, Stderr: os.Stderr,
-		Now: time.Now, Nonce: uuid.NewString, HTTP: http.DefaultClient, scheme: "http://",
+		Now: time.Now, Nonce: uuid.NewString, HTTP: newHTTPClient(nil), scheme: "http://",
 	}
 }
 
@@ -144,10 +145,20 @@
 		return err
 	}
 	env.scheme = "https://"
-	env.HTTP = &http.Client{Transport: &http.Transport{DialTLSContext: source.WrapDial((&net.Dialer{}).DialContext)}}
+	env.HTTP = newHTTPClient(source)
 	return nil
 }
 
+// newHTTPClient returns a client of operations ports. The identity is nil for plain TCP.
+func newHTTPClient(identity *tlsconf.Source) *http.Client {
+	dial := (&net.Dialer{}).DialContext
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, DialContext: checkedhttp.WrapDial(dial)}
+	if identity != nil {
+		transport = &http.Transport{DialTLSContext: checkedhttp.WrapDial(identity.WrapDial(dial))}
+	}
+	return &http.Client{Transport: checkedhttp.Transport{Base: transport}}
+}
+
 func (env *Environment) store() *bundlestore.Store { return bundlestore.New(env.client) }
 
 func (env *Environment) policy() (approval.Policy, error) {
--- a/internal/transport/engineclient/engineclient.go
+++ b/internal/transport/engineclient/engineclient.go
@@ -15,6 +15,7 @@
 	"savoryweir/internal/protocol/enginehttp"
 	"savoryweir/internal/state/bundle"
 	"savoryweir/internal/state/ledger"
+	"savoryweir/internal/transport/checkedhttp"
 	"savoryweir/internal/transport/tlsconf"
 )
 
@@ -56,15 +57,15 @@
 		if isDialed.Swap(true) {
 			return nil, ErrConnectionLost
 		}
-		return conn, nil
+		return checkedhttp.NewConn(conn), nil
 	}
 	session := &Session{upstream: upstream, scheme: "http", conn: conn}
 	if identity != nil {
 		session.scheme = "https"
 	}
-	session.client = &http.Client{Transport: &http.Transport{
+	session.client = &http.Client{Transport: checkedhttp.Transport{Base: &http.Transport{
 		MaxConnsPerHost: 1, DialContext: dial, DialTLSContext: dial, DisableCompression: true,
-	}}
+	}}}
 	return session, nil
 }
 
--- /dev/null
+++ b/internal/transport/storeclient/malformed_test.go
@@ -0,0 +1,50 @@
+package storeclient_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/standin/rawhttp"
+	"savoryweir/internal/state/object"
+	"savoryweir/internal/transport/storeclient"
+)
+
+// A response that violates HTTP tells nothing: a read fails, the outcome of a write is unknown, and no era is taken
+// from it, as all later responses would be older.
+func TestMalformedResponseOfStoreTellsNothing(t *testing.T) {
+	sound := rawhttp.Response{Fields: "Store-Era: 7\r\n", Body: `{"metadata":{"name":"a","revision":9},"items":[],"storeRevision":9}`}
+	for name, text := range sound.MalformedHeads() {
+		t.Run(name, func(t *testing.T) {
+			client := startRaw(t, text)
+			_, _, err := client.ListAt(t.Context(), kind)
+			assert.ErrorIs(t, err, object.ErrUnavailable)
+			_, _, err = client.WatchSince(t.Context(), kind, 0, time.Second)
+			assert.ErrorIs(t, err, object.ErrUnavailable)
+			_, err = client.Create(t.Context(), kind, "a", []byte("one"))
+			assert.ErrorIs(t, err, object.ErrOutcomeUnknown)
+			assert.Equal(t, client.Era(), object.Era(0))
+		})
+	}
+}
+
+// A refusal states that nothing was done, which a malformed one does not.
+func TestMalformedRefusalOfStoreLeavesOutcomeUnknown(t *testing.T) {
+	client := startRaw(t, rawhttp.Response{Fields: "X Note: a\r\n"}.WithStatus("503"))
+	_, err := client.Create(t.Context(), kind, "a", []byte("one"))
+	assert.ErrorIs(t, err, object.ErrOutcomeUnknown)
+}
+
+// startRaw returns the client of a store that responds to all requests with a text.
+func startRaw(t *testing.T, text string) *storeclient.Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go rawhttp.Serve(listener, false, func(*http.Request) string { return text })
+	return newClient(t, storeclient.Settings{URL: fmt.Sprint("http://", listener.Addr()), Timeout: 2 * time.Second})
+}
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -20,6 +20,7 @@
 
 	"savoryweir/internal/errs"
 	"savoryweir/internal/state/object"
+	"savoryweir/internal/transport/checkedhttp"
 	"savoryweir/internal/transport/keepalive"
 	"savoryweir/internal/transport/tlsconf"
 	"savoryweir/platform"
@@ -80,7 +81,8 @@
 func New(s Settings) (*Client, error) {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
-	transport.DialContext = keepalive.Dialer(s.Timeout).DialContext
+	dial := keepalive.Dialer(s.Timeout).DialContext
+	transport.DialContext = checkedhttp.WrapDial(dial)
 	if s.TLS.Enabled() {
 		if !strings.HasPrefix(s.URL, schemeTLS) {
 			return nil, errs.New(stepTLS, peer, "TLS files are set, but the URL does not begin with "+schemeTLS)
@@ -89,9 +91,9 @@
 		if err != nil {
 			return nil, errs.Wrap(err, stepTLS, peer)
 		}
-		transport.DialTLSContext = identity.WrapDial(keepalive.Dialer(s.Timeout).DialContext)
+		transport.DialTLSContext = checkedhttp.WrapDial(identity.WrapDial(dial))
 	}
-	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: transport}, eras: newEraTracker()}, nil
+	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: checkedhttp.Transport{Base: transport}}, eras: newEraTracker()}, nil
 }
 
 // operation describes one HTTP call to the store.
--- a/internal/transport/upstreamhttp/client.go
+++ b/internal/transport/upstreamhttp/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"savoryweir/internal/errs"
+	"savoryweir/internal/transport/checkedhttp"
 	"savoryweir/internal/transport/tlsconf"
 )
 
@@ -121,6 +122,7 @@
 	switch {
 	case s.Protocol != ProtocolH2C:
 		protocols.SetHTTP1(true)
+		dial = checkedhttp.WrapDial(dial)
 	case s.TLS != nil:
 		protocols.SetHTTP2(true)
 	default:
@@ -179,7 +181,7 @@
 	if r.NewConnection {
 		transport = c.unpooled
 	}
-	response, err := transport.RoundTrip(request)
+	response, err := checkedhttp.Transport{Base: transport}.RoundTrip(request)
 	return response, tracker, err
 }
 
@@ -191,7 +193,7 @@
 	if err != nil {
 		return errs.Wrap(err, stepProbe, errs.Peer(address))
 	}
-	response, err := c.unpooled.RoundTrip(request)
+	response, err := checkedhttp.Transport{Base: c.unpooled}.RoundTrip(request)
 	if err != nil {
 		return errs.Wrap(err, stepProbe, errs.Peer(address))
 	}
--- a/internal/transport/upstreamhttp/sent.go
+++ b/internal/transport/upstreamhttp/sent.go
@@ -1,7 +1,6 @@
 package upstreamhttp
 
 import (
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http/httptrace"
@@ -67,12 +66,12 @@
 	return false
 }
 
-// asTrackedConn returns the trackedConn that conn is or wraps by TLS, or nil.
+// asTrackedConn returns the trackedConn that conn is or wraps, as TLS does, or nil.
 func asTrackedConn(conn net.Conn) *trackedConn {
 	switch c := conn.(type) {
 	case *trackedConn:
 		return c
-	case *tls.Conn:
+	case interface{ NetConn() net.Conn }:
 		return asTrackedConn(c.NetConn())
 	default:
 		return nil
--- a/internal/transport/upstreamhttp/sentinel.go
+++ b/internal/transport/upstreamhttp/sentinel.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"time"
 
 	"savoryweir/internal/errs"
+	"savoryweir/internal/transport/checkedhttp"
 )
 
 const stepSentinel errs.Step = "open sentinel connection"
@@ -49,11 +51,13 @@
 	if err != nil {
 		return err
 	}
-	if err := request.Write(conn); err != nil {
+	checked := checkedhttp.NewConn(conn)
+	checked.ExpectResponse()
+	if err := request.Write(checked); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
-	if err != nil {
+	response, err := http.ReadResponse(bufio.NewReader(checked), request)
+	if err := cmp.Or(checked.Err(), err); err != nil {
 		return err
 	}
 	_ = response.Body.Close()
