Crash guard: an upstream that answers the probe with a malformed response has not crashed

What callers saw: nothing by itself. An upstream in trouble that breaks off responses is asked for its report, to tell a crash from a broken connection. A malformed answer counted as a crash, so that the parts of its prompts were blamed: after several of them, requests with these parts are refused with 503 at sound upstreams too.

Cause: isGone took each error of the probe for a refused or broken connection.

Change: errors of responsehead, which now also finds invalid values and is the cause of errors for bytes that begin no response, show that the upstream runs. Values with control bytes were rejected before, by net/http.

A probe whose response is cut off still shows a crash: TestUpstreamThatBreaksOffProbeResponseHasCrashed, before and after.

--- a/internal/node/gateway/crashprobe.go
+++ b/internal/node/gateway/crashprobe.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
 
+	"savoryweir/internal/protocol/responsehead"
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/transport/upstreamconn"
 	"savoryweir/platform"
@@ -78,8 +80,8 @@
 }
 
 // isGone reports whether an upstream refuses or breaks the connection of a request for its report,
-// or another one has its address. An upstream that sends nothing may only be silent, and if this
-// instance reaches no other upstream either, its own path has failed.
+// or another one has its address. An upstream that sends nothing may only be silent, one that sends a
+// malformed response runs, and if this instance reaches no other upstream either, its own path has failed.
 func (g *Gateway) isGone(u *fleet.Upstream) bool {
 	if g.IsPaused(u) {
 		return false
@@ -91,7 +93,7 @@
 		AtMostOnce: true, // an older idle connection may break for other reasons
 	})
 	if err != nil {
-		return ctx.Err() == nil && g.reach.reachesAnyBut(ctx, u.Address)
+		return ctx.Err() == nil && !errors.Is(err, responsehead.ErrMalformed) && g.reach.reachesAnyBut(ctx, u.Address)
 	}
 	defer x.Close()
 	g.ObserveResponse(u, x.Response.StatusCode, x.Response.Header)
--- a/internal/protocol/responsehead/responsehead.go
+++ b/internal/protocol/responsehead/responsehead.go
@@ -99,10 +99,12 @@
 
 // checkField checks a line of a field, and finds lines that continue the one before by the blank they begin with.
 func (c *Checker) checkField(line string) error {
-	name, _, hasColon := strings.Cut(line, ":")
+	name, value, hasColon := strings.Cut(line, ":")
 	switch {
 	case !hasColon || !httpguts.ValidHeaderFieldName(name):
 		return fmt.Errorf("%w: field %.40q has no valid name", ErrMalformed, line)
+	case !httpguts.ValidHeaderFieldValue(value):
+		return fmt.Errorf("%w: field %.40q has no valid value", ErrMalformed, line)
 	case c.isHTTP10 && strings.EqualFold(name, "Transfer-Encoding"):
 		return fmt.Errorf("%w: transfer encoding in HTTP/1.0", ErrMalformed)
 	default:
--- a/internal/protocol/responsehead/responsehead_test.go
+++ b/internal/protocol/responsehead/responsehead_test.go
@@ -58,6 +58,7 @@
 		"HTTP/1.1 200 OK\r\n\xc3\xa4: b\r\n":                         false,
 		"HTTP/1.1 200 OK\r\n: b\r\n":                                 false,
 		"HTTP/1.1 200 OK\r\nA\r\n":                                   false,
+		"HTTP/1.1 200 OK\r\nA: \x00b\r\n":                            false,
 		"HTTP/1.1 200 OK\r\nA\rB: c\r\n":                             false,
 		"HTTP/1.1 103 E\r\nA b: c\r\n":                               false,
 		"HTTP/1.0 200 OK\r\nTRANSFER-encoding: chunked\r\n":          false,
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -173,7 +174,7 @@
 
 var (
 	statusLinePrefix = []byte("HTTP/1.")
-	errNoStatusLine  = errors.New("upstream sent bytes that begin no HTTP/1 response")
+	errNoStatusLine  = fmt.Errorf("%w: its bytes begin no HTTP/1 response", responsehead.ErrMalformed)
 )
 
 // awaitStatusLine waits for the first bytes of a status line. It returns errNoStatusLine as
--- a/internal/transport/upstreamconn/malformed_test.go
+++ b/internal/transport/upstreamconn/malformed_test.go
@@ -41,9 +41,7 @@
 }
 
 func TestResponseWithInvalidFieldNameFailsAsMalformed(t *testing.T) {
-	responses := rawhttp.Response{Body: "evil"}.InvalidFields()
-	delete(responses, "control byte within value") // net/http finds it
-	assertMalformedResponsesFail(t, responses)
+	assertMalformedResponsesFail(t, rawhttp.Response{Body: "evil"}.InvalidFields())
 }
 
 func TestChunkedResponseInHTTP10FailsAsMalformed(t *testing.T) {
