Crash guard: an engine that crashes within a line of the head counts as crashed

What callers saw: nothing of the request that crashes engines, which fails anyway. It was not blocked if the engines crashed within a line of the response's head, reached engine after engine (BUDGET), and each crash broke the streams of others.

Cause: net/http takes the beginning of a line for the line if the connection ends there, and says that the line is malformed; only the ends of connections count as crashes.

Change: the reader of heads keeps the error with which the connection ended, and reports that rather than what net/http makes of the beginning.

--- a/internal/node/gateway/crashguard_test.go
+++ b/internal/node/gateway/crashguard_test.go
@@ -28,6 +28,8 @@
 type crashingEngines struct {
 	t    *testing.T
 	list []*testUpstream
+	// begun is what an engine writes before it crashes: the beginning of an event, unless it is set.
+	begun string
 
 	mu      sync.Mutex // guards the fields below
 	conns   map[*testUpstream]map[net.Conn]bool
@@ -53,8 +55,11 @@
 		time.Sleep(2 * time.Millisecond)
 		return respondWithEvents(1, 3, true)(u, r, body, conn)
 	}
-	writeResponseHead(conn, r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
-	_, _ = io.WriteString(conn, "9\r\nid: 1\nda")
+	if e.begun == "" {
+		writeResponseHead(conn, r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+		_, _ = io.WriteString(conn, "9\r\nid: 1\nda")
+	}
+	_, _ = io.WriteString(conn, e.begun)
 	time.Sleep(time.Millisecond)
 	e.crash(u)
 	return false
@@ -132,6 +137,20 @@
 	assert.Assert(t, engines.crashCount() <= 4, "%d crashes", engines.crashCount())
 }
 
+// Engines may crash within any line of the head. Such crashes did not count, so that the request reached engine after
+// engine.
+func TestRepeatedCrashesWithinHeadBlockRequest(t *testing.T) {
+	for _, begun := range []string{"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nRespon"} {
+		engines := startCrashingEngines(t, 8)
+		engines.begun = begun
+		h := newHarness(t, engines.list...)
+		for range 8 {
+			doPrompt(h, t, 1, crashingPart)
+		}
+		assert.Assert(t, engines.crashCount() <= 4, "%q: %d crashes", begun, engines.crashCount())
+	}
+}
+
 func TestRequestBlockedDuringItsAttemptIsNotRetried(t *testing.T) {
 	isRunning, crash := make(chan struct{}, 2), make(chan struct{})
 	slow := func(_ *testUpstream, _ *http.Request, _ []byte, conn net.Conn) bool {
--- a/internal/transport/upstreamconn/conn.go
+++ b/internal/transport/upstreamconn/conn.go
@@ -35,6 +35,7 @@
 	source    io.Reader
 	remaining int // bytes; negative for no limit
 	checker   responsehead.Checker
+	err       error // with which the connection ended within a head
 }
 
 // begin states that the next bytes are those of a response.
@@ -43,6 +44,21 @@
 	r.checker.Expect()
 }
 
+// fault returns why a head could not be read, where err is the error of net/http, nil if there was none. net/http
+// takes the beginning of a line for the line if the connection ends there.
+func (r *headReader) fault(err error) error {
+	switch {
+	case r.checker.Err() != nil:
+		return r.checker.Err()
+	case err != nil && r.err == io.EOF:
+		return io.ErrUnexpectedEOF
+	case err != nil && r.err != nil:
+		return r.err
+	default:
+		return err
+	}
+}
+
 // end states that the head of the final response has been read.
 func (r *headReader) end() { r.remaining = -1 }
 
@@ -57,6 +73,7 @@
 	n, err := r.source.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
 	r.checker.Observe(p[:n])
+	r.err = err
 	return n, err
 }
 
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -161,7 +160,7 @@
 			return err
 		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
-		if err := cmp.Or(head.checker.Err(), err); err != nil {
+		if err := head.fault(err); err != nil {
 			return err
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/internal/transport/upstreamconn/malformed_test.go
+++ b/internal/transport/upstreamconn/malformed_test.go
@@ -1,11 +1,15 @@
 package upstreamconn
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -52,3 +56,28 @@
 	trailers := rawhttp.Response{Body: "evil"}.InvalidTrailers()
 	assertMalformedResponsesFail(t, map[string]string{"within": trailers["blank within name"], "after": trailers["blank after name"]})
 }
+
+// A response that is cut off within a line of its head looked malformed, as the line had no end. Where the connection
+// ended, that is the fault.
+func TestResponseCutWithinHeadFailsAsBrokenConnection(t *testing.T) {
+	head := "HTTP/1.1 103 X\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+	for _, isReset := range []bool{false, true} {
+		for cut := range head {
+			address, _ := startServer(t, func(conn net.Conn, r *bufio.Reader) {
+				request, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, head[:cut])
+				if isReset {
+					time.Sleep(time.Millisecond)
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			_, err := exchange(t, NewPool(func() {}), newRequest(address))
+			isBroken := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+			assert.Assert(t, isBroken, "%q: %v", head[:cut], err)
+		}
+	}
+}
