Soak: upstreams answer a share of the runs by responses that violate HTTP

Callers check statuses as well as bodies and events. The draws are apart, so that seeds keep their plans.

--- a/internal/bench/soak/callers.go
+++ b/internal/bench/soak/callers.go
@@ -216,6 +216,9 @@
 	if response.Close {
 		defer c.leave()
 	}
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		c.cluster.ledger.violate(PromiseWhole, s.at, "request %s got the status %d", s.id, response.StatusCode)
+	}
 	isServed := response.StatusCode == http.StatusOK
 	if isServed && !call.IsAnswered(response.Header) {
 		c.cluster.ledger.violate(PromiseWhole, s.at, "request %s got an answer with the headers %v", s.id, response.Header)
@@ -231,6 +234,9 @@
 	return response.StatusCode, isServed && err == nil, err
 }
 
+// maxStatus is the highest status that a response may have.
+const maxStatus = 599
+
 var (
 	errNotWhole = errors.New("the stream is not what it has to be")
 	errLinkLost = errors.New("the caller lost its connection")
--- a/internal/bench/soak/cluster.go
+++ b/internal/bench/soak/cluster.go
@@ -61,6 +61,8 @@
 	Versions bool
 	// Unframed is the share of upstreams' answers that have neither a length nor chunks.
 	Unframed float64
+	// Malformed is the share of runs that upstreams answer by a response that violates HTTP.
+	Malformed float64
 	// Parts has callers share parts of prompts, and requests with one of them crash engines.
 	Parts bool
 	// Limits has engines name limits of requests per second.
@@ -255,7 +257,7 @@
 
 func (c *cluster) startUpstream(config upstream.Config, number int, stop <-chan struct{}) (*station, error) {
 	s := &station{cuts: c.cuts}
-	config.Zone, config.UnframedShare = fmt.Sprintf("z%d", number%zones), c.options.Unframed
+	config.Zone, config.UnframedShare, config.MalformedShare = fmt.Sprintf("z%d", number%zones), c.options.Unframed, c.options.Malformed
 	s.Upstream = upstream.New(config, c.store, c.ledger, c.options.Seed+uint64(number), s.via)
 	if err := s.Start(); err != nil {
 		return nil, err
--- a/internal/bench/soak/cmd/soak/main.go
+++ b/internal/bench/soak/cmd/soak/main.go
@@ -27,6 +27,7 @@
 	Callers   int           `help:"Callers." default:"12"`
 	Versions  bool          `help:"Has engines replaced by ones of other versions; needs 6 engines or so."`
 	Unframed  float64       `help:"Share of upstreams' answers that have neither a length nor chunks and end with their connection." default:"0"`
+	Malformed float64       `help:"Share of runs that upstreams answer by a response that violates HTTP." default:"0"`
 	Parts     bool          `help:"Has callers share parts of prompts, one of which crashes engines."`
 	Limits    bool          `help:"Has engines name limits of requests per second."`
 	Cuts      bool          `help:"Has instances cut off from all upstreams."`
@@ -106,7 +107,7 @@
 	}
 	o := soak.DefaultOptions(seed)
 	o.Program, o.Folder, o.Faulted, o.Faults, o.Instances = program, folder, f.Faulted, f.Faults, f.Instances
-	o.Former = former
+	o.Former, o.Malformed = former, f.Malformed
 	o.Engines, o.Plain, o.Callers = f.Engines, f.Plain, f.Callers
 	o.Versions, o.Unframed, o.Parts, o.Limits, o.Cuts, o.Brittle, o.Leavers = f.Versions, f.Unframed, f.Parts, f.Limits, f.Cuts, f.Brittle, f.Leavers
 	if f.Verbose {
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -110,6 +110,14 @@
 	play(t, o, build(t))
 }
 
+// Upstreams in trouble send responses that violate HTTP. Callers got some of them as answers.
+func TestMalformedResponsesReachNoCaller(t *testing.T) {
+	t.Parallel()
+	o := DefaultOptions(fresh)
+	o.Malformed, o.Faults = 0.05, 4
+	play(t, o, build(t))
+}
+
 // lastLanding is the build that instances run before they are replaced.
 const lastLanding = "543e6d9"
 
--- a/internal/standin/upstream/serve.go
+++ b/internal/standin/upstream/serve.go
@@ -77,6 +77,10 @@
 	ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 	defer cancel()
 	w.Header().Set("Response-Seal", seal(request))
+	if u.isNextMalformed() {
+		u.answerMalformed(w, run, cancel)
+		return
+	}
 	if u.drawUnframed() {
 		answer, err := hijack(w, cancel)
 		if err != nil {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -80,6 +80,8 @@
 	// UnframedShare is the share of answers that have neither a length nor chunks and end with
 	// their connection.
 	UnframedShare float64
+	// MalformedShare is the share of runs that are answered by a response that violates HTTP.
+	MalformedShare float64
 	// CrashingPart is the ID of a part of prompts. An engine that begins to write an answer to a
 	// prompt that holds it, other than as the last part, crashes and is away for RestartTime.
 	CrashingPart string
@@ -127,6 +129,8 @@
 	onDisk   []string
 	server   *http.Server
 	cancel   context.CancelFunc // ends the requests that run
+
+	malformed *rand.Rand // apart, as framing
 }
 
 type resident struct {
@@ -140,7 +144,8 @@
 func New(c Config, store Store, journal Journal, seed uint64, via func(address string) (string, error)) *Upstream {
 	return &Upstream{
 		config: c, store: store, journal: journal, via: via, random: rand.New(rand.NewPCG(seed, 1)), framing: rand.New(rand.NewPCG(seed, 2)),
-		release: c.Version, onDisk: c.Models,
+		malformed: rand.New(rand.NewPCG(seed, 3)),
+		release:   c.Version, onDisk: c.Models,
 	}
 }
 
