--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(TOOL) depguard ./...
 	@scripts/lint-pure.sh
 	@scripts/lint-names.sh
+	@scripts/lint-responses.sh
 
 vet:
 	$(GO) vet ./...
--- a/internal/protocol/responsehead/responsehead.go
+++ b/internal/protocol/responsehead/responsehead.go
@@ -102,9 +102,9 @@
 	name, value, hasColon := strings.Cut(line, ":")
 	switch {
 	case !hasColon || !httpguts.ValidHeaderFieldName(name):
-		return fmt.Errorf("%w: field %.40q has no valid name", ErrMalformed, line)
+		return fmt.Errorf("%w: field %.40q has no valid name", ErrMalformed, name)
 	case !httpguts.ValidHeaderFieldValue(value):
-		return fmt.Errorf("%w: field %.40q has no valid value", ErrMalformed, line)
+		return fmt.Errorf("%w: field %.40q has no valid value", ErrMalformed, name)
 	case c.isHTTP10 && strings.EqualFold(name, "Transfer-Encoding"):
 		return fmt.Errorf("%w: transfer encoding in HTTP/1.0", ErrMalformed)
 	default:
