--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,13 @@
 	"savoryweir/internal/state/order"
 )
 
+// faultyResponses returns all responses with a malformed head, or one that is cut off, by the fault.
+func faultyResponses(r rawhttp.Response) map[string]string {
+	responses := r.MalformedHeads()
+	maps.Copy(responses, r.CutHeads())
+	return responses
+}
+
 // malformedUpstream is an upstream whose responses to requests of callers have a malformed head.
 type malformedUpstream struct {
 	testUpstream
@@ -38,7 +46,7 @@
 			return rawhttp.Response{}.Sound() // a probe
 		}
 		u.requests.Add(1)
-		return rawhttp.Response{Fields: httpapi.HeaderRequestID + ": " + requestID + "\r\n", Body: body(requestID)}.MalformedHeads()[fault]
+		return faultyResponses(rawhttp.Response{Fields: httpapi.HeaderRequestID + ": " + requestID + "\r\n", Body: body(requestID)})[fault]
 	})
 	return u
 }
@@ -48,7 +56,7 @@
 // A malformed response of a plain service reached the caller, or panicked where its status can't be sent. A read may
 // go on at another upstream, which there is none of here.
 func TestMalformedResponseOfServiceDoesNotReachCaller(t *testing.T) {
-	for fault := range (rawhttp.Response{}).MalformedHeads() {
+	for fault := range faultyResponses(rawhttp.Response{}) {
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
 			upstream := startMalformed(t, "s1", fault, evilBody)
@@ -64,7 +72,7 @@
 // An order whose response is malformed may have run. What was in the response must not be recorded as its result, with
 // which resends are answered.
 func TestMalformedResponseToOrderIsNotRecorded(t *testing.T) {
-	for fault := range (rawhttp.Response{}).MalformedHeads() {
+	for fault := range faultyResponses(rawhttp.Response{}) {
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
 			upstream := startMalformed(t, "s1", fault, evilBody)
@@ -86,7 +94,7 @@
 
 // A malformed response of an engine is retried, and the caller gets the whole stream of another one.
 func TestMalformedResponseOfEngineIsRetried(t *testing.T) {
-	for fault := range (rawhttp.Response{}).MalformedHeads() {
+	for fault := range faultyResponses(rawhttp.Response{}) {
 		t.Run(fault, func(t *testing.T) {
 			t.Parallel()
 			malformed, sound := startMalformed(t, "e1", fault, evilEvents), startEngine(t, "e2")
--- a/internal/transport/storeclient/malformed_test.go
+++ b/internal/transport/storeclient/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -14,11 +15,13 @@
 	"savoryweir/internal/transport/storeclient"
 )
 
-// A response that violates HTTP tells nothing: a read fails, the outcome of a write is unknown, and no era is taken
-// from it, as all later responses would be older.
+// A response that violates HTTP, or ends within its head, tells nothing: a read fails, the outcome of a write is
+// unknown, and no era is taken from it, as all later responses would be older.
 func TestMalformedResponseOfStoreTellsNothing(t *testing.T) {
 	sound := rawhttp.Response{Fields: "Store-Era: 7\r\n", Body: `{"metadata":{"name":"a","revision":9},"items":[],"storeRevision":9}`}
-	for name, text := range sound.MalformedHeads() {
+	responses := sound.MalformedHeads()
+	maps.Copy(responses, sound.CutHeads())
+	for name, text := range responses {
 		t.Run(name, func(t *testing.T) {
 			client := startRaw(t, text)
 			_, _, err := client.ListAt(t.Context(), kind)
--- a/internal/transport/upstreamhttp/malformed_test.go
+++ b/internal/transport/upstreamhttp/malformed_test.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// An upstream that stops within the head and closes the connection has sent no response.
+func TestResponseCutWithinHeadFailsAsSent(t *testing.T) {
+	for name, text := range (rawhttp.Response{Body: "evil"}).CutHeads() {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go rawhttp.Serve(listener, false, func(*http.Request) string { return text })
+			client, address := newTestClient(t, ProtocolHTTP1), listener.Addr().String()
+			tracker, err := send(t, client, address, []byte("order"))
+			assert.Assert(t, err != nil)
+			assert.Assert(t, tracker.MaybeSent())
+			assert.Assert(t, client.Probe(t.Context(), address) != nil)
+		})
+	}
+}
+
 func TestBodyWithMalformedEndIsIncomplete(t *testing.T) {
 	ends := rawhttp.Response{Body: "evil"}.InvalidTrailers()
 	maps.Copy(ends, rawhttp.Response{Body: "evil"}.InvalidChunkLines())
