Tests: the port of an upstream that refuses connections stays bound

Change: closedUpstream binds a socket on which nothing listens, for as long as the test runs. Connections are refused as before.

Evidence: the package's tests that use it passed under the race detector. No product code has changed.

--- a/internal/node/gateway/forward_test.go
+++ b/internal/node/gateway/forward_test.go
@@ -17,16 +17,32 @@
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/coordination/retry"
+	"savoryweir/internal/state/fleet"
 )
 
-// closedUpstream returns an upstream that refuses connections.
+// closedUpstream returns an upstream that refuses connections. Its port stays bound, so that nothing else can
+// listen there meanwhile.
 func closedUpstream(t *testing.T, id string) *testUpstream {
 	t.Helper()
-	u := startUpstream(t, id, respondWith(http.StatusOK, "never"))
-	assert.NilError(t, u.listener.Close())
-	return u
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	assert.NilError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(socket)
+	assert.NilError(t, err)
+	address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: bound.(*syscall.SockaddrInet4).Port}
+	return &testUpstream{id: fleet.UpstreamID(id), listener: closedListener{address: address}, respond: respondWith(http.StatusOK, "never")}
 }
 
+// closedListener is the address of an upstream that doesn't listen.
+type closedListener struct {
+	net.Listener
+	address net.Addr
+}
+
+// Addr implements net.Listener.
+func (l closedListener) Addr() net.Addr { return l.address }
+
 // connectPeers lets a gateway forward requests to others, in this order.
 func connectPeers(t *testing.T, from *harness, to ...*harness) {
 	t.Helper()
