Tests: two comments of entry's malformed responses said plainly

Cause: the last reading of the change found one that had to be read twice, and one that left out heads that are cut off. Change: comments alone.

--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -26,7 +26,7 @@
 	return responses
 }
 
-// malformedUpstream is an upstream whose responses to requests of callers have a malformed head.
+// malformedUpstream is an upstream whose responses to requests of callers are faulty.
 type malformedUpstream struct {
 	testUpstream
 	requests atomic.Int32 // of callers
@@ -53,8 +53,8 @@
 
 func evilBody(string) string { return "evil" }
 
-// A malformed response of a plain service reached the caller, or panicked where its status can't be sent. A read may
-// go on at another upstream, which there is none of here.
+// A malformed response of a plain service reached the caller, or ended the handler with a panic where its status can't
+// be sent. Without another upstream, the read fails.
 func TestMalformedResponseOfServiceDoesNotReachCaller(t *testing.T) {
 	for fault := range faultyResponses(rawhttp.Response{}) {
 		t.Run(fault, func(t *testing.T) {
