Keys: a response of the store proves nothing before it is complete after a return from a copy

What callers saw: an API key that a configuration had taken away worked again, up to 5.8 s after the removal was acknowledged (revokeMs 5,000), at an instance that started while the store came back from an older copy. The other instances refused it.

Cause: a response of the store counted as the proof that the configuration in force was the newest one at the time of the call. After the store's return from a copy it is not, until the operator has written again. The word of another instance was compared by the store's version, which falls to that of the copy although a newer configuration is in force there. Instances that ran all the while, but had not seen the removal, took the responses after the return for proof as well.

Ruled out: forwarded requests (none), the others' proofs (they refuse).

Change: coordination/restore knows from when on responses are complete, RewriteTime after the era was first known; responses to earlier calls prove nothing. Instances tell the operator's version of their configuration with their proofs, and a word counts if that is not newer than the own one. A proof from before the store's return holds for the rest of the bound. The word of a build that doesn't tell this version counts as before, but only from when responses are complete. config.freshness tells store_complete.

TestInstanceStartedLongAfterRestoreOfStoreAcceptsKeysSoon checks that nothing is refused longer than needed.

--- a/internal/coordination/freshness/freshness.go
+++ b/internal/coordination/freshness/freshness.go
@@ -4,7 +4,8 @@
 // A proof states a time: whatever the store had acknowledged by then is in force here. A response of the store proves the time
 // at which the call was sent, as nothing tells when during the call the response was made up. The word of another
 // instance proves the time at which it was asked less the age that it states, so that a word that was delayed, at
-// either instance or between them, counts for no more than it is worth.
+// either instance or between them, counts for no more than it is worth. After the store has come back from an older copy,
+// its responses prove nothing until all that it had acknowledged is written again.
 //
 // All times are of this instance's clock that includes suspended time.
 package freshness
@@ -60,13 +61,16 @@
 
 // Word is what an instance tells of its proof.
 type Word struct {
-	Version object.Version // of the configuration in force at the instance
+	Version object.Version // of the configuration in force at the instance, as the store counts
+	Config  uint64         // version of the same as the operator counts; zero if the instance's build doesn't tell
 	Age     time.Duration
 }
 
 // Tracker keeps the newest proof of an instance. It is not safe for concurrent use.
 type Tracker struct {
 	applied  object.Version // of the configuration in force
+	config   uint64         // the operator's version of the configuration in force
+	newest   uint64         // the newest such version that another instance has told
 	unread   object.Version // of a newer configuration that can't be decoded; zero if there is none
 	provenAt time.Duration
 	hasProof bool
@@ -78,9 +82,10 @@
 // NewTracker returns a tracker without a proof.
 func NewTracker() *Tracker { return &Tracker{pending: make(map[uint64]time.Duration)} }
 
-// RecordApplied records the version of a configuration that is in force now.
-func (t *Tracker) RecordApplied(version object.Version) {
-	t.applied = max(t.applied, version)
+// RecordApplied records that the configuration with a version of the operator, or a newer one, is in force now. version is that
+// of the object in the store.
+func (t *Tracker) RecordApplied(version object.Version, config uint64) {
+	t.applied, t.config = max(t.applied, version), max(t.config, config)
 	if t.unread <= t.applied {
 		t.unread = 0
 	}
@@ -94,9 +99,10 @@
 }
 
 // RecordResponse records that the store has told all changes until the time at which it was called. It proves nothing if one
-// of them could not be decoded.
-func (t *Tracker) RecordResponse(calledAt time.Duration) {
-	if t.unread == 0 {
+// of them could not be decoded, if the store may lack some, as its responses are complete only for calls from completeFrom on, or
+// if another instance has a newer configuration than the store told.
+func (t *Tracker) RecordResponse(calledAt, completeFrom time.Duration) {
+	if t.unread == 0 && calledAt >= completeFrom && t.config >= t.newest {
 		t.prove(calledAt)
 	}
 }
@@ -121,7 +127,7 @@
 // Word returns what to tell another instance that asks, and whether there is anything to tell.
 func (t *Tracker) Word(now time.Duration, bound Bound) (Word, bool) {
 	age := t.Age(now)
-	return Word{Version: t.applied, Age: age}, bound.IsRecent(age)
+	return Word{Version: t.applied, Config: t.config, Age: age}, bound.IsRecent(age)
 }
 
 // QuestionsDue returns to how many other instances a question is to be sent now. isWatcher states that others ask this
@@ -161,15 +167,23 @@
 }
 
 // RecordAnswer takes over the proof of another instance that has answered a question. It proves nothing if a newer
-// configuration is in force there, or if the two know the store in different eras, as a copy that the store has come back
-// from may lack what was acknowledged before.
-func (t *Tracker) RecordAnswer(id uint64, word Word) {
+// configuration is in force there. The operator's version decides, as the store may have come back from a copy that lacks
+// configurations which are in force.
+func (t *Tracker) RecordAnswer(id uint64, word Word, completeFrom time.Duration) {
 	askedAt, isPending := t.pending[id]
 	if !isPending || word.Age < 0 {
 		return
 	}
 	delete(t.pending, id)
-	if word.Version > 0 && t.applied >= word.Version && t.applied.Era() == word.Version.Era() {
-		t.prove(askedAt - word.Age)
+	t.newest = max(t.newest, word.Config)
+	provenAt := askedAt - word.Age
+	if word.Config > 0 && t.config >= word.Config || word.Config == 0 && t.holdsStored(word.Version) && provenAt >= completeFrom {
+		t.prove(provenAt)
 	}
 }
+
+// holdsStored reports whether the configuration that is in force here is as new as one that the store has told another instance
+// in the same era.
+func (t *Tracker) holdsStored(version object.Version) bool {
+	return version > 0 && t.applied >= version && t.applied.Era() == version.Era()
+}
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -62,18 +62,19 @@
 		return
 	}
 	f.isRecent = isRecent
-	entry := f.node.log.Warn().Str("event", "config.freshness").Bool("recent", isRecent)
+	isComplete := f.node.bootTime() >= f.node.store.CompleteFrom()
+	entry := f.node.log.Warn().Str("event", "config.freshness").Bool("recent", isRecent).Bool("store_complete", isComplete)
 	if age != freshness.Unproven {
 		entry = entry.Dur("proof_age", age)
 	}
 	entry.Msg("whether API keys are accepted has changed, as the configuration is known to be recent or no longer is")
 }
 
-// recordApplied records the version of the configuration that is in force now.
-func (f *configFreshness) recordApplied(version object.Version) {
+// recordApplied records that a configuration of the store, or a newer one, is in force now.
+func (f *configFreshness) recordApplied(version object.Version, config uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tracker.RecordApplied(version)
+	f.tracker.RecordApplied(version, config)
 }
 
 // recordUnread records the version of a configuration that can't be decoded.
@@ -96,7 +97,7 @@
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.tracker.RecordResponse(calledAt)
+		f.tracker.RecordResponse(calledAt, f.node.store.CompleteFrom())
 	}
 }
 
@@ -210,7 +211,8 @@
 	now := f.node.bootTime()
 	f.mu.Lock()
 	if proof.IsAnswer {
-		f.tracker.RecordAnswer(proof.Question, freshness.Word{Version: object.Version(proof.Version), Age: decodeMicros(proof.AgeMicros)})
+		word := freshness.Word{Version: object.Version(proof.Version), Config: proof.Config, Age: decodeMicros(proof.AgeMicros)}
+		f.tracker.RecordAnswer(proof.Question, word, f.node.store.CompleteFrom())
 		f.mu.Unlock()
 		return
 	}
@@ -218,7 +220,7 @@
 	f.mu.Unlock()
 	if hasWord {
 		f.node.mesh.Send(m.Instance, &pb.FleetMessage{ConfigProof: &pb.ConfigProof{
-			Question: proof.Question, IsAnswer: true, AgeMicros: uint64(word.Age.Microseconds()) + 1, Version: uint64(word.Version),
+			Question: proof.Question, IsAnswer: true, AgeMicros: uint64(word.Age.Microseconds()) + 1, Version: uint64(word.Version), Config: word.Config,
 		}})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,7 @@
 		return nil, err
 	}
 	n.store = store
+	n.store.SetClock(n.bootTime)
 	n.store.Observe(n.recordStoreCall)
 	n.store.OnUnreadable(n.logUnreadable)
 	n.registry = registry.New(logging.WithComponent(n.log, "registry"), time.Now)
--- /dev/null
+++ b/internal/node/restore_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryweir/internal/coordination/restore"
+)
+
+// rewriteDelay is the time after the store's return in which the operator and the upstreams write again what it lacks.
+const rewriteDelay = time.Second
+
+// assertRevoked sends requests with a key for a time. None may be served.
+func assertRevoked(t *testing.T, key string, d time.Duration, instances ...*instance) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, i := range instances {
+			assert.Assert(t, i.sendKey(t, key) != http.StatusOK, "a key that was taken away works at %s", i.node.settings.Instance.ID)
+		}
+	}
+}
+
+// The store comes back from a copy that lacks the removal of a key. An instance that started then accepted the key until the operator
+// had written again, although the others refused it.
+func TestKeyTakenAwayStaysRefusedAtInstanceStartedAfterRestoreOfStore(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	c.applyKeys(t, 1, "k1", "k2")
+	all := []*instance{c.startInstanceWith(t, "i1", withRevoke), c.startInstanceWith(t, "i2", withRevoke)}
+	for _, i := range all {
+		i.awaitStatus(t, "k1", http.StatusOK)
+	}
+	backup := c.store.Backup()
+	c.applyKeys(t, 2, "k2")
+	acknowledged := time.Now()
+	for _, i := range all {
+		i.awaitStatus(t, "k1", http.StatusUnauthorized)
+	}
+	time.Sleep(time.Until(acknowledged.Add(testRevoke)))
+	c.store.Restore(backup)
+	started := c.startInstanceWith(t, "i3", withRevoke)
+	defer stopInstances(t, append(all, started))
+	assertRevoked(t, "k1", rewriteDelay, all[0], all[1], started)
+	c.applyKeys(t, 2, "k2")
+	started.awaitStatus(t, "k2", http.StatusOK)
+	assertRevoked(t, "k1", restore.RewriteTime, all[0], all[1], started)
+}
+
+// All instances start after the store's return, so that nobody knows of the removal.
+func TestKeyTakenAwayStaysRefusedIfAllInstancesStartAfterRestoreOfStore(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	c.applyKeys(t, 1, "k1", "k2")
+	former := c.startInstanceWith(t, "i1", withRevoke)
+	former.awaitStatus(t, "k1", http.StatusOK)
+	backup := c.store.Backup()
+	c.applyKeys(t, 2, "k2")
+	former.awaitStatus(t, "k1", http.StatusUnauthorized)
+	former.terminate(t)
+	c.store.Restore(backup)
+	one := c.startInstanceWith(t, "i1", withRevoke)
+	defer one.terminate(t)
+	assertRevoked(t, "k1", rewriteDelay, one)
+	c.applyKeys(t, 2, "k2")
+	one.awaitStatus(t, "k2", http.StatusOK)
+	assert.Equal(t, one.sendKey(t, "k1"), http.StatusUnauthorized)
+}
+
+// The removal of a key is acknowledged just before the store goes away, so that an instance that runs all the while has not seen it. The
+// store's responses after its return counted as proof that the key holds.
+func TestKeyTakenAwayJustBeforeRestoreOfStoreStaysRefusedAtRunningInstance(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	c.applyKeys(t, 1, "k1", "k2")
+	proxy := c.startStoreProxy(t)
+	one := c.startInstanceWith(t, "i1", withRevoke)
+	defer one.terminate(t)
+	one.awaitStatus(t, "k1", http.StatusOK)
+	backup := c.store.Backup()
+	proxy.refuses.Store(true)
+	time.Sleep(testRevoke / 2) // the watch that is under way ends
+	c.applyKeys(t, 2, "k2")
+	acknowledged := time.Now()
+	c.store.Restore(backup)
+	time.Sleep(time.Until(acknowledged.Add(testRevoke)))
+	proxy.refuses.Store(false)
+	eventually(t, "the store's return", func() bool { return one.node.store.Era() == 1 })
+	assertRevoked(t, "k1", rewriteDelay, one)
+	c.applyKeys(t, 2, "k2")
+	one.awaitStatus(t, "k2", http.StatusOK)
+	assert.Equal(t, one.sendKey(t, "k1"), http.StatusUnauthorized)
+}
+
+// The refusals last no longer than their reason: a store that came back long ago is complete, which the others tell.
+func TestInstanceStartedLongAfterRestoreOfStoreAcceptsKeysSoon(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	c.applyKeys(t, 1, "k1")
+	one := c.startInstanceWith(t, "i1", withRevoke)
+	one.awaitStatus(t, "k1", http.StatusOK)
+	c.store.Restore(c.store.Backup())
+	eventually(t, "the store's return", func() bool { return one.node.store.Era() == 1 })
+	for end := time.Now().Add(restore.RewriteTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		assert.Equal(t, one.sendKey(t, "k1"), http.StatusOK, "the proof from before the store's return holds")
+	}
+	started := c.startInstanceWith(t, "i2", withRevoke)
+	defer stopInstances(t, []*instance{one, started})
+	started.awaitStatus(t, "k1", http.StatusOK)
+	assert.Assert(t, time.Since(started.node.startedAt) < restore.RewriteTime)
+}
--- a/internal/node/sinks.go
+++ b/internal/node/sinks.go
@@ -38,7 +38,7 @@
 		s.node.freshness.recordUnread(o.Version)
 		return
 	}
-	defer s.node.freshness.recordApplied(o.Version)
+	defer s.node.freshness.recordApplied(o.Version, config.Version)
 	previous := uint64(0)
 	if current := s.node.gateway.Config(); current != nil {
 		previous = current.Version
--- a/internal/transport/storeclient/storeclient.go
+++ b/internal/transport/storeclient/storeclient.go
@@ -93,7 +93,7 @@
 		}
 		transport.DialTLSContext = checkedhttp.WrapDial(identity.WrapDial(dial))
 	}
-	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: checkedhttp.Transport{Base: transport}}, eras: newEraTracker()}, nil
+	return &Client{base: s.URL, timeout: s.Timeout, http: &http.Client{Transport: checkedhttp.Transport{Base: transport}}, eras: newEraTracker(monotonicClock())}, nil
 }
 
 // operation describes one HTTP call to the store.
@@ -353,7 +353,7 @@
 // holds.
 func (c *Client) responseEra(op operation, h http.Header) (object.Era, error) {
 	era, err := platform.DecodeStoreEra(h)
-	if err == nil && !c.eras.observe(era) {
+	if err == nil && !c.eras.observe(era, 0) {
 		err = errOldEra
 	}
 	switch {
