Streams: nothing is concluded from the store's lists before they are complete after a return from a copy

What callers saw: a stream that had begun at software v2 went on at v1 within one answer, with 200 and a seal, after all instances were lost while the store came back from a copy of before v2 joined.

Cause: that one version alone can have begun a stream is concluded from absence, from the store's list and its record of versions as asked at that moment. After the return from a copy both lack what was acknowledged since, until the upstreams have written again. An instance that ran all the while concluded the same if it had not seen v2, and so did one that lost the store again after it had listed the copy.

Change: until responses are complete, a stream that nobody knows is refused with 503 and the time to return. Reports and beacons tell for how long the era has been known, so that an instance that starts long after the return doesn't wait, and whether the sender knows all entries, which counts while the store doesn't answer (node/upstreamview.go). A build that doesn't tell this is ignored: the instance then waits by its own clock. Without a return from a copy nothing is sent or decided differently.

--- a/internal/node/gateway/origin.go
+++ b/internal/node/gateway/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"savoryweir/internal/state/fleet"
 	"savoryweir/internal/state/streams"
@@ -15,8 +16,10 @@
 	// Record records the origin of the stream that a request began.
 	Record(request string, origin streams.Origin)
 	// Find returns the origin of the stream that an earlier request began, and whether it
-	// is known. service is the service that the stream is expected to have begun at.
-	Find(ctx context.Context, request, service string) (streams.Origin, bool)
+	// is known. service is the service that the stream is expected to have begun at. If the
+	// origin may become known later, retryAfter is the time after which to ask again; otherwise
+	// it is zero.
+	Find(ctx context.Context, request, service string) (origin streams.Origin, isKnown bool, retryAfter time.Duration)
 }
 
 // reasonOriginUnknown is the reason of a refusal to continue a stream.
@@ -34,14 +37,14 @@
 }
 
 // bindToOrigin binds a request that takes up a stream to the software version that began it.
-// If that is not known, it refuses the request and returns false. No time to retry is given,
-// because the version will not become known later.
+// If that is not known, it refuses the request and returns false. No time to retry is given if
+// the version will not become known later.
 func (c *call) bindToOrigin(ctx context.Context) bool {
-	origin, ok := c.gateway.Streams.Find(ctx, c.params.ResumedID, c.service)
+	origin, ok, retryAfter := c.gateway.Streams.Find(ctx, c.params.ResumedID, c.service)
 	c.gateway.Log.Info().Str("event", "stream.taken_up").Str("request", c.params.ID).Str("resumes", c.params.ResumedID).Str("last_event", c.params.LastEventID).
-		Bool("known", ok).Str("service", origin.Service).Str("software", origin.Version).Msg("caller takes up a stream")
+		Bool("known", ok).Dur("retry_after", retryAfter).Str("service", origin.Service).Str("software", origin.Version).Msg("caller takes up a stream")
 	if !ok {
-		c.refuse(http.StatusServiceUnavailable, 0, reasonOriginUnknown)
+		c.refuse(http.StatusServiceUnavailable, retryAfter, reasonOriginUnknown)
 		return false
 	}
 	if origin.Service != c.service && c.route.RoutesTo(origin.Service) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	streams        *streamOrigins
 	streamRecorder *streamRecorder
 	versionCheck   *versionCheck
+	upstreamView   *upstreamView
 	permits        *permits.Permits
 	freshness      *configFreshness
 	quotas         *quota.Quotas
@@ -92,6 +93,7 @@
 	n.streams = newStreamOrigins(n)
 	n.streamRecorder = newStreamRecorder(n)
 	n.versionCheck = &versionCheck{node: n}
+	n.upstreamView = &upstreamView{node: n}
 	address, err := netip.ParseAddr(s.Instance.Address)
 	if err != nil {
 		return nil, errs.Wrap(err, "read address", errs.Self)
@@ -256,8 +258,11 @@
 		WatchTimeout: func() time.Duration { return n.watchTimeout(informer.NewestVersion(), &lastVersion) },
 		WatchesStore: func() bool { return n.reporter.watchesStore(time.Now()) },
 	}
-	if kind == platform.KindConfig {
+	switch kind {
+	case platform.KindConfig:
 		n.freshness.attach(&s)
+	case platform.KindUpstreams:
+		s.BeginProof = n.upstreamView.beginProof
 	}
 	informer = storewatch.New(s, n.store, sink, logging.WithComponent(n.log, "store"))
 	return informer
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -207,6 +207,7 @@
 	holdsLease     bool
 	healthyWatcher bool
 	isCutOff       bool // from all upstreams
+	era            *pb.StoreEra
 }
 
 // currentReport returns the current state of this instance.
@@ -217,7 +218,7 @@
 	if isCutOff {
 		outcomes = nil // its failures say nothing of the upstreams
 	}
-	return report{isCutOff: isCutOff, loads: inFlight, outcomes: outcomes, newestVersions: r.newestVersions(), fencingToken: uint64(fencingToken), holdsLease: r.node.leaseManager.HoldsLease(), healthyWatcher: r.isHealthyWatcher(time.Now())}
+	return report{isCutOff: isCutOff, era: r.node.upstreamView.encode(), loads: inFlight, outcomes: outcomes, newestVersions: r.newestVersions(), fencingToken: uint64(fencingToken), holdsLease: r.node.leaseManager.HoldsLease(), healthyWatcher: r.isHealthyWatcher(time.Now())}
 }
 
 // message encodes the report.
@@ -230,7 +231,7 @@
 // beacon encodes the report without the loads.
 func (r report) beacon() *pb.FleetMessage {
 	m := &pb.FleetMessage{
-		Beacon: true, NewestConfig: uint64(r.newestVersions.config), NewestUpstream: uint64(r.newestVersions.upstream), Relaying: r.healthyWatcher, CutOff: r.isCutOff,
+		Beacon: true, NewestConfig: uint64(r.newestVersions.config), NewestUpstream: uint64(r.newestVersions.upstream), Relaying: r.healthyWatcher, CutOff: r.isCutOff, StoreEra: r.era,
 	}
 	if r.holdsLease {
 		m.Holding = &pb.Holding{Fence: r.fencingToken}
@@ -308,6 +309,7 @@
 	r.recordWatcher(m)
 	r.recordCutOff(m)
 	r.node.store.ObserveEra(max(object.Version(m.NewestConfig), object.Version(m.NewestUpstream)).Era())
+	r.node.upstreamView.receive(m)
 	if m.NewestConfig > 0 {
 		r.node.configInformer.ObservePeerVersion(time.Now(), object.Version(m.NewestConfig))
 	}
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -107,3 +107,93 @@
 	started.awaitStatus(t, "k1", http.StatusOK)
 	assert.Assert(t, time.Since(started.node.startedAt) < restore.RewriteTime)
 }
+
+// assertRefused takes a stream up again and again for a time. It must not go on.
+func assertRefused(t *testing.T, i *instance, resumed string, d time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		assert.Equal(t, i.resume(t, "r", resumed), http.StatusServiceUnavailable)
+	}
+}
+
+// All instances are lost while the store goes away, and it comes back from a copy of before v2 joined. An instance that started then took
+// v1 for the only version, before the engine of v2 had written its entry again, and streams of v2 went on at v1.
+func TestStreamIsNotJoinedAtInstanceStartedAfterRestoreOfStore(t *testing.T) {
+	c := startStreamCluster(t)
+	c.serveOnly(t, []string{"v1"})
+	one := c.startInstance(t, "i1")
+	c.awaitEngines(t, 1, one)
+	restoreCopy := func() {}
+	id := c.beginAtNewVersion(t, one, func() {
+		backup := c.store.Backup()
+		restoreCopy = func() { c.store.Restore(backup) }
+	})
+	one.terminate(t)
+	restoreCopy()
+	next := c.startInstance(t, "i1")
+	defer next.terminate(t)
+	c.awaitEngines(t, 1, next)
+	assertRefused(t, next, id, rewriteDelay)
+	c.register(t, "v2")
+	assertRefused(t, next, id, restore.RewriteTime)
+	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0))
+}
+
+// An instance runs all the while, but v2 joined just before the store went away, and the instance has not seen it.
+func TestStreamIsNotJoinedAtRunningInstanceAfterRestoreOfStore(t *testing.T) {
+	c, proxy, one := startBehindProxy(t)
+	defer one.terminate(t)
+	joined := c.engines["v1"].resumed.Load()
+	backup := c.store.Backup()
+	proxy.refuses.Store(true)
+	proxy.holdsWatches.Store(true)
+	time.Sleep(100 * time.Millisecond) // changes that a watch has found arrive
+	c.register(t, "v2")
+	c.store.Restore(backup)
+	proxy.refuses.Store(false)
+	proxy.holdsWatches.Store(false)
+	eventually(t, "the store's return", func() bool { return one.node.store.Era() == 1 })
+	assertRefused(t, one, "begun at v2", rewriteDelay)
+	c.register(t, "v2")
+	assertRefused(t, one, "begun at v2", restore.RewriteTime)
+	assert.Equal(t, c.engines["v1"].resumed.Load(), joined)
+}
+
+// The store goes away again before the upstreams have written their entries. Its lists from between tell nothing, however long ago
+// it came back.
+func TestStreamIsNotJoinedIfStoreIsLostAgainSoonAfterRestore(t *testing.T) {
+	c, proxy, one := startBehindProxy(t)
+	defer one.terminate(t)
+	joined := c.engines["v1"].resumed.Load()
+	c.store.Restore(c.store.Backup())
+	eventually(t, "the list of the copy", func() bool { return one.node.upstreamInformer.Version().Era() == 1 })
+	proxy.refuses.Store(true)
+	assertRefused(t, one, "begun at v2", restore.RewriteTime+rewriteDelay)
+	assert.Equal(t, c.engines["v1"].resumed.Load(), joined)
+	proxy.refuses.Store(false)
+	eventually(t, "that a stream goes on", func() bool { return one.resume(t, "r", "s1") == http.StatusOK })
+	eventually(t, "the entries of all upstreams", func() bool { return one.node.upstreamView.isComplete() })
+	proxy.refuses.Store(true)
+	assert.Equal(t, one.resume(t, "r", "s2"), http.StatusOK)
+}
+
+// The refusals last no longer than their reason, and callers are told when to come back.
+func TestStreamsAreTakenUpSoonAfterRestoreOfStore(t *testing.T) {
+	c, _, one := startBehindProxy(t)
+	c.store.Restore(c.store.Backup())
+	eventually(t, "the store's return", func() bool { return one.node.store.Era() == 1 })
+	returned := time.Now()
+	response := one.stream(t, "r", map[string]string{"Last-Event-Id": "1", "Resumes": "s1"})
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	time.Sleep(time.Until(returned.Add(restore.RewriteTime)))
+	assert.Equal(t, one.resume(t, "r", "s1"), http.StatusOK)
+	started := c.startInstance(t, "i2")
+	defer stopInstances(t, []*instance{one, started})
+	eventually(t, "that a stream goes on", func() bool { return started.resume(t, "r", "s2") == http.StatusOK })
+	assert.Assert(t, time.Since(started.node.startedAt) < restore.RewriteTime, "the other instance knows that the store came back long ago")
+	for _, i := range []*instance{one, started} {
+		eventually(t, "the entries of all upstreams", func() bool { return i.node.upstreamView.isComplete() })
+	}
+}
--- a/internal/node/storewatch/progress.go
+++ b/internal/node/storewatch/progress.go
@@ -30,6 +30,12 @@
 	return p.newest
 }
 
+func (p *progress) knownVersion() object.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version
+}
+
 func (p *progress) setListed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -120,6 +120,9 @@
 // NewestVersion returns the version of the newest object seen.
 func (i *Informer) NewestVersion() object.Version { return i.progress.newestVersion() }
 
+// Version returns the version up to which all changes are known.
+func (i *Informer) Version() object.Version { return i.progress.knownVersion() }
+
 // ObservePeerVersion records the version of the newest object that another instance has
 // seen. An informer that stays behind it calls the store to catch up.
 func (i *Informer) ObservePeerVersion(now time.Time, peerVersion object.Version) {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -55,9 +56,31 @@
 	s.tracker.Begin(time.Now(), streams.IDOf(request), origin)
 }
 
-// Find implements gateway.StreamOrigins. If this instance does not know the stream and several versions may
-// have begun it, it asks the other instances and then reads the record in the store.
-func (s *streamOrigins) Find(ctx context.Context, request, service string) (streams.Origin, bool) {
+// maxIncompleteRetryAfter limits the Retry-After of a refusal while the store may lack upstreams, since an instance that has just
+// started may learn before that the store came back long ago.
+const maxIncompleteRetryAfter = time.Second
+
+// Find implements gateway.StreamOrigins.
+func (s *streamOrigins) Find(ctx context.Context, request, service string) (origin streams.Origin, isKnown bool, retryAfter time.Duration) {
+	if origin, isKnown = s.find(ctx, request, service); isKnown {
+		return origin, true, 0
+	}
+	return origin, false, min(s.incompleteFor(), maxIncompleteRetryAfter)
+}
+
+// incompleteFor returns how long calls to the store may still return lists without the versions that served before it came back
+// from an older copy.
+func (s *streamOrigins) incompleteFor() time.Duration {
+	completeFrom, now := s.node.store.CompleteFrom(), s.node.bootTime()
+	if completeFrom <= now {
+		return 0
+	}
+	return completeFrom - now
+}
+
+// find returns the origin of a stream. If this instance does not know the stream and several versions may have begun it, it asks
+// the other instances and then reads the record in the store.
+func (s *streamOrigins) find(ctx context.Context, request, service string) (streams.Origin, bool) {
 	id := streams.IDOf(request)
 	if origin, ok := s.findHere(ctx, id, service); ok || !s.mayLearn(request) {
 		return origin, ok
@@ -86,7 +109,7 @@
 	for {
 		select {
 		case <-recheck.C:
-			if _, ok := s.onlyCandidate(service); ok {
+			if _, ok := s.onlyCandidate(service); ok && s.incompleteFor() == 0 {
 				return
 			}
 		case <-answer:
@@ -113,9 +136,16 @@
 }
 
 // isOnlyOrigin reports whether no other version of a service can have begun a stream: the store, asked now, lists none. If the
-// store doesn't answer, no entry of another version can have come since, and the other instances decide.
+// store doesn't answer, no entry of another version can have come since, and the other instances decide. While the store may
+// lack entries, nothing can be concluded from its lists.
 func (s *streamOrigins) isOnlyOrigin(ctx context.Context, candidate streams.Origin) bool {
+	if s.incompleteFor() > 0 {
+		return false
+	}
 	served, err := s.node.versionCheck.await(ctx)
+	if errors.Is(err, errCheckOfACopy) {
+		return false
+	}
 	if err != nil {
 		isKnown := s.node.reporter.knowsRecentChanges(time.Now())
 		s.node.log.Info().Err(err).Str("event", "versions.unconfirmed").Bool("trusts_others", isKnown).Msg("store did not list the software versions that serve")
@@ -242,7 +272,7 @@
 // knowsRecentChanges reports whether a version that began to serve before the store went away would be known here: this instance
 // has listed the upstreams, and is alone or hears others, none of which has seen newer entries.
 func (r *reporter) knowsRecentChanges(now time.Time) bool {
-	if !r.node.upstreamInformer.HasListed() {
+	if !r.node.upstreamInformer.HasListed() || !r.node.upstreamView.isComplete() {
 		return false
 	}
 	r.mu.Lock()
--- a/internal/node/versioncheck.go
+++ b/internal/node/versioncheck.go
@@ -23,7 +23,10 @@
 	maxVersionCheckGap         = time.Second
 )
 
-var errCheckTooOld = errors.New("the list of software versions is too old; the process was suspended")
+var (
+	errCheckTooOld  = errors.New("the list of software versions is too old; the process was suspended")
+	errCheckOfACopy = errors.New("the store came back from an older copy; upstreams may not be listed again yet")
+)
 
 // servedVersions are the software versions in the store.
 type servedVersions struct {
@@ -49,7 +52,8 @@
 	err     error
 }
 
-// await returns the versions as read from the store after the call began.
+// await returns the versions as read from the store after the call began. It returns errCheckOfACopy if the store may
+// lack some.
 func (c *versionCheck) await(ctx context.Context) (servedVersions, error) {
 	ctx, cancel := context.WithTimeout(ctx, versionCheckTimeout)
 	defer cancel()
@@ -59,10 +63,16 @@
 	case <-ctx.Done():
 		return servedVersions{}, ctx.Err()
 	}
-	if q.err == nil && c.node.bootTime()-q.begunAt > maxVersionCheckAge {
+	switch {
+	case q.err != nil:
+		return servedVersions{}, q.err
+	case c.node.bootTime()-q.begunAt > maxVersionCheckAge:
 		return servedVersions{}, errCheckTooOld
+	case q.begunAt < c.node.store.CompleteFrom():
+		return servedVersions{}, errCheckOfACopy
+	default:
+		return q.served, nil
 	}
-	return q.served, q.err
 }
 
 // query returns a query that begins after the call.
