Streams: the record of versions is written again in a new era of the store

What callers could see: after the store came back from a copy and all instances were lost, a stream of a version that had gone went on at another one, as the record of versions lacked it.

Cause: the holder of the lease writes the record when the versions differ from those that it wrote last, and forgets these when it sees that it is without the lease. In a new era the lease is given up and may be had again at once; the writer looks every 200 ms, saw no interruption, and took the record of the former era for written.

Change: what was written counts for the era in which it was written.

--- a/internal/node/versionrecord.go
+++ b/internal/node/versionrecord.go
@@ -55,15 +55,14 @@
 // the versions that have served lately differ from it.
 func (n *Node) keepVersionRecord(ctx context.Context) {
 	n.readVersionRecord(ctx)
-	var written []streams.Origin
-	isWritten := false
+	var last versionWrite
 	for pause.For(ctx, versionRecordInterval) {
 		if !n.leaseManager.HoldsLease() {
-			isWritten = false
+			last = versionWrite{}
 			continue
 		}
-		served := n.streams.served()
-		if len(served) == 0 || isWritten && slices.Equal(served, written) {
+		served, era := n.streams.served(), n.store.Era()
+		if len(served) == 0 || last.holds(served, era) {
 			continue
 		}
 		if err := n.writeVersionRecord(ctx, served); err != nil {
@@ -71,10 +70,22 @@
 			pause.For(ctx, n.storeRetryDelay())
 			continue
 		}
-		written, isWritten = served, true
+		last = versionWrite{served: served, era: era}
 	}
 }
 
+// versionWrite is the latest write of the record by a holder of the lease.
+type versionWrite struct {
+	served []streams.Origin // nil if there was none
+	era    object.Era       // of the store, before the write
+}
+
+// holds reports whether the record still has these versions. In a later era the store may have lost it, even if the holder has
+// the lease again before it notices that it had given it up.
+func (w versionWrite) holds(served []streams.Origin, era object.Era) bool {
+	return w.served != nil && w.era == era && slices.Equal(served, w.served)
+}
+
 // readVersionRecord reads the versions that served before this instance started. It repeats the
 // call until the store answers. A read that may be stale could lack a version that has gone since.
 func (n *Node) readVersionRecord(ctx context.Context) {
