Store: the first list of a later era may be incomplete, as others of it

What callers could see: an instance that started as the store came back from a copy dropped upstreams that live, once their old entries lapsed and before they were written again, and refused what only these serve.

Cause: after a return from a copy, entries that lapse stay in use for a time, as upstreams write them again; but an instance noticed the return by a change of the era, and one that has just started knows none before.

Change: a first list that is not of the first era counts as one after a return. In the first era nothing changes. TestFirstListOfLaterEraMayBeIncomplete fails without the change.

--- a/internal/node/storewatch/storewatch.go
+++ b/internal/node/storewatch/storewatch.go
@@ -362,10 +362,11 @@
 }
 
 // recordEra notes that the store has come back from an older copy if the version of a list is
-// of a later era than the changes known before. Upstreams that the copy lacks write their
-// entries again, so the list may be incomplete like one after an outage.
+// of a later era than the changes known before, or the first list of all is not of the first era.
+// Upstreams that the copy lacks, or whose entries in it are old, write their entries again, so
+// the list may be incomplete like one after an outage.
 func (i *Informer) recordEra(listed object.Version) {
-	if i.version == 0 || listed.Era() == i.version.Era() {
+	if listed.Era() == i.version.Era() {
 		return
 	}
 	i.outageEnd = time.Now()
--- a/internal/node/storewatch/storewatch_test.go
+++ b/internal/node/storewatch/storewatch_test.go
@@ -415,6 +415,21 @@
 	})
 }
 
+// An instance that starts as the store has come back from a copy dropped upstreams whose old entries lapsed before they were
+// written again.
+func TestFirstListOfLaterEraMayBeIncomplete(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, store *objectapi.Memory) {
+		put(t, store, "old", "1")
+		store.Restore(store.Backup())
+		f := start(ctx, store, store, nil, true)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, f.sink.get("old"), "1")
+		f.sink.mu.Lock()
+		defer f.sink.mu.Unlock()
+		assert.Assert(t, !f.sink.completeAt.IsZero())
+	})
+}
+
 // An instance that does not watch the store learns of a new era from the others, and lists
 // within the time that one lost watch takes.
 func TestListenerFindsOutAboutNewEraFromPeers(t *testing.T) {
