Quotas: an instance lends no share before the others are listed, also after the store's return from a copy

What customers could get: more than their quota. An instance that starts after the store came back from a copy lists nobody whose entry the copy lacks. Alone in the list, it took the whole of each quota for its share, beside the instances it didn't know.

Cause: "the others have been listed" was concluded from the first list of any kind.

Change: a list counts if it was called when responses are complete. It is called again at that moment, and is not a stale one then. Until then the instance lends nothing and gets credit from those that it knows. In the first era nothing changes. TestInstanceStartedAfterRestoreOfStoreLendsNoShareBeforeOthersAreListed fails if any list counts.

--- a/internal/coordination/restore/restore.go
+++ b/internal/coordination/restore/restore.go
@@ -54,3 +54,11 @@
 	}
 	return t.knownAt + RewriteTime
 }
+
+// IncompleteFor returns the time until CompleteFrom, zero if it is over.
+func (t *Tracker) IncompleteFor(now time.Duration) time.Duration {
+	if completeFrom := t.CompleteFrom(); completeFrom > now {
+		return completeFrom - now
+	}
+	return 0
+}
--- a/internal/coordination/restore/restore_test.go
+++ b/internal/coordination/restore/restore_test.go
@@ -14,6 +14,7 @@
 	var tr Tracker
 	assert.Assert(t, tr.Observe(time.Minute, 0))
 	assert.Assert(t, tr.CompleteFrom() <= 0)
+	assert.Equal(t, tr.IncompleteFor(time.Minute), time.Duration(0))
 }
 
 // Whoever has known the store before and whoever has just started both know no more than that the store has come back by now.
@@ -21,6 +22,8 @@
 	var tr Tracker
 	assert.Assert(t, tr.Observe(time.Minute, 1))
 	assert.Equal(t, tr.CompleteFrom(), time.Minute+RewriteTime)
+	assert.Equal(t, tr.IncompleteFor(time.Minute+time.Second), RewriteTime-time.Second)
+	assert.Equal(t, tr.IncompleteFor(time.Minute+RewriteTime), time.Duration(0))
 	assert.Assert(t, tr.Observe(2*time.Minute, 1))
 	assert.Equal(t, tr.CompleteFrom(), time.Minute+RewriteTime)
 	assert.Assert(t, tr.Observe(3*time.Minute, 2))
--- a/internal/node/freshness.go
+++ b/internal/node/freshness.go
@@ -62,7 +62,7 @@
 		return
 	}
 	f.isRecent = isRecent
-	isComplete := f.node.bootTime() >= f.node.store.CompleteFrom()
+	isComplete := f.node.store.IncompleteFor() == 0
 	entry := f.node.log.Warn().Str("event", "config.freshness").Bool("recent", isRecent).Bool("store_complete", isComplete)
 	if age != freshness.Unproven {
 		entry = entry.Dur("proof_age", age)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,7 +62,7 @@
 	permits        *permits.Permits
 	freshness      *configFreshness
 	quotas         *quota.Quotas
-	hasListed      atomic.Bool    // the other instances have been listed
+	peerLists      peerLists
 	warmup         *warmup.Warmup // nil if it is not enabled
 
 	configInformer, upstreamInformer *storewatch.Informer
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -10,7 +10,7 @@
 // newQuotas returns the quotas of customers.
 func (n *Node) newQuotas() *quota.Quotas {
 	return quota.New(quota.Options{
-		Instance: n.settings.Instance.ID, Log: logging.WithComponent(n.log, "quotas"), Others: n.mesh.PeerIDs, AreListed: n.hasListed.Load,
+		Instance: n.settings.Instance.ID, Log: logging.WithComponent(n.log, "quotas"), Others: n.mesh.PeerIDs, AreListed: n.knowsPeers,
 		Send: n.mesh.Send, Clock: n.bootTime, Bounds: n.quotaBounds, Count: n.metrics.CountQuota,
 		Config: func() *fleet.Config { return n.gateway.Config() },
 	})
--- a/internal/node/relays.go
+++ b/internal/node/relays.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	pb "savoryweir/api/savoryweir/v1"
@@ -170,6 +171,8 @@
 	// relistInterval is the mean time between two lists of the instances in a small fleet. It
 	// grows with the fleet. New instances become known without a list, by their reports.
 	relistInterval = 20 * time.Second
+	// listSpread spreads the lists of instances that started together over some time.
+	listSpread = 500 * time.Millisecond
 	// peerSilenceTimeout is the time without datagrams after which an instance that is not
 	// listed is removed.
 	peerSilenceTimeout = 5 * time.Second
@@ -188,13 +191,41 @@
 			wait = relistInterval + time.Duration(n.mesh.PeerCount())*relistInterval/10
 		}
 		wait = wait/2 + rand.N(wait)
+		if incompleteFor := n.store.IncompleteFor(); incompleteFor > 0 && !n.knowsPeers() {
+			wait = min(wait, incompleteFor+rand.N(listSpread))
+		}
+	}
+}
+
+// peerLists records whether the other instances have been listed since the start.
+type peerLists struct {
+	isComplete atomic.Bool
+	calledAt   atomic.Int64 // time of the latest call, in nanoseconds of the boot-time clock; zero if there was none
+}
+
+// knowsPeers reports whether all other instances have been listed since the start. A list doesn't count while the store may lack
+// entries after its return from an older copy.
+func (n *Node) knowsPeers() bool {
+	lists := &n.peerLists
+	if lists.isComplete.Load() {
+		return true
 	}
+	calledAt := lists.calledAt.Load()
+	if calledAt == 0 || time.Duration(calledAt) < n.store.CompleteFrom() {
+		return false
+	}
+	lists.isComplete.Store(true)
+	return true
 }
 
 // listInstancesOnce lists the instances, and adds them to the mesh. It removes silent instances
 // that are not listed.
 func (n *Node) listInstancesOnce(ctx context.Context) error {
-	objects, _, err := n.store.ListStaleAt(ctx, object.KindInstances)
+	list, calledAt := n.store.ListStaleAt, n.bootTime()
+	if n.store.Era() > 0 && !n.knowsPeers() {
+		list = n.store.ListAt // a stale list may be of the copy
+	}
+	objects, _, err := list(ctx, object.KindInstances)
 	if err != nil {
 		return err
 	}
@@ -210,7 +241,7 @@
 		peers[instance.ID] = mesh.Listed{Address: address, Zone: instance.Zone, LinkMbps: instance.LinkMbps}
 	}
 	n.mesh.AddPeers(peers)
-	n.hasListed.Store(true)
+	n.peerLists.calledAt.Store(int64(calledAt))
 	n.mesh.RemoveSilentPeers(time.Now().Add(-peerSilenceTimeout), peers)
 	n.log.Info().Str("event", "instances.known").Int("listed", len(peers)).Int("others", n.mesh.PeerCount()).Msg("instances listed")
 	return nil
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -197,3 +197,19 @@
 		eventually(t, "the entries of all upstreams", func() bool { return i.node.upstreamView.isComplete() })
 	}
 }
+
+// The store comes back from a copy that lacks the entries of the other instances. An instance that started then took itself for the only
+// one, and the whole of each quota for its share, beside those that it didn't know.
+func TestInstanceStartedAfterRestoreOfStoreLendsNoShareBeforeOthersAreListed(t *testing.T) {
+	c := startCluster(t, respondSealed)
+	c.applyConfig(t, 1, "a")
+	c.store.Restore(c.store.Backup()) // the entries of the others are not written again yet
+	started := c.startInstance(t, "i1")
+	defer started.terminate(t)
+	eventually(t, "a list of the instances", func() bool { return started.node.peerLists.calledAt.Load() != 0 })
+	for since := time.Now(); time.Since(since) < restore.RewriteTime/2; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, !started.node.knowsPeers())
+	}
+	eventually(t, "a complete list", started.node.knowsPeers)
+	assert.Assert(t, time.Since(started.node.startedAt) < restore.RewriteTime+2*listSpread+rewriteDelay)
+}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -65,17 +65,7 @@
 	if origin, isKnown = s.find(ctx, request, service); isKnown {
 		return origin, true, 0
 	}
-	return origin, false, min(s.incompleteFor(), maxIncompleteRetryAfter)
-}
-
-// incompleteFor returns how long calls to the store may still return lists without the versions that served before it came back
-// from an older copy.
-func (s *streamOrigins) incompleteFor() time.Duration {
-	completeFrom, now := s.node.store.CompleteFrom(), s.node.bootTime()
-	if completeFrom <= now {
-		return 0
-	}
-	return completeFrom - now
+	return origin, false, min(s.node.store.IncompleteFor(), maxIncompleteRetryAfter)
 }
 
 // find returns the origin of a stream. If this instance does not know the stream and several versions may have begun it, it asks
@@ -109,7 +99,7 @@
 	for {
 		select {
 		case <-recheck.C:
-			if _, ok := s.onlyCandidate(service); ok && s.incompleteFor() == 0 {
+			if _, ok := s.onlyCandidate(service); ok && s.node.store.IncompleteFor() == 0 {
 				return
 			}
 		case <-answer:
@@ -139,7 +129,7 @@
 // store doesn't answer, no entry of another version can have come since, and the other instances decide. While the store may
 // lack entries, nothing can be concluded from its lists.
 func (s *streamOrigins) isOnlyOrigin(ctx context.Context, candidate streams.Origin) bool {
-	if s.incompleteFor() > 0 {
+	if s.node.store.IncompleteFor() > 0 {
 		return false
 	}
 	served, err := s.node.versionCheck.await(ctx)
--- a/internal/transport/storeclient/era.go
+++ b/internal/transport/storeclient/era.go
@@ -87,6 +87,13 @@
 	return c.eras.eras.CompleteFrom()
 }
 
+// IncompleteFor returns the time until CompleteFrom, zero if it is over.
+func (c *Client) IncompleteFor() time.Duration {
+	c.eras.mu.Lock()
+	defer c.eras.mu.Unlock()
+	return c.eras.eras.IncompleteFor(c.eras.clock())
+}
+
 // AwaitEraAfter waits until an era after the given one is known. It returns false if ctx
 // ends before.
 func (c *Client) AwaitEraAfter(ctx context.Context, known object.Era) bool {
