Gateway: a forwarded request is not served by an older configuration than its sender's

What callers saw: orders sent to an instance that reaches no upstream, and so forwards them, ran now at the new service, now at the old one, for up to 0.44 s after a configuration had moved the route. Beside an instance that has just started from an older copy of the store, this lasts until the operator has written again.

Cause: the instance that is forwarded to serves by its own configuration, and the request named none. That a version never falls back was kept within each process alone.

Ruled out: the sender itself, which never falls back.

Change: a forwarded request names the version in force at its sender, or the newest one by which another instance has served a request of the sender; the response names the one it was served by. Who has an older one waits for it up to half a second, and then refuses, so that the sender asks the next instance. The sender does the same for its own callers.

--- a/internal/node/gateway/forward.go
+++ b/internal/node/gateway/forward.go
@@ -40,7 +40,7 @@
 // encodeForwardedResponse sets what the instance that forwarded the request has to know of a response.
 func (c *call) encodeForwardedResponse(isOwn, tryOther bool) {
 	if c.forwarded != nil {
-		forwardhttp.Response{IsOwn: isOwn, TryOther: tryOther, Sends: c.sendCount()}.Encode(c.writer.Header())
+		forwardhttp.Response{IsOwn: isOwn, TryOther: tryOther, Sends: c.sendCount(), Config: c.configVersion}.Encode(c.writer.Header())
 	}
 }
 
@@ -154,6 +154,9 @@
 	} else {
 		h := a.exchange.Response.Header
 		own = forwardhttp.DecodeResponse(h)
+		if !own.TryOther {
+			g.configs.recordServed(own.Config)
+		}
 		forwardhttp.Remove(h)
 		a.response = platform.DecodeResponse(a.exchange.Response.StatusCode, h)
 		if !own.IsOwn {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -103,6 +103,7 @@
 	responses   bodyMemory // of the responses that are buffered
 	fairRoom    *fairRoom
 	refusesNew  atomic.Bool
+	configs     configVersions
 	// closesConnections makes responses close their connections.
 	closesConnections atomic.Bool
 	inFlightContext   context.Context // canceled by CancelInFlight
@@ -120,6 +121,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	unanswered, cancelUnanswered := context.WithCancel(ctx)
 	g := &Gateway{Options: o, retryBudgets: make(map[string]*retry.WindowBudget), crashGuard: newCrashGuard(), pauses: newPauses(o.BootTime), bodyMemory: bodyMemory{limit: o.MaxBodyMemory}, responses: bodyMemory{limit: o.maxResponseMemory}, inFlightContext: ctx, cancelInFlight: cancel, unansweredContext: unanswered, cancelUnanswered: cancelUnanswered}
+	g.configs.applied = make(chan struct{})
 	g.fairRoom = newFairRoom()
 	g.crashProbes = newCrashProbes(g.isGone)
 	g.reach = newUpstreamReach(o.Pool, g.upstreamAddresses, g.logReach)
@@ -136,6 +138,7 @@
 	}
 	g.active.Store(&activeConfig{Config: c, Table: routetable.New(c.Routes), headerLimit: before.changeTo(c.Limits, time.Now()), customers: customers.NewIndex(c.Customers)})
 	g.Metrics.ConfigVersion.Set(float64(c.Version))
+	g.configs.announce()
 }
 
 // Config returns the configuration in force, or nil if none has been applied.
@@ -221,6 +224,11 @@
 		c.refuseAtThisInstance(http.StatusServiceUnavailable, refuseNewRetryAfter, "instance is leaving")
 		return
 	}
+	if active = c.awaitConfig(active); active == nil {
+		c.limitUnreadBody()
+		c.refuseAtThisInstance(http.StatusServiceUnavailable, noConfigRetryAfter, reasonOlderConfig)
+		return
+	}
 	c.requestURI = requestURI(r)
 	path, _, _ := strings.Cut(c.requestURI, "?")
 	if c.route = active.Table.Match(r.Host, path); c.route == nil {
--- a/internal/node/gateway/identity.go
+++ b/internal/node/gateway/identity.go
@@ -103,5 +103,6 @@
 func (c *call) forwardedRequest() forwardhttp.Request {
 	return forwardhttp.Request{
 		Elapsed: time.Since(c.arrivedAt), Sends: c.sendCount(), IsIdentified: c.needsIdentity(), Customer: c.customerName(),
+		Config: max(c.configVersion, c.gateway.configs.servedBy()),
 	}
 }
