--- a/internal/node/gateway/configversion.go
+++ b/internal/node/gateway/configversion.go
@@ -12,16 +12,16 @@
 	reasonOlderConfig = "another instance has a newer configuration"
 )
 
-// configVersions keeps a request that is forwarded, or whose predecessors were, from being served by an older configuration than
-// those before it.
+// configVersions knows by which configurations other instances have served requests of this one, and tells when one is put in force
+// here. It is safe for concurrent use.
 type configVersions struct {
 	mu      sync.Mutex    // guards the fields below
 	applied chan struct{} // closed and replaced when a configuration is put in force
 	served  uint64        // newest version by which another instance has served a request of this one
 }
 
-// announce wakes the requests that wait for a configuration.
-func (v *configVersions) announce() {
+// notifyApplied wakes the requests that wait for a configuration.
+func (v *configVersions) notifyApplied() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	close(v.applied)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -138,7 +138,7 @@
 	}
 	g.active.Store(&activeConfig{Config: c, Table: routetable.New(c.Routes), headerLimit: before.changeTo(c.Limits, time.Now()), customers: customers.NewIndex(c.Customers)})
 	g.Metrics.ConfigVersion.Set(float64(c.Version))
-	g.configs.announce()
+	g.configs.notifyApplied()
 }
 
 // Config returns the configuration in force, or nil if none has been applied.
--- a/internal/reference/advice.go
+++ b/internal/reference/advice.go
@@ -10,7 +10,7 @@
 func Advices() []Advice {
 	return []Advice{
 		{"savoryweir_node_requests_total", "`refused` or `failed` rising: `refusals_total` and `sends_total` tell why; OPERATIONS leads from one request to its cause."},
-		{"savoryweir_node_refusals_total", "`overloaded`: more work than the engines read; `no engine holds the model`: look at `orders_total` and `holds_orders`; `no upstream`: look at `upstreams`; `software version of the stream is not known`: all instances that knew were lost, or datagrams do not arrive."},
+		{"savoryweir_node_refusals_total", "`overloaded`: more work than the engines read; `no engine holds the model`: look at `orders_total` and `holds_orders`; `no upstream`: look at `upstreams`; `software version of the stream is not known`: all instances that knew were lost, or datagrams do not arrive; after the store came back from an older copy, for 2.5 s; `another instance has a newer configuration`: look at `request.older_config`."},
 		{"savoryweir_node_callers_left_total", "`body` and `waiting`: callers give up before their requests are sent, so that this instance is short of processor time or models are missing; `sent` and `response`: compare with `first_byte_seconds` and `event_gap_seconds`."},
 		{"savoryweir_node_sends_total", "`lost`: upstreams break off, look at the events `request.send_failed` by upstream; `not run`: full upstreams or models that have just moved."},
 		{"savoryweir_node_broken_exchanges_total", "`upstream`: upstreams close connections; `silence`: they send nothing for longer than the route's targets allow, and the request goes on elsewhere; compare with `requests_total` of outcome `aborted`."},
