Upstream connections: a reset that a write was told of is no end of a response

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection.

Cause: a body above 8 KiB is written by a goroutine of its own. The kernel reports a reset once. A write that waits for room takes the report (ECONNRESET), and the read that follows gets the end of the file, which ends a body without a length. The result of the write was looked at for reuse of the connection alone.

Ruled out: that the gateway loses the error on the way.

Change: eofcheck.Conn keeps the error that the kernel has reported to a write or a read, and returns it in place of io.EOF. A write that is still in progress on a connection that is gone returns at once, so that a read may wait for it; one on a connection whose peer has only ended its own bytes may take long and is not waited for. EPIPE is left out: it is the report of a reset that came after the end of the peer's bytes, and a response that ended so is complete. It lies below all readers of upstreamconn: buffered and streamed bodies, forwarded requests, orders, reports and probes.

--- a/internal/node/gateway/harness_test.go
+++ b/internal/node/gateway/harness_test.go
@@ -55,12 +55,24 @@
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	u := &testUpstream{id: fleet.UpstreamID(id), listener: listener, respond: respond}
+	u := newTestUpstream(id, listener, respond)
 	t.Cleanup(func() { _ = listener.Close() })
 	go u.acceptConnections(listener)
 	return u
 }
 
+func newTestUpstream(id string, listener net.Listener, respond responder) *testUpstream {
+	return &testUpstream{id: fleet.UpstreamID(id), listener: listener, respond: respond}
+}
+
+// record records a request of a caller.
+func (u *testUpstream) record(r *http.Request, body string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.requests = append(u.requests, r)
+	u.bodies = append(u.bodies, body)
+}
+
 // acceptConnections serves the connections to a listener until it is closed.
 func (u *testUpstream) acceptConnections(listener net.Listener) {
 	for {
@@ -90,10 +102,7 @@
 			}
 			continue
 		}
-		u.mu.Lock()
-		u.requests = append(u.requests, request)
-		u.bodies = append(u.bodies, string(body))
-		u.mu.Unlock()
+		u.record(request, string(body))
 		if !u.respond(u, request, body, conn) {
 			return
 		}
--- a/internal/transport/upstreamconn/conn.go
+++ b/internal/transport/upstreamconn/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"savoryweir/internal/protocol/responsehead"
+	"savoryweir/internal/transport/eofcheck"
 )
 
 const (
@@ -22,7 +23,7 @@
 
 // conn is one connection to an upstream. It serves one request at a time.
 type conn struct {
-	net.Conn
+	*eofcheck.Conn
 	reader      *bufio.Reader
 	head        headReader
 	idleSince   time.Time
@@ -78,7 +79,8 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw, head: headReader{source: raw}}
+	checked := eofcheck.New(raw)
+	c := &conn{Conn: checked, head: headReader{source: checked}}
 	c.reader = bufio.NewReaderSize(&c.head, readBufferBytes)
 	return c
 }
@@ -90,7 +92,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	source, ok := c.Conn.(syscall.Conn)
+	source, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return false
 	}
