net/http's clients: a reset that a write was told of is no end of a response

Readers of checkedhttp (entry, store, engines' reports and orders, operators) took the first part of an early response without a length for a complete one when its connection was reset during the upload. Entry turns away responses of plain services without a length, and its streams have an end mark, so that its callers were not reached; the other clients would have had a part of a body to decode.

Cause: as in upstreamconn. net/http writes requests by a goroutine of its own, which takes the kernel's report of the reset, and drops the error of a write once the response has begun. The read gets the end of the file, which ends the body.

Change: checkedhttp.Conn lies on an eofcheck.Conn. trackedConn of upstreamhttp names the connection below it, which the check needs to tell a gone connection; without that, the test in upstreamhttp went on failing.

Evidence: TestEarlyResponseThatIsResetIsNotComplete of checkedhttp failed in 9, 8 and 10 of 20 subtests in three runs before and in none now; that of upstreamhttp failed in three of three runs. The tests of both packages passed five times with the race detector.

--- a/internal/transport/checkedhttp/checkedhttp.go
+++ b/internal/transport/checkedhttp/checkedhttp.go
@@ -1,5 +1,6 @@
-// Package checkedhttp makes net/http reject responses that violate HTTP, see package responsehead. A client needs
-// both parts: connections that are opened by WrapDial, and a Transport around that of net/http.
+// Package checkedhttp makes net/http reject responses that violate HTTP, see package responsehead, or that were reset
+// before their end, see package eofcheck. A client needs both parts: connections that are opened by WrapDial, and a
+// Transport around that of net/http.
 package checkedhttp
 
 import (
@@ -13,10 +14,12 @@
 	"sync/atomic"
 
 	"savoryweir/internal/protocol/responsehead"
+	"savoryweir/internal/transport/eofcheck"
 	"savoryweir/internal/transport/tlsconf"
 )
 
-// Conn is a connection on which requests are sent by HTTP/1. It checks the heads of the responses.
+// Conn is a connection on which requests are sent by HTTP/1. It checks the heads of the responses, and that a response
+// without a length ends in an orderly way.
 type Conn struct {
 	net.Conn
 
@@ -25,7 +28,7 @@
 }
 
 // NewConn returns a connection that checks what is read from another one.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: eofcheck.New(c)} }
 
 // WrapDial returns a DialFunc that checks the connections that dial opens. They must not be used for HTTP/2.
 func WrapDial(dial tlsconf.DialFunc) tlsconf.DialFunc {
--- a/internal/transport/upstreamhttp/sent.go
+++ b/internal/transport/upstreamhttp/sent.go
@@ -19,6 +19,9 @@
 	sealed bool
 }
 
+// NetConn returns the connection whose writes are counted.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
