net/http's clients: a response that came before a reset is read

Callers saw: a service of entry answered a long order or read before it had taken all of the body, ended its answer in an orderly way and closed. The rest of the body met a reset, and in most tries the answer was lost: "write: broken pipe", so that the caller got an error with an unknown outcome.

Cause: net/http's RoundTrip waits for the response and the result of the write, and fails with an error of the write, whatever has arrived.

Change: if the server resets the connection once some of a request was written, checkedhttp.Conn drops the rest of that request and lets the read tell: it gets the response that came before, or the error of the reset by eofcheck. A request of which nothing was written fails as before, so that net/http sends it on another connection. trackedConn counts writes below that, as before.

--- a/internal/transport/checkedhttp/checkedhttp.go
+++ b/internal/transport/checkedhttp/checkedhttp.go
@@ -6,12 +6,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"savoryweir/internal/protocol/responsehead"
 	"savoryweir/internal/transport/eofcheck"
@@ -23,8 +25,9 @@
 type Conn struct {
 	net.Conn
 
-	mu      sync.Mutex // guards checker
-	checker responsehead.Checker
+	mu       sync.Mutex // guards the fields below
+	checker  responsehead.Checker
+	hasBegun bool // some of the present request was written
 }
 
 // NewConn returns a connection that checks what is read from another one.
@@ -44,11 +47,12 @@
 // NetConn returns the connection that is checked.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// ExpectResponse states that the next bytes that arrive are those of a response.
+// ExpectResponse states that the next bytes that are written are those of a request, and that arrive those of its response.
 func (c *Conn) ExpectResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checker.Expect()
+	c.hasBegun = false
 }
 
 // Err returns an error if a response had a malformed head.
@@ -69,12 +73,21 @@
 }
 
 // Write implements net.Conn. It fails after a malformed head, as net/http may use the connection again before the
-// Transport closes it.
+// Transport closes it. If the server resets the connection within a request, the rest of the request is dropped instead:
+// net/http would not read the response that the server may have sent before. Without one, the read fails.
 func (c *Conn) Write(p []byte) (int, error) {
 	if err := c.Err(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isReset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if isReset && (c.hasBegun || n > 0) {
+		return len(p), nil
+	}
+	c.hasBegun = c.hasBegun || n > 0
+	return n, err
 }
 
 // Transport rejects responses that the transport Base of net/http accepts although they violate HTTP.
--- a/internal/transport/checkedhttp/early_test.go
+++ b/internal/transport/checkedhttp/early_test.go
@@ -57,7 +57,7 @@
 	delete(responses, "head alone")
 	for name, text := range responses {
 		for endName, end := range map[string]rawhttp.End{
-			"reset later": rawhttp.CloseThenResetAfter(20 * time.Millisecond), "upload is read": rawhttp.CloseThenRead,
+			"reset later": rawhttp.CloseThenResetAfter(20 * time.Millisecond), "reset at once": rawhttp.CloseThenResetAfter(0), "upload is read": rawhttp.CloseThenRead,
 		} {
 			t.Run(name+" "+endName, func(t *testing.T) {
 				t.Parallel()
