Uploads: an upstream that reads slowly is not cut off after two seconds

Callers saw: an upstream that took an upload slowly, or had begun its response and read on later, was cut off after 2 s; callers got 502 though deadline and route allowed more.

Cause: TCP_USER_TIMEOUT, 2 s on all connections to upstreams, is meant for bytes that stay unacknowledged on a path that is cut. The kernel counts the time for which the peer's receive window is closed as well, although the peer acknowledges each probe of the window.

Change: while a body above 8 KiB is under way, and until its response ends, the option is off. In its place the connection is closed once bytes that the peer had room for have stayed unacknowledged for the same 2 s, as the kernel's figures of the connection show (TCP_INFO: unacknowledged segments, window, time since the last acknowledgement). The decision is code of its own. Where the path is cut while the window is closed, nothing is outstanding, and the request ends by its deadline. Before the connection is used again the option is set again. Shorter requests keep it; so does the store's client, whose requests fit into the socket buffers. The socket behind a wrapped connection is found in one place, package tcpinfo.

--- a/internal/node/gateway/early_response_test.go
+++ b/internal/node/gateway/early_response_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -39,12 +41,12 @@
 }
 
 // upload sends a request with a long body.
-func upload(t *testing.T, h *harness, path string) result {
+func upload(t *testing.T, h *harness, path string, headers ...string) result {
 	t.Helper()
 	config := *h.gateway.Config()
 	config.Limits.MaxBodyBytes = earlyUploadBytes
 	h.gateway.ApplyConfig(&config)
-	return h.do(t, http.MethodPost, path, strings.Repeat("x", earlyUploadBytes), "Model", testModel, "Token-Count", "100,10")
+	return h.do(t, http.MethodPost, path, strings.Repeat("x", earlyUploadBytes), append([]string{"Model", testModel, "Token-Count", "100,10"}, headers...)...)
 }
 
 // viaPeer returns a gateway that forwards its requests to another one, whose upstreams are given.
@@ -179,3 +181,33 @@
 		})
 	}
 }
+
+// An upstream that reads an upload slowly is sound, and its response reaches the caller before the deadline.
+func TestUpstreamThatReadsUploadSlowlyIsAwaited(t *testing.T) {
+	for way, newGateway := range map[string]func(t *testing.T, u *testUpstream) *harness{
+		"of an upstream": earlyWays["of an upstream"], "of an upstream of another instance": earlyWays["of an upstream of another instance"],
+	} {
+		for name, begun := range map[string]bool{"begun": true, "not begun": false} {
+			t.Run(way+" "+name, func(t *testing.T) {
+				t.Parallel()
+				whole := "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nResponse-Seal: seal-r-1\r\n\r\nwhole"
+				sent := 0
+				if begun {
+					sent = len(whole) - 2
+				}
+				listener, err := rawhttp.ListenEarly(t.Context())
+				assert.NilError(t, err)
+				defer func() { _ = listener.Close() }()
+				u := newTestUpstream("u1", listener, nil)
+				go rawhttp.Early{Respond: func(*http.Request) string { return whole[:sent] }, End: func(conn *net.TCPConn, rest io.Reader) {
+					time.Sleep(2500 * time.Millisecond)
+					_, _ = io.Copy(io.Discard, rest)
+					_, _ = io.WriteString(conn, whole[sent:])
+				}}.Serve(listener)
+				got := upload(t, newGateway(t, u), "/order/1", "Deadline-Ms", "5000")
+				assert.NilError(t, got.err)
+				assert.Equal(t, fmt.Sprint(got.status, " ", got.body), "200 whole")
+			})
+		}
+	}
+}
--- a/internal/transport/eofcheck/eofcheck.go
+++ b/internal/transport/eofcheck/eofcheck.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"savoryweir/internal/transport/tcpinfo"
 )
 
 // Conn is a connection whose reads return the error that the kernel has reported to a write.
@@ -78,25 +80,6 @@
 // isGone reports whether no end of a connection sends any more: it was reset, or has timed out. If the peer has only
 // ended its own bytes, a write may go on.
 func isGone(c net.Conn) bool {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		c = wrapper.NetConn()
-	}
-	source, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isClosed := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		isClosed = err == nil && info.State == unix.BPF_TCP_CLOSE
-	})
-	return err == nil && isClosed
+	info, err := tcpinfo.Get(c)
+	return err == nil && info.State == unix.BPF_TCP_CLOSE
 }
--- a/internal/transport/keepalive/dialer.go
+++ b/internal/transport/keepalive/dialer.go
@@ -32,15 +32,21 @@
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdleTime, Interval: probeInterval, Count: probeCount},
-		Control:         setUserTimeout,
+		Control:         limitUserTimeout,
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// limitUserTimeout limits the time for which bytes that are sent on a socket may stay unacknowledged. It is the Control
+// function of a Dialer.
+func limitUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, userTimeout)
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT on a socket, 0 for the kernel's default.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	return errors.Join(err, optionErr)
 }
--- a/internal/transport/upstreamconn/early_test.go
+++ b/internal/transport/upstreamconn/early_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"savoryweir/internal/standin/rawhttp"
@@ -95,3 +99,65 @@
 		assert.Equal(t, body, "whole")
 	})
 }
+
+// silence is longer than the time for which sent bytes may stay unacknowledged.
+const silence = 3 * time.Second
+
+// An upstream that reads an upload slowly closes its receive window, for longer than the kernel waits for
+// acknowledgements. It is sound, and may have begun its response.
+func TestUpstreamThatReadsUploadSlowlyIsAwaited(t *testing.T) {
+	whole := rawhttp.Response{Body: strings.Repeat("whole", 2000)}
+	responses := whole.Framed()
+	responses["no length"] = whole.Unframed()["no length"]
+	for name, text := range responses {
+		for begun, sent := range map[string]int{"not begun": 0, "begun": len(text) / 2} {
+			t.Run(name+" "+begun, func(t *testing.T) {
+				t.Parallel()
+				server := rawhttp.Early{Respond: func(*http.Request) string { return text[:sent] }, End: func(conn *net.TCPConn, rest io.Reader) {
+					time.Sleep(silence)
+					_, _ = io.Copy(io.Discard, rest)
+					_, _ = io.WriteString(conn, text[sent:])
+				}}
+				body, err := exchangeEarly(t, server, 0)
+				assert.NilError(t, err)
+				assert.Equal(t, len(body), len(whole.Body))
+			})
+		}
+	}
+}
+
+// dropPackets makes the kernel drop all packets that arrive for a connection, as a path that is cut does.
+func dropPackets(conn *net.TCPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
+	var filterErr error
+	err = raw.Control(func(fd uintptr) {
+		filterErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
+	})
+	return errors.Join(err, filterErr)
+}
+
+// An upload whose path is cut fails long before its deadline, so that it may be sent to another upstream.
+func TestUploadOnUnresponsivePathFails(t *testing.T) {
+	dropped := make(chan error, 1)
+	server := rawhttp.Early{Respond: func(*http.Request) string { return "" }, End: func(conn *net.TCPConn, rest io.Reader) {
+		dropped <- dropPackets(conn)
+		_, _ = io.Copy(io.Discard, rest)
+		time.Sleep(2 * silence)
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*silence)
+	defer cancel()
+	listener, err := rawhttp.ListenEarly(ctx)
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go server.Serve(listener)
+	r := newRequest(listener.Addr().String())
+	r.Body = make([]byte, uploadBytes)
+	_, err = NewPool(func() {}).Do(ctx, r)
+	assert.NilError(t, <-dropped)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, ctx.Err())
+}
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -13,6 +13,7 @@
 
 	"savoryweir/internal/errs"
 	"savoryweir/internal/protocol/responsehead"
+	"savoryweir/internal/transport/keepalive"
 )
 
 const (
@@ -65,6 +66,7 @@
 	written       chan error  // receives the result of sending the request
 	bodyComplete  bool        // the response body was read to its end
 	detachContext func() bool // stops ctx from closing the connection; false if ctx has ended
+	endSlowRead   func()      // ends the time in which the upstream may read slowly
 	closed        atomic.Bool
 }
 
@@ -80,7 +82,7 @@
 		p.putUnused(r.Address, c)
 		return nil, &Failure{Err: errs.Wrap(cause(ctx, ErrAbandoned), stepSend, errs.Peer(r.Address))}
 	}
-	x := &Exchange{pool: p, address: r.Address, conn: c, written: make(chan error, 1)}
+	x := &Exchange{pool: p, address: r.Address, conn: c, written: make(chan error, 1), endSlowRead: func() {}}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	maybeSent, err := x.send(r)
 	if err != nil {
@@ -144,6 +146,7 @@
 	if err != nil {
 		return n > 0, err
 	}
+	x.endSlowRead = keepalive.AllowSlowReader(x.conn)
 	go func() {
 		_, err := x.conn.Write(r.Body)
 		x.written <- err
@@ -214,6 +217,7 @@
 		return
 	}
 	isOpen := x.detachContext()
+	x.endSlowRead()
 	if isOpen && x.bodyComplete && !x.Response.Close && x.isSent() && x.conn.reader.Buffered() == 0 {
 		x.conn.idleSince, x.conn.idleTimeout = x.pool.now(), safeIdleTimeout(x.Response.Header)
 		x.pool.put(x.address, x.conn)
