Upstream connections: none is reused while the upstream has an upload to read

Callers saw: an upstream answered an upload early and with a length, kept the connection and read on later, as it may. The next request went on that connection, behind the rest of the upload: it waited, and ended by its deadline, or after 2 s by the kernel's limit, with an unknown outcome.

Cause: a request counted as sent once the kernel had taken its bytes, of which the socket buffers hold some megabytes.

Change: the connection is reused only if the upstream's kernel has acknowledged all bytes. One that has read the request before it answers has done so with the answer at the latest, so that nothing changes for it.

Evidence: TestConnectionIsNotReusedWhileUploadIsUnread failed (the second request got no answer within its second), and passed five times with the race detector, together with the tests that connections are reused.

--- a/internal/transport/upstreamconn/conn.go
+++ b/internal/transport/upstreamconn/conn.go
@@ -10,6 +10,7 @@
 
 	"savoryweir/internal/protocol/responsehead"
 	"savoryweir/internal/transport/eofcheck"
+	"savoryweir/internal/transport/tcpinfo"
 )
 
 const (
@@ -109,3 +110,9 @@
 	})
 	return err == nil && wouldBlock
 }
+
+// isAcknowledged reports whether the peer has acknowledged all bytes that were written, as far as the kernel tells.
+func (c *conn) isAcknowledged() bool {
+	info, err := tcpinfo.Get(c)
+	return err != nil || info.Unacked == 0 && info.Notsent_bytes == 0
+}
--- a/internal/transport/upstreamconn/early_test.go
+++ b/internal/transport/upstreamconn/early_test.go
@@ -161,3 +161,31 @@
 	assert.Assert(t, err != nil)
 	assert.NilError(t, ctx.Err())
 }
+
+// An upstream may respond early, keep the connection and read on later. A request on that connection would wait behind
+// the rest of the upload.
+func TestConnectionIsNotReusedWhileUploadIsUnread(t *testing.T) {
+	listener, err := rawhttp.ListenEarly(t.Context())
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	readOn := make(chan struct{})
+	defer close(readOn)
+	go rawhttp.Early{Respond: func(*http.Request) string { return rawhttp.Response{Body: "early"}.Sound() }, End: func(_ *net.TCPConn, rest io.Reader) {
+		<-readOn
+		_, _ = io.Copy(io.Discard, rest)
+	}}.Serve(listener)
+	p := NewPool(func() {})
+	for range 2 {
+		r := newRequest(listener.Addr().String())
+		r.Body = make([]byte, 512<<10)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		x, err := p.Do(ctx, r)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(x)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "early")
+		time.Sleep(50 * time.Millisecond) // the kernel has taken all of the upload
+		x.Close()
+	}
+}
--- a/internal/transport/upstreamconn/exchange.go
+++ b/internal/transport/upstreamconn/exchange.go
@@ -210,8 +210,8 @@
 	return n, err
 }
 
-// Close ends the exchange. The connection is reused only if the request was sent
-// completely and the response was read completely.
+// Close ends the exchange. The connection is reused only if the upstream has got the whole
+// request and the response was read completely.
 func (x *Exchange) Close() {
 	if !x.closed.CompareAndSwap(false, true) {
 		return
@@ -226,11 +226,12 @@
 	_ = x.conn.Close()
 }
 
-// isSent reports whether the request was written completely and without an error.
+// isSent reports whether the request was written completely and without an error, and the upstream
+// has acknowledged all of it. A request behind one that the upstream reads later would wait.
 func (x *Exchange) isSent() bool {
 	select {
 	case err := <-x.written:
-		return err == nil
+		return err == nil && x.conn.isAcknowledged()
 	default:
 		return false
 	}
