Tests: responses without a length to orders, reports, calls of the store, and refusals

A refusal is judged by its head, reset or not: 421 and Not-Executed state that the request has not run, 408, 429 and 503 alone promise nothing and become 502.

--- a/internal/node/gateway/early_response_test.go
+++ b/internal/node/gateway/early_response_test.go
@@ -211,3 +211,26 @@
 		}
 	}
 }
+
+// Whether a request was executed is told by the head of a refusal, which is complete, whatever becomes of its body: 421
+// and Not-Executed state that it was not, other refusals promise nothing.
+func TestEarlyRefusalThatIsResetIsJudgedByItsHead(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		for field, want := range map[string]int{"": http.StatusBadGateway, "Not-Executed: 1\r\n": http.StatusServiceUnavailable} {
+			t.Run(fmt.Sprint(status, " ", field), func(t *testing.T) {
+				t.Parallel()
+				refusal := func(r rawhttp.Response) map[string]string {
+					return map[string]string{"": fmt.Sprintf("HTTP/1.1 %d X\r\n%s%s\r\n%s", status, r.Fields, field, r.Body)}
+				}
+				u := startEarlyUpstream(t, "u1", "half", refusal, "", rawhttp.ResetAfter(30*time.Millisecond))
+				got := upload(t, newHarness(t, u), "/order/1")
+				assert.NilError(t, got.err)
+				if status == http.StatusMisdirectedRequest {
+					want = http.StatusServiceUnavailable
+				}
+				assert.Equal(t, got.status, want, got.body)
+				assert.Equal(t, got.header.Get("Response-Seal"), "")
+			})
+		}
+	}
+}
--- a/internal/node/reconciler/malformed_test.go
+++ b/internal/node/reconciler/malformed_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -30,3 +31,27 @@
 		})
 	}
 }
+
+// A response without a length that is reset is none, neither to an order nor as a report. One that ends in an orderly way is.
+func TestUnframedResponseOfEngineIsOneOnlyAfterOrderlyEnd(t *testing.T) {
+	for name, text := range (rawhttp.Response{Body: `{"seq":7,"busy":false,"models":[]}`}).Unframed() {
+		for endName, end := range map[string]rawhttp.End{"reset": rawhttp.ResetAfter(5 * time.Millisecond), "orderly": rawhttp.CloseThenResetAfter(5 * time.Millisecond)} {
+			t.Run(name+" "+endName, func(t *testing.T) {
+				listener, err := rawhttp.ListenEarly(t.Context())
+				assert.NilError(t, err)
+				t.Cleanup(func() { _ = listener.Close() })
+				go rawhttp.Early{Respond: func(*http.Request) string { return text }, End: end}.Serve(listener)
+				r := &Reconciler{pool: upstreamconn.NewPool(func() {}), observeResponse: func(*fleet.Upstream, int, http.Header) {}}
+				u := fleet.Upstream{ID: "e1", Address: listener.Addr().String()}
+				for _, request := range []upstreamconn.Request{
+					{Method: http.MethodGet, Target: platform.ReportPath},
+					{Method: http.MethodPost, Target: platform.OrderPath, Body: []byte("{}"), AtMostOnce: true},
+					{Method: http.MethodPost, Target: platform.OrderPath, Body: make([]byte, 8<<20), AtMostOnce: true},
+				} {
+					_, _, err := r.roundTrip(t.Context(), u, request)
+					assert.Equal(t, err == nil, endName == "orderly", "%s with %d bytes: %v", request.Method, len(request.Body), err)
+				}
+			})
+		}
+	}
+}
--- a/internal/transport/storeclient/malformed_test.go
+++ b/internal/transport/storeclient/malformed_test.go
@@ -1,6 +1,8 @@
 package storeclient_test
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -42,6 +44,31 @@
 	assert.ErrorIs(t, err, object.ErrOutcomeUnknown)
 }
 
+// A response without a length that is reset tells nothing, though all that has arrived can be read. One that ends in an
+// orderly way does.
+func TestUnframedResponseOfStoreTellsOnlyAfterOrderlyEnd(t *testing.T) {
+	text := rawhttp.Response{Fields: "Store-Era: 7\r\n", Body: `{"metadata":{"name":"a","revision":9},"items":[],"storeRevision":9}`}.Unframed()["no length"]
+	for name, end := range map[string]rawhttp.End{"reset": rawhttp.ResetAfter(5 * time.Millisecond), "orderly": rawhttp.CloseThenResetAfter(5 * time.Millisecond)} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := rawhttp.ListenEarly(t.Context())
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go rawhttp.Early{Respond: func(*http.Request) string { return text }, End: end}.Serve(listener)
+			client := newClient(t, storeclient.Settings{URL: fmt.Sprint("http://", listener.Addr()), Timeout: 2 * time.Second})
+			_, _, listErr := client.ListAt(t.Context(), kind)
+			_, _, watchErr := client.WatchSince(t.Context(), kind, 0, time.Second)
+			_, createErr := client.Create(t.Context(), kind, "a", bytes.Repeat([]byte("x"), object.MaxSizeBytes))
+			if name == "orderly" {
+				assert.NilError(t, errors.Join(listErr, watchErr, createErr))
+				return
+			}
+			assert.ErrorIs(t, listErr, object.ErrUnavailable)
+			assert.ErrorIs(t, watchErr, object.ErrUnavailable)
+			assert.ErrorIs(t, createErr, object.ErrOutcomeUnknown)
+		})
+	}
+}
+
 // startRaw returns the client of a store that responds to all requests with a text.
 func startRaw(t *testing.T, text string) *storeclient.Client {
 	t.Helper()
