Gateway: a response that breaks off does not look complete to callers of HTTP/1.0

A caller that speaks HTTP/1.0 gets streams and long bodies without a length. When one broke off, the gateway closed the connection in an orderly way, and the part looked complete.

Cause: http.ErrAbortHandler makes net/http close the connection, which says in HTTP/1.1 alone that chunks or bytes are missing.

Change: before a handler for such a caller is aborted, the connection is made to end by a reset (SO_LINGER of 0).

--- a/internal/node/gateway/early_response_test.go
+++ b/internal/node/gateway/early_response_test.go
@@ -234,3 +234,24 @@
 		}
 	}
 }
+
+// A caller that speaks HTTP/1.0 gets a long body without a length, too.
+func TestBrokenResponseDoesNotLookCompleteInHTTP10(t *testing.T) {
+	for path, body := range map[string]string{"/order/1": strings.Repeat("x", 2*maxBufferedBodyBytes), "/batch/1": eventText(1, 3)} {
+		for name, end := range map[string]bool{"whole": true, "broken": false} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				h := newHarness(t, startUpstream(t, "u1", respondUnframed(body, end)))
+				conn, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+				assert.NilError(t, err)
+				defer func() { _ = conn.Close() }()
+				_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: desk.example\r\nRequest-Id: r-1\r\nModel: m1\r\nToken-Count: 100,10\r\nDeadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nx", path)
+				assert.NilError(t, err)
+				got, err := io.ReadAll(conn)
+				assert.Equal(t, err == nil, end, "%d bytes, %v", len(got), err)
+				if end {
+					assert.Assert(t, strings.HasSuffix(string(got), "\r\n\r\n"+body))
+				}
+			})
+		}
+	}
+}
--- a/internal/node/gateway/finish.go
+++ b/internal/node/gateway/finish.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"savoryweir/internal/transport/hangup"
 )
 
 // finish records how the request ended. It is deferred, so that it also runs when the
@@ -23,6 +25,9 @@
 	c.recordFairRefusal()
 	c.recordCompletion(recovered != nil)
 	if recovered != nil {
+		if !c.request.ProtoAtLeast(1, 1) { // a response without a length ends with its connection
+			hangup.ResetOnClose(c.request.Context())
+		}
 		panic(recovered)
 	}
 }
--- a/internal/transport/hangup/hangup.go
+++ b/internal/transport/hangup/hangup.go
@@ -1,5 +1,5 @@
 // Package hangup tells whether the peer of a TCP connection has closed it, also while bytes that the
-// peer sent before are still unread.
+// peer sent before are still unread, and lets this end break it off.
 package hangup
 
 import (
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"savoryweir/internal/transport/tcpinfo"
 )
 
 type connKey struct{}
@@ -47,3 +49,19 @@
 		return false
 	}
 }
+
+// ResetOnClose makes the close of the connection that ctx carries a reset, so that the peer does not take it for the
+// orderly end of what was sent.
+func ResetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcpinfo.Raw(c)
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	})
+}
--- a/internal/transport/hangup/hangup_test.go
+++ b/internal/transport/hangup/hangup_test.go
@@ -1,7 +1,10 @@
 package hangup
 
 import (
+	"errors"
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -69,3 +72,19 @@
 	assert.NilError(t, own.Close())
 	assert.Assert(t, IsSeen(NewContext(t.Context(), own)), "closed by this process")
 }
+
+func TestConnectionIsResetOnCloseOnlyIfAsked(t *testing.T) {
+	for name, isAsked := range map[string]bool{"asked": true, "not asked": false} {
+		t.Run(name, func(t *testing.T) {
+			peer, own := connect(t)
+			ctx := NewContext(t.Context(), own)
+			if isAsked {
+				ResetOnClose(ctx)
+			}
+			assert.NilError(t, own.Close())
+			_, err := io.ReadAll(peer)
+			assert.Equal(t, errors.Is(err, syscall.ECONNRESET), isAsked, "%v", err)
+		})
+	}
+	ResetOnClose(t.Context()) // carries no connection
+}
