Uploads: a path is not given up after the upstream has ended its response

Callers saw: nothing; found on a second reading of the change. Where an upstream ends its response before it has read the upload, and the path is cut while a slow caller still reads that response, the watch on the path would have closed the connection with bytes that had arrived. TCP_USER_TIMEOUT did the same before.

Cause: the watch looked at what is unacknowledged, whether or not anything is awaited.

Change: nothing is awaited from a peer that has ended its own bytes.

--- a/internal/transport/keepalive/slowreader.go
+++ b/internal/transport/keepalive/slowreader.go
@@ -62,9 +62,10 @@
 	respondedAt time.Time // when nothing was outstanding last
 }
 
-// isUnresponsive reports whether bytes that the peer had room for have stayed unacknowledged for userTimeout.
+// isUnresponsive reports whether bytes that the peer had room for have stayed unacknowledged for userTimeout. Nothing is
+// awaited from a peer that has ended its own bytes, of which some may still have to be read.
 func (w *pathWatch) isUnresponsive(now time.Time, info *unix.TCPInfo) bool {
-	if info.Unacked == 0 || info.Snd_wnd == 0 {
+	if info.Unacked == 0 || info.Snd_wnd == 0 || info.State != unix.BPF_TCP_ESTABLISHED {
 		w.respondedAt = now
 		return false
 	}
--- a/internal/transport/keepalive/slowreader_test.go
+++ b/internal/transport/keepalive/slowreader_test.go
@@ -11,9 +11,11 @@
 // Each look at the connection is one second after the one before.
 func TestPathIsUnresponsiveOnlyWithoutAcknowledgementOfBytesThatPeerHasRoomFor(t *testing.T) {
 	waiting := func(sinceAck time.Duration) unix.TCPInfo {
-		return unix.TCPInfo{Unacked: 3, Snd_wnd: 1000, Last_ack_recv: uint32(sinceAck.Milliseconds())}
+		return unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Unacked: 3, Snd_wnd: 1000, Last_ack_recv: uint32(sinceAck.Milliseconds())}
 	}
-	closed, nothing := unix.TCPInfo{Unacked: 1, Last_ack_recv: 9000}, unix.TCPInfo{Snd_wnd: 1000, Last_ack_recv: 9000}
+	closed := unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Unacked: 1, Last_ack_recv: 9000}
+	nothing := unix.TCPInfo{State: unix.BPF_TCP_ESTABLISHED, Snd_wnd: 1000, Last_ack_recv: 9000}
+	ended := unix.TCPInfo{State: unix.BPF_TCP_CLOSE_WAIT, Unacked: 3, Snd_wnd: 1000, Last_ack_recv: 9000}
 	for name, c := range map[string]struct {
 		looks []unix.TCPInfo
 		want  []bool
@@ -24,6 +26,7 @@
 		"acknowledged now and then":       {[]unix.TCPInfo{waiting(1900 * time.Millisecond), waiting(time.Second), waiting(1900 * time.Millisecond)}, []bool{false, false, false}},
 		"closed window":                   {[]unix.TCPInfo{closed, closed, closed, closed}, []bool{false, false, false, false}},
 		"unresponsive once window opened": {[]unix.TCPInfo{closed, closed, waiting(time.Second), waiting(2 * time.Second)}, []bool{false, false, false, true}},
+		"peer has ended its bytes":        {[]unix.TCPInfo{ended, ended, ended}, []bool{false, false, false}},
 		"nothing sent":                    {[]unix.TCPInfo{nothing, nothing, nothing}, []bool{false, false, false}},
 	} {
 		t.Run(name, func(t *testing.T) {
