--- a/internal/transport/checkedhttp/checkedhttp.go
+++ b/internal/transport/checkedhttp/checkedhttp.go
@@ -47,7 +47,7 @@
 // NetConn returns the connection that is checked.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// ExpectResponse states that the next bytes that are written are those of a request, and that arrive those of its response.
+// ExpectResponse states that the next bytes written begin a request, and the next bytes read its response.
 func (c *Conn) ExpectResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/eofcheck/eofcheck.go
+++ b/internal/transport/eofcheck/eofcheck.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// isGone reports whether no end of a connection sends any more: it was reset, or has timed out. If the peer has only
-// ended its own bytes, a write may go on.
+// isGone reports whether a connection was reset or has timed out. A connection on which the peer has only ended its own
+// bytes is not gone: a write may go on.
 func isGone(c net.Conn) bool {
 	info, err := tcpinfo.Get(c)
 	return err == nil && info.State == unix.BPF_TCP_CLOSE
--- a/internal/transport/keepalive/slowreader.go
+++ b/internal/transport/keepalive/slowreader.go
@@ -36,6 +36,7 @@
 	return setUserTimeout(raw, limit)
 }
 
+// closeIfUnresponsive watches a connection until done is closed.
 func closeIfUnresponsive(c net.Conn, done <-chan struct{}) {
 	ticker := time.NewTicker(pathCheckInterval)
 	defer ticker.Stop()
