Streams: a copy of the store is not taken for the past after the loss of all instances

The store went away for 0.5 s and came back from the copy, all instances were killed meanwhile.

Cause: an instance that has just started takes the record of versions for the past, whatever era of the store it was written in. 2.5 s after the return the store's lists count as complete, which they are for what the operator and living engines write again, but not for what the instances themselves had written since the copy, nor for an engine that has left. The record and the list named software 1 alone, so that it was concluded to have begun the stream.

Ruled out: the record of streams joins nothing, it was empty; RewriteTime is not too short, nothing that is missing is written again later.

Change: the past is known to whoever had followed the store's changes until it went away (restore.Continuity), to whom such an instance tells it (StoreEra.knows_past), and from a record that was written in the present era by an instance that knew it. Nobody else concludes anything for a minute, the time for which callers take streams up; the refusal names that time. Streams that begin meanwhile are announced and recorded one by one, so that they go on. versions.past in the log tells by what the past is known.

--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pb "savoryweir/api/savoryweir/v1"
+	"savoryweir/internal/coordination/restore"
 	"savoryweir/internal/node/registry"
 	"savoryweir/internal/state/streams"
 )
@@ -35,6 +36,8 @@
 	answers  map[streams.ID]chan struct{} // closed when the origin becomes known
 	observed *registry.View               // to which serving belongs
 	serving  []streams.Origin
+
+	continuity restore.Continuity // of what is known of the versions, over the store's eras
 }
 
 func newStreamOrigins(n *Node) *streamOrigins {
@@ -43,12 +46,33 @@
 
 // observe records the versions that serve now. The caller holds s.mu.
 func (s *streamOrigins) observe(now time.Time) {
+	s.observeEra(now)
 	if view := s.node.registry.View(); view != s.observed {
 		s.observed, s.serving = view, view.SoftwareVersions()
 	}
 	s.tracker.ObserveServing(now, s.serving)
 }
 
+// observeEra records how far this instance follows the store's changes, and what that means once the store has come back from an older
+// copy. The caller holds s.mu.
+func (s *streamOrigins) observeEra(now time.Time) {
+	bootTime, era := s.node.bootTime(), s.node.store.Era()
+	if era == s.continuity.Era() {
+		s.continuity.Observe(bootTime, s.node.reporter.viewOfStore(now))
+		return
+	}
+	if !s.continuity.Enter(bootTime, era) {
+		s.tracker.LosePast(now)
+	}
+	s.logPast(now, "era")
+}
+
+// logPast logs whether the versions that have served lately are known, and by what. The caller holds s.mu.
+func (s *streamOrigins) logPast(now time.Time, by string) {
+	s.node.log.Info().Str("event", "versions.past").Bool("known", s.tracker.KnowsPast(now)).Str("by", by).Uint64("era", uint64(s.continuity.Era())).
+		Dur("unknown_for", s.tracker.PastUnknownFor(now)).Msg("whether the software versions that have served lately are known")
+}
+
 // Record implements gateway.StreamOrigins.
 func (s *streamOrigins) Record(request string, origin streams.Origin) {
 	s.mu.Lock()
@@ -57,7 +81,7 @@
 }
 
 // maxIncompleteRetryAfter limits the Retry-After of a refusal while the store may lack upstreams, since an instance that has just
-// started may learn before that the store came back long ago.
+// started may learn before that the store came back long ago, and other instances may tell what they know of the past.
 const maxIncompleteRetryAfter = time.Second
 
 // Find implements gateway.StreamOrigins.
@@ -65,7 +89,21 @@
 	if origin, isKnown = s.find(ctx, request, service); isKnown {
 		return origin, true, 0
 	}
-	return origin, false, min(s.node.store.IncompleteFor(), maxIncompleteRetryAfter)
+	return origin, false, s.retryAfter(service)
+}
+
+// retryAfter returns the time after which an unknown stream of a service may go on, zero if that is not known.
+func (s *streamOrigins) retryAfter(service string) time.Duration {
+	if incompleteFor := s.node.store.IncompleteFor(); incompleteFor > 0 {
+		return min(incompleteFor, maxIncompleteRetryAfter)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.tracker.ServedCount(now, service) > 1 {
+		return 0
+	}
+	return s.tracker.PastUnknownFor(now)
 }
 
 // find returns the origin of a stream. If this instance does not know the stream and several versions may have begun it, it asks
@@ -274,6 +312,30 @@
 	return r.node.mesh.PeerCount() == 0 || r.node.mesh.AlivePeerCount(now, maxWatcherTimeout) > 0
 }
 
+// viewOfStore returns whether all changes that any instance may have acted upon are known here. They are if this instance or one that
+// it hears follows the store, or if it hears all others.
+func (r *reporter) viewOfStore(now time.Time) restore.View {
+	r.mu.Lock()
+	newest, watcherSeenAt := r.newestPeerUpstream, time.Time{}
+	for _, at := range r.watchersSeenAt {
+		if at.After(watcherSeenAt) {
+			watcherSeenAt = at
+		}
+	}
+	r.mu.Unlock()
+	peers := r.node.mesh.PeerCount()
+	switch {
+	case !r.node.upstreamInformer.HasListed():
+		return restore.ViewUnconfirmed
+	case newest > r.node.upstreamInformer.NewestVersion():
+		return restore.ViewBehind
+	case now.Sub(watcherSeenAt) < maxWatcherTimeout, r.isHealthyWatcher(now), r.node.knowsPeers() && r.node.mesh.AlivePeerCount(now, r.peerTimeout()) >= peers:
+		return restore.ViewCurrent
+	default:
+		return restore.ViewUnconfirmed
+	}
+}
+
 // announceStreams sends the streams that began here to the other instances of a small fleet.
 func (r *reporter) announceStreams(origins []*pb.StreamOrigin) {
 	for _, o := range origins {
--- a/internal/node/upstreamview.go
+++ b/internal/node/upstreamview.go
@@ -6,6 +6,7 @@
 
 	pb "savoryweir/api/savoryweir/v1"
 	"savoryweir/internal/state/object"
+	"savoryweir/internal/state/streams"
 )
 
 // upstreamView knows whether this instance has the entries of all upstreams in the newest era of the store: also those that the
@@ -43,9 +44,19 @@
 	if era == 0 {
 		return nil
 	}
-	return &pb.StoreEra{Era: uint32(era), KnownMillis: uint64(age.Milliseconds()), KnowsUpstreams: v.isComplete()}
+	m := &pb.StoreEra{Era: uint32(era), KnownMillis: uint64(age.Milliseconds()), KnowsUpstreams: v.isComplete()}
+	if past := v.node.streams.past(); past.isComplete && past.era == era && age < pastToldFor {
+		m.KnowsPast = true
+		for _, o := range past.served {
+			m.Served = append(m.Served, encodeOrigin(o))
+		}
+	}
+	return m
 }
 
+// pastToldFor is how long in an era the instances tell each other which software versions have served. After that, all that run know.
+const pastToldFor = 2 * streams.Retention
+
 // receive records what another instance tells.
 func (v *upstreamView) receive(m *pb.FleetMessage) {
 	if m.StoreEra == nil {
@@ -53,6 +64,13 @@
 	}
 	era := object.Era(m.StoreEra.Era)
 	v.node.store.ObserveEraAge(era, decodeMillis(m.StoreEra.KnownMillis))
+	if m.StoreEra.KnowsPast {
+		past := servedPast{era: era, isComplete: true}
+		for _, o := range m.StoreEra.Served {
+			past.served = append(past.served, streams.Origin{Service: o.Service, Version: o.Version})
+		}
+		v.node.streams.learnPast(past)
+	}
 	version := v.node.upstreamInformer.Version()
 	if m.StoreEra.KnowsUpstreams && version.Era() == era && object.Version(m.NewestUpstream) <= version {
 		v.mu.Lock()
--- a/internal/node/versioncheck.go
+++ b/internal/node/versioncheck.go
@@ -149,11 +149,11 @@
 		}
 	}
 	for _, o := range record {
-		versions, err := decodeVersionRecord(o.Data)
+		past, err := decodeVersionRecord(o.Data)
 		if err != nil {
 			return servedVersions{}, err
 		}
-		served.lately = append(served.lately, versions...)
+		served.lately = append(served.lately, past.served...)
 	}
 	return served, nil
 }
--- a/internal/node/versionrecord.go
+++ b/internal/node/versionrecord.go
@@ -23,9 +23,12 @@
 	versionRecordInterval = 200 * time.Millisecond
 )
 
-// versionRecord is the stored form of the versions that have served lately.
+// versionRecord is the stored form of the versions that have served lately. One from before the store came back from a copy lacks what
+// came since the copy was made, and one of a writer that didn't know the past lacks what served before.
 type versionRecord struct {
-	Served []recordedVersion `json:"served"`
+	Served    []recordedVersion `json:"served"`
+	Era       object.Era        `json:"era,omitempty"`        // of the store, as the writer knew it
+	KnowsPast bool              `json:"knows_past,omitempty"` // the writer knew all versions that have served within the retention
 }
 
 type recordedVersion struct {
@@ -33,22 +36,44 @@
 	Version string `json:"version"`
 }
 
-func encodeVersionRecord(served []streams.Origin) ([]byte, error) {
-	record := versionRecord{Served: []recordedVersion{}}
-	for _, o := range served {
+// servedPast are the versions that have served lately, as known at one time.
+type servedPast struct {
+	served     []streams.Origin
+	era        object.Era // of the store
+	isComplete bool       // no other version has served within the retention
+}
+
+func encodeVersionRecord(p servedPast) ([]byte, error) {
+	record := versionRecord{Served: []recordedVersion{}, Era: p.era, KnowsPast: p.isComplete}
+	for _, o := range p.served {
 		record.Served = append(record.Served, recordedVersion(o))
 	}
 	return json.Marshal(record)
 }
 
-func decodeVersionRecord(data []byte) ([]streams.Origin, error) {
+func decodeVersionRecord(data []byte) (servedPast, error) {
 	var record versionRecord
 	err := json.Unmarshal(data, &record)
-	var served []streams.Origin
+	p := servedPast{era: record.Era, isComplete: record.KnowsPast}
 	for _, v := range record.Served {
-		served = append(served, streams.Origin(v))
+		p.served = append(p.served, streams.Origin(v))
+	}
+	return p, err
+}
+
+// decodeVersionRecords returns what the records in the store tell. In its first era the store has lost nothing, so that even no record
+// tells the past. Later, a complete record of the present era does.
+func decodeVersionRecords(objects []object.Object, era object.Era) (servedPast, error) {
+	past := servedPast{era: era, isComplete: era == 0}
+	for _, o := range objects {
+		p, err := decodeVersionRecord(o.Data)
+		if err != nil {
+			return servedPast{}, err
+		}
+		past.served = append(past.served, p.served...)
+		past.isComplete = past.isComplete || p.isComplete && p.era == era
 	}
-	return served, err
+	return past, nil
 }
 
 // keepVersionRecord reads the record once, and writes it while this instance holds the lease and
@@ -61,38 +86,35 @@
 			last = versionWrite{}
 			continue
 		}
-		served, era := n.streams.served(), n.store.Era()
-		if len(served) == 0 || last.holds(served, era) {
+		past := n.streams.past()
+		if len(past.served) == 0 || last.holds(past) {
 			continue
 		}
-		if err := n.writeVersionRecord(ctx, served); err != nil {
+		if err := n.writeVersionRecord(ctx, past); err != nil {
 			n.log.Info().Err(err).Str("event", "versions.failed").Msg("failed to write the software versions that serve; the write will be repeated")
 			pause.For(ctx, n.storeRetryDelay())
 			continue
 		}
-		last = versionWrite{served: served, era: era}
+		last = versionWrite{past}
 	}
 }
 
-// versionWrite is the latest write of the record by a holder of the lease.
-type versionWrite struct {
-	served []streams.Origin // nil if there was none
-	era    object.Era       // of the store, before the write
-}
+// versionWrite is the latest write of the record by a holder of the lease, with the era of the store before the write.
+type versionWrite struct{ servedPast }
 
-// holds reports whether the record still has these versions. In a later era the store may have lost it, even if the holder has
-// the lease again before it notices that it had given it up.
-func (w versionWrite) holds(served []streams.Origin, era object.Era) bool {
-	return w.served != nil && w.era == era && slices.Equal(served, w.served)
+// holds reports whether the record still tells this. In a later era the store may have lost it, even if the holder has the lease again
+// before it notices that it had given it up.
+func (w versionWrite) holds(p servedPast) bool {
+	return w.served != nil && w.era == p.era && w.isComplete == p.isComplete && slices.Equal(p.served, w.served)
 }
 
 // readVersionRecord reads the versions that served before this instance started. It repeats the
 // call until the store answers. A read that may be stale could lack a version that has gone since.
 func (n *Node) readVersionRecord(ctx context.Context) {
 	for ctx.Err() == nil {
-		objects, _, err := n.store.ListAt(ctx, kindSoftwareVersions)
+		objects, version, err := n.store.ListAt(ctx, kindSoftwareVersions)
 		if err == nil {
-			n.learnVersionRecord(objects)
+			n.learnVersionRecord(objects, version.Era())
 			return
 		}
 		n.log.Info().Err(err).Str("event", "versions.failed").Msg("failed to read the software versions that served before; the call will be repeated")
@@ -100,22 +122,17 @@
 	}
 }
 
-func (n *Node) learnVersionRecord(objects []object.Object) {
-	var served []streams.Origin
-	for _, o := range objects {
-		versions, err := decodeVersionRecord(o.Data)
-		if err != nil {
-			n.log.Error().Err(err).Str("event", "versions.failed").Msg("failed to decode the software versions that served before; unknown streams are refused for a time")
-			return
-		}
-		served = append(served, versions...)
+func (n *Node) learnVersionRecord(objects []object.Object, era object.Era) {
+	past, err := decodeVersionRecords(objects, era)
+	if err != nil {
+		n.log.Error().Err(err).Str("event", "versions.failed").Msg("failed to decode the software versions that served before; unknown streams are refused for a time")
 	}
-	n.streams.learnPast(served)
+	n.streams.learnRecorded(past)
 }
 
 // writeVersionRecord writes the record unless the store has it already.
-func (n *Node) writeVersionRecord(ctx context.Context, served []streams.Origin) error {
-	data, err := encodeVersionRecord(served)
+func (n *Node) writeVersionRecord(ctx context.Context, past servedPast) error {
+	data, err := encodeVersionRecord(past)
 	if err != nil {
 		return err
 	}
@@ -129,23 +146,45 @@
 		_, err = n.store.Update(ctx, kindSoftwareVersions, nameSoftwareVersions, data, found.Version)
 	}
 	if err == nil {
-		n.log.Info().Str("event", "versions.recorded").Interface("served", served).Msg("software versions that serve recorded")
+		n.log.Info().Str("event", "versions.recorded").Interface("served", past.served).Uint64("era", uint64(past.era)).Bool("complete", past.isComplete).Msg("software versions that serve recorded")
 	}
 	return err
 }
 
-// served returns the versions of all services that have served lately.
-func (s *streamOrigins) served() []streams.Origin {
+// past returns the versions of all services that have served lately.
+func (s *streamOrigins) past() servedPast {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.observe(now)
-	return s.tracker.Served(now)
+	return servedPast{served: s.tracker.Served(now), era: s.continuity.Era(), isComplete: s.tracker.KnowsPast(now)}
 }
 
-// learnPast records the versions that served before the start of this instance.
-func (s *streamOrigins) learnPast(served []streams.Origin) {
+// learnRecorded records the versions that served before the start of this instance, as read from the store.
+func (s *streamOrigins) learnRecorded(p servedPast) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.LearnPast(time.Now(), served)
+	now := time.Now()
+	s.observeEra(now)
+	s.tracker.ObserveServing(now, p.served)
+	switch {
+	case p.isComplete && p.era == s.continuity.Era():
+		s.tracker.LearnPast(now, p.served)
+		s.logPast(now, "record")
+	case !s.tracker.KnowsPast(now):
+		s.tracker.LosePast(now)
+		s.logPast(now, "record")
+	}
+}
+
+// learnPast records the versions that have served lately, as another instance tells that knows them all.
+func (s *streamOrigins) learnPast(p servedPast) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.observeEra(now)
+	if p.era == s.continuity.Era() && !s.tracker.KnowsPast(now) {
+		s.tracker.LearnPast(now, p.served)
+		s.logPast(now, "instance")
+	}
 }
--- a/internal/state/streams/streams.go
+++ b/internal/state/streams/streams.go
@@ -34,13 +34,14 @@
 // Tracker holds the origins of streams and the versions that serve. It is not safe for
 // concurrent use.
 type Tracker struct {
-	startedAt time.Time
-	knowsPast bool // the versions that served before the start are known
-	origins   map[ID]Origin
-	expiry    []timedID              // all streams, oldest first
-	pending   map[string][]pendingID // streams not yet announced, by service, oldest first
-	unstored  []timedID              // streams not yet taken for the record in the store, oldest first
-	servedAt  map[Origin]time.Time   // when each version served last
+	observedFrom time.Time // versions that served since then are known
+	knowsPast    bool      // the versions that served before observedFrom are known
+	isPastLost   bool      // no record tells them
+	origins      map[ID]Origin
+	expiry       []timedID              // all streams, oldest first
+	pending      map[string][]pendingID // streams not yet announced, by service, oldest first
+	unstored     []timedID              // streams not yet taken for the record in the store, oldest first
+	servedAt     map[Origin]time.Time   // when each version served last
 }
 
 type timedID struct {
@@ -55,7 +56,7 @@
 
 // NewTracker returns a tracker of a process that starts now.
 func NewTracker(now time.Time) *Tracker {
-	return &Tracker{startedAt: now, origins: make(map[ID]Origin), pending: make(map[string][]pendingID), servedAt: make(map[Origin]time.Time)}
+	return &Tracker{observedFrom: now, origins: make(map[ID]Origin), pending: make(map[string][]pendingID), servedAt: make(map[Origin]time.Time)}
 }
 
 // Begin records a stream that began at this instance.
@@ -81,13 +82,13 @@
 }
 
 // TakeUnstored returns up to limit streams that the record in the store lacks, by their origin, oldest first. Those of a
-// service of which only one version serves are kept until another does.
+// service of which only one version serves are kept until another does or the past is lost.
 func (t *Tracker) TakeUnstored(now time.Time, limit int) map[Origin][]ID {
 	taken := make(map[Origin][]ID)
-	several := t.servicesOfSeveralVersions(now)
+	isShared := t.sharedServices(now)
 	t.unstored = slices.DeleteFunc(t.unstored, func(s timedID) bool {
 		origin := t.origins[s.id]
-		if limit == 0 || !several[origin.Service] || now.Sub(s.addedAt) >= StoredRetention {
+		if limit == 0 || !isShared[origin.Service] || now.Sub(s.addedAt) >= StoredRetention {
 			return now.Sub(s.addedAt) >= StoredRetention
 		}
 		limit--
@@ -99,19 +100,25 @@
 
 // HasUnstored reports whether TakeUnstored would return streams.
 func (t *Tracker) HasUnstored(now time.Time) bool {
-	several := t.servicesOfSeveralVersions(now)
+	isShared := t.sharedServices(now)
 	return slices.ContainsFunc(t.unstored, func(s timedID) bool {
-		return several[t.origins[s.id].Service] && now.Sub(s.addedAt) < StoredRetention
+		return isShared[t.origins[s.id].Service] && now.Sub(s.addedAt) < StoredRetention
 	})
 }
 
-// servicesOfSeveralVersions returns the services of which more than one version has served within the retention.
-func (t *Tracker) servicesOfSeveralVersions(now time.Time) map[string]bool {
-	several := make(map[string]bool)
+// sharedServices returns the services whose streams are announced and recorded one by one, as isShared tells.
+func (t *Tracker) sharedServices(now time.Time) map[string]bool {
+	shared := make(map[string]bool)
 	for o := range t.servedAt {
-		several[o.Service] = several[o.Service] || len(t.versions(now, o.Service)) > 1
+		shared[o.Service] = shared[o.Service] || t.isShared(now, o.Service)
 	}
-	return several
+	return shared
+}
+
+// isShared reports whether the streams of a service have to be known one by one: which version began them can't be concluded, as
+// more than one has served within the retention or the past is lost.
+func (t *Tracker) isShared(now time.Time, service string) bool {
+	return t.PastUnknownFor(now) > 0 || len(t.versions(now, service)) > 1
 }
 
 // ForgetStored lists all streams for the record again, since the store may have lost them.
@@ -140,15 +147,28 @@
 	}
 }
 
-// LearnPast records the versions that served before the start of this process, possibly none.
+// LearnPast records the versions that served before this process observed them, possibly none.
 func (t *Tracker) LearnPast(now time.Time, served []Origin) {
-	t.knowsPast = true
+	t.knowsPast, t.isPastLost = true, false
 	t.ObserveServing(now, served)
 }
 
+// LosePast records that versions may have served before now that are not known here and in no record.
+func (t *Tracker) LosePast(now time.Time) {
+	t.observedFrom, t.knowsPast, t.isPastLost = now, false, true
+}
+
 // KnowsPast reports whether the versions that have served within the retention are known.
 func (t *Tracker) KnowsPast(now time.Time) bool {
-	return t.knowsPast || now.Sub(t.startedAt) >= Retention
+	return t.knowsPast || now.Sub(t.observedFrom) >= Retention
+}
+
+// PastUnknownFor returns the time until the streams of a lost past are over, zero if the past is not lost.
+func (t *Tracker) PastUnknownFor(now time.Time) time.Duration {
+	if !t.isPastLost {
+		return 0
+	}
+	return max(Retention-now.Sub(t.observedFrom), 0)
 }
 
 // OnlyOrigin returns the origin of any stream of a service that callers may still take up. It
@@ -161,6 +181,11 @@
 	return served[0], true
 }
 
+// ServedCount returns how many versions of a service have served within the retention.
+func (t *Tracker) ServedCount(now time.Time, service string) int {
+	return len(t.versions(now, service))
+}
+
 // versions returns the versions of a service that have served within the retention.
 func (t *Tracker) versions(now time.Time, service string) []Origin {
 	var served []Origin
@@ -187,11 +212,11 @@
 }
 
 // TakeAnnouncements returns the streams that the other instances have to be told of, by their
-// origin. Streams of a service of which only one version serves are kept until another does.
+// origin. Streams of a service of which only one version serves are kept until another does or the past is lost.
 func (t *Tracker) TakeAnnouncements(now time.Time) map[Origin][]ID {
 	due := make(map[Origin][]ID)
 	for service, list := range t.pending {
-		if len(t.versions(now, service)) < 2 {
+		if !t.isShared(now, service) {
 			continue
 		}
 		var remaining []pendingID
--- a/internal/state/streams/streams_test.go
+++ b/internal/state/streams/streams_test.go
@@ -45,6 +45,36 @@
 	assert.Equal(t, got, v1)
 }
 
+// After a loss of the past, a version that has left may have begun the streams from before, for as long as callers take them up. Those
+// that begin meanwhile have to be known one by one, or they would be refused too.
+func TestOnlyOriginIsUnknownWhileStreamsOfLostPastMayGoOn(t *testing.T) {
+	tracker := NewTracker(start)
+	tracker.LearnPast(start, []Origin{v1})
+	assert.Equal(t, tracker.PastUnknownFor(start), time.Duration(0))
+	lostAt := start.Add(time.Hour)
+	tracker.Begin(lostAt, 1, v1)
+	tracker.LosePast(lostAt)
+	for _, at := range []time.Time{lostAt, lostAt.Add(Retention - 1)} {
+		tracker.ObserveServing(at, []Origin{v1})
+		_, ok := tracker.OnlyOrigin(at, "s")
+		assert.Assert(t, !ok)
+		assert.Equal(t, tracker.PastUnknownFor(at), lostAt.Add(Retention).Sub(at))
+	}
+	assert.DeepEqual(t, tracker.TakeAnnouncements(lostAt), map[Origin][]ID{v1: {1}})
+	assert.DeepEqual(t, tracker.TakeUnstored(lostAt, 9), map[Origin][]ID{v1: {1}})
+	end := lostAt.Add(Retention)
+	got, ok := tracker.OnlyOrigin(end, "s")
+	assert.Assert(t, ok)
+	assert.Equal(t, got, v1)
+	assert.Equal(t, tracker.PastUnknownFor(end), time.Duration(0))
+	tracker.Begin(end, 2, v1)
+	assert.Equal(t, len(tracker.TakeAnnouncements(end)), 0)
+	tracker.LosePast(end)
+	tracker.LearnPast(end.Add(time.Second), []Origin{v1})
+	_, ok = tracker.OnlyOrigin(end.Add(time.Second), "s")
+	assert.Assert(t, ok, "another instance knows the past")
+}
+
 func TestStreamsAreAnnouncedTwiceOnceSeveralVersionsServe(t *testing.T) {
 	tracker := NewTracker(start)
 	tracker.ObserveServing(start, []Origin{v1})
