Streams: a version that is in the record of streams alone is known to instances that start

What callers saw: no instance holds the lease for some seconds, as its holder was killed; engines of another version come meanwhile, begin streams and leave; all instances are killed. Streams of that version go on at the other one.

Cause: the holder alone writes the record of versions, and an instance that starts takes that record for the past. The record of streams, which other instances write, names the version and even the stream, but was read only for streams that may be of several versions.

Change: an instance that starts reads the record of streams before it concludes anything from the record of versions. It is empty while one version serves.

Test: TestRecordedStreamOfVersionThatIsNotInRecordOfVersionsIsNotJoined failed before (200 instead of 503).

--- a/internal/node/lostpast_test.go
+++ b/internal/node/lostpast_test.go
@@ -330,3 +330,20 @@
 	assertRefused(t, next, "begun at v2", restore.RewriteTime+rewriteDelay)
 	assertUnknown(t, next, "begun at v2")
 }
+
+// No instance held the lease when v2 came, so that the record of versions lacks it; the record of streams has what began there. All instances
+// are lost, and v2 leaves. An instance that started looked at the record of versions alone, and the stream went on at v1.
+func TestRecordedStreamOfVersionThatIsNotInRecordOfVersionsIsNotJoined(t *testing.T) {
+	c := startStreamCluster(t)
+	c.serveOnly(t, []string{"v1"})
+	c.put(t, kindSoftwareVersions, nameSoftwareVersions, `{"served":[{"service":"streams","version":"v1"}]}`)
+	data, err := encodeStreamRecord(map[streams.Origin][]streams.ID{{Service: "streams", Version: "v2"}: {streams.IDOf("s")}})
+	assert.NilError(t, err)
+	c.put(t, kindStreamRecord, "i1.0", string(data))
+	one := c.startInstance(t, "i1")
+	defer one.terminate(t)
+	c.awaitEngines(t, 1, one)
+	assertRefused(t, one, "s", time.Second)
+	assertRefused(t, one, "not recorded", time.Second)
+	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0), "a stream of v2 went on at v1")
+}
--- a/internal/node/versionrecord.go
+++ b/internal/node/versionrecord.go
@@ -138,8 +138,12 @@
 	}
 }
 
-// readPast returns what the store tells of the versions that served before this instance started.
+// readPast returns what the store tells of the versions that served before this instance started. The record of streams may name one
+// that nobody could write into the record of versions.
 func (n *Node) readPast(ctx context.Context) (servedPast, error) {
+	if _, err := n.streamRecorder.read(ctx); err != nil {
+		return servedPast{}, err
+	}
 	objects, version, err := n.store.ListAt(ctx, kindSoftwareVersions)
 	if err != nil {
 		return servedPast{}, err
