Orders: a former holder of the lease is assumed unless the store can never have had one

What callers may see (LIMIT): in the first 30 s of a term the holder reads an engine's report before it trusts a response that an unload of a former holder may have caused. It left that out if it took itself for the first holder ever.

Cause: that there was no former holder was concluded from the absence of the record, also where the store had come back from a copy of before it; and from the zero value, where the response to the acquisition was lost.

Change: the first holder is who creates the record in the store's first era and is told so.

Test: TestFormerHolderIsAssumedUnlessStoreHasNeverHadOne failed before in these two cases.

--- a/internal/node/reconciler/leasemanager.go
+++ b/internal/node/reconciler/leasemanager.go
@@ -64,7 +64,7 @@
 	// not acquire it. It may be nil, and is set before Run.
 	MayHold func() bool
 
-	hadHolder atomic.Bool // the lease was held before this instance acquired it
+	isFirstHolder atomic.Bool // the lease was never held before this instance acquired it
 
 	lease     *lease.Lease
 	leaseLock chan struct{} // serves as a mutex for lease; Run holds it only briefly
@@ -123,9 +123,9 @@
 	return ok
 }
 
-// HadHolder reports whether the lease was held before this instance acquired it, by another one or by itself. The
+// HadHolder reports whether the lease may have been held before this instance acquired it, by another one or by itself. The
 // orders of that holder may still be under way.
-func (m *LeaseManager) HadHolder() bool { return m.hadHolder.Load() }
+func (m *LeaseManager) HadHolder() bool { return !m.isFirstHolder.Load() }
 
 // ObserveHolder records that another instance has just shown that it holds the lease.
 func (m *LeaseManager) ObserveHolder() {
@@ -211,13 +211,16 @@
 	var record lease.Record
 	var expected object.Version
 	m.withLease(func(l *lease.Lease) { record, expected = l.NextRecord(sentAt), l.ExpectedVersion() })
+	if step == lease.StepAcquire {
+		m.isFirstHolder.Store(false) // if the response is lost
+	}
 	record.WrittenAt = time.Now().UnixMilli()
 	version, err := m.putRecord(ctx, record, expected)
 	switch {
 	case err == nil:
 		m.recordWrite(sentAt, record, version)
 		if step == lease.StepAcquire {
-			m.hadHolder.Store(expected != 0)
+			m.isFirstHolder.Store(expected == 0 && version.Era() == 0) // a later era may have lost the record of one
 			m.log.Info().Str("event", "lease.taken").Stringer("fence", version).Stringer("former", expected).Msg("lease acquired")
 		}
 	case errors.Is(err, object.ErrConflict) || errors.Is(err, object.ErrNotFound):
--- a/internal/node/reconciler/leasemanager_test.go
+++ b/internal/node/reconciler/leasemanager_test.go
@@ -165,3 +165,51 @@
 		})
 	}
 }
+
+// Orders of a former holder may still be carried out. That there was none was concluded from a store that had come back from a copy of
+// before it, and from the response to the acquisition, which may be lost: the unload of an adapter that was under way was then taken for a new
+// one, so that the engine could be ordered to load above its room.
+func TestFormerHolderIsAssumedUnlessStoreHasNeverHadOne(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(t *testing.T, store *objectapi.Memory)
+		want    bool
+	}{
+		"first holder":  {func(*testing.T, *objectapi.Memory) {}, false},
+		"there was one": {func(t *testing.T, store *objectapi.Memory) { holdForSeconds(t, store) }, true},
+		"copy of before the first one": {func(t *testing.T, store *objectapi.Memory) {
+			backup := store.Backup()
+			holdForSeconds(t, store)
+			store.Restore(backup)
+		}, true},
+		"response to the acquisition is lost": {func(t *testing.T, store *objectapi.Memory) {
+			holdForSeconds(t, store)
+			store.SetFaults(objectapi.Faults{LoseAnswers: 1})
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := objectapi.New(time.Now, objectapi.Limits{})
+				test.prepare(t, store)
+				manager := newTestLeaseManager(store, "b")
+				ctx, cancel := context.WithCancel(t.Context())
+				go manager.Run(ctx)
+				time.Sleep(15 * time.Second)
+				_, mayAct := manager.FencingToken()
+				assert.Assert(t, mayAct)
+				assert.Equal(t, manager.HadHolder(), test.want)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// holdForSeconds has an instance hold the lease for some seconds.
+func holdForSeconds(t *testing.T, store *objectapi.Memory) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	go newTestLeaseManager(store, "a").Run(ctx)
+	time.Sleep(8 * time.Second)
+	cancel()
+	synctest.Wait()
+}
