Store: instances write their entries again before lists count as complete

What callers may see (QUOTA): after the store's return from a copy an instance that starts takes a list of the instances for complete 2.5 s after the era was first known, and lends its share of the quotas by their number.

Cause: the instances spread the writes of their entries over 10 ms each: 3.2 s at 320 instances, and up to 1 s passes until the last one learns of the return.

Change: the writes are spread over 1 s at most; up to 100 instances nothing changes.

Test: TestInstancesAreListedAgainBeforeListsCountAsComplete; by the former rule the sum is 4.2 s (computed, the function is new).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,10 +202,17 @@
 	minLeaseContentionDelay         = 50 * time.Millisecond
 	maxLeaseContentionDelay         = time.Second
 	// storeRewriteDelayPerInstance spreads the writes with which all instances restore their
-	// entries after the store came back from an older copy: a hundred per second.
+	// entries after the store came back from an older copy: a hundred per second. In a fleet of hundreds they
+	// are made within maxStoreRewriteDelay, since lists count as complete after restore.RewriteTime.
 	storeRewriteDelayPerInstance = 10 * time.Millisecond
+	maxStoreRewriteDelay         = time.Second
 )
 
+// storeRewriteDelay returns the time over which a number of instances spread these writes.
+func storeRewriteDelay(instances int) time.Duration {
+	return min(time.Duration(instances)*storeRewriteDelayPerInstance, maxStoreRewriteDelay)
+}
+
 // pollInterval returns the time within which some instance starts a new watch of each kind
 // and relays the changes that it finds. It limits how long a change stays unnoticed if none
 // of the running watches gets a response any more.
@@ -362,7 +369,7 @@
 		}
 		if n.store.AwaitEraAfter(ctx, version.Era()) { // the store may have lost the entry
 			n.log.Info().Str("event", "register.again").Uint64("era", uint64(n.store.Era())).Msg("the store came back from an older copy; writing the entry of this instance again")
-			pause.For(ctx, rand.N(time.Duration(n.instanceCount())*storeRewriteDelayPerInstance))
+			pause.For(ctx, rand.N(storeRewriteDelay(n.instanceCount())))
 		}
 	}
 }
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -217,3 +217,13 @@
 	}
 	eventually(t, "a complete list", started.node.knowsPeers)
 }
+
+// In a fleet of hundreds the instances wrote their entries again for longer than lists count as incomplete. Those that started meanwhile
+// took a list without some of them for all, and lent shares of quotas beside them.
+func TestInstancesAreListedAgainBeforeListsCountAsComplete(t *testing.T) {
+	const targetInstances = 320
+	assert.Assert(t, storeRewriteDelay(1) > 0)
+	assert.Assert(t, storeRewriteDelay(8) >= 8*storeRewriteDelayPerInstance, "a small store is not called more than a hundred times a second")
+	// An instance learns of the store's return by a report of another one at the latest.
+	assert.Assert(t, idleReportInterval+storeRewriteDelay(targetInstances) < restore.RewriteTime)
+}
