Streams: an instance that starts is told at once which streams have begun

What callers saw: instances are killed one after another while the store is away. Those that have started know no stream and ask the others when one is taken up; the last one that knew them is killed before that, and all streams are refused.

Cause: what an instance was told of the past by the last one that knew it was the versions, two of them, but not the streams.

Change: in a small fleet an instance that hears another one for the first time answers with a beacon, and tells it the streams that it knows at first hand, once. Those at second hand are not told on, so that they are forgotten after a minute. A large fleet's instances ask the aggregators as before.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -25,7 +25,7 @@
 	startedTellInterval = 500 * time.Millisecond
 )
 
-// startedPeers tracks which instances have started lately, as they don't know what is blocked. It is
+// startedPeers tracks which instances have started lately, as they don't know what is blocked and which streams have begun. It is
 // not safe for concurrent use.
 type startedPeers map[string]*startedPeer
 
@@ -36,25 +36,32 @@
 }
 
 // isDue reports whether the sender of a message has to be told what is blocked, and takes it as
-// told then.
-func (s startedPeers) isDue(now time.Time, instance string, incarnation int64) bool {
+// told then. isFirst is true if the message is the first one of its process.
+func (s startedPeers) isDue(now time.Time, instance string, incarnation int64) (isDue, isFirst bool) {
 	p := s[instance]
 	if p == nil || incarnation > p.incarnation {
-		p = &startedPeer{incarnation: incarnation, seenAt: now}
+		p, isFirst = &startedPeer{incarnation: incarnation, seenAt: now}, true
 		s[instance] = p
 	}
 	if now.Sub(p.seenAt) > startedPeriod || now.Sub(p.toldAt) < startedTellInterval {
-		return false
+		return false, isFirst
 	}
 	p.toldAt = now
-	return true
+	return true, isFirst
 }
 
-// tellQuarantines tells an instance that has started lately what is blocked.
-func (r *reporter) tellQuarantines(m *pb.FleetMessage) {
+// tellStarted tells an instance that has started lately what is blocked and, in a small fleet, which streams have begun. In a large one
+// it asks the aggregators for streams that are taken up.
+func (r *reporter) tellStarted(m *pb.FleetMessage) {
 	r.mu.Lock()
-	isDue := r.startedPeers.isDue(time.Now(), m.Instance, m.Incarnation)
+	isDue, isFirst := r.startedPeers.isDue(time.Now(), m.Instance, m.Incarnation)
 	r.mu.Unlock()
+	if isFirst && !r.aggregatesLoads() {
+		r.node.mesh.Send(m.Instance, r.currentReport().beacon()) // it tells in turn what this instance may lack
+		for _, o := range r.node.streams.shared() {
+			r.node.mesh.Send(m.Instance, &pb.FleetMessage{StreamOrigins: []*pb.StreamOrigin{o}})
+		}
+	}
 	if !isDue {
 		return
 	}
--- a/internal/node/lostpast_test.go
+++ b/internal/node/lostpast_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strconv"
 	"strings"
 	"testing"
@@ -347,3 +350,35 @@
 	assertRefused(t, one, "not recorded", time.Second)
 	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0), "a stream of v2 went on at v1")
 }
+
+// Instances are killed one after another while the store can't be read. Each of those that had started was to ask the others for streams, of
+// whom the last one that knew them was then killed too.
+func TestStartedInstanceKnowsStreamsOfOthersThatAreLostLater(t *testing.T) {
+	c := startStreamCluster(t)
+	target, err := url.Parse(c.storeURL)
+	assert.NilError(t, err)
+	proxy := httputil.NewSingleHostReverseProxy(target)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, string(kindStreamRecord)) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	c.storeURL = server.URL
+	one := c.startInstance(t, "i1")
+	c.awaitEngines(t, 2, one)
+	begun := make(map[string]string)
+	for n := 0; len(begun) < 2; n++ {
+		id := "s" + strconv.Itoa(n)
+		begun[c.begin(t, one, id)] = id
+	}
+	time.Sleep(5 * minReportInterval) // the streams have been announced
+	next := c.startInstance(t, "i2")
+	defer next.terminate(t)
+	awaitPeers(t, one, next)
+	time.Sleep(5 * minReportInterval)
+	one.terminate(t)
+	c.assertTakenUp(t, next, begun)
+}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -336,7 +336,7 @@
 	r.node.receiveWarmup(m)
 	r.receiveWork(m)
 	r.receiveCrashes(m)
-	r.tellQuarantines(m)
+	r.tellStarted(m)
 	for _, notice := range m.Notices {
 		r.receiveNotice(notice)
 	}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -263,8 +263,26 @@
 	now := time.Now()
 	s.observe(now)
 	s.tracker.RemoveExpired(now)
+	return encodeStreams(s.tracker.TakeAnnouncements(now))
+}
+
+// shared returns all streams that an instance which has just started has to know, in messages that fit into datagrams.
+func (s *streamOrigins) shared() []*pb.StreamOrigin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.observe(now)
+	s.tracker.RemoveExpired(now)
+	messages := encodeStreams(s.tracker.Shared(now))
+	for _, m := range messages {
+		m.SecondHand = true
+	}
+	return messages
+}
+
+func encodeStreams(known map[streams.Origin][]streams.ID) []*pb.StreamOrigin {
 	var messages []*pb.StreamOrigin
-	for origin, ids := range s.tracker.TakeAnnouncements(now) {
+	for origin, ids := range known {
 		for len(ids) > 0 {
 			n := min(len(ids), maxStreamsPerDatagram)
 			messages = append(messages, encodeOrigin(origin, ids[:n]...))
@@ -293,7 +311,7 @@
 	now := time.Now()
 	for _, o := range m.StreamOrigins {
 		for _, id := range o.Streams {
-			s.learn(now, streams.ID(id), streams.Origin{Service: o.Service, Version: o.Version})
+			s.learn(now, streams.ID(id), streams.Origin{Service: o.Service, Version: o.Version}, o.SecondHand)
 		}
 	}
 	var known []*pb.StreamOrigin
@@ -306,8 +324,12 @@
 }
 
 // learn records a stream and ends the wait for it. The caller holds s.mu.
-func (s *streamOrigins) learn(now time.Time, id streams.ID, origin streams.Origin) {
-	s.tracker.Learn(now, id, origin)
+func (s *streamOrigins) learn(now time.Time, id streams.ID, origin streams.Origin, isSecondHand bool) {
+	if isSecondHand {
+		s.tracker.LearnTold(now, id, origin)
+	} else {
+		s.tracker.Learn(now, id, origin)
+	}
 	s.endAwait(id)
 }
 
--- a/internal/state/streams/streams.go
+++ b/internal/state/streams/streams.go
@@ -47,8 +47,9 @@
 }
 
 type timedID struct {
-	id      ID
-	addedAt time.Time
+	id           ID
+	addedAt      time.Time
+	isSecondHand bool // told by an instance at which it neither began nor was announced first
 }
 
 type pendingID struct {
@@ -63,24 +64,31 @@
 
 // Begin records a stream that began at this instance.
 func (t *Tracker) Begin(now time.Time, id ID, origin Origin) {
-	if t.add(now, id, origin) {
-		t.unstored = append(t.unstored, timedID{id, now})
-		t.pending[origin.Service] = append(t.pending[origin.Service], pendingID{timedID{id, now}, announcements})
+	if t.add(now, id, origin, false) {
+		t.unstored = append(t.unstored, timedID{id: id, addedAt: now})
+		t.pending[origin.Service] = append(t.pending[origin.Service], pendingID{timedID{id: id, addedAt: now}, announcements})
 	}
 }
 
 // Learn records a stream that began at another instance.
 func (t *Tracker) Learn(now time.Time, id ID, origin Origin) {
 	t.ObserveServing(now, []Origin{origin})
-	if t.add(now, id, origin) {
-		t.unstored = append(t.unstored, timedID{id, now})
+	if t.add(now, id, origin, false) {
+		t.unstored = append(t.unstored, timedID{id: id, addedAt: now})
 	}
 }
 
+// LearnTold records a stream that another instance has told this one at its start. It isn't told on, or no end of restarts would ever
+// remove it.
+func (t *Tracker) LearnTold(now time.Time, id ID, origin Origin) {
+	t.ObserveServing(now, []Origin{origin})
+	t.add(now, id, origin, true)
+}
+
 // LearnStored records a stream that is in the record in the store.
 func (t *Tracker) LearnStored(now time.Time, id ID, origin Origin) {
 	t.ObserveServing(now, []Origin{origin})
-	t.add(now, id, origin)
+	t.add(now, id, origin, true)
 }
 
 // TakeUnstored returns up to limit streams that the record in the store lacks, by their origin, oldest first. Those of a
@@ -127,12 +135,12 @@
 func (t *Tracker) ForgetStored() { t.unstored = slices.Clone(t.expiry) }
 
 // add records the origin of a stream and reports whether it was not known.
-func (t *Tracker) add(now time.Time, id ID, origin Origin) bool {
+func (t *Tracker) add(now time.Time, id ID, origin Origin, isSecondHand bool) bool {
 	if _, known := t.origins[id]; known {
 		return false
 	}
 	t.origins[id] = origin
-	t.expiry = append(t.expiry, timedID{id, now})
+	t.expiry = append(t.expiry, timedID{id: id, addedAt: now, isSecondHand: isSecondHand})
 	return true
 }
 
@@ -279,6 +287,17 @@
 	return due
 }
 
+// Shared returns the streams that have to be known one by one, by their origin, but for those that are known at second hand.
+func (t *Tracker) Shared(now time.Time) map[Origin][]ID {
+	isShared, known := t.sharedServices(now), make(map[Origin][]ID)
+	for _, s := range t.expiry {
+		if origin := t.origins[s.id]; isShared[origin.Service] && !s.isSecondHand {
+			known[origin] = append(known[origin], s.id)
+		}
+	}
+	return known
+}
+
 // RemoveExpired removes the streams and versions whose retention is over.
 func (t *Tracker) RemoveExpired(now time.Time) {
 	expired := countExpired(now, t.expiry, Retention, func(s timedID) time.Time { return s.addedAt })
--- a/internal/state/streams/streams_test.go
+++ b/internal/state/streams/streams_test.go
@@ -135,6 +135,20 @@
 	}
 }
 
+// Instances tell those that start what they know. A stream that was told on and on would never be removed.
+func TestStreamsAreToldAtFirstHandOnly(t *testing.T) {
+	tracker := NewTracker(start)
+	tracker.Begin(start, 1, v1)
+	assert.Equal(t, len(tracker.Shared(start)), 0, "one version alone serves")
+	tracker.ObserveServing(start, []Origin{v1, v2})
+	tracker.Learn(start, 2, v2)
+	tracker.LearnStored(start, 3, v2)
+	tracker.LearnTold(start, 4, v2)
+	assert.DeepEqual(t, tracker.Shared(start), map[Origin][]ID{v1: {1}, v2: {2}})
+	_, ok := tracker.Lookup(4)
+	assert.Assert(t, ok)
+}
+
 func TestStreamsAreAnnouncedTwiceOnceSeveralVersionsServe(t *testing.T) {
 	tracker := NewTracker(start)
 	tracker.ObserveServing(start, []Origin{v1})
