--- a/internal/coordination/restore/continuity.go
+++ b/internal/coordination/restore/continuity.go
@@ -7,7 +7,7 @@
 )
 
 // maxUnseenTime is the time before the store's return for which an instance may have had no word of the store's changes and still
-// knows them all: upstreams can't come and leave within it. The store itself is away for a part of it.
+// counts as knowing them all. The store itself is away for a part of it, and an upstream that drains takes longer to come and leave.
 const maxUnseenTime = 2500 * time.Millisecond
 
 // View is what an instance knows of the latest changes in the store.
--- a/internal/coordination/restore/copy.go
+++ b/internal/coordination/restore/copy.go
@@ -17,7 +17,7 @@
 type Copy struct {
 	HasLease       bool
 	LeaseEra       object.Era // in which the lease was renewed last
-	LeaseRenewedAt time.Time  // by the wall clock of its holder, long ago if it did not tell
+	LeaseRenewedAt time.Time  // by the wall clock of its holder; the Unix epoch if it did not tell
 	HasRecord      bool       // of the software versions
 	RecordEra      object.Era // in which it was written
 	IsComplete     bool       // the writer of the record knew the past
