--- a/internal/node/lostpast_test.go
+++ b/internal/node/lostpast_test.go
@@ -242,7 +242,7 @@
 	eventually(t, "that a stream goes on", func() bool { return next.resume(t, "r", "begun at v1") == http.StatusOK })
 }
 
-const testNewVersionDelay = 15 * time.Second
+const testNewVersionDelay = 20 * time.Second
 
 // withNewVersionDelay has new versions begin no streams while others have room, as instances do unless they are told otherwise.
 func withNewVersionDelay(n *Node) { n.settings.Streams.NewVersionDelay = testNewVersionDelay }
