Streams: an instance that loses the past at the store's return reads the copy again

What callers saw: an instance runs all the while, but has no word of the store's changes for more than 2.5 s before its return, as another instance is lost. It refused all streams that it did not know for a minute, although a recent copy tells the past to instances that start.

Cause: the records were read at the start alone.

Change: they are read once more in an era in which the past is not known. A reading that tells nothing doesn't prolong the minute.

Test: TestStreamsGoOnAtInstanceCutOffBeforeRestoreOfRecentCopy failed before (no stream went on within 10 s).

--- a/internal/node/lostpast_test.go
+++ b/internal/node/lostpast_test.go
@@ -312,6 +312,29 @@
 	})
 }
 
+// An instance that runs all the while has no word of the store's changes for some seconds, as another instance is lost. It refused all
+// streams for a minute after the return, although the copy tells the past to instances that start.
+func TestStreamsGoOnAtInstanceCutOffBeforeRestoreOfRecentCopy(t *testing.T) {
+	c := startStreamCluster(t)
+	c.serveOnly(t, []string{"v1"})
+	proxy := c.startStoreProxy(t)
+	one, lost := c.startInstanceWith(t, "i1", withNewVersionDelay), c.startInstanceWith(t, "i2", withNewVersionDelay)
+	defer one.terminate(t)
+	c.awaitEngines(t, 1, one, lost)
+	awaitPeers(t, one, lost)
+	eventually(t, "the record of v1", func() bool { return strings.Contains(c.recordedVersions(t), "v1") })
+	time.Sleep(time.Second) // the lease is renewed
+	backup := c.store.Backup()
+	lost.terminate(t)
+	proxy.refuses.Store(true)
+	eventually(t, "that nobody tells of changes", func() bool { return one.node.reporter.viewOfStore(time.Now()) == restore.ViewUnconfirmed })
+	time.Sleep(3 * time.Second)
+	c.store.Restore(backup)
+	proxy.refuses.Store(false)
+	eventually(t, "the store's return", func() bool { return one.node.store.Era() == 1 })
+	eventually(t, "that a stream goes on", func() bool { return one.resume(t, "r", "begun at v1") == http.StatusOK })
+}
+
 // A lease record whose clock says that the copy is old: v2 may have begun streams since.
 func TestStreamIsNotJoinedAfterRestoreOfOldCopyAndLossOfAll(t *testing.T) {
 	c := startStreamCluster(t)
--- a/internal/node/versionrecord.go
+++ b/internal/node/versionrecord.go
@@ -92,12 +92,17 @@
 	return past, copied, nil
 }
 
-// keepVersionRecord reads the record once, and writes it while this instance holds the lease and
-// the versions that have served lately differ from it.
+// keepVersionRecord reads the record at the start, and again if the past is lost as the store comes back from a copy. It writes the
+// record while this instance holds the lease and the versions that have served lately differ from it.
 func (n *Node) keepVersionRecord(ctx context.Context) {
+	readIn := n.store.Era()
 	n.readVersionRecord(ctx)
 	var last versionWrite
 	for pause.For(ctx, versionRecordInterval) {
+		if past := n.streams.past(); !past.isComplete && past.era != readIn {
+			readIn = past.era
+			n.readVersionRecord(ctx)
+		}
 		if !n.leaseManager.HoldsLease() {
 			last = versionWrite{}
 			continue
@@ -208,7 +213,7 @@
 	case p.isComplete && p.era == s.continuity.Era():
 		s.tracker.LearnPast(now, p.served)
 		s.logPast(now, "record")
-	case !s.tracker.KnowsPast(now):
+	case !s.tracker.KnowsPast(now) && s.tracker.PastUnknownFor(now) == 0:
 		s.tracker.LosePast(now)
 		s.logPast(now, "record")
 	}
