--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -231,13 +231,13 @@
 	l.writes++
 	acted := l.fencingToken != 0 && now >= l.mayActFrom
 	r := Record{Holder: l.instance, Nonce: l.nonce, Writes: l.writes, Era: l.era, Acted: acted}
-	r.HasCopy, r.CopyEra, r.CopyWrittenAt = l.record.Copied(l.era)
+	r.HasCopy, r.CopyEra, r.CopyWrittenAt = l.record.InCopy(l.era)
 	return r
 }
 
-// Copied returns what is known in an era of the record in the copy from which the store came back: whether there was one, its Era and
-// its WrittenAt.
-func (r Record) Copied(era object.Era) (hasCopy bool, copyEra object.Era, writtenAt int64) {
+// InCopy tells of the lease record in the copy from which the store came back in the given era, as r was read in that era: whether there
+// was one, its Era and its WrittenAt. If r was written before, it is that record itself.
+func (r Record) InCopy(era object.Era) (hasCopy bool, copyEra object.Era, writtenAt int64) {
 	if r.Version != 0 && r.Era < era {
 		return true, r.Era, r.WrittenAt
 	}
--- a/internal/coordination/restore/copy.go
+++ b/internal/coordination/restore/copy.go
@@ -20,11 +20,11 @@
 	LeaseRenewedAt time.Time  // by the wall clock of its holder; the Unix epoch if it did not tell
 	HasRecord      bool       // of the software versions
 	RecordEra      object.Era // in which it was written
-	IsComplete     bool       // the writer of the record knew the past
+	KnowsPast      bool       // the writer of the record knew all versions that had served
 }
 
 // TellsPast reports at now, of the wall clock, whether the copy names all software versions that may have begun streams. New versions
-// begin none for newVersionDelay, so a copy that is recent enough names them. One without a lease and a record is of before the first
+// begin none for newVersionDelay, so a copy that is recent enough names them. A copy with neither a lease nor a record was made before any
 // instance had served.
 func (c Copy) TellsPast(now time.Time, newVersionDelay time.Duration) bool {
 	maxAge := newVersionDelay - recordTime - maxClockError
@@ -33,7 +33,7 @@
 		return false
 	case !c.HasLease && !c.HasRecord:
 		return true
-	case !c.HasLease || !c.HasRecord || !c.IsComplete || c.LeaseEra != c.RecordEra:
+	case !c.HasLease || !c.HasRecord || !c.KnowsPast || c.LeaseEra != c.RecordEra:
 		return false
 	}
 	age := now.Sub(c.LeaseRenewedAt)
--- a/internal/coordination/restore/copy_test.go
+++ b/internal/coordination/restore/copy_test.go
@@ -12,7 +12,7 @@
 	now := time.Unix(1800000000, 0)
 	const delay = 15 * time.Second
 	recent := func(change func(*Copy)) Copy {
-		c := Copy{HasLease: true, LeaseEra: 2, LeaseRenewedAt: now.Add(-4 * time.Second), HasRecord: true, RecordEra: 2, IsComplete: true}
+		c := Copy{HasLease: true, LeaseEra: 2, LeaseRenewedAt: now.Add(-4 * time.Second), HasRecord: true, RecordEra: 2, KnowsPast: true}
 		change(&c)
 		return c
 	}
@@ -30,7 +30,7 @@
 		"no holder":                             {recent(func(c *Copy) { c.HasLease = false }), delay, false},
 		"no record":                             {recent(func(c *Copy) { c.HasRecord = false }), delay, false},
 		"record of before the last restore":     {recent(func(c *Copy) { c.RecordEra = 1 }), delay, false},
-		"its writer did not know the past":      {recent(func(c *Copy) { c.IsComplete = false }), delay, false},
+		"its writer did not know the past":      {recent(func(c *Copy) { c.KnowsPast = false }), delay, false},
 		"nothing had been written":              {Copy{}, delay, true},
 		"new versions begin streams at once":    {recent(func(*Copy) {}), 0, false},
 		"nothing written, no delay":             {Copy{}, 0, false},
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -57,7 +57,7 @@
 	isDue, isFirst := r.startedPeers.isDue(time.Now(), m.Instance, m.Incarnation)
 	r.mu.Unlock()
 	if isFirst && !r.aggregatesLoads() {
-		r.node.mesh.Send(m.Instance, r.currentReport().beacon()) // it tells in turn what this instance may lack
+		r.node.mesh.Send(m.Instance, r.currentReport().beacon()) // so that it answers with what this instance may lack
 		for _, o := range r.node.streams.shared() {
 			r.node.mesh.Send(m.Instance, &pb.FleetMessage{StreamOrigins: []*pb.StreamOrigin{o}})
 		}
--- a/internal/node/lostpast_test.go
+++ b/internal/node/lostpast_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"strconv"
 	"strings"
 	"testing"
@@ -20,7 +17,7 @@
 // awaitPastKnown waits until an instance knows which versions have served lately.
 func awaitPastKnown(t *testing.T, i *instance) {
 	t.Helper()
-	eventually(t, "the versions that have served", func() bool { return i.node.streams.past().isComplete })
+	eventually(t, "the versions that have served", func() bool { return i.node.streams.past().knowsPast })
 }
 
 // assertUnknown takes a stream up. It must be refused, and the caller told when to return.
@@ -378,18 +375,7 @@
 // whom the last one that knew them was then killed too.
 func TestStartedInstanceKnowsStreamsOfOthersThatAreLostLater(t *testing.T) {
 	c := startStreamCluster(t)
-	target, err := url.Parse(c.storeURL)
-	assert.NilError(t, err)
-	proxy := httputil.NewSingleHostReverseProxy(target)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.Contains(r.URL.Path, string(kindStreamRecord)) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		proxy.ServeHTTP(w, r)
-	}))
-	t.Cleanup(server.Close)
-	c.storeURL = server.URL
+	c.startStoreProxy(t).refusedKind = kindStreamRecord
 	one := c.startInstance(t, "i1")
 	c.awaitEngines(t, 2, one)
 	begun := make(map[string]string)
--- a/internal/node/outofstep_test.go
+++ b/internal/node/outofstep_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryweir/internal/state/object"
 	"savoryweir/platform"
 )
 
@@ -19,6 +20,7 @@
 type storeProxy struct {
 	holdsWatches, refuses atomic.Bool
 	upstreamLists         atomic.Int64
+	refusedKind           object.Kind // set before instances start; empty for none
 }
 
 // startStoreProxy puts a proxy before the store for the instances that are started next.
@@ -30,7 +32,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		isUpstreams, isWatch := strings.HasSuffix(r.URL.Path, string(platform.KindUpstreams)), r.URL.Query().Has("watch")
 		switch {
-		case p.refuses.Load():
+		case p.refuses.Load(), p.refusedKind != "" && strings.Contains(r.URL.Path, string(p.refusedKind)):
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case isUpstreams && isWatch:
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,7 +27,7 @@
 
 // StreamSettings holds the settings of streams that may be resumed.
 type StreamSettings struct {
-	NewVersionDelay time.Duration `help:"Time for which upstreams of a software version that joins others begin streams that may be resumed only if the others have no room. After the loss of all instances, copies of the store that are up to seven seconds younger than this tell where streams began; 0 turns both off." default:"20s" min:"0s" max:"10m"`
+	NewVersionDelay time.Duration `help:"Time for which upstreams of a software version that joins others begin streams that may be resumed only if the others have no room. After the loss of all instances, a copy of the store counts as naming all versions that have begun streams if it is seven seconds younger than this. With 0 neither holds." default:"20s" min:"0s" max:"10m"`
 }
 
 // FairnessSettings holds the settings for room that is short.
--- a/internal/node/upstreamview.go
+++ b/internal/node/upstreamview.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	m := &pb.StoreEra{Era: uint32(era), KnownMillis: uint64(age.Milliseconds()), KnowsUpstreams: v.isComplete()}
-	if past := v.node.streams.past(); past.isComplete && past.era == era && age < pastToldFor {
+	if past := v.node.streams.past(); past.knowsPast && past.era == era && age < pastToldFor {
 		m.KnowsPast = true
 		for _, o := range past.served {
 			m.Served = append(m.Served, encodeOrigin(o))
@@ -65,7 +65,7 @@
 	era := object.Era(m.StoreEra.Era)
 	v.node.store.ObserveEraAge(era, decodeMillis(m.StoreEra.KnownMillis))
 	if m.StoreEra.KnowsPast {
-		past := servedPast{era: era, isComplete: true}
+		past := servedPast{era: era, knowsPast: true}
 		for _, o := range m.StoreEra.Served {
 			past.served = append(past.served, streams.Origin{Service: o.Service, Version: o.Version})
 		}
--- a/internal/node/versionrecord.go
+++ b/internal/node/versionrecord.go
@@ -43,14 +43,14 @@
 
 // servedPast are the versions that have served lately, as known at one time.
 type servedPast struct {
-	served     []streams.Origin
-	newSince   map[streams.Origin]time.Time // of those that joined others of their service
-	era        object.Era                   // of the store
-	isComplete bool                         // no other version has served within the retention
+	served    []streams.Origin
+	newSince  map[streams.Origin]time.Time // of those that joined others of their service
+	era       object.Era                   // of the store
+	knowsPast bool                         // no other version has served within the retention
 }
 
 func encodeVersionRecord(p servedPast) ([]byte, error) {
-	record := versionRecord{Served: []recordedVersion{}, Era: p.era, KnowsPast: p.isComplete}
+	record := versionRecord{Served: []recordedVersion{}, Era: p.era, KnowsPast: p.knowsPast}
 	for _, o := range p.served {
 		v := recordedVersion{Service: o.Service, Version: o.Version}
 		if since, ok := p.newSince[o]; ok {
@@ -64,7 +64,7 @@
 func decodeVersionRecord(data []byte) (servedPast, error) {
 	var record versionRecord
 	err := json.Unmarshal(data, &record)
-	p := servedPast{newSince: make(map[streams.Origin]time.Time), era: record.Era, isComplete: record.KnowsPast}
+	p := servedPast{newSince: make(map[streams.Origin]time.Time), era: record.Era, knowsPast: record.KnowsPast}
 	for _, v := range record.Served {
 		o := streams.Origin{Service: v.Service, Version: v.Version}
 		p.served = append(p.served, o)
@@ -78,7 +78,7 @@
 // decodeVersionRecords returns what the records in the store tell, complete if they are of the store's present era. In its first era the
 // store has lost nothing, so that even no record tells the past.
 func decodeVersionRecords(objects []object.Object, era object.Era) (past servedPast, copied restore.Copy, err error) {
-	past = servedPast{newSince: make(map[streams.Origin]time.Time), era: era, isComplete: era == 0}
+	past = servedPast{newSince: make(map[streams.Origin]time.Time), era: era, knowsPast: era == 0}
 	for _, o := range objects {
 		p, err := decodeVersionRecord(o.Data)
 		if err != nil {
@@ -86,8 +86,8 @@
 		}
 		past.served = append(past.served, p.served...)
 		maps.Copy(past.newSince, p.newSince)
-		past.isComplete = past.isComplete || p.isComplete && p.era == era
-		copied.HasRecord, copied.RecordEra, copied.IsComplete = true, p.era, p.isComplete
+		past.knowsPast = past.knowsPast || p.knowsPast && p.era == era
+		copied.HasRecord, copied.RecordEra, copied.KnowsPast = true, p.era, p.knowsPast
 	}
 	return past, copied, nil
 }
@@ -99,7 +99,7 @@
 	n.readVersionRecord(ctx)
 	var last versionWrite
 	for pause.For(ctx, versionRecordInterval) {
-		if past := n.streams.past(); !past.isComplete && past.era != readIn {
+		if past := n.streams.past(); !past.knowsPast && past.era != readIn {
 			readIn = past.era
 			n.readVersionRecord(ctx)
 		}
@@ -126,7 +126,7 @@
 // holds reports whether the record still tells this. In a later era the store may have lost it, even if the holder has the lease again
 // before it notices that it had given it up.
 func (w versionWrite) holds(p servedPast) bool {
-	return w.served != nil && w.era == p.era && w.isComplete == p.isComplete && slices.Equal(p.served, w.served)
+	return w.served != nil && w.era == p.era && w.knowsPast == p.knowsPast && slices.Equal(p.served, w.served)
 }
 
 // readVersionRecord reads the versions that served before this instance started. It repeats the
@@ -158,7 +158,7 @@
 		n.log.Error().Err(err).Str("event", "versions.failed").Msg("failed to decode the software versions that served before; unknown streams are refused for a time")
 		return servedPast{}, nil
 	}
-	if past.isComplete {
+	if past.knowsPast {
 		return past, nil
 	}
 	lease, err := reconciler.ReadLease(ctx, n.store)
@@ -166,9 +166,9 @@
 		return servedPast{}, err
 	}
 	var renewedAt int64
-	copied.HasLease, copied.LeaseEra, renewedAt = lease.Copied(past.era)
+	copied.HasLease, copied.LeaseEra, renewedAt = lease.InCopy(past.era)
 	copied.LeaseRenewedAt = time.UnixMilli(renewedAt)
-	past.isComplete = copied.TellsPast(time.Now(), n.settings.Streams.NewVersionDelay)
+	past.knowsPast = copied.TellsPast(time.Now(), n.settings.Streams.NewVersionDelay)
 	return past, nil
 }
 
@@ -188,7 +188,7 @@
 		_, err = n.store.Update(ctx, kindSoftwareVersions, nameSoftwareVersions, data, found.Version)
 	}
 	if err == nil {
-		n.log.Info().Str("event", "versions.recorded").Interface("served", past.served).Uint64("era", uint64(past.era)).Bool("complete", past.isComplete).Msg("software versions that serve recorded")
+		n.log.Info().Str("event", "versions.recorded").Interface("served", past.served).Uint64("era", uint64(past.era)).Bool("knows_past", past.knowsPast).Msg("software versions that serve recorded")
 	}
 	return err
 }
@@ -199,7 +199,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.observe(now)
-	return servedPast{served: s.tracker.Served(now), newSince: s.tracker.NewSince(), era: s.continuity.Era(), isComplete: s.tracker.KnowsPast(now)}
+	return servedPast{served: s.tracker.Served(now), newSince: s.tracker.NewSince(), era: s.continuity.Era(), knowsPast: s.tracker.KnowsPast(now)}
 }
 
 // learnRecorded records the versions that served before the start of this instance, as read from the store.
@@ -210,7 +210,7 @@
 	s.observeEra(now)
 	s.tracker.LearnRecorded(now, p.served, p.newSince)
 	switch {
-	case p.isComplete && p.era == s.continuity.Era():
+	case p.knowsPast && p.era == s.continuity.Era():
 		s.tracker.LearnPast(now, p.served)
 		s.logPast(now, "record")
 	case !s.tracker.KnowsPast(now) && s.tracker.PastUnknownFor(now) == 0:
--- a/internal/node/versionrecord_test.go
+++ b/internal/node/versionrecord_test.go
@@ -13,12 +13,12 @@
 // written, so that the versions which had served were unknown after the loss of all instances.
 func TestVersionsAreRecordedAgainInLaterEraAlthoughLeaseIsHeld(t *testing.T) {
 	served := []streams.Origin{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}
-	written := servedPast{served: served, era: 1, isComplete: true}
+	written := servedPast{served: served, era: 1, knowsPast: true}
 	assert.Assert(t, !versionWrite{}.holds(servedPast{served: served}))
 	w := versionWrite{written}
 	assert.Assert(t, w.holds(written))
-	assert.Assert(t, !w.holds(servedPast{served: served[:1], era: 1, isComplete: true}))
-	assert.Assert(t, !w.holds(servedPast{served: served, era: 2, isComplete: true}))
+	assert.Assert(t, !w.holds(servedPast{served: served[:1], era: 1, knowsPast: true}))
+	assert.Assert(t, !w.holds(servedPast{served: served, era: 2, knowsPast: true}))
 	assert.Assert(t, !w.holds(servedPast{served: served, era: 1}))
 }
 
@@ -46,7 +46,7 @@
 			}
 			past, _, err := decodeVersionRecords(objects, test.era)
 			assert.NilError(t, err)
-			assert.Equal(t, past.isComplete, test.want)
+			assert.Equal(t, past.knowsPast, test.want)
 			assert.Equal(t, past.era, test.era)
 			if test.record != "" {
 				assert.DeepEqual(t, past.served, []streams.Origin{v1})
--- a/internal/state/streams/streams.go
+++ b/internal/state/streams/streams.go
@@ -37,7 +37,7 @@
 type Tracker struct {
 	observedFrom time.Time // versions that served since then are known
 	knowsPast    bool      // the versions that served before observedFrom are known
-	isPastLost   bool      // no record tells them
+	isPastLost   bool      // neither the store nor another instance tells them
 	origins      map[ID]Origin
 	expiry       []timedID              // all streams, oldest first
 	pending      map[string][]pendingID // streams not yet announced, by service, oldest first
@@ -78,8 +78,8 @@
 	}
 }
 
-// LearnTold records a stream that another instance has told this one at its start. It isn't told on, or no end of restarts would ever
-// remove it.
+// LearnTold records a stream that another instance has told this one at its start. It isn't passed on, since each
+// instance keeps a stream for the whole retention: it would stay for as long as instances are restarted.
 func (t *Tracker) LearnTold(now time.Time, id ID, origin Origin) {
 	t.ObserveServing(now, []Origin{origin})
 	t.add(now, id, origin, true)
@@ -205,7 +205,7 @@
 	t.ObserveServing(now, served)
 }
 
-// LosePast records that versions may have served before now that are not known here and in no record.
+// LosePast records that versions may have served before now that neither the store nor another instance tells.
 func (t *Tracker) LosePast(now time.Time) {
 	t.observedFrom, t.knowsPast, t.isPastLost = now, false, true
 }
