Tests: an instance that was cut off before the store's return does not take what it has seen for the past

The one for the copy that is read again covered the other side alone.

Change: TestStreamIsNotJoinedAtInstanceCutOffBeforeRestoreOfStore, with the same course as the other.

--- a/internal/node/lostpast_test.go
+++ b/internal/node/lostpast_test.go
@@ -309,16 +309,16 @@
 	})
 }
 
-// An instance that runs all the while has no word of the store's changes for some seconds, as another instance is lost. It refused all
-// streams for a minute after the return, although the copy tells the past to instances that start.
-func TestStreamsGoOnAtInstanceCutOffBeforeRestoreOfRecentCopy(t *testing.T) {
+// cutOffBeforeRestore has an instance run without word of the store's changes, as another one is lost, until the store comes back.
+func cutOffBeforeRestore(t *testing.T, prepare func(*Node)) (*streamCluster, *instance) {
+	t.Helper()
 	c := startStreamCluster(t)
 	c.serveOnly(t, []string{"v1"})
 	proxy := c.startStoreProxy(t)
-	one, lost := c.startInstanceWith(t, "i1", withNewVersionDelay), c.startInstanceWith(t, "i2", withNewVersionDelay)
-	defer one.terminate(t)
+	one, lost := c.startInstanceWith(t, "i1", prepare), c.startInstanceWith(t, "i2", prepare)
 	c.awaitEngines(t, 1, one, lost)
 	awaitPeers(t, one, lost)
+	awaitPastKnown(t, one)
 	eventually(t, "the record of v1", func() bool { return strings.Contains(c.recordedVersions(t), "v1") })
 	time.Sleep(time.Second) // the lease is renewed
 	backup := c.store.Backup()
@@ -329,6 +329,23 @@
 	c.store.Restore(backup)
 	proxy.refuses.Store(false)
 	eventually(t, "the store's return", func() bool { return one.node.store.Era() == 1 })
+	return c, one
+}
+
+// An instance runs all the while, but had no word of the store's changes before the return. It took what it had seen for the past, although
+// the instance that was lost may have begun streams at a version that has left.
+func TestStreamIsNotJoinedAtInstanceCutOffBeforeRestoreOfStore(t *testing.T) {
+	c, one := cutOffBeforeRestore(t, func(*Node) {})
+	defer one.terminate(t)
+	assertRefused(t, one, "begun at v2", restore.RewriteTime+rewriteDelay)
+	assertUnknown(t, one, "begun at v2")
+	assert.Equal(t, c.engines["v1"].resumed.Load(), int64(0), "a stream of v2 went on at v1")
+}
+
+// It refused all streams for a minute after the return, although the copy tells the past to instances that start.
+func TestStreamsGoOnAtInstanceCutOffBeforeRestoreOfRecentCopy(t *testing.T) {
+	_, one := cutOffBeforeRestore(t, withNewVersionDelay)
+	defer one.terminate(t)
 	eventually(t, "that a stream goes on", func() bool { return one.resume(t, "r", "begun at v1") == http.StatusOK })
 }
 
